--- /dev/null
+++ b/banyansail/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Subcommands of the operator's command line, one module each."""
--- /dev/null
+++ b/banyansail/commands/demo.py
@@ -0,0 +1,12 @@
+"""Command ``demo``."""
+
+from __future__ import annotations
+
+from typing import Any
+
+
+def run(arguments: dict[str, Any]) -> int:
+    """Run the demo and print its table."""
+    from banyansail.demo.run import run_demo
+
+    return run_demo(float(arguments["--seconds"]), int(arguments["--seed"]))
--- /dev/null
+++ b/banyansail/commands/rollout.py
@@ -0,0 +1,108 @@
+"""Commands ``rollout status|take-back``."""
+
+from __future__ import annotations
+
+import json
+import sys
+from typing import TYPE_CHECKING, Any
+
+from banyansail.clock import SystemClock
+from banyansail.commands.remote import run_with_platform
+from banyansail.commands.table import format_table
+from banyansail.config.rule_parser import parse_rules
+from banyansail.config.rule_store import read_rules
+from banyansail.platform.budget import CallKind
+from banyansail.rollout.status import (
+    MoveState,
+    MoveStatement,
+    decode_statement,
+    encode_statement,
+    move_id,
+    settle,
+    status_key,
+)
+
+if TYPE_CHECKING:
+    from banyansail.config.rules import RolloutRule
+    from banyansail.platform.client import PlatformClient
+
+
+def run(arguments: dict[str, Any]) -> int:
+    """Run one of the commands."""
+    if arguments["status"]:
+        return show_status(arguments["--platform"], as_json=arguments["--json"])
+    return take_back(
+        arguments["SERVICE"],
+        arguments["--platform"],
+        by=arguments["--by"],
+        why=arguments["--why"],
+    )
+
+
+def show_status(platform_address: str, *, as_json: bool) -> int:
+    """Print what is stated about each move."""
+
+    async def act(platform: PlatformClient) -> list[dict[str, str]]:
+        rollouts = await _read_rollouts(platform)
+        return [
+            await _describe(platform, service, rule)
+            for service, rule in rollouts.items()
+        ]
+
+    moves = run_with_platform(platform_address, act)
+    if as_json:
+        print(json.dumps(moves, indent=2))
+        return 0
+    header = ["service", "from", "to", "deadline", "state", "since", "reason"]
+    rows = [[item[name] for name in header] for item in moves]
+    print(format_table(header, rows))
+    return 0
+
+
+def take_back(service: str, platform_address: str, *, by: str, why: str) -> int:
+    """Take a move back for good."""
+
+    async def act(platform: PlatformClient) -> MoveStatement | None:
+        rule = (await _read_rollouts(platform)).get(service)
+        if rule is None:
+            return None
+        statement = MoveStatement(
+            move_id(rule), MoveState.TAKEN_BACK, SystemClock().now(), why, by
+        )
+        stored = await platform.update(
+            status_key(service),
+            lambda body: settle(body, statement),
+            lambda body: body == encode_statement(statement),
+            CallKind.ROLLOUT,
+        )
+        return decode_statement(stored.body)
+
+    held = run_with_platform(platform_address, act)
+    if held is None:
+        print(f"service {service!r} has no rollout", file=sys.stderr)
+        return 1
+    print(f"{held.move}: {held.state.value} by {held.writer}: {held.reason}")
+    return 0 if held.state is MoveState.TAKEN_BACK else 1
+
+
+async def _read_rollouts(platform: PlatformClient) -> dict[str, RolloutRule]:
+    current, _ = await read_rules(platform)
+    rules, _ = parse_rules(current.text)
+    return rules.rollout_by_service
+
+
+async def _describe(
+    platform: PlatformClient, service: str, rule: RolloutRule
+) -> dict[str, str]:
+    stored = await platform.get(status_key(service), CallKind.STATUS)
+    held = decode_statement(stored.body)
+    known = held is not None and held.move == move_id(rule)
+    return {
+        "service": service,
+        "from": rule.old_version,
+        "to": rule.new_version,
+        "deadline": rule.deadline.isoformat(timespec="seconds"),
+        "state": held.state.value if known else "not stated yet",
+        "since": held.at.isoformat(timespec="seconds") if known else "-",
+        "reason": f"{held.reason} ({held.writer})" if known else "-",
+    }
--- /dev/null
+++ b/banyansail/commands/rules.py
@@ -0,0 +1,146 @@
+"""Commands ``rules check|apply|show|history|diff|reference|status``."""
+
+from __future__ import annotations
+
+import difflib
+import json
+import sys
+import uuid
+from pathlib import Path
+from typing import TYPE_CHECKING, Any
+
+from banyansail.clock import SystemClock
+from banyansail.commands.remote import read_router, run_with_platform
+from banyansail.commands.table import format_table
+from banyansail.config.findings import Finding, has_errors
+from banyansail.config.reference import format_reference
+from banyansail.config.rule_parser import parse_rules
+from banyansail.config.rule_store import (
+    LostRaceError,
+    apply_rules,
+    history_of,
+    read_rules,
+)
+from banyansail.exceptions import ConfigError
+
+if TYPE_CHECKING:
+    from banyansail.platform.client import PlatformClient
+
+
+def run(arguments: dict[str, Any]) -> int:
+    """Run one of the commands."""
+    if arguments["check"]:
+        return check(arguments["FILE"], strict=arguments["--strict"])
+    if arguments["apply"]:
+        return apply(arguments)
+    if arguments["show"]:
+        return show(arguments["--platform"])
+    if arguments["history"]:
+        return history(arguments["--platform"])
+    if arguments["diff"]:
+        return diff(arguments["FILE"], arguments["--platform"])
+    if arguments["reference"]:
+        print(format_reference(), end="")
+        return 0
+    return show_status(arguments["--router"], as_json=arguments["--json"])
+
+
+def check(file: str, *, strict: bool) -> int:
+    """Print every finding of a file."""
+    _, findings = parse_rules(_read(file), file)
+    for finding in findings:
+        print(finding)
+    if has_errors(findings, strict=strict):
+        return 1
+    print(f"{file}: no errors")
+    return 0
+
+
+def apply(arguments: dict[str, Any]) -> int:
+    """Check a file and have it accepted by the platform."""
+    file = arguments["FILE"]
+    text = _read(file)
+    if check(file, strict=arguments["--strict"]) != 0:
+        print("nothing was applied", file=sys.stderr)
+        return 1
+    expected = arguments["--expect"]
+
+    async def act(platform: PlatformClient) -> int:
+        try:
+            accepted = await apply_rules(
+                platform,
+                text,
+                by=arguments["--by"],
+                writer=uuid.uuid4().hex,
+                at=SystemClock().now(),
+                expected=None if expected is None else int(expected),
+            )
+        except LostRaceError as error:
+            print(error.message, file=sys.stderr)
+            _print_diff(error.winner.text, text, "in force", file)
+            return 1
+        print(f"accepted as version {accepted.version}")
+        return 0
+
+    return run_with_platform(arguments["--platform"], act)
+
+
+def show(platform_address: str) -> int:
+    """Print the accepted rules as they were written."""
+    current, _ = run_with_platform(platform_address, read_rules)
+    print(current.text, end="")
+    print(f"version {current.version}, applied by {current.by}", file=sys.stderr)
+    return 0
+
+
+def history(platform_address: str) -> int:
+    """Print who applied which version and when."""
+    current, body = run_with_platform(platform_address, read_rules)
+    rows = [
+        [str(item.version), item.at.isoformat(timespec="seconds"), item.by]
+        for item in history_of(current, body)
+    ]
+    print(format_table(["version", "applied", "by"], rows))
+    return 0
+
+
+def diff(file: str, platform_address: str) -> int:
+    """Print how a file differs from the accepted rules."""
+    current, _ = run_with_platform(platform_address, read_rules)
+    _print_diff(current.text, _read(file), f"version {current.version}", file)
+    return 0
+
+
+def show_status(router_address: str, *, as_json: bool) -> int:
+    """Print which version each router has in force, and who was not heard from."""
+    members = read_router(router_address, "/status")["members"]
+    if as_json:
+        print(json.dumps(members, indent=2))
+        return 0
+    rows = [
+        [
+            item["name"],
+            item["zone"],
+            str(item["rules_version"]),
+            item["rules_since"],
+            "yes" if item["live"] else f"not heard from for {item['heard_s']:.0f} s",
+        ]
+        for item in members
+    ]
+    print(format_table(["router", "zone", "version", "in force since", "live"], rows))
+    return 0
+
+
+def _print_diff(before: str, after: str, before_name: str, after_name: str) -> None:
+    lines = difflib.unified_diff(
+        before.splitlines(), after.splitlines(), before_name, after_name, lineterm=""
+    )
+    for line in lines:
+        print(line)
+
+
+def _read(file: str) -> str:
+    try:
+        return Path(file).read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        raise ConfigError([Finding(file, 1, 1, f"cannot be read: {error}")]) from None
--- /dev/null
+++ b/banyansail/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""View of the other routers, kept by gossip; it is advice only."""
--- /dev/null
+++ b/banyansail/fleet/gossiper.py
@@ -0,0 +1,262 @@
+"""Decides what to tell which router, and when; no input or output.
+
+News is pushed at once to a few routers and passed on a few times; digests of what
+was heard repair what a push missed and carry heartbeats. Inside a zone any router
+talks to any other; between zones only a few bridges of each zone do.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Iterable
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from banyansail.exceptions import WireError
+from banyansail.fleet.entries import Digest, Entry, Gossip, Member, Topic
+from banyansail.utils import hash64
+from banyansail.wire.gossip_codec import decode_member
+
+if TYPE_CHECKING:
+    from random import Random
+
+    from banyansail.config.fields import Address
+    from banyansail.fleet.view import FleetView
+
+PUSH_FANOUT = 2
+DIGEST_FANOUT = 1
+BRIDGES_PER_ZONE = 2
+MAX_ENTRY_BYTES_PER_DATAGRAM = 6 * 1024
+MAX_DIGESTS_PER_DATAGRAM = 48
+EXTRA_PUSHES = 2  # beyond the logarithm of the zone's size
+
+
+@dataclass(slots=True, frozen=True)
+class Outgoing:
+    """A datagram to send.
+
+    Parameters
+    ----------
+    address : Address
+        Where to.
+    """
+
+    address: Address
+    gossip: Gossip
+
+
+class Gossiper:
+    """Gossip of one router.
+
+    Parameters
+    ----------
+    view : FleetView
+        What was heard.
+    zone : str
+        Zone of this router.
+    own_address : Address
+        Where other routers reach this one.
+    seeds : iterable of Address
+        Routers to ask before any other is known.
+    random : Random
+        Source of the draws.
+    """
+
+    __slots__ = (
+        "_digest_offset",
+        "_member_by_name",
+        "_own_address",
+        "_pushes_left",
+        "_random",
+        "_seeds",
+        "_view",
+        "_zone",
+    )
+
+    def __init__(
+        self,
+        view: FleetView,
+        zone: str,
+        own_address: Address,
+        seeds: Iterable[Address],
+        random: Random,
+    ) -> None:
+        self._view = view
+        self._zone = zone
+        self._own_address = own_address
+        self._seeds = [seed for seed in seeds if seed != own_address]
+        self._random = random
+        self._pushes_left: dict[tuple[str, Topic], tuple[Entry, int]] = {}
+        self._member_by_name: dict[str, Member] = {}
+        self._digest_offset = 0
+
+    def members(self) -> dict[str, Member]:
+        """Return every router that was heard of, live or not."""
+        return self._member_by_name
+
+    def live_members(self) -> dict[str, Member]:
+        """Return the routers that were heard of lately, this one included."""
+        return {
+            name: member
+            for name, member in self._member_by_name.items()
+            if self._view.is_live(name)
+        }
+
+    def publish(self, topic: Topic, value: bytes) -> bool:
+        """Replace this router's value; return whether that was news."""
+        entry = self._view.publish(topic, value)
+        if entry is None:
+            return False
+        self._note(entry)
+        return True
+
+    def push(self) -> list[Outgoing]:
+        """Return the datagrams that pass news on now."""
+        if not self._pushes_left:
+            return []
+        entries = self._take_pushes()
+        targets = self._sample(self._zone_peers(), PUSH_FANOUT)
+        targets += self._sample(self._bridge_peers(), PUSH_FANOUT)
+        if not targets:
+            targets = self._sample(self._seeds, PUSH_FANOUT)
+        return [self._outgoing(target, entries, (), False) for target in targets]
+
+    def exchange(self) -> list[Outgoing]:
+        """Return the datagrams that compare what was heard."""
+        self._view.beat()
+        digests = self._next_digests()
+        targets = self._sample(self._zone_peers(), DIGEST_FANOUT)
+        targets += self._sample(self._bridge_peers(), DIGEST_FANOUT)
+        unheard = [seed for seed in self._seeds if seed not in self._known_addresses()]
+        targets += self._sample(unheard, 1)
+        return [self._outgoing(target, (), digests, True) for target in targets]
+
+    def receive(
+        self, gossip: Gossip, sender: Address
+    ) -> tuple[list[Entry], list[Outgoing]]:
+        """Take in a datagram.
+
+        Returns
+        -------
+        news : list of Entry
+            Entries that were not known.
+        replies : list of Outgoing
+            What the sender lacks.
+        """
+        news = [entry for entry in gossip.entries if self._view.merge(entry)]
+        for entry in news:
+            self._note(entry)
+        for digest in gossip.digests:
+            self._view.hear(digest)
+        if not gossip.wants_reply:
+            return news, []
+        return news, [self._reply(gossip, sender)]
+
+    def _reply(self, gossip: Gossip, sender: Address) -> Outgoing:
+        entries: list[Entry] = []
+        size = 0
+        wanted: list[Digest] = []
+        seen = {digest.origin for digest in gossip.digests}
+        for digest in gossip.digests:
+            for entry in self._view.newer_entries(digest):
+                size += len(entry.value)
+                if size <= MAX_ENTRY_BYTES_PER_DATAGRAM:
+                    entries.append(entry)
+            if self._view.lacks(digest):
+                wanted.append(self._own_digest(digest))
+        unknown_there = [name for name in self._next_names() if name not in seen]
+        for name in unknown_there[:MAX_DIGESTS_PER_DATAGRAM]:
+            wanted.append(self._view.digest(name))
+        return self._outgoing(sender, entries, wanted, bool(wanted) and bool(seen))
+
+    def _own_digest(self, digest: Digest) -> Digest:
+        if digest.origin in self._view.names:
+            return self._view.digest(digest.origin)
+        return Digest(digest.origin, 0, 0, digest.age, ())
+
+    def _note(self, entry: Entry) -> None:
+        """Pass an entry on and keep track of members."""
+        size = max(2, len(self._member_by_name))
+        pushes = math.ceil(math.log2(size)) + EXTRA_PUSHES
+        self._pushes_left[entry.origin, entry.topic] = (entry, pushes)
+        if entry.topic is Topic.MEMBER:
+            try:
+                self._member_by_name[entry.origin] = decode_member(entry.value)
+            except WireError:
+                return
+
+    def _take_pushes(self) -> list[Entry]:
+        taken: list[Entry] = []
+        size = 0
+        for key, (entry, left) in list(self._pushes_left.items()):
+            size += len(entry.value)
+            if taken and size > MAX_ENTRY_BYTES_PER_DATAGRAM:
+                break
+            taken.append(entry)
+            del self._pushes_left[key]
+            if left > 1:
+                self._pushes_left[key] = (entry, left - 1)
+        return taken
+
+    def _next_digests(self) -> list[Digest]:
+        return [
+            self._view.digest(name)
+            for name in self._next_names()[:MAX_DIGESTS_PER_DATAGRAM]
+        ]
+
+    def _next_names(self) -> list[str]:
+        """Return all names; this router first, the others from a moving start."""
+        names = [name for name in self._view.names if name != self._view.name]
+        if names:
+            start = self._digest_offset % len(names)
+            names = names[start:] + names[:start]
+        self._digest_offset += MAX_DIGESTS_PER_DATAGRAM - 1
+        return [self._view.name, *names]
+
+    def _zone_peers(self) -> list[Address]:
+        return [
+            member.peer
+            for name, member in self.live_members().items()
+            if member.zone == self._zone and name != self._view.name
+        ]
+
+    def _bridge_peers(self) -> list[Address]:
+        """Return bridges of other zones, if this router is a bridge itself."""
+        names_by_zone: dict[str, list[str]] = {}
+        live = self.live_members()
+        for name, member in live.items():
+            names_by_zone.setdefault(member.zone, []).append(name)
+        own = _bridges(self._zone, names_by_zone.get(self._zone, []))
+        if self._view.name not in own and own:
+            return []
+        peers = []
+        for zone, names in names_by_zone.items():
+            if zone != self._zone:
+                peers.extend(live[name].peer for name in _bridges(zone, names))
+        return peers
+
+    def _known_addresses(self) -> set[Address]:
+        return {member.peer for member in self.live_members().values()}
+
+    def _sample(self, addresses: list[Address], count: int) -> list[Address]:
+        if len(addresses) <= count:
+            return list(addresses)
+        return self._random.sample(addresses, count)
+
+    def _outgoing(
+        self,
+        address: Address,
+        entries: Iterable[Entry],
+        digests: Iterable[Digest],
+        wants_reply: bool,
+    ) -> Outgoing:
+        gossip = Gossip(
+            self._view.name, self._zone, tuple(entries), tuple(digests), wants_reply
+        )
+        return Outgoing(address, gossip)
+
+
+def _bridges(zone: str, names: list[str]) -> list[str]:
+    """Return the few routers of a zone that talk to other zones."""
+    ranked = sorted(names, key=lambda name: hash64(f"{zone}/{name}"))
+    return ranked[:BRIDGES_PER_ZONE]
--- /dev/null
+++ b/banyansail/fleet/peer_calls.py
@@ -0,0 +1,242 @@
+"""Calls between routers over TCP; each frame is sealed for its connection."""
+
+from __future__ import annotations
+
+import os
+from datetime import timedelta
+from typing import TYPE_CHECKING, Any
+
+from twisted.internet import defer, protocol
+from twisted.internet.endpoints import TCP4ClientEndpoint
+from twisted.protocols.basic import Int32StringReceiver
+
+from banyansail.exceptions import BanyansailError, WireError
+from banyansail.wire.call_codec import (
+    MAX_CALL_BYTES,
+    PeerCall,
+    PeerReply,
+    Unavailable,
+    decode_call,
+    decode_reply,
+    encode_call,
+    encode_reply,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Coroutine
+
+    from twisted.python.failure import Failure
+
+    from banyansail.config.fields import Address
+    from banyansail.wire.seal import Seal
+
+NONCE_BYTES = 16
+CONNECT_TIMEOUT_S = 1.0
+CALL_TIMEOUT = timedelta(seconds=3)
+
+
+class _SealedFrames(Int32StringReceiver):
+    """Frames whose codes cover both nonces, the direction and a counter."""
+
+    MAX_LENGTH = MAX_CALL_BYTES
+
+    def __init__(self, seal: Seal, own_label: bytes, peer_label: bytes) -> None:
+        self._seal = seal
+        self._nonce = os.urandom(NONCE_BYTES)
+        self._peer_nonce = b""
+        self._sent = 0
+        self._received = 0
+        self._labels = (own_label, peer_label)
+
+    def connectionMade(self) -> None:
+        self.transport.setTcpNoDelay(True)
+        self.sendString(self._nonce)
+
+    def stringReceived(self, string: bytes) -> None:
+        if not self._peer_nonce:
+            if len(string) != NONCE_BYTES:
+                self.transport.abortConnection()
+                return
+            self._peer_nonce = string
+            self.ready()
+            return
+        self._received += 1
+        try:
+            context = self._context(self._labels[1], self._received)
+            self.frame_received(self._seal.open(string, context))
+        except WireError:
+            self.transport.abortConnection()
+
+    def send_frame(self, payload: bytes) -> None:
+        self._sent += 1
+        context = self._context(self._labels[0], self._sent)
+        self.sendString(self._seal.close(payload, context))
+
+    def _context(self, label: bytes, counter: int) -> bytes:
+        nonces = sorted((self._nonce, self._peer_nonce))
+        return label + b"".join(nonces) + counter.to_bytes(8, "big")
+
+    def ready(self) -> None:
+        raise NotImplementedError
+
+    def frame_received(self, payload: bytes) -> None:
+        raise NotImplementedError
+
+
+class PeerServerProtocol(_SealedFrames):
+    """Answers the calls of one router."""
+
+    def __init__(
+        self,
+        seal: Seal,
+        handle: Callable[[PeerCall], Coroutine[Any, Any, PeerReply]],
+    ) -> None:
+        super().__init__(seal, b"server", b"client")
+        self._handle = handle
+
+    def ready(self) -> None:
+        """Do nothing: the client speaks first."""
+
+    def frame_received(self, payload: bytes) -> None:
+        """Handle a call and send its reply."""
+        call_id, call = decode_call(payload)
+        done = defer.Deferred.fromCoroutine(self._answer(call_id, call))
+        done.addErrback(lambda failure: None)
+
+    async def _answer(self, call_id: int, call: PeerCall) -> None:
+        try:
+            reply = await self._handle(call)
+        except BanyansailError as error:
+            reply = Unavailable(error.message)
+        if self.connected:
+            self.send_frame(encode_reply(call_id, reply))
+
+
+class PeerServerFactory(protocol.ServerFactory):
+    """Accepts the connections of other routers.
+
+    Parameters
+    ----------
+    seal : Seal
+        Authenticates frames.
+    handle : callable
+        Coroutine function that answers a call.
+    """
+
+    noisy = False
+
+    def __init__(
+        self,
+        seal: Seal,
+        handle: Callable[[PeerCall], Coroutine[Any, Any, PeerReply]],
+    ) -> None:
+        self._seal = seal
+        self._handle = handle
+
+    def buildProtocol(self, addr: Any) -> PeerServerProtocol:
+        """Build the protocol of a connection."""
+        return PeerServerProtocol(self._seal, self._handle)
+
+
+class _PeerClientProtocol(_SealedFrames):
+    """Calls one router."""
+
+    def __init__(self, seal: Seal) -> None:
+        super().__init__(seal, b"client", b"server")
+        self._next_id = 0
+        self._waiter_by_id: dict[int, defer.Deferred[PeerReply]] = {}
+        self.when_ready: defer.Deferred[_PeerClientProtocol] = defer.Deferred()
+
+    def ready(self) -> None:
+        self.when_ready.callback(self)
+
+    def frame_received(self, payload: bytes) -> None:
+        call_id, reply = decode_reply(payload)
+        waiter = self._waiter_by_id.pop(call_id, None)
+        if waiter is not None:
+            waiter.callback(reply)
+
+    def connectionLost(self, reason: Failure = protocol.connectionDone) -> None:
+        error = WireError("the connection to the router was lost")
+        if not self.when_ready.called:
+            self.when_ready.errback(error)
+        waiters, self._waiter_by_id = self._waiter_by_id, {}
+        for waiter in waiters.values():
+            waiter.errback(error)
+
+    def call(self, call: PeerCall) -> defer.Deferred[PeerReply]:
+        self._next_id += 1
+        call_id = self._next_id
+        waiter: defer.Deferred[PeerReply] = defer.Deferred(
+            lambda _: self._waiter_by_id.pop(call_id, None)
+        )
+        self._waiter_by_id[call_id] = waiter
+        self.send_frame(encode_call(call_id, call))
+        return waiter
+
+
+class PeerCaller:
+    """Keeps a connection to each router that is called.
+
+    Parameters
+    ----------
+    reactor : object
+        Twisted's reactor.
+    seal : Seal
+        Authenticates frames.
+    """
+
+    __slots__ = ("_connection_by_address", "_reactor", "_seal")
+
+    def __init__(self, reactor: Any, seal: Seal) -> None:
+        self._reactor = reactor
+        self._seal = seal
+        self._connection_by_address: dict[Address, _PeerClientProtocol] = {}
+
+    def __enter__(self) -> PeerCaller:
+        return self
+
+    def __exit__(self, *exc_info: object) -> None:
+        for connection in self._connection_by_address.values():
+            connection.transport.loseConnection()
+
+    async def call(self, address: Address, call: PeerCall) -> PeerReply:
+        """Call a router.
+
+        Raises
+        ------
+        WireError
+            If no reply came in time; the call may have been handled.
+        """
+        done = defer.Deferred.fromCoroutine(self._exchange(address, call))
+        done.addTimeout(CALL_TIMEOUT.total_seconds(), self._reactor)
+        try:
+            return await done
+        except defer.TimeoutError:
+            self._drop(address)
+            raise WireError(f"router {address} did not answer") from None
+
+    async def _exchange(self, address: Address, call: PeerCall) -> PeerReply:
+        connection = self._connection_by_address.get(address)
+        if connection is None or not connection.connected:
+            connection = await self._connect(address)
+        return await connection.call(call)
+
+    async def _connect(self, address: Address) -> _PeerClientProtocol:
+        endpoint = TCP4ClientEndpoint(
+            self._reactor, address.host, address.port, CONNECT_TIMEOUT_S
+        )
+        factory = protocol.Factory.forProtocol(lambda: _PeerClientProtocol(self._seal))
+        factory.noisy = False
+        try:
+            connection = await endpoint.connect(factory)
+        except Exception as error:
+            raise WireError(f"router {address}: {error}") from error
+        self._connection_by_address[address] = connection
+        return await connection.when_ready
+
+    def _drop(self, address: Address) -> None:
+        """Close a connection that may have gone silent."""
+        connection = self._connection_by_address.pop(address, None)
+        if connection is not None and connection.transport is not None:
+            connection.transport.abortConnection()
--- /dev/null
+++ b/banyansail/log.py
@@ -0,0 +1,62 @@
+"""Structured log of decisions: one line for each routing or placement decision."""
+
+from __future__ import annotations
+
+import sys
+from contextlib import contextmanager
+from typing import TYPE_CHECKING, Any
+
+import eliot
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+
+@contextmanager
+def open_log(path: str | None) -> Iterator[None]:
+    """Write eliot messages to a file, or to standard error, while the block runs.
+
+    Parameters
+    ----------
+    path : str or None
+        File to append to; ``None`` or ``"-"`` means standard error.
+    """
+    if path in (None, "-"):
+        destination = eliot.FileDestination(file=sys.stderr)
+        with _added(destination):
+            yield
+        return
+    with open(path, "a", encoding="utf-8", buffering=1) as file:
+        with _added(eliot.FileDestination(file=file)):
+            yield
+
+
+@contextmanager
+def _added(destination: Any) -> Iterator[None]:
+    eliot.add_destinations(destination)
+    try:
+        yield
+    finally:
+        eliot.remove_destination(destination)
+
+
+def log_decision(decision: str, reason: str, **fields: Any) -> None:
+    """Log one decision.
+
+    Parameters
+    ----------
+    decision : str
+        What was decided, for example ``"route"`` or ``"refuse"``.
+    reason : str
+        Why it was decided.
+    **fields
+        JSON-serializable details, such as the candidates that lost.
+    """
+    eliot.log_message(
+        message_type="banyansail:decision", decision=decision, reason=reason, **fields
+    )
+
+
+def log_event(event: str, **fields: Any) -> None:
+    """Log something that happened and that is no decision."""
+    eliot.log_message(message_type=f"banyansail:{event}", **fields)
--- /dev/null
+++ b/banyansail/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Which versions and instances each service should have, and where."""
--- /dev/null
+++ b/banyansail/rollout/__init__.py
@@ -0,0 +1,1 @@
+"""Moves of traffic from one version to another by a deadline."""
--- /dev/null
+++ b/banyansail/rollout/evidence.py
@@ -0,0 +1,143 @@
+"""Evidence about versions: counts and latency histograms that can be merged.
+
+Each router keeps totals for its own traffic; the fleet's evidence is their sum.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from datetime import timedelta
+
+LATENCY_BUCKETS = 32
+BUCKETS_PER_DOUBLING = 2
+FIRST_BUCKET = timedelta(milliseconds=1)
+LOAD_BAND_EDGES = (2, 8)  # in-flight calls at the upstream: low, middle, high
+MAX_CELLS = 512
+
+
+@dataclass(slots=True, frozen=True)
+class EvidenceKey:
+    """What a count is about.
+
+    Parameters
+    ----------
+    load_band : int
+        0 for low, 1 for middle, 2 for high load at the upstream.
+    """
+
+    service: str
+    version: str
+    route: str
+    workspace: str
+    load_band: int
+
+
+@dataclass(slots=True)
+class EvidenceCell:
+    """Counts under one key.
+
+    Parameters
+    ----------
+    good, failed : int
+        Calls that were answered, and that were not.
+    latencies : list of int
+        Count of the answered calls by latency bucket.
+    """
+
+    good: int = 0
+    failed: int = 0
+    latencies: list[int] = field(default_factory=lambda: [0] * LATENCY_BUCKETS)
+
+    @property
+    def total(self) -> int:
+        """Return all calls."""
+        return self.good + self.failed
+
+    def add(self, other: EvidenceCell) -> None:
+        """Add the counts of another cell."""
+        self.good += other.good
+        self.failed += other.failed
+        for index, count in enumerate(other.latencies[:LATENCY_BUCKETS]):
+            self.latencies[index] += count
+
+    def count_slower_than(self, limit: timedelta) -> int:
+        """Return how many answered calls took longer, to the bucket."""
+        return sum(self.latencies[latency_bucket(limit) + 1 :])
+
+
+def latency_bucket(latency: timedelta) -> int:
+    """Return the bucket of a latency; buckets grow by the square root of two."""
+    ratio = latency / FIRST_BUCKET
+    bucket = 0
+    edge = 1.0
+    while ratio > edge and bucket < LATENCY_BUCKETS - 1:
+        edge *= 2 ** (1 / BUCKETS_PER_DOUBLING)
+        bucket += 1
+    return bucket
+
+
+def load_band(in_flight: int) -> int:
+    """Return the band of an upstream's load."""
+    return sum(in_flight > edge for edge in LOAD_BAND_EDGES)
+
+
+def merge_evidence(
+    parts: Iterable[dict[EvidenceKey, EvidenceCell]],
+) -> dict[EvidenceKey, EvidenceCell]:
+    """Return the sum of the evidence of several routers."""
+    merged: dict[EvidenceKey, EvidenceCell] = {}
+    for part in parts:
+        for key, cell in part.items():
+            merged.setdefault(key, EvidenceCell()).add(cell)
+    return merged
+
+
+class EvidenceRecorder:
+    """Totals of this router's traffic for the services that are being moved."""
+
+    __slots__ = ("cell_by_key", "is_changed", "services")
+
+    def __init__(self) -> None:
+        self.cell_by_key: dict[EvidenceKey, EvidenceCell] = {}
+        self.services: frozenset[str] = frozenset()
+        self.is_changed = False
+
+    def watch(self, services: frozenset[str]) -> None:
+        """Keep evidence for these services and forget that of others."""
+        if services == self.services:
+            return
+        self.services = services
+        self.cell_by_key = {
+            key: cell
+            for key, cell in self.cell_by_key.items()
+            if key.service in services
+        }
+        self.is_changed = True
+
+    def record(
+        self,
+        service: str,
+        version: str,
+        route: str,
+        workspace: str,
+        *,
+        succeeded: bool,
+        latency: timedelta,
+        load: int,
+    ) -> None:
+        """Count one call of a service that is being moved."""
+        if service not in self.services:
+            return
+        key = EvidenceKey(service, version, route, workspace, load_band(load))
+        cell = self.cell_by_key.get(key)
+        if cell is None:
+            if len(self.cell_by_key) >= MAX_CELLS:
+                return
+            cell = self.cell_by_key[key] = EvidenceCell()
+        self.is_changed = True
+        if not succeeded:
+            cell.failed += 1
+            return
+        cell.good += 1
+        cell.latencies[latency_bucket(latency)] += 1
--- /dev/null
+++ b/banyansail/router/__init__.py
@@ -0,0 +1,1 @@
+"""The router daemon: wiring of the library to sockets and timers."""
--- /dev/null
+++ b/banyansail/router/exchange.py
@@ -0,0 +1,403 @@
+"""Life of one request: queue, attempts, retries, deadline, final answer."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from datetime import timedelta
+from typing import TYPE_CHECKING, Any
+
+from twisted.internet import defer, task
+
+from banyansail.log import log_decision, log_event
+from banyansail.router.scheduler import RefusedError
+from banyansail.routing.messages import RanState, Refusal, RefusalCode, Ticket
+from banyansail.routing.retry import (
+    Failure,
+    GiveUp,
+    RetryAfterBackoff,
+    RetryBudget,
+    decide_retry,
+)
+from banyansail.upstreams.link import AttemptError, UpstreamCall, UpstreamLink
+
+if TYPE_CHECKING:
+    from random import Random
+
+    from banyansail.clock import Clock
+    from banyansail.config.rules import RuleSet
+    from banyansail.ledger.client import LedgerClient
+    from banyansail.metrics import Metrics
+    from banyansail.rollout.evidence import EvidenceRecorder
+    from banyansail.router.caller import Caller, CallerRequest
+    from banyansail.router.handoff import StreamStore
+    from banyansail.router.health import HealthExaminer
+    from banyansail.router.registry import ExchangeRegistry
+    from banyansail.router.scheduler import Scheduler
+    from banyansail.routing.dispatch import Assignment
+    from banyansail.routing.messages import RequestClass
+    from banyansail.routing.quarantine import Quarantine
+    from banyansail.upstreams.links import LinkTable
+
+RETRY_LATER = timedelta(seconds=1)
+NOT_SENT_FAILURES = (Failure.NOT_SENT, Failure.REFUSED)
+
+
+@dataclass(slots=True)
+class ExchangeContext:
+    """What the exchanges of a router share."""
+
+    reactor: Any
+    clock: Clock
+    random: Random
+    metrics: Metrics
+    scheduler: Scheduler
+    links: LinkTable
+    health: HealthExaminer
+    quarantine: Quarantine
+    registry: ExchangeRegistry
+    ledger: LedgerClient
+    streams: StreamStore
+    evidence: EvidenceRecorder
+    rules: RuleSet
+    budget_by_service: dict[str, RetryBudget] = field(default_factory=dict)
+
+    def budget(self, service: str) -> RetryBudget:
+        """Return the retry budget of a service."""
+        return self.budget_by_service.setdefault(service, RetryBudget())
+
+
+class Exchange:
+    """One request of a caller, from its arrival to its final answer.
+
+    Subclasses say what an attempt is.
+
+    Parameters
+    ----------
+    context : ExchangeContext
+        What the exchanges of a router share.
+    caller : Caller
+        Where the answer goes.
+    request : CallerRequest
+        What was asked for.
+    request_class : RequestClass
+        What the rules say about it.
+    fingerprint : int
+        Hash that equal requests share.
+    """
+
+    def __init__(
+        self,
+        context: ExchangeContext,
+        caller: Caller,
+        request: CallerRequest,
+        request_class: RequestClass,
+        fingerprint: int,
+    ) -> None:
+        self.context = context
+        self.caller = caller
+        self.request = request
+        self.request_class = request_class
+        self.fingerprint = fingerprint
+        arrived = context.clock.monotonic()
+        self.ticket = Ticket(
+            request.request_id,
+            request_class,
+            arrived,
+            arrived + request_class.timeout,
+            affinity=self.affinity(),
+            fingerprint=fingerprint,
+        )
+        self.attempts = 0
+        self.may_have_run = False
+        self.is_over = False
+        self.assignment: Assignment | None = None
+        self._first_byte: timedelta | None = None
+        self._sent_at = arrived
+        self._attempt: defer.Deferred[None] | None = None
+        self._broken: AttemptError | None = None
+        self._run: defer.Deferred[None] | None = None
+
+    def affinity(self) -> str:
+        """Return the key that requests with the same cached prefix share."""
+        return ""
+
+    async def attempt(self, link: UpstreamLink) -> None:
+        """Send the call and answer the caller, or raise `AttemptError`."""
+        raise NotImplementedError
+
+    def start(self) -> defer.Deferred[None]:
+        """Run the exchange; the deferred fires after its final answer."""
+        self._run = defer.Deferred.fromCoroutine(self._run_to_answer())
+        timer = self.context.reactor.callLater(
+            self.remaining().total_seconds(), self._exceed_deadline
+        )
+        self._run.addBoth(_cancel_timer, timer)
+        self._run.addErrback(self._fail)
+        return self._run
+
+    def remaining(self) -> timedelta:
+        """Return the time until the deadline, zero after it."""
+        left = self.ticket.deadline - self.context.clock.monotonic()
+        return max(left, timedelta(0))
+
+    def abandon(self) -> None:
+        """Stop because the caller has gone away."""
+        self.caller.is_gone = True
+        self._stop()
+
+    def break_attempt(self, error: AttemptError) -> None:
+        """End the current attempt with an error; another may follow."""
+        if self._attempt is not None and not self._attempt.called:
+            self._broken = error
+            self._attempt.cancel()
+
+    def prepare_for_reclaim(self, notice: timedelta) -> None:
+        """Take note that the upstream will be gone; by default, finish there."""
+
+    def on_first_byte(self) -> None:
+        """Record the latency of the attempt."""
+        if self._first_byte is None:
+            self._first_byte = self.context.clock.monotonic() - self._sent_at
+
+    def final_ran(self) -> RanState:
+        """Return what may be said of a request that is given up now."""
+        return RanState.UNKNOWN if self.may_have_run else RanState.NOT_RUN
+
+    def refuse(self, refusal: Refusal) -> None:
+        """Give the caller the final answer."""
+        self.context.metrics.count(f"refuse.{refusal.code.value}")
+        log_decision(
+            "refuse",
+            refusal.code.value,
+            request=self.request.request_id,
+            service=self.request_class.service,
+            ran=refusal.ran.value,
+            message=refusal.message,
+            attempts=self.attempts,
+        )
+        self.caller.refuse(refusal)
+
+    async def _run_to_answer(self) -> None:
+        try:
+            await self.run_attempts()
+        except RefusedError as error:
+            if not self.is_over:
+                self.refuse(error.refusal)
+        except (defer.CancelledError, AttemptError):
+            if not self.is_over:
+                raise
+        finally:
+            self.is_over = True
+
+    async def run_attempts(self) -> None:
+        """Make attempts until one gives the answer."""
+        self.context.budget(self.request_class.service).deposit()
+        while True:
+            self.ticket.exclusive = self._check_quarantine()
+            assignment = await self.context.scheduler.acquire(
+                self.ticket, admitted=self.attempts > 0
+            )
+            self.attempts += 1
+            error = await self._try(assignment)
+            if error is None:
+                return
+            if self.is_over:
+                raise error
+            await self._prepare_retry(assignment, error)
+
+    def _check_quarantine(self) -> bool:
+        quarantine = self.context.quarantine
+        remaining = quarantine.quarantined_for(self.fingerprint)
+        if remaining is not None:
+            raise RefusedError(
+                Refusal(
+                    422,
+                    RefusalCode.QUARANTINED,
+                    self.final_ran(),
+                    "this request crashed the upstreams that ran it",
+                    remaining,
+                )
+            )
+        return quarantine.is_suspect(self.fingerprint)
+
+    async def _try(self, assignment: Assignment) -> AttemptError | None:
+        name = assignment.state.rule.name
+        link = self.context.links.get(name)
+        if link is None:
+            self.context.scheduler.release(assignment, None, timedelta(0))
+            return AttemptError(Failure.NOT_SENT, f"{name} is gone")
+        ran_before = self.may_have_run
+        self.assignment = assignment
+        self._first_byte = None
+        self._broken = None
+        self._sent_at = self.context.clock.monotonic()
+        self.may_have_run = True
+        self.context.registry.add(name, self)
+        self._attempt = defer.Deferred.fromCoroutine(self.attempt(link))
+        error: AttemptError | None = None
+        try:
+            await self._attempt
+            self.context.quarantine.record_survival(self.fingerprint)
+        except (defer.CancelledError, AttemptError) as caught:
+            error = self._explain(caught)
+            if error.failure in NOT_SENT_FAILURES:
+                self.may_have_run = ran_before
+            await self._examine(name, error)
+        finally:
+            self.context.registry.discard(name, self)
+            self._record_end(assignment, error)
+            self.assignment = None
+        return error
+
+    def _explain(self, caught: BaseException) -> AttemptError:
+        if self._broken is not None:
+            return self._broken
+        if isinstance(caught, AttemptError):
+            return caught
+        return AttemptError(Failure.LOST, "given up")
+
+    async def _examine(self, name: str, error: AttemptError) -> None:
+        if self.is_over:
+            return
+        if error.failure in (Failure.LOST, Failure.NOT_SENT):
+            await self.context.health.is_alive(name)
+
+    def _record_end(self, assignment: Assignment, error: AttemptError | None) -> None:
+        duration = self.context.clock.monotonic() - self._sent_at
+        latency = self._first_byte if error is None else None
+        if error is not None and error.failure in (Failure.RECLAIMED, Failure.SILENT):
+            latency = self._first_byte or duration
+        self.context.scheduler.release(assignment, latency, duration)
+        rule = assignment.state.rule
+        self.context.metrics.time(f"attempt.{rule.service}", duration)
+        counted = error is None or error.failure not in (
+            Failure.RECLAIMED,
+            Failure.SILENT,
+        )
+        if counted and not (self.is_over and error is not None):
+            self.context.evidence.record(
+                rule.service,
+                rule.version,
+                self.request_class.route,
+                self.request_class.workspace,
+                succeeded=error is None,
+                latency=self._first_byte or duration,
+                load=assignment.in_flight,
+            )
+
+    async def _prepare_retry(self, assignment: Assignment, error: AttemptError) -> None:
+        name = assignment.state.rule.name
+        decision = decide_retry(
+            error.failure,
+            repeatable=self.request_class.repeatable,
+            attempts=self.attempts,
+            remaining=self.remaining(),
+            budget=self.context.budget(self.request_class.service),
+            random=self.context.random,
+        )
+        match decision:
+            case GiveUp(reason):
+                raise RefusedError(self.explain_failure(error, reason))
+            case RetryAfterBackoff(delay):
+                self._log_retry(name, error, delay)
+                self._exclude(name, error)
+                if delay:
+                    await task.deferLater(self.context.reactor, delay.total_seconds())
+
+    def explain_failure(self, error: AttemptError, reason: str) -> Refusal:
+        """Return the final answer after the last attempt failed."""
+        ran = self.final_ran()
+        code = RefusalCode.UPSTREAM_FAILED
+        if "budget" in reason:
+            code = RefusalCode.RETRY_BUDGET_SPENT
+        elif ran is RanState.UNKNOWN and not self.request_class.repeatable:
+            code = RefusalCode.OUTCOME_UNKNOWN
+        repeat = self.request_class.repeatable or ran is RanState.NOT_RUN
+        message = f"{error.detail or error.failure.value}; {reason}"
+        return Refusal(502, code, ran, message, RETRY_LATER if repeat else None)
+
+    def _exclude(self, name: str, error: AttemptError) -> None:
+        self.ticket.excluded.clear()
+        states = self.context.scheduler.dispatcher.state_by_name
+        service = self.request_class.service
+        now = self.context.clock.monotonic()
+        others = any(
+            state.rule.service == service and other != name and state.is_eligible(now)
+            for other, state in states.items()
+        )
+        if others and error.failure is not Failure.SILENT:
+            self.ticket.excluded.add(name)
+
+    def _log_retry(self, name: str, error: AttemptError, delay: timedelta) -> None:
+        self.context.metrics.count(f"retry.{error.failure.value}")
+        log_decision(
+            "retry",
+            error.failure.value,
+            request=self.request.request_id,
+            upstream=name,
+            detail=error.detail,
+            delay_s=delay.total_seconds(),
+            attempts=self.attempts,
+        )
+
+    def _exceed_deadline(self) -> None:
+        if self.is_over:
+            return
+        refusal = Refusal(
+            504,
+            RefusalCode.DEADLINE_EXCEEDED,
+            self.final_ran(),
+            "the deadline has passed",
+            RETRY_LATER if self._may_repeat() else None,
+        )
+        self.refuse(refusal)
+        self._stop()
+
+    def _may_repeat(self) -> bool:
+        return self.request_class.repeatable or not self.may_have_run
+
+    def _stop(self) -> None:
+        self.is_over = True
+        if self._run is not None and not self._run.called:
+            self._run.cancel()
+
+    def _fail(self, failure: Any) -> None:
+        failure.trap(Exception)
+        if failure.check(defer.CancelledError, AttemptError) and self.is_over:
+            return
+        log_event("internal_error", request=self.request.request_id, error=str(failure))
+        ran = self.final_ran()
+        text = "the router failed; see its log"
+        self.caller.refuse(Refusal(500, RefusalCode.UPSTREAM_FAILED, ran, text))
+
+    def base_headers(self) -> dict[str, str]:
+        """Return the headers that every upstream gets."""
+        headers = {
+            "x-request-id": self.attempt_id(),
+            "x-deadline-seconds": f"{self.remaining().total_seconds():.3f}",
+            "x-priority": str(self.request_class.priority),
+            "x-workspace": self.request.workspace,
+        }
+        if self.request.content_type:
+            headers["content-type"] = self.request.content_type
+        return headers
+
+    def attempt_id(self) -> str:
+        """Return the identity of the current attempt."""
+        return f"{self.request.request_id}.{self.attempts}"
+
+    def build_call(self, body: bytes, path: str, **headers: str) -> UpstreamCall:
+        """Build the call of the current attempt."""
+        return UpstreamCall(
+            self.request.method,
+            path,
+            body,
+            {**self.base_headers(), **headers},
+            self.request_class.repeatable,
+        )
+
+
+def _cancel_timer(result: Any, timer: Any) -> Any:
+    if timer.active():
+        timer.cancel()
+    return result
--- /dev/null
+++ b/banyansail/router/order_exchange.py
@@ -0,0 +1,157 @@
+"""Exchange that runs at most once for its idempotency key."""
+
+from __future__ import annotations
+
+from datetime import timedelta
+from typing import TYPE_CHECKING, Any
+
+from twisted.internet import defer, task
+
+from banyansail.exceptions import PlatformUnavailableError
+from banyansail.ledger.records import (
+    MAX_KEPT_ANSWER_BYTES,
+    Finished,
+    FinishKey,
+    InFlight,
+    KeptAnswer,
+    KeyMismatch,
+    ReleaseKey,
+    ShardFull,
+    Started,
+    StartKey,
+)
+from banyansail.router.caller import Answer
+from banyansail.router.plain_exchange import PlainExchange
+from banyansail.router.scheduler import RefusedError
+from banyansail.routing.messages import RanState, Refusal, RefusalCode
+
+if TYPE_CHECKING:
+    from banyansail.ledger.records import Result
+
+POLL_INTERVAL = timedelta(milliseconds=200)
+MAX_WAIT_FOR_OTHER = timedelta(seconds=5)
+LINGER = timedelta(seconds=30)  # a late answer is still recorded
+JOURNAL_RETRY = timedelta(seconds=5)
+
+NOT_KEPT = Refusal(
+    409,
+    RefusalCode.OUTCOME_UNKNOWN,
+    RanState.RAN,
+    "the call was run; its answer was too large to keep",
+)
+KEY_REUSED = Refusal(
+    422,
+    RefusalCode.KEY_REUSED,
+    RanState.NOT_RUN,
+    "the key was used for another call",
+)
+JOURNAL_FULL = Refusal(
+    503,
+    RefusalCode.JOURNAL_UNAVAILABLE,
+    RanState.NOT_RUN,
+    "the journal has no room for a new key",
+    JOURNAL_RETRY,
+)
+
+
+class OrderExchange(PlainExchange):
+    """A call that may not be repeated and carries a key."""
+
+    def __init__(self, *args: Any, router_id: str) -> None:
+        super().__init__(*args)
+        self.key = f"{self.request_class.service}/{self.request.workspace}/"
+        self.key += self.request.key
+        self._attempt_token = f"{router_id}/{self.request.request_id}"
+        self._is_claimed = False
+
+    async def run_attempts(self) -> None:
+        """Claim the key, then make attempts as long as nothing was sent."""
+        kept = await self._claim()
+        if kept is not None:
+            super().deliver(kept)
+            return
+        try:
+            await super().run_attempts()
+        except (RefusedError, defer.CancelledError):
+            if self.final_ran() is RanState.NOT_RUN:
+                self._release()
+            raise
+
+    def deliver(self, answer: Answer) -> None:
+        """Give the caller the answer and record it for repeats."""
+        super().deliver(answer)
+        kept = KeptAnswer(answer.status, answer.content_type, _kept_body(answer.body))
+        operation = FinishKey(self.key, self._attempt_token, kept)
+        self.context.ledger.perform_later(operation)
+
+    def _stop(self) -> None:
+        if not self.may_have_run or self.assignment is None:
+            super()._stop()
+            return
+        # The caller has its final answer; a late one is kept for repeats.
+        self.caller.is_gone = True
+        self.context.reactor.callLater(LINGER.total_seconds(), super()._stop)
+
+    async def _claim(self) -> Answer | None:
+        """Claim the key; return the kept answer if the call was run before."""
+        operation = StartKey(self.key, self._attempt_token, self.fingerprint)
+        waited_since = self.context.clock.monotonic()
+        while True:
+            result = await self._start(operation)
+            if not isinstance(result, InFlight):
+                break
+            self.may_have_run = True  # by the other attempt
+            waited = self.context.clock.monotonic() - waited_since
+            if waited > MAX_WAIT_FOR_OTHER:
+                break
+            await task.deferLater(self.context.reactor, POLL_INTERVAL.total_seconds())
+        return self._act_on(result)
+
+    async def _start(self, operation: StartKey) -> Result:
+        try:
+            return await self.context.ledger.perform(operation)
+        except PlatformUnavailableError as error:
+            raise RefusedError(
+                Refusal(
+                    503,
+                    RefusalCode.JOURNAL_UNAVAILABLE,
+                    RanState.NOT_RUN,
+                    f"the call can't be recorded: {error.message}",
+                    JOURNAL_RETRY,
+                )
+            ) from error
+        except defer.CancelledError:
+            self._release()
+            raise
+
+    def _act_on(self, result: Result) -> Answer | None:
+        match result:
+            case Started():
+                return None
+            case Finished(KeptAnswer(status, content_type, body)) if body is not None:
+                return Answer(status, content_type, body.encode())
+            case Finished():
+                raise RefusedError(NOT_KEPT)
+            case KeyMismatch():
+                raise RefusedError(KEY_REUSED)
+            case ShardFull():
+                raise RefusedError(JOURNAL_FULL)
+            case InFlight(attempt):
+                text = f"attempt {attempt} was started and its outcome is not known"
+                raise RefusedError(
+                    Refusal(409, RefusalCode.OUTCOME_UNKNOWN, RanState.UNKNOWN, text)
+                )
+        return None
+
+    def _release(self) -> None:
+        operation = ReleaseKey(self.key, self._attempt_token)
+        self.context.ledger.perform_later(operation)
+
+
+def _kept_body(body: bytes) -> str | None:
+    if len(body) > MAX_KEPT_ANSWER_BYTES:
+        return None
+    try:
+        return body.decode()
+    except UnicodeDecodeError:
+        return None
--- /dev/null
+++ b/banyansail/router/peer_service.py
@@ -0,0 +1,105 @@
+"""Answers the calls of other routers."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from banyansail.exceptions import PlatformUnavailableError, WireError
+from banyansail.ledger.records import (
+    Finished,
+    FinishKey,
+    InFlight,
+    KeyMismatch,
+    Recorded,
+    ReleaseKey,
+    Result,
+    ShardFull,
+    Started,
+    StartKey,
+)
+from banyansail.router.catalog import INSTANCES_DOCUMENT
+from banyansail.router.rules_keeper import RULES_DOCUMENT
+from banyansail.wire.call_codec import (
+    Document,
+    FetchDocument,
+    KeepStream,
+    Nothing,
+    PeerCall,
+    PeerReply,
+    TakeStream,
+    Unavailable,
+)
+
+if TYPE_CHECKING:
+    from banyansail.ledger.client import LedgerClient
+    from banyansail.router.catalog import Catalog
+    from banyansail.router.handoff import StreamStore
+    from banyansail.router.rules_keeper import RulesKeeper
+
+
+class PeerService:
+    """Serves the ledger, documents and stream records to other routers."""
+
+    def __init__(self) -> None:
+        self._ledger: LedgerClient | None = None
+        self._rules_keeper: RulesKeeper | None = None
+        self._catalog: Catalog | None = None
+        self._streams: StreamStore | None = None
+
+    def connect(
+        self,
+        ledger: LedgerClient,
+        rules_keeper: RulesKeeper,
+        catalog: Catalog,
+        streams: StreamStore,
+    ) -> None:
+        """Take over the parts that are served."""
+        self._ledger = ledger
+        self._rules_keeper = rules_keeper
+        self._catalog = catalog
+        self._streams = streams
+
+    async def handle(self, call: PeerCall) -> PeerReply:
+        """Answer one call."""
+        match call:
+            case StartKey() | FinishKey() | ReleaseKey():
+                return await self._commit(call)
+            case FetchDocument(name, version):
+                return self._fetch(name, version)
+            case KeepStream(record):
+                self._streams.keep(record)
+                return Nothing()
+            case TakeStream(request_id):
+                return self._streams.get(request_id) or Nothing()
+
+    @staticmethod
+    def check_result(reply: PeerReply) -> Result:
+        """Return the result of an operation.
+
+        Raises
+        ------
+        WireError
+            If the router could not write the operation.
+        """
+        if isinstance(
+            reply, Started | InFlight | Finished | KeyMismatch | ShardFull | Recorded
+        ):
+            return reply
+        raise WireError(f"the operation was not written: {reply}")
+
+    async def _commit(self, operation: StartKey | FinishKey | ReleaseKey) -> PeerReply:
+        try:
+            return await self._ledger.commit(operation)
+        except PlatformUnavailableError as error:
+            return Unavailable(error.message)
+
+    def _fetch(self, name: str, version: int) -> PeerReply:
+        if name == RULES_DOCUMENT:
+            rules = self._rules_keeper.rules
+            if rules.version > version:
+                return Document(rules.version, rules.text)
+        if name == INSTANCES_DOCUMENT:
+            document = self._catalog.document
+            if document.version != version:
+                return document
+        return Nothing()
--- /dev/null
+++ b/banyansail/router/plain_exchange.py
@@ -0,0 +1,97 @@
+"""Exchange with a plain service: one whole answer."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+from banyansail.router.caller import Answer
+from banyansail.router.exchange import Exchange
+from banyansail.router.silence import SilenceWatch
+from banyansail.routing.retry import Failure
+from banyansail.upstreams.link import AttemptError, BodyReceiver, UpstreamLink
+
+if TYPE_CHECKING:
+    from twisted.web.iweb import IResponse
+
+MAX_ANSWER_BYTES = 16 * 1024**2
+
+
+class PlainExchange(Exchange):
+    """A call of a plain service."""
+
+    def __init__(self, *args: Any) -> None:
+        super().__init__(*args)
+        self.has_been_silent = False
+
+    async def attempt(self, link: UpstreamLink) -> None:
+        """Send the call and pass the whole answer on."""
+        answer = await self.fetch(link)
+        self.on_first_byte()
+        self.deliver(answer)
+
+    def deliver(self, answer: Answer) -> None:
+        """Give the caller the answer."""
+        self.caller.answer(answer)
+
+    async def fetch(self, link: UpstreamLink) -> Answer:
+        """Send the call and return the whole answer."""
+        service = self.context.rules.service_by_name[self.request_class.service]
+        call = self.build_call(self.request.body, self.request.path, **self.extra())
+        with SilenceWatch(
+            self.context.reactor,
+            self.context.clock,
+            service.silence,
+            self.check_silence,
+        ) as watch:
+            response = await link.send(call)
+            watch.touch()
+            self._check_echo(response)
+            body = await _read_whole(response, watch)
+        if response.headers.getRawHeaders("x-ran", [""])[0] == "not_run":
+            raise AttemptError(Failure.REFUSED, f"status {response.code}")
+        if response.code >= 500 and self.request_class.repeatable:
+            raise AttemptError(Failure.BAD_ANSWER, f"status {response.code}")
+        content_type = response.headers.getRawHeaders("content-type", ["text/plain"])[0]
+        return Answer(response.code, content_type, body)
+
+    def extra(self) -> dict[str, str]:
+        """Return headers for the upstream besides the usual ones."""
+        if self.request.key:
+            return {"idempotency-key": self.request.key}
+        return {}
+
+    async def check_silence(self) -> None:
+        """Leave a silent connection for a new one, once, if the call may repeat."""
+        if not self.request_class.repeatable or self.has_been_silent:
+            return
+        name = self.assignment.state.rule.name
+        attempt = self._attempt
+        alive = await self.context.health.is_alive(name)
+        if attempt is not self._attempt:
+            return
+        self.has_been_silent = True
+        failure = Failure.SILENT if alive else Failure.LOST
+        self.break_attempt(AttemptError(failure, "the connection is silent"))
+
+    def _check_echo(self, response: IResponse) -> None:
+        echoed = response.headers.getRawHeaders("x-request-id")
+        if echoed and echoed[0] != self.attempt_id():
+            raise AttemptError(Failure.BAD_ANSWER, "the answer is of another request")
+
+
+async def _read_whole(response: IResponse, watch: SilenceWatch) -> bytes:
+    pieces: list[bytes] = []
+    size = 0
+
+    def take(data: bytes) -> None:
+        nonlocal size
+        watch.touch()
+        pieces.append(data)
+        size += len(data)
+        if size > MAX_ANSWER_BYTES:
+            receiver.fail(AttemptError(Failure.BAD_ANSWER, "the answer is too large"))
+
+    receiver = BodyReceiver(take)
+    response.deliverBody(receiver)
+    await receiver.ended
+    return b"".join(pieces)
--- /dev/null
+++ b/banyansail/router/rollouts.py
@@ -0,0 +1,344 @@
+"""Moves of traffic at this router: evidence in, shares and verdicts out."""
+
+from __future__ import annotations
+
+from datetime import datetime, timedelta
+from typing import TYPE_CHECKING, Any
+
+from banyansail.fleet.entries import Topic
+from banyansail.log import log_decision
+from banyansail.platform.budget import CallKind
+from banyansail.rollout.evidence import merge_evidence
+from banyansail.rollout.schedule import (
+    DONE,
+    TAKEN_BACK,
+    PlannedShare,
+    plan_share,
+)
+from banyansail.rollout.status import (
+    MoveState,
+    MoveStatement,
+    decode_statement,
+    encode_statement,
+    move_id,
+    settle,
+    status_key,
+)
+from banyansail.rollout.verdict import Bad, judge
+from banyansail.rollout.windows import EvidenceWindows
+from banyansail.routing.shares import VersionShares
+from banyansail.wire.gossip_codec import (
+    decode_evidence,
+    decode_names,
+    encode_evidence,
+    encode_names,
+)
+
+if TYPE_CHECKING:
+    from banyansail.clock import Clock
+    from banyansail.config.rules import RolloutRule, RuleSet
+    from banyansail.fleet.duties import Duties
+    from banyansail.fleet.gossiper import Gossiper
+    from banyansail.fleet.view import FleetView
+    from banyansail.platform.client import PlatformClient
+    from banyansail.rollout.evidence import EvidenceRecorder
+    from banyansail.routing.dispatch import Dispatcher
+
+FULL = "full"
+WATCH_AFTER_FULL = timedelta(seconds=10)
+
+
+class _Move:
+    """State of one move at this router."""
+
+    __slots__ = ("is_settled", "planned", "rule", "statement", "windows")
+
+    def __init__(self, rule: RolloutRule) -> None:
+        self.rule = rule
+        self.windows = EvidenceWindows()
+        self.statement: MoveStatement | None = None
+        self.is_settled = False
+        self.planned: PlannedShare | None = None
+
+    @property
+    def state(self) -> MoveState:
+        return self.statement.state if self.statement else MoveState.MOVING
+
+
+class RolloutController:
+    """Plans the shares of all moves and settles their verdicts.
+
+    Parameters
+    ----------
+    name : str
+        This router.
+    clock : Clock
+        Source of time.
+    platform : PlatformClient
+        Holds the statements.
+    view : FleetView
+        Holds the evidence of other routers.
+    gossiper : Gossiper
+        Publishes this router's evidence.
+    duties : Duties
+        Says whose duty a move is.
+    dispatcher : Dispatcher
+        Acts on the shares.
+    recorder : EvidenceRecorder
+        Counts this router's traffic.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        clock: Clock,
+        platform: PlatformClient,
+        view: FleetView,
+        gossiper: Gossiper,
+        duties: Duties,
+        dispatcher: Dispatcher,
+        recorder: EvidenceRecorder,
+    ) -> None:
+        self._name = name
+        self._clock = clock
+        self._platform = platform
+        self._view = view
+        self._gossiper = gossiper
+        self._duties = duties
+        self._dispatcher = dispatcher
+        self._recorder = recorder
+        self._rules: RuleSet | None = None
+        self._move_by_service: dict[str, _Move] = {}
+
+    def apply_rules(self, rules: RuleSet) -> None:
+        """Take over the moves; one that is changed begins anew."""
+        self._rules = rules
+        moves = self._move_by_service
+        for service in moves.keys() - rules.rollout_by_service.keys():
+            del moves[service]
+            self._set_shares(service, None)
+        for service, rule in rules.rollout_by_service.items():
+            held = moves.get(service)
+            if held is None or move_id(held.rule) != move_id(rule):
+                moves[service] = _Move(rule)
+            else:
+                held.rule = rule
+        self._recorder.watch(frozenset(moves))
+        for service in moves:
+            self._plan(service)
+
+    def publish_evidence(self) -> None:
+        """Tell the other routers what this one's traffic showed."""
+        if self._recorder.is_changed:
+            self._recorder.is_changed = False
+            value = encode_evidence(self._recorder.cell_by_key)
+            self._gossiper.publish(Topic.EVIDENCE, value)
+
+    def plan(self) -> None:
+        """Judge every move and set its share."""
+        for service in self._move_by_service:
+            self._plan(service)
+        self._publish_statements()
+
+    async def settle(self) -> None:
+        """Write verdicts, and read those of others if that is this router's duty."""
+        for service, move in list(self._move_by_service.items()):
+            if move.statement is not None and not move.is_settled:
+                await self._write(service, move, move.statement)
+            elif not move.is_settled and self._is_duty(service):
+                await self._read(service, move)
+                await self._state_progress(service, move)
+            elif not move.is_settled and self._names_final(move):
+                await self._read(service, move)
+
+    def _plan(self, service: str) -> None:
+        move = self._move_by_service[service]
+        planned = self._planned_share(service, move)
+        if move.planned != planned:
+            self._log(service, move, planned)
+        move.planned = planned
+        self._set_shares(
+            service,
+            VersionShares(
+                move.rule.old_version,
+                move.rule.new_version,
+                planned.share,
+                planned.is_proven or move.rule.unproven_calls,
+                planned.seeks_evidence,
+            ),
+        )
+
+    def _planned_share(self, service: str, move: _Move) -> PlannedShare:
+        match move.state:
+            case MoveState.TAKEN_BACK:
+                return TAKEN_BACK
+            case MoveState.DONE:
+                return DONE
+        if f"{MoveState.TAKEN_BACK.value} {move_id(move.rule)}" in self._heard():
+            return TAKEN_BACK
+        evidence = self._evidence()
+        now = self._clock.monotonic()
+        target = self._rules.service_by_name[service].latency
+        verdict = None
+        for window in move.windows.recent(evidence, now):
+            verdict = judge(
+                window, service, move.rule.old_version, move.rule.new_version, target
+            )
+            if isinstance(verdict, Bad):
+                self._take_back(move, verdict.reason)
+                return TAKEN_BACK
+        move.windows.add(evidence, now)
+        planned = plan_share(self._clock.now(), move.rule, verdict.good)
+        return self._hold_if_alone(move, planned)
+
+    def _hold_if_alone(self, move: _Move, planned: PlannedShare) -> PlannedShare:
+        """Do not step up while no other router can be heard."""
+        before = move.planned
+        known = len(self._gossiper.members())
+        is_alone = known > 1 and len(self._gossiper.live_members()) == 1
+        if not is_alone or before is None or planned.share <= before.share:
+            return planned
+        return PlannedShare(
+            before.share, before.is_proven, False, "no other router is heard from"
+        )
+
+    def _take_back(self, move: _Move, reason: str) -> None:
+        move.statement = MoveStatement(
+            move_id(move.rule),
+            MoveState.TAKEN_BACK,
+            self._clock.now(),
+            reason,
+            self._name,
+        )
+
+    async def _write(self, service: str, move: _Move, wanted: MoveStatement) -> None:
+        stored = await self._platform.update(
+            status_key(service),
+            lambda body: settle(body, wanted),
+            lambda body: body == encode_statement(wanted),
+            CallKind.ROLLOUT,
+        )
+        self._take_statement(move, decode_statement(stored.body))
+
+    async def _read(self, service: str, move: _Move) -> None:
+        stored = await self._platform.get(status_key(service), CallKind.ROLLOUT)
+        self._take_statement(move, decode_statement(stored.body))
+
+    def _take_statement(self, move: _Move, held: MoveStatement | None) -> None:
+        if held is None or held.move != move_id(move.rule):
+            return
+        if held.state is not MoveState.MOVING:
+            move.statement = held
+            move.is_settled = True
+            log_decision("rollout", held.state.value, move=held.move, why=held.reason)
+
+    async def _state_progress(self, service: str, move: _Move) -> None:
+        planned = move.planned
+        if move.is_settled or planned is None:
+            return
+        missing = self._routers_not_full(move)
+        now = self._clock.now()
+        if planned.share >= 1 and not missing and self._has_watched(move, now):
+            reason = "every router sends all traffic to the new version"
+            state = MoveState.DONE
+        else:
+            state = MoveState.MOVING
+            reason = f"{planned.share:.0%}: {planned.reason}"
+            if planned.share >= 1 and missing:
+                reason += f"; not heard to have moved: {', '.join(missing)}"
+        statement = MoveStatement(move_id(move.rule), state, now, reason, self._name)
+        await self._write_progress(service, move, statement)
+
+    async def _write_progress(
+        self, service: str, move: _Move, statement: MoveStatement
+    ) -> None:
+        def change(body: dict[str, Any] | None) -> dict[str, Any] | None:
+            held = decode_statement(body)
+            same = held is not None and held.move == statement.move
+            if same and (held.state, held.reason) == (
+                statement.state,
+                statement.reason,
+            ):
+                return None
+            if same and held.state is not MoveState.MOVING:
+                return None
+            return encode_statement(statement)
+
+        stored = await self._platform.update(
+            status_key(service),
+            change,
+            lambda body: body == encode_statement(statement),
+            CallKind.ROLLOUT,
+        )
+        self._take_statement(move, decode_statement(stored.body))
+
+    def _has_watched(self, move: _Move, now: datetime) -> bool:
+        """Tell whether the new version was watched under all of the traffic."""
+        window = move.rule.deadline - move.rule.start
+        return now >= move.rule.start + window * 0.6 + min(
+            WATCH_AFTER_FULL, window * 0.2
+        )
+
+    def _routers_not_full(self, move: _Move) -> list[str]:
+        wanted = f"{FULL} {move_id(move.rule)}"
+        heard = self._view.values(Topic.STATEMENTS, live_only=False)
+        missing = []
+        for name, member in self._gossiper.members().items():
+            if name == self._name or (member.is_leaving and not self._is_heard(name)):
+                continue
+            if name not in heard or wanted not in decode_names(heard[name]):
+                age = self._view.age(name).total_seconds()
+                missing.append(f"{name} (heard {age:.0f} s ago)")
+        return missing
+
+    def _is_heard(self, name: str) -> bool:
+        return self._view.is_live(name)
+
+    def _names_final(self, move: _Move) -> bool:
+        done = f"{MoveState.DONE.value} {move_id(move.rule)}"
+        taken_back = f"{MoveState.TAKEN_BACK.value} {move_id(move.rule)}"
+        return bool({done, taken_back} & self._heard())
+
+    def _heard(self) -> set[str]:
+        names: set[str] = set()
+        for value in self._view.values(Topic.STATEMENTS).values():
+            names |= decode_names(value)
+        return names
+
+    def _publish_statements(self) -> None:
+        names = set()
+        for move in self._move_by_service.values():
+            identity = move_id(move.rule)
+            if move.state is not MoveState.MOVING:
+                names.add(f"{move.state.value} {identity}")
+            if move.planned is not None and move.planned.share >= 1:
+                names.add(f"{FULL} {identity}")
+        self._gossiper.publish(Topic.STATEMENTS, encode_names(names))
+
+    def _evidence(self) -> dict[Any, Any]:
+        parts = [
+            decode_evidence(value)
+            for name, value in self._view.values(
+                Topic.EVIDENCE, live_only=False
+            ).items()
+            if name != self._name
+        ]
+        return merge_evidence([*parts, self._recorder.cell_by_key])
+
+    def _is_duty(self, service: str) -> bool:
+        return self._duties.owner_of(f"rollout/{service}") is None
+
+    def _set_shares(self, service: str, shares: VersionShares | None) -> None:
+        dispatch = self._dispatcher.dispatch_by_service.get(service)
+        if dispatch is not None:
+            dispatch.shares = shares
+
+    def _log(self, service: str, move: _Move, planned: PlannedShare) -> None:
+        log_decision(
+            "share",
+            planned.reason,
+            service=service,
+            version=move.rule.new_version,
+            share=planned.share,
+            proven=planned.is_proven,
+        )
--- /dev/null
+++ b/banyansail/router/router.py
@@ -0,0 +1,455 @@
+"""A router: the supervisor tree over the library's parts."""
+
+from __future__ import annotations
+
+from contextlib import ExitStack
+from datetime import timedelta
+from random import Random
+from typing import TYPE_CHECKING, Any
+
+from twisted.internet import defer
+from twisted.web.server import Site
+
+from banyansail.clock import Clock, SystemClock
+from banyansail.config.fields import Address
+from banyansail.exceptions import WireError
+from banyansail.fleet.datagrams import GossipProtocol
+from banyansail.fleet.duties import Duties
+from banyansail.fleet.entries import Entry, Member, Topic
+from banyansail.fleet.gossiper import Gossiper
+from banyansail.fleet.peer_calls import PeerCaller, PeerServerFactory
+from banyansail.fleet.view import FleetView
+from banyansail.ledger.client import LedgerClient
+from banyansail.log import log_decision, log_event
+from banyansail.metrics import Metrics
+from banyansail.platform.budget import CallBudget
+from banyansail.platform.client import PlatformClient
+from banyansail.rollout.evidence import EvidenceRecorder
+from banyansail.router.admin import AdminResource
+from banyansail.router.catalog import Catalog
+from banyansail.router.exchange import ExchangeContext
+from banyansail.router.handoff import StreamStore
+from banyansail.router.health import HealthExaminer
+from banyansail.router.lifecycle import Lifecycle, RouterState
+from banyansail.router.listener import CallerResource
+from banyansail.router.load_prober import LoadProber
+from banyansail.router.peer_service import PeerService
+from banyansail.router.registry import ExchangeRegistry
+from banyansail.router.rollouts import RolloutController
+from banyansail.router.rules_keeper import RulesKeeper
+from banyansail.router.scheduler import Scheduler
+from banyansail.router.supervisor import Supervisor
+from banyansail.router.web import BoundedSite
+from banyansail.routing.dispatch import Dispatcher
+from banyansail.routing.quarantine import Death, Quarantine
+from banyansail.upstreams.links import LinkTable
+from banyansail.wire.gossip_codec import (
+    decode_deaths,
+    decode_leaving,
+    encode_deaths,
+    encode_leaving,
+    encode_member,
+)
+from banyansail.wire.seal import Seal
+
+if TYPE_CHECKING:
+    from banyansail.config.rules import RuleSet
+    from banyansail.config.settings import Settings
+
+PLATFORM_CALLS_PER_S = 60.0
+PLATFORM_BURST = 120.0
+PUSH_INTERVAL = timedelta(milliseconds=200)
+EXCHANGE_INTERVAL = timedelta(seconds=1)
+RULES_POLL_INTERVAL = timedelta(seconds=60)
+LIST_INTERVAL = timedelta(seconds=2)
+PLAN_INTERVAL = timedelta(milliseconds=500)
+SETTLE_INTERVAL = timedelta(seconds=1)
+CATCH_UP_INTERVAL = timedelta(milliseconds=200)
+WATCH_PAUSE = timedelta(milliseconds=100)
+SUSPECT_INTERVAL = timedelta(milliseconds=250)
+PUBLISHED_DEATHS = 20
+HOP_WITHIN_REGION = timedelta(milliseconds=1)
+HOP_BETWEEN_REGIONS = timedelta(milliseconds=20)
+
+
+class ZoneHops:
+    """Distance to zones, from the regions that members report.
+
+    Parameters
+    ----------
+    zone, region : str
+        Where this router is.
+    """
+
+    __slots__ = ("_region", "_region_by_zone", "_zone")
+
+    def __init__(self, zone: str, region: str) -> None:
+        self._zone = zone
+        self._region = region
+        self._region_by_zone: dict[str, str] = {}
+
+    def learn(self, member: Member) -> None:
+        """Take in where a router is."""
+        self._region_by_zone[member.zone] = member.region
+
+    def to_zone(self, zone: str) -> timedelta:
+        """Return the one-way latency to a zone."""
+        if zone == self._zone:
+            return timedelta(0)
+        region = self._region_by_zone.get(zone, self._region)
+        return HOP_WITHIN_REGION if region == self._region else HOP_BETWEEN_REGIONS
+
+
+class Router(Supervisor):
+    """One router; starting and stopping it starts and stops all its parts.
+
+    Parameters
+    ----------
+    settings : Settings
+        Addresses, zone and limits.
+    reactor : object
+        Twisted's reactor.
+    clock : Clock
+        Source of time.
+    random : Random
+        Source of jitter and of draws.
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        reactor: Any,
+        clock: Clock | None = None,
+        random: Random | None = None,
+    ) -> None:
+        super().__init__(reactor, random or Random())
+        self.settings = settings
+        self.clock = clock or SystemClock()
+        self._resources = ExitStack()
+        self._deaths: list[Death] = []
+        self._leaving_at: dict[str, timedelta] = {}
+        self.metrics = Metrics(settings.statsd)
+        self._build_fleet()
+        self._build_platform()
+        self._build_routing()
+        self._build_exchanges()
+        self._build_tasks()
+
+    def _build_fleet(self) -> None:
+        settings = self.settings
+        incarnation = int(self.clock.now().timestamp() * 1000)
+        self.router_id = f"{settings.name}.{incarnation}"
+        self.seal = Seal(settings.shared_key)
+        self.view = FleetView(settings.name, incarnation, self.clock)
+        self.gossiper = Gossiper(
+            self.view, settings.zone, settings.peer, settings.peers, self._random
+        )
+        self.gossip = GossipProtocol(
+            self.gossiper, self.seal, self.metrics, self._on_news
+        )
+        self.duties = Duties(settings.name, settings.zone, self.gossiper)
+        self.peers = self._resources.enter_context(PeerCaller(self._reactor, self.seal))
+        self.hops = ZoneHops(settings.zone, settings.region)
+
+    def _build_platform(self) -> None:
+        budget = CallBudget(PLATFORM_CALLS_PER_S, PLATFORM_BURST, self.clock)
+        self.platform = self._resources.enter_context(
+            PlatformClient(self._reactor, self.settings.platform, budget)
+        )
+        self.rules_keeper = RulesKeeper(
+            self.settings.name,
+            self.clock,
+            self.platform,
+            self.gossiper,
+            self.peers,
+            self.duties,
+            self._on_rules,
+        )
+        self.catalog = Catalog(
+            self.settings.zone,
+            self.platform,
+            self.gossiper,
+            self.peers,
+            self.duties,
+            self._on_upstreams,
+            self._on_leaving,
+        )
+        self.peer_service = PeerService()
+        self.ledger = self._resources.enter_context(
+            LedgerClient(self._reactor, self.platform, self.clock, self.duties, self)
+        )
+
+    def _build_routing(self) -> None:
+        self.dispatcher = Dispatcher(
+            self.settings.zone, self.hops, self.clock, self._random
+        )
+        self.scheduler = Scheduler(self.dispatcher, self.metrics)
+        self.links = self._resources.enter_context(LinkTable(self._reactor))
+        self.quarantine = Quarantine(self.clock)
+        self.registry = ExchangeRegistry()
+        self.evidence = EvidenceRecorder()
+        self.rollouts = RolloutController(
+            self.settings.name,
+            self.clock,
+            self.platform,
+            self.view,
+            self.gossiper,
+            self.duties,
+            self.dispatcher,
+            self.evidence,
+        )
+        self.prober = LoadProber(
+            self.settings.name,
+            self.clock,
+            self.gossiper,
+            self.dispatcher,
+            self.links,
+        )
+
+    def _build_exchanges(self) -> None:
+        health = HealthExaminer(
+            self.links,
+            self.dispatcher,
+            self.quarantine,
+            self.registry,
+            self._on_death,
+        )
+        self.streams = StreamStore(self.gossiper, self.peers, self.duties)
+        self.context = ExchangeContext(
+            reactor=self._reactor,
+            clock=self.clock,
+            random=self._random,
+            metrics=self.metrics,
+            scheduler=self.scheduler,
+            links=self.links,
+            health=health,
+            quarantine=self.quarantine,
+            registry=self.registry,
+            ledger=self.ledger,
+            streams=self.streams,
+            evidence=self.evidence,
+            rules=self.rules_keeper.rules,
+        )
+        self.lifecycle = Lifecycle(
+            self._reactor, self.clock, self.streams, self.settings.stop_notice
+        )
+        self.peer_service.connect(
+            self.ledger, self.rules_keeper, self.catalog, self.streams
+        )
+        resource = CallerResource(self.context, self.lifecycle, self.router_id)
+        self.site = BoundedSite(resource, self.settings.max_connections)
+
+    def _build_tasks(self) -> None:
+        self.add_task("gossip.push", self._push, PUSH_INTERVAL)
+        self.add_task("gossip.exchange", self._exchange, EXCHANGE_INTERVAL)
+        self.add_task("rules.watch", self.rules_keeper.watch, WATCH_PAUSE)
+        self.add_task("rules.catch_up", self.rules_keeper.catch_up, CATCH_UP_INTERVAL)
+        self.add_task("rules.poll", self.rules_keeper.poll, RULES_POLL_INTERVAL)
+        self.add_task("catalog.list", self.catalog.refresh_list, LIST_INTERVAL)
+        self.add_task("catalog.notices", self.catalog.watch_notices, WATCH_PAUSE)
+        self.add_task("rollout.plan", self._plan, PLAN_INTERVAL)
+        self.add_task("rollout.settle", self.rollouts.settle, SETTLE_INTERVAL)
+        self.add_task("suspects", self._refresh_suspects, SUSPECT_INTERVAL)
+        self.add_task("loads", self.prober.probe, LoadProber.INTERVAL)
+
+    def startService(self) -> None:
+        """Listen and start all tasks."""
+        self._publish_member()
+        peer = self.settings.peer
+        self._ports = [
+            self._reactor.listenUDP(peer.port, self.gossip, interface=peer.host),
+            self._reactor.listenTCP(
+                peer.port,
+                PeerServerFactory(self.seal, self.peer_service.handle),
+                interface=peer.host,
+            ),
+        ]
+        listen = self.settings.listen
+        self._caller_port = self._listen_for_callers(listen)
+        self._ports.append(self._caller_port)
+        if self.settings.admin is not None:
+            self._ports.append(self._listen_for_operators(self.settings.admin))
+        super().startService()
+
+    def _listen_for_callers(self, listen: Address) -> Any:
+        return self._reactor.listenTCP(
+            listen.port, self.site, backlog=512, interface=listen.host
+        )
+
+    def _listen_for_operators(self, admin: Address) -> Any:
+        site = Site(AdminResource(self.status))
+        return self._reactor.listenTCP(admin.port, site, interface=admin.host)
+
+    def stopService(self) -> defer.Deferred[Any]:
+        """Close all sockets and stop all tasks at once; see `stop_gracefully`."""
+        stopped = [super().stopService()]
+        for port in self._ports:
+            stopped.append(defer.maybeDeferred(port.stopListening))
+        self._resources.close()
+        return defer.DeferredList(stopped, consumeErrors=True)
+
+    async def stop_gracefully(self) -> None:
+        """Finish or hand off what is in progress, then stop."""
+        self.lifecycle.state = RouterState.LEAVING
+        self._publish_member()
+        await self.lifecycle.drain()
+        await self.stopService()
+
+    async def forward_operation(self, router: str, operation: Any) -> Any:
+        """Let another router write an operation of the ledger."""
+        member = self.gossiper.members().get(router)
+        if member is None:
+            raise WireError(f"router {router!r} is not known")
+        reply = await self.peers.call(member.peer, operation)
+        return self.peer_service.check_result(reply)
+
+    def status(self) -> dict[str, Any]:
+        """Return counters and states, for operators and tests."""
+        return {
+            "name": self.settings.name,
+            "state": self.lifecycle.state.value,
+            "rules_version": self.rules_keeper.rules.version,
+            "rules_since": self.rules_keeper.since.isoformat(),
+            "in_progress": self.lifecycle.in_progress,
+            "platform_calls": self.platform.calls,
+            "ledger_writes": self.ledger.writes,
+            "gossip_bytes_sent": self.gossip.bytes_sent,
+            "gossip_bytes_received": self.gossip.bytes_received,
+            "gossip_dropped": self.gossip.dropped,
+            "members": self._member_rows(),
+            "upstreams": self._upstream_rows(),
+        }
+
+    def _member_rows(self) -> list[dict[str, Any]]:
+        return [
+            {
+                "name": name,
+                "zone": member.zone,
+                "rules_version": member.rules_version,
+                "rules_since": member.rules_since.isoformat(),
+                "live": self.view.is_live(name),
+                "heard_s": round(self.view.age(name).total_seconds(), 1),
+            }
+            for name, member in sorted(self.gossiper.members().items())
+        ]
+
+    def _upstream_rows(self) -> list[dict[str, Any]]:
+        now = self.clock.monotonic()
+        return [
+            {
+                "name": name,
+                "service": state.rule.service,
+                "version": state.rule.version,
+                "zone": state.rule.zone,
+                "in_flight": state.in_flight,
+                "limit": state.limit.value,
+                "leaving": state.is_leaving,
+                "suspect": not state.is_leaving and not state.is_eligible(now),
+            }
+            for name, state in sorted(self.dispatcher.state_by_name.items())
+        ]
+
+    async def _push(self) -> None:
+        self._publish_member()
+        self.gossip.send(self.gossiper.push())
+
+    async def _exchange(self) -> None:
+        self.view.forget_old()
+        self._publish_leaving()
+        self.gossip.send(self.gossiper.exchange())
+
+    async def _plan(self) -> None:
+        self.rollouts.publish_evidence()
+        self.rollouts.plan()
+        self.scheduler.pump()
+
+    async def _refresh_suspects(self) -> None:
+        self.dispatcher.refresh_suspects()
+        self.scheduler.pump()
+
+    def _publish_member(self) -> None:
+        settings = self.settings
+        member = Member(
+            settings.zone,
+            settings.region,
+            settings.peer,
+            self.rules_keeper.rules.version,
+            self.rules_keeper.since,
+            self.lifecycle.takes_callers,
+            self.lifecycle.state is RouterState.LEAVING,
+        )
+        self.gossiper.publish(Topic.MEMBER, encode_member(member))
+
+    def _on_rules(self, rules: RuleSet) -> None:
+        self.context.rules = rules
+        self.dispatcher.apply_rules(rules)
+        self.catalog.apply_rules(rules)
+        self.rollouts.apply_rules(rules)
+        self.lifecycle.take_rules()
+        self._publish_member()
+        self.gossip.send(self.gossiper.push())
+        self.scheduler.pump()
+
+    def _on_upstreams(self, rule_by_name: dict[str, Any]) -> None:
+        self.dispatcher.apply_upstreams(rule_by_name)
+        self.links.apply(rule_by_name)
+        self.scheduler.pump()
+
+    def _on_leaving(self, notice_by_name: dict[str, timedelta]) -> None:
+        """Act on a first-hand sign that instances are leaving, and tell the others."""
+        new = self._mark_leaving(notice_by_name, "platform")
+        now = self.clock.monotonic()
+        for name in new:
+            self._leaving_at[name] = now + notice_by_name[name]
+        if new:
+            self._publish_leaving()
+            self.gossip.send(self.gossiper.push())
+
+    def _mark_leaving(
+        self, notice_by_name: dict[str, timedelta], source: str
+    ) -> set[str]:
+        new = self.dispatcher.mark_leaving(set(notice_by_name))
+        for name in new:
+            log_decision("leave", source, upstream=name)
+            for exchange in self.registry.at(name):
+                exchange.prepare_for_reclaim(notice_by_name[name])
+        return new
+
+    def _publish_leaving(self) -> None:
+        if not self._leaving_at:
+            return
+        now = self.clock.monotonic()
+        left = {
+            name: max(moment - now, timedelta(0))
+            for name, moment in self._leaving_at.items()
+        }
+        self.gossiper.publish(Topic.LEAVING, encode_leaving(left))
+
+    def _on_death(self, death: Death) -> None:
+        log_event("upstream_died", upstream=death.upstream, zone=death.zone)
+        self._deaths = [*self._deaths, death][-PUBLISHED_DEATHS:]
+        self.gossiper.publish(Topic.DEATHS, encode_deaths(self._deaths))
+        self.gossip.send(self.gossiper.push())
+
+    def _on_news(self, entries: list[Entry]) -> None:
+        for entry in entries:
+            try:
+                self._take_news(entry)
+            except WireError as error:
+                log_event("bad_entry", origin=entry.origin, error=error.message)
+
+    def _take_news(self, entry: Entry) -> None:
+        match entry.topic:
+            case Topic.MEMBER:
+                member = self.gossiper.members().get(entry.origin)
+                if member is not None:
+                    self.hops.learn(member)
+            case Topic.LEAVING:
+                self._mark_leaving(decode_leaving(entry.value), entry.origin)
+                self.scheduler.pump()
+            case Topic.DEATHS:
+                for death in decode_deaths(entry.value):
+                    if self.quarantine.record_death(death):
+                        self.dispatcher.mark_suspect(death.upstream)
+            case Topic.LOADS:
+                self.prober.take_report(entry.value)
--- /dev/null
+++ b/banyansail/router/rules_keeper.py
@@ -0,0 +1,129 @@
+"""Keeps the newest rules in force; a version never reverts."""
+
+from __future__ import annotations
+
+from datetime import datetime
+from typing import TYPE_CHECKING
+
+from banyansail.config.findings import has_errors
+from banyansail.config.rule_parser import parse_rules
+from banyansail.config.rules import RuleSet
+from banyansail.exceptions import PlatformUnavailableError, WireError
+from banyansail.log import log_event
+from banyansail.platform.budget import CallKind
+from banyansail.wire.call_codec import Document, FetchDocument
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from banyansail.clock import Clock
+    from banyansail.fleet.duties import Duties
+    from banyansail.fleet.gossiper import Gossiper
+    from banyansail.fleet.peer_calls import PeerCaller
+    from banyansail.platform.client import PlatformClient, StoredObject
+
+RULES_KEY = "rules"
+RULES_DOCUMENT = "rules"
+
+
+class RulesKeeper:
+    """Learns of rules from the platform and from other routers.
+
+    Parameters
+    ----------
+    name : str
+        This router.
+    clock : Clock
+        Source of time.
+    platform : PlatformClient
+        Holds the accepted rules.
+    gossiper : Gossiper
+        Knows which versions other routers have in force.
+    peers : PeerCaller
+        Fetches rules from other routers.
+    duties : Duties
+        Says whether this router watches the platform.
+    on_change : callable
+        Called with each new set of rules.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        clock: Clock,
+        platform: PlatformClient,
+        gossiper: Gossiper,
+        peers: PeerCaller,
+        duties: Duties,
+        on_change: Callable[[RuleSet], None],
+    ) -> None:
+        self._name = name
+        self._clock = clock
+        self._platform = platform
+        self._gossiper = gossiper
+        self._peers = peers
+        self._duties = duties
+        self._on_change = on_change
+        self.rules = RuleSet()
+        self.since: datetime = clock.now()
+
+    @property
+    def has_rules(self) -> bool:
+        """Whether any rules are in force."""
+        return self.rules.version > 0
+
+    def take(self, version: int, text: str, source: str) -> bool:
+        """Put rules in force if they are newer; return whether they were."""
+        if version <= self.rules.version:
+            return False
+        rules, findings = parse_rules(text, RULES_KEY, version)
+        if has_errors(findings):
+            log_event("rules_rejected", version=version, finding=str(findings[0]))
+            return False
+        self.rules = rules
+        self.since = self._clock.now()
+        log_event("rules_in_force", version=version, source=source)
+        self._on_change(rules)
+        return True
+
+    async def watch(self) -> None:
+        """Wait for newer rules at the platform, if this router watches it."""
+        if not self._duties.is_watcher() and self.has_rules:
+            return
+        stored = await self._platform.watch(
+            RULES_KEY, self.rules.version, CallKind.CONFIGURATION
+        )
+        self._take_stored(stored)
+
+    async def poll(self) -> None:
+        """Read the platform's rules, as a backstop."""
+        stored = await self._platform.get(RULES_KEY, CallKind.CONFIGURATION)
+        self._take_stored(stored)
+
+    async def catch_up(self) -> None:
+        """Fetch rules from a router that has newer ones in force."""
+        newer = {
+            name: member
+            for name, member in self._gossiper.live_members().items()
+            if member.rules_version > self.rules.version and name != self._name
+        }
+        for member in newer.values():
+            call = FetchDocument(RULES_DOCUMENT, self.rules.version)
+            try:
+                reply = await self._peers.call(member.peer, call)
+            except WireError:
+                continue
+            if isinstance(reply, Document):
+                self.take(reply.version, reply.text, str(member.peer))
+                return
+
+    async def get_ready(self) -> None:
+        """Get rules from wherever they can be had, at the start."""
+        try:
+            await self.poll()
+        except PlatformUnavailableError:
+            await self.catch_up()
+
+    def _take_stored(self, stored: StoredObject) -> None:
+        if stored.body is not None:
+            self.take(stored.version, stored.body["text"], "platform")
--- /dev/null
+++ b/banyansail/router/supervisor.py
@@ -0,0 +1,112 @@
+"""Supervisor tree: periodic and endless tasks that are restarted when they fail."""
+
+from __future__ import annotations
+
+from datetime import timedelta
+from typing import TYPE_CHECKING, Any
+
+from twisted.application.service import MultiService, Service
+from twisted.internet import defer, task
+
+from banyansail.log import log_event
+from banyansail.platform.budget import Backoff
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Coroutine
+    from random import Random
+
+RESTART_BASE = timedelta(milliseconds=200)
+RESTART_CAP = timedelta(seconds=5)
+
+
+class RepeatedTask(Service):
+    """Runs a coroutine again and again, with a pause in between.
+
+    A failure is logged and followed by a backoff; it never stops the task.
+
+    Parameters
+    ----------
+    reactor : object
+        Provider of ``callLater``.
+    random : Random
+        Source of the jitter.
+    name : str
+        Name for the log.
+    run : callable
+        Coroutine function.
+    pause : timedelta
+        Time between runs.
+    """
+
+    def __init__(
+        self,
+        reactor: Any,
+        random: Random,
+        name: str,
+        run: Callable[[], Coroutine[Any, Any, None]],
+        pause: timedelta,
+    ) -> None:
+        self.setName(name)
+        self._reactor = reactor
+        self._run = run
+        self._pause = pause
+        self._random = random
+        self._loop: defer.Deferred[None] | None = None
+        self.failures = 0
+
+    def startService(self) -> None:
+        """Start the task."""
+        super().startService()
+        self._loop = defer.Deferred.fromCoroutine(self._run_forever())
+        self._loop.addErrback(lambda failure: failure.trap(defer.CancelledError))
+
+    def stopService(self) -> None:
+        """Stop the task."""
+        super().stopService()
+        if self._loop is not None:
+            self._loop.cancel()
+
+    async def _run_forever(self) -> None:
+        backoff = Backoff(RESTART_BASE, RESTART_CAP, self._random)
+        while self.running:
+            try:
+                await self._run()
+                backoff.reset()
+                pause = self._pause
+            except defer.CancelledError:
+                return
+            except Exception as error:  # the supervisor keeps its tasks alive
+                self.failures += 1
+                pause = self._pause + backoff.next_delay()
+                self._log(error)
+            await task.deferLater(self._reactor, pause.total_seconds())
+
+    def _log(self, error: Exception) -> None:
+        log_event("task_failed", task=self.name, error=str(error) or repr(error))
+
+
+class Supervisor(MultiService):
+    """A node of the tree; its children start and stop with it.
+
+    Parameters
+    ----------
+    reactor : object
+        Provider of ``callLater``.
+    random : Random
+        Source of the jitter.
+    """
+
+    def __init__(self, reactor: Any, random: Random) -> None:
+        super().__init__()
+        self._reactor = reactor
+        self._random = random
+
+    def add_task(
+        self,
+        name: str,
+        run: Callable[[], Coroutine[Any, Any, None]],
+        pause: timedelta,
+    ) -> None:
+        """Add a child that runs a coroutine function again and again."""
+        child = RepeatedTask(self._reactor, self._random, name, run, pause)
+        child.setServiceParent(self)
--- /dev/null
+++ b/banyansail/routing/dispatch.py
@@ -0,0 +1,341 @@
+"""Admission of requests and their assignment to upstreams."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from datetime import timedelta
+from typing import TYPE_CHECKING
+
+from banyansail.routing.choice import Chosen, Hops, choose_upstream
+from banyansail.routing.messages import RanState, Refusal, RefusalCode, Ticket
+from banyansail.routing.pool import Pool
+from banyansail.routing.queue import FairQueue
+from banyansail.routing.upstream_state import UpstreamState
+
+if TYPE_CHECKING:
+    from random import Random
+
+    from banyansail.clock import Clock
+    from banyansail.config.rules import RuleSet, UpstreamRule
+    from banyansail.routing.shares import VersionShares
+
+INITIAL_SERVICE_TIME = timedelta(milliseconds=200)
+SERVICE_TIME_WEIGHT = 0.1  # weight of a new sample in the moving average
+SUSPECT_TIME = timedelta(seconds=2)
+MIN_RETRY_AFTER = timedelta(seconds=1)
+
+
+@dataclass(slots=True, eq=False)
+class Assignment:
+    """A request that goes to an upstream now.
+
+    Parameters
+    ----------
+    in_flight : int
+        Calls in flight at the upstream, this one included.
+    """
+
+    ticket: Ticket
+    state: UpstreamState
+    reason: str
+    losers: tuple[str, ...]
+    in_flight: int
+
+
+class ServiceDispatch:
+    """Queue and pools of one service."""
+
+    __slots__ = (
+        "latency_target",
+        "pool_by_version",
+        "queue",
+        "service_time",
+        "shares",
+    )
+
+    def __init__(self, queue: FairQueue, latency_target: timedelta) -> None:
+        self.queue = queue
+        self.latency_target = latency_target
+        self.pool_by_version: dict[str, Pool] = {}
+        self.service_time = INITIAL_SERVICE_TIME
+        self.shares: VersionShares | None = None
+
+    @property
+    def capacity(self) -> int:
+        """Calls that all upstreams together may have in flight."""
+        states = (
+            state
+            for pool in self.pool_by_version.values()
+            for state in pool.state_by_name.values()
+        )
+        return sum(state.limit.value for state in states if not state.is_leaving)
+
+    @property
+    def in_flight(self) -> int:
+        """Calls in flight at all upstreams."""
+        return sum(pool.in_flight for pool in self.pool_by_version.values())
+
+    def has_room(self) -> bool:
+        """Tell whether any upstream has room."""
+        return any(pool.has_room() for pool in self.pool_by_version.values())
+
+    def estimate_wait(self, priority: int) -> timedelta:
+        """Estimate how long a new request would wait."""
+        ahead = self.queue.waiting_before(priority)
+        if ahead == 0 and self.has_room():
+            return timedelta(0)
+        return self.service_time * (ahead + 1) / max(1, self.capacity)
+
+    def pools_for(self, ticket: Ticket) -> list[Pool]:
+        """Return the pools that a request may go to, the preferred one first."""
+        pools = self.pool_by_version
+        if ticket.version:
+            return [pools[ticket.version]] if ticket.version in pools else []
+        if self.shares is None:
+            return list(pools.values())
+        old = pools.get(self.shares.old_version)
+        new = pools.get(self.shares.new_version)
+        if not new:
+            return [old] if old else []
+        if not old:
+            return [new]
+        repeatable = ticket.request_class.repeatable
+        if self.shares.seeks_evidence and repeatable and new.in_flight == 0:
+            return [new, old]
+        if not self.shares.draws_new(ticket.request_id, repeatable=repeatable):
+            return [old]
+        total = old.in_flight + new.in_flight
+        if not self.shares.allows_in_flight(new.in_flight, total):
+            return [old]
+        return [new, old]
+
+
+class Dispatcher:
+    """Queues, pools and limits of all services at one router.
+
+    Parameters
+    ----------
+    zone : str
+        Zone of this router.
+    hops : Hops
+        Distance to each zone.
+    clock : Clock
+        Source of time.
+    random : Random
+        Source of the draws.
+    """
+
+    __slots__ = (
+        "_clock",
+        "_hops",
+        "_leaving",
+        "_random",
+        "_rules",
+        "_zone",
+        "dispatch_by_service",
+        "state_by_name",
+    )
+
+    def __init__(self, zone: str, hops: Hops, clock: Clock, random: Random) -> None:
+        self._zone = zone
+        self._hops = hops
+        self._clock = clock
+        self._random = random
+        self._rules: RuleSet | None = None
+        self._leaving: set[str] = set()
+        self.dispatch_by_service: dict[str, ServiceDispatch] = {}
+        self.state_by_name: dict[str, UpstreamState] = {}
+
+    def apply_rules(self, rules: RuleSet) -> None:
+        """Take over services and limits; waiting requests keep their places."""
+        self._rules = rules
+        for name, rule in rules.service_by_name.items():
+            capacity = rules.limit(name).queue
+            dispatch = self.dispatch_by_service.get(name)
+            if dispatch is None:
+                queue = FairQueue(capacity, self._weight)
+                dispatch = ServiceDispatch(queue, rule.latency)
+                self.dispatch_by_service[name] = dispatch
+            dispatch.queue.capacity = capacity
+            dispatch.latency_target = rule.latency
+
+    def apply_upstreams(self, rule_by_name: dict[str, UpstreamRule]) -> None:
+        """Take over the known upstreams; calls in flight end as they may."""
+        for name in [item for item in self.state_by_name if item not in rule_by_name]:
+            self._remove(name)
+        for name, rule in rule_by_name.items():
+            state = self.state_by_name.get(name)
+            if state is not None and state.rule == rule:
+                continue
+            if state is not None:
+                self._remove(name)
+            self._add(rule)
+
+    def mark_leaving(self, names: set[str]) -> set[str]:
+        """Send no new work to upstreams, ever again; return those newly marked."""
+        new = names - self._leaving
+        self._leaving |= new
+        for name in new & self.state_by_name.keys():
+            state = self.state_by_name[name]
+            state.is_leaving = True
+            self._refresh(state)
+        return new
+
+    def mark_suspect(self, name: str) -> None:
+        """Send no new work to an upstream for a while."""
+        state = self.state_by_name.get(name)
+        if state is not None:
+            state.suspect_until = self._clock.monotonic() + SUSPECT_TIME
+            self._refresh(state)
+
+    def refresh_suspects(self) -> None:
+        """Let upstreams whose time as suspects has passed take work again."""
+        now = self._clock.monotonic()
+        for state in self.state_by_name.values():
+            if state.suspect_until and now >= state.suspect_until:
+                state.suspect_until = timedelta(0)
+                self._refresh(state)
+
+    def offer(self, ticket: Ticket) -> Refusal | None:
+        """Admit a request to its queue, or return why it is refused."""
+        dispatch = self.dispatch_by_service[ticket.request_class.service]
+        if dispatch.queue.is_full:
+            wait = dispatch.estimate_wait(ticket.priority)
+            return _refuse(RefusalCode.QUEUE_FULL, "the queue is full", wait)
+        if not dispatch.pool_by_version:
+            return _refuse(
+                RefusalCode.NO_UPSTREAM, "no upstream is known", MIN_RETRY_AFTER
+            )
+        wait = dispatch.estimate_wait(ticket.priority)
+        if self._clock.monotonic() + wait > ticket.deadline:
+            text = f"the estimated wait of {wait.total_seconds():.2f} s is too long"
+            return _refuse(RefusalCode.CANNOT_MEET_DEADLINE, text, wait)
+        dispatch.queue.push(ticket)
+        return None
+
+    def requeue(self, ticket: Ticket) -> None:
+        """Queue a request that was admitted before; it is never refused."""
+        self.dispatch_by_service[ticket.request_class.service].queue.push(ticket)
+
+    def cancel(self, ticket: Ticket) -> None:
+        """Give up a waiting request."""
+        self.dispatch_by_service[ticket.request_class.service].queue.cancel(ticket)
+
+    def assign(self) -> list[Assignment]:
+        """Assign waiting requests to upstreams with room."""
+        assignments: list[Assignment] = []
+        for dispatch in self.dispatch_by_service.values():
+            if len(dispatch.queue):
+                assignments.extend(self._assign_service(dispatch))
+        return assignments
+
+    def finish(
+        self, assignment: Assignment, latency: timedelta | None, duration: timedelta
+    ) -> None:
+        """Account for the end of a call.
+
+        Parameters
+        ----------
+        latency : timedelta or None
+            Time to the first token or answer; ``None`` if there was none.
+        duration : timedelta
+            Time that the call took up the upstream.
+        """
+        state = assignment.state
+        now = self._clock.monotonic()
+        state.finish()
+        if assignment.ticket.exclusive:
+            state.is_exclusive = False
+        if latency is None:
+            state.limit.back_off(now)
+        else:
+            state.limit.observe(latency, assignment.in_flight, now)
+            dispatch = self.dispatch_by_service[state.rule.service]
+            change = (duration - dispatch.service_time) * SERVICE_TIME_WEIGHT
+            dispatch.service_time += change
+        pool = self._pool(state.rule)
+        if pool is not None:
+            pool.in_flight -= 1
+        self._refresh(state)
+
+    def _assign_service(self, dispatch: ServiceDispatch) -> list[Assignment]:
+        assignments: list[Assignment] = []
+        blocked: list[Ticket] = []
+        while dispatch.has_room():
+            ticket = dispatch.queue.pop()
+            if ticket is None:
+                break
+            chosen = self._choose(dispatch, ticket)
+            if chosen is not None:
+                assignments.append(self._start(ticket, chosen))
+                continue
+            blocked.append(ticket)
+            if not ticket.exclusive and not ticket.excluded:
+                break
+        for ticket in blocked:
+            dispatch.queue.push(ticket)
+        return assignments
+
+    def _choose(self, dispatch: ServiceDispatch, ticket: Ticket) -> Chosen | None:
+        for pool in dispatch.pools_for(ticket):
+            chosen = choose_upstream(
+                ticket,
+                pool,
+                home_zone=self._zone,
+                hops=self._hops,
+                latency_target=dispatch.latency_target,
+                now=self._clock.monotonic(),
+                random=self._random,
+            )
+            if chosen is not None:
+                return chosen
+        return None
+
+    def _start(self, ticket: Ticket, chosen: Chosen) -> Assignment:
+        state = chosen.state
+        state.start()
+        state.is_exclusive = ticket.exclusive
+        pool = self._pool(state.rule)
+        if pool is not None:
+            pool.in_flight += 1
+        self._refresh(state)
+        return Assignment(ticket, state, chosen.reason, chosen.losers, state.in_flight)
+
+    def _add(self, rule: UpstreamRule) -> None:
+        dispatch = self.dispatch_by_service.get(rule.service)
+        if dispatch is None:
+            return
+        state = UpstreamState(rule, dispatch.latency_target)
+        state.is_leaving = rule.name in self._leaving
+        self.state_by_name[rule.name] = state
+        pool = dispatch.pool_by_version.setdefault(rule.version, Pool())
+        pool.add(state, self._clock.monotonic())
+
+    def _remove(self, name: str) -> None:
+        rule = self.state_by_name.pop(name).rule
+        pools = self.dispatch_by_service[rule.service].pool_by_version
+        pool = pools[rule.version]
+        pool.in_flight -= pool.state_by_name[name].in_flight
+        pool.remove(name)
+        if not len(pool):
+            del pools[rule.version]
+
+    def _pool(self, rule: UpstreamRule) -> Pool | None:
+        dispatch = self.dispatch_by_service[rule.service]
+        pool = dispatch.pool_by_version.get(rule.version)
+        if pool is None or rule.name not in pool.state_by_name:
+            return None
+        return pool
+
+    def _refresh(self, state: UpstreamState) -> None:
+        pool = self._pool(state.rule)
+        if pool is not None:
+            pool.refresh(state, self._clock.monotonic())
+
+    def _weight(self, workspace: str) -> int:
+        return self._rules.weight(workspace) if self._rules else 1
+
+
+def _refuse(code: RefusalCode, message: str, wait: timedelta) -> Refusal:
+    retry_after = max(wait, MIN_RETRY_AFTER)
+    return Refusal(503, code, RanState.NOT_RUN, message, retry_after)
--- /dev/null
+++ b/banyansail/standins/engine.py
@@ -0,0 +1,350 @@
+"""Stand-in of a model engine: batches, prefix cache, resumable streams, orders.
+
+Tokens are a pure function of the prompt and their index, so that a test can tell
+whether a resumed answer is whole.
+"""
+
+from __future__ import annotations
+
+import hashlib
+import json
+from collections import OrderedDict, deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+from twisted.internet import defer
+from twisted.web.server import Request
+
+from banyansail.standins.web import (
+    StandinResource,
+    TrackingSite,
+    answer_json,
+    is_open,
+    path_of,
+    read_json,
+    sleep,
+)
+
+VOCABULARY = ("comb ", "blade ", "clipper ", "hedge ", "lawn ", "invoice ", "pot ")
+TOKENS_PER_WORD = 1
+CACHED_PREFIXES = 32
+DEFAULT_MAX_TOKENS = 16
+
+
+@dataclass(slots=True)
+class EngineFaults:
+    """Switches for faults.
+
+    Parameters
+    ----------
+    fail : bool
+        Every completion is answered with 500.
+    refuse : bool
+        Every completion is answered with 503 and is not run.
+    slowdown : float
+        Factor on every time.
+    hang : bool
+        Completions are taken and never answered.
+    crash_on : str
+        A prompt with this text crashes the engine.
+    truncate_at : int
+        Streams end without their end after this many tokens; -1 for never.
+    stall_at : int
+        The next stream pauses at this token for `stall_s`; -1 for never.
+    wrong_id : bool
+        Events carry the id of some other request.
+    """
+
+    fail: bool = False
+    refuse: bool = False
+    slowdown: float = 1.0
+    hang: bool = False
+    crash_on: str = ""
+    truncate_at: int = -1
+    stall_at: int = -1
+    stall_s: float = 0.0
+    wrong_id: bool = False
+
+
+@dataclass(slots=True)
+class EngineOptions:
+    """Size and speed of an engine.
+
+    Parameters
+    ----------
+    slots : int
+        Sequences that are batched at once.
+    token_s : float
+        Time between tokens.
+    prefill_tokens_per_s : float
+        Speed of reading a prompt that is not cached.
+    report_lag_s : float
+        Age of the load that is reported.
+    checks_fencing : bool
+        Whether orders with an old fencing number are refused.
+    """
+
+    name: str = "engine"
+    version: str = "v1"
+    slots: int = 8
+    token_s: float = 0.005
+    prefill_tokens_per_s: float = 20000.0
+    report_lag_s: float = 0.5
+    checks_fencing: bool = True
+
+
+@dataclass(slots=True)
+class EngineState:
+    """Everything an engine holds."""
+
+    options: EngineOptions
+    faults: EngineFaults = field(default_factory=EngineFaults)
+    active: int = 0
+    waiting: list[tuple[int, int, defer.Deferred[None]]] = field(default_factory=list)
+    arrivals: int = 0
+    prefix_cache: OrderedDict[str, None] = field(default_factory=OrderedDict)
+    imported: dict[str, int] = field(default_factory=dict)
+    cancelled: set[str] = field(default_factory=set)
+    progress: dict[str, int] = field(default_factory=dict)
+    counters: dict[str, int] = field(default_factory=dict)
+    load_history: deque[tuple[float, int]] = field(default_factory=deque)
+    fencing: int = 0
+    wanted: dict[str, Any] = field(default_factory=dict)
+    cache_events: list[dict[str, Any]] = field(default_factory=list)
+
+    def count(self, name: str, amount: int = 1) -> None:
+        """Add to a counter."""
+        self.counters[name] = self.counters.get(name, 0) + amount
+
+
+def token_text(prompt: str, index: int) -> str:
+    """Return the token with an index in the answer to a prompt."""
+    digest = hashlib.blake2s(f"{prompt}/{index}".encode(), digest_size=4).digest()
+    return VOCABULARY[int.from_bytes(digest, "big") % len(VOCABULARY)]
+
+
+def answer_text(prompt: str, tokens: int) -> str:
+    """Return the whole answer to a prompt."""
+    return "".join(token_text(prompt, index) for index in range(tokens))
+
+
+def prompt_of(body: dict[str, Any]) -> str:
+    """Return the text of all messages of a completion request."""
+    messages = body.get("messages", [])
+    return "\n".join(str(message.get("content", "")) for message in messages)
+
+
+class EngineStandin(StandinResource):
+    """HTTP face of an engine.
+
+    Parameters
+    ----------
+    state : EngineState
+        What the engine holds.
+    crash : callable
+        Called when a request crashes the engine.
+    clock : object
+        Provider of ``seconds()``, such as the reactor.
+    """
+
+    def __init__(
+        self, state: EngineState, crash: Callable[[], None], clock: Any
+    ) -> None:
+        super().__init__()
+        self.state = state
+        self.site: TrackingSite | None = None
+        self._crash = crash
+        self._clock = clock
+
+    async def handle(self, request: Request) -> None:
+        """Answer one call."""
+        path = path_of(request)
+        match path.strip("/").split("/"):
+            case ["v1", "chat", "completions"]:
+                await self._complete(request)
+            case ["load" | "health"]:
+                answer_json(request, self._report_load())
+            case ["requests", name]:
+                self._handle_request(request, name)
+            case ["kv", name]:
+                self._transfer_cache(request, name)
+            case ["orders"]:
+                self._take_order(request)
+            case ["cache-events"]:
+                answer_json(request, self.state.cache_events[-100:])
+            case ["counters"]:
+                answer_json(request, self.state.counters)
+            case ["faults"]:
+                self._set_faults(request)
+            case _:
+                answer_json(request, {"error": "no such path"}, 404)
+
+    def _set_faults(self, request: Request) -> None:
+        faults = read_json(request)
+        answer_json(request, {})
+        if faults.pop("silence", False) and self.site is not None:
+            self._clock.callLater(0, self.site.silence)
+        for name, value in faults.items():
+            setattr(self.state.faults, name, value)
+
+    async def _complete(self, request: Request) -> None:
+        body = read_json(request)
+        prompt = prompt_of(body)
+        faults = self.state.faults
+        self.state.count("requests")
+        if faults.refuse:
+            request.setHeader("x-ran", "not_run")
+            answer_json(request, {"error": "refused"}, 503)
+            return
+        if faults.fail:
+            answer_json(request, {"error": "failed"}, 500)
+            return
+        if faults.crash_on and faults.crash_on in prompt:
+            await sleep(0.05)
+            self.state.count("crashes")
+            self._crash()
+            return
+        if faults.hang:
+            return
+        name = request.getHeader("x-request-id") or ""
+        self.state.progress[name] = int(body.get("resume_from", 0))
+        await self._take_slot(int(request.getHeader("x-priority") or 0))
+        try:
+            await self._generate(request, body, prompt)
+        finally:
+            self.state.progress.pop(name, None)
+            self._release_slot()
+
+    async def _take_slot(self, priority: int) -> None:
+        if self.state.active < self.state.options.slots:
+            self.state.active += 1
+        else:
+            turn: defer.Deferred[None] = defer.Deferred()
+            self.state.arrivals += 1
+            self.state.waiting.append((-priority, self.state.arrivals, turn))
+            self.state.waiting.sort(key=lambda item: item[:2])
+            await turn
+        self._record_load()
+
+    def _release_slot(self) -> None:
+        if self.state.waiting:
+            self.state.waiting.pop(0)[2].callback(None)
+        else:
+            self.state.active -= 1
+        self._record_load()
+
+    async def _generate(
+        self, request: Request, body: dict[str, Any], prompt: str
+    ) -> None:
+        name = request.getHeader("x-request-id") or ""
+        start = int(body.get("resume_from", 0))
+        total = int(body.get("max_tokens", DEFAULT_MAX_TOKENS))
+        slowdown = self.state.faults.slowdown
+        await sleep(self._prefill_s(name, prompt, start) * slowdown)
+        self._begin_stream(request, name)
+        for index in range(start, total):
+            await sleep(self.state.options.token_s * slowdown)
+            if self.state.faults.stall_at == index:
+                self.state.faults.stall_at = -1
+                await sleep(self.state.faults.stall_s)
+            if not is_open(request) or name in self.state.cancelled:
+                return
+            if index == self.state.faults.truncate_at:
+                request.finish()
+                return
+            self.state.progress[name] = index + 1
+            self.state.count("tokens")
+            event_id = "other" if self.state.faults.wrong_id else name
+            request.write(_token_event(event_id, index, token_text(prompt, index)))
+        if is_open(request):
+            request.write(b"data: [DONE]\n\n")
+            request.finish()
+
+    def _begin_stream(self, request: Request, name: str) -> None:
+        if not is_open(request):
+            return
+        request.setHeader("content-type", "text/event-stream")
+        request.setHeader("x-request-id", name)
+        request.write(b"")
+
+    def _prefill_s(self, name: str, prompt: str, start: int) -> float:
+        words = max(1, len(prompt.split()))
+        held = self.state.imported.pop(name, 0)
+        prefix = prompt[: len(prompt) // 2]
+        cached = words // 2 if prefix and prefix in self.state.prefix_cache else 0
+        missing = max(0, words - cached + start - held)
+        self.state.count("prefill_tokens", missing)
+        if start:
+            self.state.count("recomputed_tokens", max(0, words + start - held - cached))
+        self._cache(prefix)
+        return missing / self.state.options.prefill_tokens_per_s
+
+    def _cache(self, prefix: str) -> None:
+        self.state.prefix_cache[prefix] = None
+        self.state.prefix_cache.move_to_end(prefix)
+        self.state.cache_events.append({"stored": hash(prefix) & 0xFFFFFFFF})
+        if len(self.state.prefix_cache) > CACHED_PREFIXES:
+            self.state.prefix_cache.popitem(last=False)
+
+    def _handle_request(self, request: Request, name: str) -> None:
+        if request.method == b"DELETE":
+            self.state.cancelled.add(name)
+            answer_json(request, {})
+            return
+        tokens = self.state.progress.get(name)
+        if tokens is None:
+            answer_json(request, {"error": "no such request"}, 404)
+            return
+        answer_json(request, {"tokens": tokens})
+
+    def _transfer_cache(self, request: Request, name: str) -> None:
+        if request.method == b"GET":
+            tokens = self.state.progress.get(name)
+            if tokens is None:
+                answer_json(request, {"error": "no such request"}, 404)
+                return
+            answer_json(request, {"tokens": tokens, "prompt": True})
+            return
+        exported = read_json(request)
+        self.state.imported[name] = int(exported["tokens"]) + 10**6
+        self.state.count("imports")
+        answer_json(request, {})
+
+    def _take_order(self, request: Request) -> None:
+        order = read_json(request)
+        fencing = int(order["fencing"])
+        if self.state.options.checks_fencing and fencing < self.state.fencing:
+            self.state.count("orders_refused")
+            answer_json(request, {"error": "old fencing number"}, 409)
+            return
+        self.state.fencing = fencing
+        self.state.wanted = order["wanted"]
+        answer_json(request, {"wanted": self.state.wanted})
+
+    def _record_load(self) -> None:
+        load = self.state.active + len(self.state.waiting)
+        self.state.load_history.append((self._clock.seconds(), load))
+
+    def _report_load(self) -> dict[str, Any]:
+        horizon = self._clock.seconds() - self.state.options.report_lag_s
+        history = self.state.load_history
+        while len(history) > 1 and history[1][0] <= horizon:
+            history.popleft()
+        load = history[0][1] if history and history[0][0] <= horizon else 0
+        return {
+            "in_flight": load,
+            "slots": self.state.options.slots,
+            "version": self.state.options.version,
+            "wanted": self.state.wanted,
+            "fencing": self.state.fencing,
+        }
+
+
+def _token_event(request_id: str, index: int, text: str) -> bytes:
+    chunk = {
+        "id": request_id,
+        "object": "chat.completion.chunk",
+        "choices": [{"index": 0, "delta": {"content": text}}],
+    }
+    return f"id: {index}\ndata: {json.dumps(chunk)}\n\n".encode()
--- /dev/null
+++ b/banyansail/standins/platform.py
@@ -0,0 +1,315 @@
+"""Stand-in of the platform: object API, cloud API and the lagging list.
+
+The protocol is described in docs/developer-guide/platform-protocol.md.
+"""
+
+from __future__ import annotations
+
+import time
+from collections import deque
+from dataclasses import dataclass, field
+from typing import Any
+
+from twisted.internet import defer, reactor
+from twisted.web.server import Request
+
+from banyansail.standins.web import (
+    StandinResource,
+    answer_json,
+    argument,
+    path_of,
+    read_json,
+    sleep,
+)
+
+MAX_OBJECT_BYTES = 1024**2
+LIST_LAG_S = 2.0
+
+
+@dataclass(slots=True)
+class PlatformFaults:
+    """Switches for faults.
+
+    Parameters
+    ----------
+    outage : bool
+        Every call is answered with 503.
+    delay_s : float
+        Time added to every call.
+    lose_answers : int
+        Writes that take effect but whose answers are lost.
+    refuse_starts : int
+        Starts of instances that are refused.
+    stale_reads : int
+        Reads that are answered with the version before the current one.
+    writes_per_s, reads_per_s : float
+        Rate limits; calls over them are answered with 429.
+    """
+
+    outage: bool = False
+    delay_s: float = 0.0
+    lose_answers: int = 0
+    refuse_starts: int = 0
+    stale_reads: int = 0
+    writes_per_s: float = 400.0
+    reads_per_s: float = 2000.0
+
+
+@dataclass(slots=True)
+class _Object:
+    version: int
+    body: Any
+    before: tuple[int, Any] | None = None
+
+
+class _RateLimit:
+    """Token bucket that holds one second's worth of calls."""
+
+    __slots__ = ("_at", "_tokens")
+
+    def __init__(self) -> None:
+        self._tokens: float | None = None
+        self._at = time.monotonic()
+
+    def take(self, rate: float) -> bool:
+        now = time.monotonic()
+        held = rate if self._tokens is None else self._tokens
+        self._tokens = min(rate, held + (now - self._at) * rate)
+        self._at = now
+        if self._tokens < 1:
+            return False
+        self._tokens -= 1
+        return True
+
+
+@dataclass(slots=True)
+class PlatformState:
+    """Everything the stand-in holds."""
+
+    faults: PlatformFaults = field(default_factory=PlatformFaults)
+    object_by_key: dict[str, _Object] = field(default_factory=dict)
+    waiters_by_key: dict[str, list[defer.Deferred[None]]] = field(default_factory=dict)
+    instance_by_id: dict[str, dict[str, Any]] = field(default_factory=dict)
+    notices: list[dict[str, Any]] = field(default_factory=list)
+    calls: dict[str, int] = field(default_factory=dict)
+    list_history: deque[tuple[float, list[dict[str, Any]]]] = field(
+        default_factory=deque
+    )
+    started: int = 0
+    next_version: int = 0
+
+    def count(self, kind: str) -> None:
+        """Count one call."""
+        self.calls[kind] = self.calls.get(kind, 0) + 1
+
+    def wake(self, key: str) -> None:
+        """Wake the watches of a key."""
+        for waiter in self.waiters_by_key.pop(key, []):
+            if not waiter.called:
+                waiter.callback(None)
+
+    def record_list(self) -> None:
+        """Remember the list of instances, for the lagging reads."""
+        self.list_history.append((time.monotonic(), list(self.instance_by_id.values())))
+
+    def lagging_list(self) -> list[dict[str, Any]]:
+        """Return the list as it was some time ago."""
+        horizon = time.monotonic() - LIST_LAG_S
+        while len(self.list_history) > 1 and self.list_history[1][0] <= horizon:
+            self.list_history.popleft()
+        if not self.list_history or self.list_history[0][0] > horizon:
+            return []
+        return self.list_history[0][1]
+
+
+class PlatformStandin(StandinResource):
+    """HTTP face of the stand-in.
+
+    Parameters
+    ----------
+    state : PlatformState
+        What the platform holds.
+    """
+
+    def __init__(self, state: PlatformState) -> None:
+        super().__init__()
+        self.state = state
+        self._writes = _RateLimit()
+        self._reads = _RateLimit()
+
+    async def handle(self, request: Request) -> None:
+        """Answer one call."""
+        path = path_of(request)
+        if path == "/faults":
+            self._set_faults(request)
+            return
+        if path == "/calls":
+            answer_json(request, self.state.calls)
+            return
+        if self.state.faults.delay_s:
+            await sleep(self.state.faults.delay_s)
+        if self.state.faults.outage:
+            self.state.count("refused")
+            answer_json(request, {"error": "outage"}, 503)
+            return
+        if not self._admit(request):
+            return
+        if path.startswith("/objects"):
+            await self._handle_object(request, path.removeprefix("/objects/"))
+        elif path == "/instances":
+            answer_json(request, self.state.lagging_list())
+        elif path == "/notices":
+            await self._watch_notices(request)
+        elif path.startswith("/cloud"):
+            self._handle_cloud(request, path)
+        else:
+            answer_json(request, {"error": "no such path"}, 404)
+
+    def _set_faults(self, request: Request) -> None:
+        for name, value in read_json(request).items():
+            setattr(self.state.faults, name, value)
+        answer_json(request, {})
+
+    def _admit(self, request: Request) -> bool:
+        faults = self.state.faults
+        if request.method == b"GET":
+            kind, admitted = "read", self._reads.take(faults.reads_per_s)
+        else:
+            kind, admitted = "write", self._writes.take(faults.writes_per_s)
+        if b"watch" in request.args:
+            kind = "watch"
+        self.state.count(kind)
+        if not admitted:
+            self.state.count("limited")
+            answer_json(request, {"error": "rate limit"}, 429)
+        return admitted
+
+    async def _handle_object(self, request: Request, key: str) -> None:
+        if request.method == b"PUT":
+            self._put(request, key)
+            return
+        if key in ("", "/objects"):
+            prefix = argument(request, "prefix")
+            versions = {
+                item: stored.version
+                for item, stored in self.state.object_by_key.items()
+                if item.startswith(prefix)
+            }
+            answer_json(request, versions)
+            return
+        if b"watch" in request.args:
+            version = int(argument(request, "watch"))
+            await self._wait_for_change(key, version, _timeout_of(request))
+        self._get(request, key)
+
+    async def _wait_for_change(self, key: str, version: int, timeout: float) -> None:
+        stored = self.state.object_by_key.get(key)
+        if stored is not None and stored.version > version:
+            return
+        await self._wait(key, timeout)
+
+    async def _wait(self, key: str, timeout: float) -> None:
+        waiter: defer.Deferred[None] = defer.Deferred()
+        self.state.waiters_by_key.setdefault(key, []).append(waiter)
+        waiter.addTimeout(timeout, reactor)
+        waiter.addErrback(lambda failure: failure.trap(defer.TimeoutError) and None)
+        await waiter
+
+    def _get(self, request: Request, key: str) -> None:
+        if self.state.faults.outage:
+            answer_json(request, {"error": "outage"}, 503)
+            return
+        stored = self.state.object_by_key.get(key)
+        if stored is None:
+            answer_json(request, {"error": "no such object"}, 404)
+            return
+        version, body = stored.version, stored.body
+        if self.state.faults.stale_reads > 0 and stored.before is not None:
+            self.state.faults.stale_reads -= 1
+            version, body = stored.before
+        answer_json(request, body, etag=version)
+
+    def _put(self, request: Request, key: str) -> None:
+        body = read_json(request)
+        expected = int(request.getHeader("if-match") or 0)
+        stored = self.state.object_by_key.get(key)
+        found = stored.version if stored else 0
+        if request.content.tell() > MAX_OBJECT_BYTES:
+            answer_json(request, {"error": "object too large"}, 413)
+            return
+        if expected != found:
+            answer_json(request, {"error": "conflict"}, 412, etag=found)
+            return
+        before = (stored.version, stored.body) if stored else None
+        self.state.object_by_key[key] = _Object(found + 1, body, before)
+        self.state.wake(key)
+        if self.state.faults.lose_answers > 0:
+            self.state.faults.lose_answers -= 1
+            request.transport.abortConnection()
+            return
+        answer_json(request, {}, etag=found + 1)
+
+    async def _watch_notices(self, request: Request) -> None:
+        after = int(argument(request, "watch", "0"))
+        if len(self.state.notices) <= after:
+            await self._wait("/notices", _timeout_of(request))
+        answer_json(request, self.state.notices[after:], etag=len(self.state.notices))
+
+    def _handle_cloud(self, request: Request, path: str) -> None:
+        match path.removeprefix("/cloud/").split("/"):
+            case ["instances"] if request.method == b"GET":
+                answer_json(request, list(self.state.instance_by_id.values()))
+            case ["instances"]:
+                self._start(request)
+            case ["instances", name]:
+                self.state.instance_by_id.pop(name, None)
+                self.state.record_list()
+                answer_json(request, {})
+            case ["reclaim"]:
+                self.reclaim(**read_json(request))
+                answer_json(request, {})
+            case _:
+                answer_json(request, {"error": "no such path"}, 404)
+
+    def _start(self, request: Request) -> None:
+        instance = read_json(request)
+        if self.state.faults.refuse_starts > 0 and "state" not in instance:
+            self.state.faults.refuse_starts -= 1
+            answer_json(request, {"error": "no capacity"}, 409)
+            return
+        self.state.started += 1
+        instance.setdefault("id", f"instance-{self.state.started}")
+        instance.setdefault("state", "starting")
+        self.state.instance_by_id[instance["id"]] = instance
+        self.state.record_list()
+        answer_json(request, instance, 201)
+
+    def reclaim(
+        self, zone: str = "", ids: list[str] | None = None, notice_s: float = 5.0
+    ) -> None:
+        """Announce that instances will be taken back.
+
+        Parameters
+        ----------
+        zone : str
+            Zone whose reclaimable instances go.
+        ids : list of str or None
+            Instances that go besides.
+        notice_s : float
+            Time until they are gone.
+        """
+        leaving = set(ids or ())
+        for name, instance in self.state.instance_by_id.items():
+            if zone and instance.get("zone") == zone:
+                leaving.add(name)
+        for name in leaving & self.state.instance_by_id.keys():
+            instance = self.state.instance_by_id[name]
+            self.state.instance_by_id[name] = {**instance, "state": "leaving"}
+        self.state.record_list()
+        notice = {"ids": sorted(leaving), "notice_s": notice_s}
+        self.state.notices.append(notice)
+        self.state.wake("/notices")
+
+
+def _timeout_of(request: Request) -> float:
+    return float(argument(request, "timeout", "30"))
--- /dev/null
+++ b/banyansail/standins/server.py
@@ -0,0 +1,101 @@
+"""Starts stand-ins on ports, in this process."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+from twisted.internet import reactor
+from twisted.internet.interfaces import IListeningPort
+
+from banyansail.config.fields import Address
+from banyansail.standins.engine import EngineOptions, EngineStandin, EngineState
+from banyansail.standins.platform import PlatformStandin, PlatformState
+from banyansail.standins.service import ServiceStandin, ServiceState
+from banyansail.standins.web import StandinResource, TrackingSite
+
+LISTEN_BACKLOG = 512
+
+
+class RunningStandin:
+    """A stand-in that listens.
+
+    Parameters
+    ----------
+    resource : StandinResource
+        What answers.
+    site : TrackingSite
+        Its connections.
+    """
+
+    __slots__ = ("address", "port", "resource", "site")
+
+    def __init__(self, resource: StandinResource, site: TrackingSite) -> None:
+        self.resource = resource
+        self.site = site
+        self.port: IListeningPort | None = None
+        self.address = Address("127.0.0.1", 0)
+
+    def listen(self, address: Address) -> None:
+        """Listen on an address; port 0 lets the system choose one."""
+        self.port = reactor.listenTCP(
+            address.port, self.site, backlog=LISTEN_BACKLOG, interface=address.host
+        )
+        self.address = Address(address.host, self.port.getHost().port)
+
+    def kill(self) -> None:
+        """Stop at once and drop every connection, as a crash would."""
+        if self.port is not None:
+            self.port.stopListening()
+            self.port = None
+        self.site.abort()
+
+    def __enter__(self) -> RunningStandin:
+        return self
+
+    def __exit__(self, *exc_info: object) -> None:
+        self.kill()
+
+
+def start_platform(
+    address: Address, state: PlatformState | None = None
+) -> RunningStandin:
+    """Start a platform."""
+    resource = PlatformStandin(state or PlatformState())
+    return _start(resource, address)
+
+
+def start_engine(
+    address: Address,
+    options: EngineOptions | None = None,
+    crash: Callable[[], None] | None = None,
+) -> RunningStandin:
+    """Start a model engine; a crash kills it unless `crash` does something else."""
+    state = EngineState(options or EngineOptions())
+    resource = EngineStandin(state, lambda: None, reactor)
+    return _start_crashing(resource, address, crash)
+
+
+def start_service(
+    address: Address,
+    state: ServiceState | None = None,
+    crash: Callable[[], None] | None = None,
+) -> RunningStandin:
+    """Start a plain service; a crash kills it unless `crash` does something else."""
+    resource = ServiceStandin(state or ServiceState(), lambda: None, reactor)
+    return _start_crashing(resource, address, crash)
+
+
+def _start_crashing(
+    resource: Any, address: Address, crash: Callable[[], None] | None
+) -> RunningStandin:
+    standin = _start(resource, address)
+    resource._crash = crash or standin.kill
+    resource.site = standin.site
+    return standin
+
+
+def _start(resource: StandinResource, address: Address) -> RunningStandin:
+    standin = RunningStandin(resource, TrackingSite(resource))
+    standin.listen(address)
+    return standin
--- /dev/null
+++ b/banyansail/upstreams/__init__.py
@@ -0,0 +1,1 @@
+"""Connections from a router to engines and services."""
--- /dev/null
+++ b/banyansail/upstreams/link.py
@@ -0,0 +1,199 @@
+"""HTTP connections from a router to one upstream."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from datetime import timedelta
+from typing import TYPE_CHECKING, Any
+
+from twisted.internet import defer, error
+from twisted.internet.protocol import Protocol
+from twisted.web.client import (
+    Agent,
+    HTTPConnectionPool,
+    PotentialDataLoss,
+    ResponseDone,
+    ResponseFailed,
+)
+from twisted.web.http_headers import Headers
+
+from banyansail.routing.retry import Failure
+from banyansail.upstreams.body import BytesBody
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from twisted.python.failure import Failure as TwistedFailure
+    from twisted.web.iweb import IResponse
+
+    from banyansail.config.fields import Address
+
+CONNECT_TIMEOUT_S = 1.0
+IDLE_CONNECTIONS = 64
+IDLE_TIMEOUT_S = 30
+PROBE_TIMEOUT = timedelta(seconds=1)
+
+NOT_SENT_ERRORS = (
+    error.ConnectError,
+    error.TimeoutError,
+    error.ConnectingCancelledError,
+)
+
+
+@dataclass(slots=True, frozen=True)
+class UpstreamCall:
+    """A call to an upstream.
+
+    Parameters
+    ----------
+    headers : dict of str to str
+        Headers that are passed on.
+    repeatable : bool
+        Calls that may not be repeated get a new connection, so that a failure to
+        connect proves that nothing was sent.
+    """
+
+    method: str
+    path: str
+    body: bytes
+    headers: dict[str, str] = field(default_factory=dict)
+    repeatable: bool = True
+
+
+class AttemptError(Exception):
+    """An attempt ended without an answer.
+
+    Parameters
+    ----------
+    failure : Failure
+        How it ended.
+    detail : str
+        What was seen.
+    """
+
+    def __init__(self, failure: Failure, detail: str) -> None:
+        super().__init__(f"{failure.value}: {detail}")
+        self.failure = failure
+        self.detail = detail
+
+
+class BodyReceiver(Protocol):
+    """Passes the bytes of a body on and tells how it ended.
+
+    Parameters
+    ----------
+    on_data : callable
+        Called with each piece.
+    """
+
+    def __init__(self, on_data: Callable[[bytes], None]) -> None:
+        self._on_data = on_data
+        self.ended: defer.Deferred[None] = defer.Deferred(self._abort)
+        self.is_open = True
+
+    def dataReceived(self, data: bytes) -> None:
+        """Pass a piece on."""
+        if self.is_open:
+            self._on_data(data)
+
+    def connectionLost(self, reason: TwistedFailure) -> None:
+        """Fire `ended`, with an error unless the body was whole."""
+        if not self.is_open:
+            return
+        self.is_open = False
+        if reason.check(ResponseDone):
+            self.ended.callback(None)
+            return
+        detail = "the body has no end" if reason.check(PotentialDataLoss) else ""
+        detail = detail or reason.getErrorMessage()
+        self.ended.errback(AttemptError(Failure.LOST, detail))
+
+    def fail(self, attempt_error: AttemptError) -> None:
+        """Give the body up and drop the connection."""
+        if not self.is_open:
+            return
+        self.is_open = False
+        self._drop()
+        self.ended.errback(attempt_error)
+
+    def _abort(self, _: defer.Deferred[None]) -> None:
+        self.is_open = False
+        self._drop()
+
+    def _drop(self) -> None:
+        if self.transport is not None:
+            self.transport.loseConnection()
+
+
+class UpstreamLink:
+    """Pool of connections to one upstream.
+
+    A connection whose answer was not read to its end is never used again.
+
+    Parameters
+    ----------
+    reactor : object
+        Twisted's reactor.
+    address : Address
+        The upstream.
+    """
+
+    __slots__ = ("_address", "_base", "_fresh", "_pool", "_pooled", "_reactor")
+
+    def __init__(self, reactor: Any, address: Address) -> None:
+        self._reactor = reactor
+        self._address = address
+        self._base = f"http://{address}"
+        self._pool = HTTPConnectionPool(reactor, persistent=True)
+        self._pool.maxPersistentPerHost = IDLE_CONNECTIONS
+        self._pool.cachedConnectionTimeout = IDLE_TIMEOUT_S
+        self._pool.retryAutomatically = False
+        self._pooled = Agent(reactor, connectTimeout=CONNECT_TIMEOUT_S, pool=self._pool)
+        self._fresh = Agent(reactor, connectTimeout=CONNECT_TIMEOUT_S)
+
+    def __enter__(self) -> UpstreamLink:
+        return self
+
+    def __exit__(self, *exc_info: object) -> None:
+        self.close_idle()
+
+    def close_idle(self) -> None:
+        """Close the idle connections, for instance as they may have gone silent."""
+        self._pool.closeCachedConnections()
+
+    async def send(self, call: UpstreamCall) -> IResponse:
+        """Send a call and return the response, whose body is still to come.
+
+        Raises
+        ------
+        AttemptError
+            With ``NOT_SENT`` only if no byte of the call has left.
+        """
+        agent = self._pooled if call.repeatable else self._fresh
+        headers = Headers({name: [text] for name, text in call.headers.items()})
+        body = BytesBody(call.body) if call.body else None
+        url = (self._base + call.path).encode("ascii")
+        try:
+            return await agent.request(call.method.encode(), url, headers, body)
+        except NOT_SENT_ERRORS as caught:
+            raise AttemptError(Failure.NOT_SENT, str(caught)) from caught
+        except (ResponseFailed, OSError, error.ConnectionClosed) as caught:
+            detail = type(caught).__name__
+            raise AttemptError(Failure.LOST, detail) from caught
+
+    async def probe(self, path: str = "/health") -> bool:
+        """Tell whether the upstream answers on a new connection."""
+        request = self._fresh.request(b"GET", (self._base + path).encode())
+        request.addTimeout(PROBE_TIMEOUT.total_seconds(), self._reactor)
+        try:
+            response = await request
+        except Exception:  # any failure at all means that it does not answer
+            return False
+        receiver = BodyReceiver(_ignore)
+        receiver.ended.addErrback(_ignore)
+        response.deliverBody(receiver)
+        return response.code < 500
+
+
+def _ignore(_: object) -> None:
+    return None
--- /dev/null
+++ b/banyansail/upstreams/model_api.py
@@ -0,0 +1,64 @@
+"""Side calls to a model engine: progress of a request, export and import of cache."""
+
+from __future__ import annotations
+
+import json
+from datetime import timedelta
+from typing import Any
+
+from twisted.internet import defer
+from twisted.web.client import readBody
+
+from banyansail.upstreams.link import AttemptError, UpstreamCall, UpstreamLink
+
+SIDE_CALL_TIMEOUT = timedelta(seconds=1)
+
+
+class ModelApi:
+    """Side calls to one engine; each uses a new connection.
+
+    Parameters
+    ----------
+    reactor : object
+        Twisted's reactor.
+    link : UpstreamLink
+        The engine.
+    """
+
+    __slots__ = ("_link", "_reactor")
+
+    def __init__(self, reactor: Any, link: UpstreamLink) -> None:
+        self._reactor = reactor
+        self._link = link
+
+    async def progress(self, attempt_id: str) -> int | None:
+        """Return how many tokens of a request were made.
+
+        ``None`` means that the engine does not know the request or that it does
+        not answer.
+        """
+        body = await self._call("GET", f"/requests/{attempt_id}", b"")
+        return None if body is None else int(body["tokens"])
+
+    async def export_cache(self, attempt_id: str) -> dict[str, Any] | None:
+        """Return the cache of a request, or ``None`` if it can't be had."""
+        return await self._call("GET", f"/kv/{attempt_id}", b"")
+
+    async def import_cache(self, attempt_id: str, exported: dict[str, Any]) -> bool:
+        """Give an engine the cache of a request that it will resume."""
+        body = json.dumps(exported).encode()
+        return await self._call("PUT", f"/kv/{attempt_id}", body) is not None
+
+    async def _call(self, method: str, path: str, body: bytes) -> Any:
+        call = UpstreamCall(method, path, body, repeatable=False)
+        done = defer.Deferred.fromCoroutine(self._exchange(call))
+        done.addTimeout(SIDE_CALL_TIMEOUT.total_seconds(), self._reactor)
+        try:
+            return await done
+        except (AttemptError, defer.TimeoutError, ValueError):
+            return None
+
+    async def _exchange(self, call: UpstreamCall) -> Any:
+        response = await self._link.send(call)
+        text = await readBody(response)
+        return json.loads(text) if response.code == 200 else None
--- /dev/null
+++ b/banyansail/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between routers and their Cap'n Proto codec."""
--- /dev/null
+++ b/banyansail/wire/call_codec.py
@@ -0,0 +1,258 @@
+"""Codec of calls between routers and of their replies."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Any
+
+import capnp
+
+from banyansail.exceptions import WireError
+from banyansail.ledger.records import (
+    Finished,
+    FinishKey,
+    InFlight,
+    KeptAnswer,
+    KeyMismatch,
+    Recorded,
+    ReleaseKey,
+    ShardFull,
+    Started,
+    StartKey,
+)
+from banyansail.wire.schema import schema
+
+MAX_CALL_BYTES = 4 * 1024**2
+
+
+@dataclass(slots=True, frozen=True)
+class FetchDocument:
+    """Ask for a document if the router has a newer one.
+
+    Parameters
+    ----------
+    version : int
+        What the caller has.
+    """
+
+    name: str
+    version: int
+
+
+@dataclass(slots=True, frozen=True)
+class Document:
+    """A document, such as the rules in force at a router."""
+
+    version: int
+    text: str
+
+
+@dataclass(slots=True, frozen=True)
+class StreamRecord:
+    """What any router needs to continue a streamed answer.
+
+    Parameters
+    ----------
+    body : bytes
+        Body of the request.
+    events : tuple of bytes
+        Events that were delivered.
+    """
+
+    request_id: str
+    service: str
+    workspace: str
+    body: bytes
+    events: tuple[bytes, ...]
+
+
+@dataclass(slots=True, frozen=True)
+class KeepStream:
+    """Ask a router to keep a record."""
+
+    record: StreamRecord
+
+
+@dataclass(slots=True, frozen=True)
+class TakeStream:
+    """Ask a router for a record that it keeps."""
+
+    request_id: str
+
+
+@dataclass(slots=True, frozen=True)
+class Unavailable:
+    """The router could not do what was asked."""
+
+    reason: str
+
+
+@dataclass(slots=True, frozen=True)
+class Nothing:
+    """There is nothing to return."""
+
+
+PeerCall = StartKey | FinishKey | ReleaseKey | FetchDocument | KeepStream | TakeStream
+PeerReply = (
+    Started
+    | InFlight
+    | Finished
+    | KeyMismatch
+    | ShardFull
+    | Recorded
+    | Unavailable
+    | Document
+    | StreamRecord
+    | Nothing
+)
+
+VOID_REPLIES = {
+    Started: "started",
+    KeyMismatch: "keyMismatch",
+    ShardFull: "shardFull",
+    Recorded: "recorded",
+    Nothing: "nothing",
+}
+VOID_REPLY_BY_NAME = {name: reply for reply, name in VOID_REPLIES.items()}
+
+
+def encode_call(call_id: int, call: PeerCall) -> bytes:
+    """Encode a call."""
+    fields = _call_fields(call)
+    return schema.Call.new_message(id=call_id, **fields).to_bytes_packed()
+
+
+def _call_fields(call: PeerCall) -> dict[str, Any]:
+    match call:
+        case StartKey(key, attempt, fingerprint):
+            claim = {"key": key, "attempt": attempt, "fingerprint": fingerprint}
+            return {"start": claim}
+        case FinishKey(key, attempt, answer):
+            fields = _answer_fields(answer)
+            return {"finish": {"key": key, "attempt": attempt, "answer": fields}}
+        case ReleaseKey(key, attempt):
+            return {"release": {"key": key, "attempt": attempt}}
+        case FetchDocument(name, version):
+            return {"fetch": {"name": name, "version": version}}
+        case KeepStream(record):
+            return {"keepStream": _stream_fields(record)}
+        case TakeStream(request_id):
+            return {"takeStream": request_id}
+
+
+def decode_call(data: bytes) -> tuple[int, PeerCall]:
+    """Decode a call.
+
+    Raises
+    ------
+    WireError
+        If the bytes are no call.
+    """
+    message = _unpack(schema.Call, data)
+    match message.which():
+        case "start":
+            claim = message.start
+            return message.id, StartKey(claim.key, claim.attempt, claim.fingerprint)
+        case "finish":
+            item = message.finish
+            answer = _decode_answer(item.answer)
+            return message.id, FinishKey(item.key, item.attempt, answer)
+        case "release":
+            return message.id, ReleaseKey(message.release.key, message.release.attempt)
+        case "fetch":
+            return message.id, FetchDocument(message.fetch.name, message.fetch.version)
+        case "keepStream":
+            return message.id, KeepStream(_decode_stream(message.keepStream))
+        case "takeStream":
+            return message.id, TakeStream(message.takeStream)
+        case other:
+            raise WireError(f"unknown call {other!r}")
+
+
+def encode_reply(call_id: int, reply: PeerReply) -> bytes:
+    """Encode a reply."""
+    fields = _reply_fields(reply)
+    return schema.Reply.new_message(id=call_id, **fields).to_bytes_packed()
+
+
+def _reply_fields(reply: PeerReply) -> dict[str, Any]:
+    match reply:
+        case InFlight(attempt):
+            return {"inFlight": attempt}
+        case Finished(answer):
+            return {"finished": _answer_fields(answer)}
+        case Unavailable(reason):
+            return {"unavailable": reason}
+        case Document(version, text):
+            return {"document": {"version": version, "text": text}}
+        case StreamRecord():
+            return {"stream": _stream_fields(reply)}
+        case _:
+            return {VOID_REPLIES[type(reply)]: None}
+
+
+def decode_reply(data: bytes) -> tuple[int, PeerReply]:
+    """Decode a reply.
+
+    Raises
+    ------
+    WireError
+        If the bytes are no reply.
+    """
+    message = _unpack(schema.Reply, data)
+    match message.which():
+        case "inFlight":
+            return message.id, InFlight(message.inFlight)
+        case "finished":
+            return message.id, Finished(_decode_answer(message.finished))
+        case "unavailable":
+            return message.id, Unavailable(message.unavailable)
+        case "document":
+            item = message.document
+            return message.id, Document(item.version, item.text)
+        case "stream":
+            return message.id, _decode_stream(message.stream)
+        case other:
+            return message.id, VOID_REPLY_BY_NAME[other]()
+
+
+def _unpack(struct: Any, data: bytes) -> Any:
+    try:
+        return struct.from_bytes_packed(data, traversal_limit_in_words=MAX_CALL_BYTES)
+    except (capnp.KjException, ValueError, RuntimeError) as error:
+        raise WireError(f"not a packed struct: {error}") from None
+
+
+def _answer_fields(answer: KeptAnswer) -> dict[str, Any]:
+    return {
+        "status": answer.status,
+        "contentType": answer.content_type,
+        "hasBody": answer.body is not None,
+        "body": answer.body or "",
+    }
+
+
+def _decode_answer(item: Any) -> KeptAnswer:
+    return KeptAnswer(
+        item.status, item.contentType, item.body if item.hasBody else None
+    )
+
+
+def _stream_fields(record: StreamRecord) -> dict[str, Any]:
+    return {
+        "requestId": record.request_id,
+        "service": record.service,
+        "workspace": record.workspace,
+        "body": record.body,
+        "events": list(record.events),
+    }
+
+
+def _decode_stream(item: Any) -> StreamRecord:
+    return StreamRecord(
+        item.requestId,
+        item.service,
+        item.workspace,
+        bytes(item.body),
+        tuple(bytes(event) for event in item.events),
+    )
--- /dev/null
+++ b/banyansail/wire/gossip_codec.py
@@ -0,0 +1,225 @@
+"""Codec of gossip datagrams and of the values in their entries."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from datetime import UTC, datetime, timedelta
+from typing import Any
+
+import capnp
+
+from banyansail.config.fields import Address
+from banyansail.exceptions import WireError
+from banyansail.fleet.entries import Digest, Entry, Gossip, Member, Topic
+from banyansail.rollout.evidence import EvidenceCell, EvidenceKey
+from banyansail.routing.quarantine import Death
+from banyansail.wire.schema import schema
+
+MS = timedelta(milliseconds=1)
+MAX_AGE_MS = 2**32 - 1
+MAX_PACKED_BYTES = 64 * 1024
+
+
+def unpack(struct: Any, data: bytes) -> Any:
+    """Decode a packed struct.
+
+    Raises
+    ------
+    WireError
+        If the bytes are no such struct.
+    """
+    if len(data) > MAX_PACKED_BYTES:
+        raise WireError(f"{len(data)} bytes are too many")
+    try:
+        return struct.from_bytes_packed(data)
+    except (capnp.KjException, ValueError, RuntimeError) as error:
+        raise WireError(f"not a packed struct: {error}") from None
+
+
+def encode_gossip(gossip: Gossip) -> bytes:
+    """Encode a datagram."""
+    message = schema.Datagram.new_message(
+        origin=gossip.origin,
+        zone=gossip.zone,
+        wantsReply=gossip.wants_reply,
+        entries=[
+            {
+                "origin": entry.origin,
+                "incarnation": entry.incarnation,
+                "topic": int(entry.topic),
+                "sequence": entry.sequence,
+                "value": entry.value,
+            }
+            for entry in gossip.entries
+        ],
+        digests=[
+            {
+                "origin": digest.origin,
+                "incarnation": digest.incarnation,
+                "heartbeat": digest.heartbeat,
+                "ageMs": min(MAX_AGE_MS, digest.age // MS),
+                "sequences": list(digest.sequences),
+            }
+            for digest in gossip.digests
+        ],
+    )
+    return message.to_bytes_packed()
+
+
+def decode_gossip(data: bytes) -> Gossip:
+    """Decode a datagram.
+
+    Raises
+    ------
+    WireError
+        If the bytes are no datagram.
+    """
+    message = unpack(schema.Datagram, data)
+    try:
+        return Gossip(
+            message.origin,
+            message.zone,
+            tuple(_decode_entry(item) for item in message.entries),
+            tuple(_decode_digest(item) for item in message.digests),
+            message.wantsReply,
+        )
+    except (capnp.KjException, ValueError) as error:
+        raise WireError(f"bad datagram: {error}") from None
+
+
+def _decode_entry(item: Any) -> Entry:
+    return Entry(
+        item.origin,
+        item.incarnation,
+        Topic(item.topic),
+        item.sequence,
+        bytes(item.value),
+    )
+
+
+def _decode_digest(item: Any) -> Digest:
+    return Digest(
+        item.origin,
+        item.incarnation,
+        item.heartbeat,
+        item.ageMs * MS,
+        tuple(item.sequences),
+    )
+
+
+def encode_member(member: Member) -> bytes:
+    """Encode a value of `Topic.MEMBER`."""
+    message = schema.Member.new_message(
+        zone=member.zone,
+        region=member.region,
+        host=member.peer.host,
+        port=member.peer.port,
+        rulesVersion=member.rules_version,
+        rulesSinceMs=int(member.rules_since.timestamp() * 1000),
+        isReady=member.is_ready,
+        isLeaving=member.is_leaving,
+    )
+    return message.to_bytes_packed()
+
+
+def decode_member(data: bytes) -> Member:
+    """Decode a value of `Topic.MEMBER`."""
+    message = unpack(schema.Member, data)
+    return Member(
+        message.zone,
+        message.region,
+        Address(message.host, message.port),
+        message.rulesVersion,
+        datetime.fromtimestamp(message.rulesSinceMs / 1000, UTC),
+        message.isReady,
+        message.isLeaving,
+    )
+
+
+def encode_names(names: Iterable[str]) -> bytes:
+    """Encode a value of `Topic.STATEMENTS`."""
+    return schema.Names.new_message(names=sorted(names)).to_bytes_packed()
+
+
+def decode_names(data: bytes) -> set[str]:
+    """Decode a value of `Topic.STATEMENTS`."""
+    return set(unpack(schema.Names, data).names)
+
+
+def encode_leaving(notice_by_instance: dict[str, timedelta]) -> bytes:
+    """Encode a value of `Topic.LEAVING`: the time left by instance."""
+    marks = [
+        {"instance": name, "noticeMs": max(0, min(MAX_AGE_MS, notice // MS))}
+        for name, notice in sorted(notice_by_instance.items())
+    ]
+    return schema.LeavingMarks.new_message(marks=marks).to_bytes_packed()
+
+
+def decode_leaving(data: bytes) -> dict[str, timedelta]:
+    """Decode a value of `Topic.LEAVING`."""
+    marks = unpack(schema.LeavingMarks, data).marks
+    return {item.instance: item.noticeMs * MS for item in marks}
+
+
+def encode_loads(in_flight_by_upstream: dict[str, int]) -> bytes:
+    """Encode a value of `Topic.LOADS`."""
+    loads = [
+        {"upstream": name, "inFlight": count}
+        for name, count in sorted(in_flight_by_upstream.items())
+    ]
+    return schema.Loads.new_message(loads=loads).to_bytes_packed()
+
+
+def decode_loads(data: bytes) -> dict[str, int]:
+    """Decode a value of `Topic.LOADS`."""
+    return {item.upstream: item.inFlight for item in unpack(schema.Loads, data).loads}
+
+
+def encode_deaths(deaths: Iterable[Death]) -> bytes:
+    """Encode a value of `Topic.DEATHS`."""
+    encoded = [
+        {
+            "upstream": death.upstream,
+            "zone": death.zone,
+            "fingerprints": sorted(death.fingerprints),
+        }
+        for death in deaths
+    ]
+    return schema.Deaths.new_message(deaths=encoded).to_bytes_packed()
+
+
+def decode_deaths(data: bytes) -> list[Death]:
+    """Decode a value of `Topic.DEATHS`."""
+    return [
+        Death(item.upstream, item.zone, frozenset(item.fingerprints))
+        for item in unpack(schema.Deaths, data).deaths
+    ]
+
+
+def encode_evidence(cell_by_key: dict[EvidenceKey, EvidenceCell]) -> bytes:
+    """Encode a value of `Topic.EVIDENCE`."""
+    cells = [
+        {
+            "service": key.service,
+            "version": key.version,
+            "route": key.route,
+            "workspace": key.workspace,
+            "loadBand": key.load_band,
+            "good": cell.good,
+            "failed": cell.failed,
+            "latencies": list(cell.latencies),
+        }
+        for key, cell in cell_by_key.items()
+    ]
+    return schema.Evidence.new_message(cells=cells).to_bytes_packed()
+
+
+def decode_evidence(data: bytes) -> dict[EvidenceKey, EvidenceCell]:
+    """Decode a value of `Topic.EVIDENCE`."""
+    decoded = {}
+    for item in unpack(schema.Evidence, data).cells:
+        key = EvidenceKey(
+            item.service, item.version, item.route, item.workspace, item.loadBand
+        )
+        decoded[key] = EvidenceCell(item.good, item.failed, list(item.latencies))
+    return decoded
--- /dev/null
+++ b/banyansail/wire/schema.capnp
@@ -0,0 +1,153 @@
+@0x9c1f3a5b7d2e4f60;
+
+# Gossip, over UDP.
+
+struct Datagram {
+  origin @0 :Text;
+  zone @1 :Text;
+  entries @2 :List(Entry);
+  digests @3 :List(Digest);
+  wantsReply @4 :Bool;
+}
+
+struct Entry {
+  origin @0 :Text;
+  incarnation @1 :UInt64;
+  topic @2 :UInt16;
+  sequence @3 :UInt32;
+  ageMs @4 :UInt32;
+  value @5 :Data;
+}
+
+struct Digest {
+  origin @0 :Text;
+  incarnation @1 :UInt64;
+  heartbeat @2 :UInt32;
+  ageMs @3 :UInt32;
+  sequences @4 :List(UInt32);  # one for each topic
+}
+
+struct Member {
+  zone @0 :Text;
+  region @1 :Text;
+  host @2 :Text;
+  port @3 :UInt16;
+  rulesVersion @4 :UInt64;
+  rulesSinceMs @5 :UInt64;  # wall time
+  isReady @6 :Bool;
+  isLeaving @7 :Bool;
+}
+
+struct Names {
+  names @0 :List(Text);
+}
+
+struct LeavingMarks {
+  marks @0 :List(LeavingMark);
+}
+
+struct LeavingMark {
+  instance @0 :Text;
+  noticeMs @1 :UInt32;  # time left when the mark was published
+}
+
+struct Loads {
+  loads @0 :List(Load);
+}
+
+struct Load {
+  upstream @0 :Text;
+  inFlight @1 :UInt32;
+}
+
+struct Deaths {
+  deaths @0 :List(Death);
+}
+
+struct Death {
+  upstream @0 :Text;
+  zone @1 :Text;
+  fingerprints @2 :List(UInt64);
+}
+
+struct Evidence {
+  cells @0 :List(EvidenceCell);
+}
+
+struct EvidenceCell {
+  service @0 :Text;
+  version @1 :Text;
+  route @2 :Text;
+  workspace @3 :Text;
+  loadBand @4 :UInt8;
+  good @5 :UInt32;
+  failed @6 :UInt32;
+  latencies @7 :List(UInt32);  # counts by bucket
+}
+
+# Calls between routers, over TCP.
+
+struct Call {
+  id @0 :UInt32;
+  union {
+    start @1 :Claim;
+    finish @2 :Outcome;
+    release @3 :Claim;
+    fetch @4 :Fetch;
+    keepStream @5 :StreamRecord;
+    takeStream @6 :Text;
+  }
+}
+
+struct Fetch {
+  name @0 :Text;
+  version @1 :UInt64;  # what the caller has
+}
+
+struct Claim {
+  key @0 :Text;
+  attempt @1 :Text;
+  fingerprint @2 :UInt64;
+}
+
+struct Outcome {
+  key @0 :Text;
+  attempt @1 :Text;
+  answer @2 :Answer;
+}
+
+struct Answer {
+  status @0 :UInt16;
+  contentType @1 :Text;
+  hasBody @2 :Bool;
+  body @3 :Text;
+}
+
+struct StreamRecord {
+  requestId @0 :Text;
+  service @1 :Text;
+  workspace @2 :Text;
+  body @3 :Data;
+  events @4 :List(Data);
+}
+
+struct Reply {
+  id @0 :UInt32;
+  union {
+    started @1 :Void;
+    inFlight @2 :Text;
+    finished @3 :Answer;
+    keyMismatch @4 :Void;
+    shardFull @5 :Void;
+    recorded @6 :Void;
+    unavailable @7 :Text;
+    document @8 :Document;
+    stream @9 :StreamRecord;
+    nothing @10 :Void;
+  }
+}
+
+struct Document {
+  version @0 :UInt64;
+  text @1 :Text;
+}
--- /dev/null
+++ b/banyansail/wire/schema.py
@@ -0,0 +1,11 @@
+"""Loads the Cap'n Proto schema at run time; no generated code is needed."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import capnp
+
+capnp.remove_import_hook()
+
+schema = capnp.load(str(Path(__file__).with_name("schema.capnp")))
