Tell a death of an upstream from a lost connection, and accuse only what it lost

Cause: with a body that crashes engines and two zones dying at once, two faults showed. A request waiting to connect was accused of a death it had no part in, and was quarantined after a second one. And a death reported first by a router with only innocent requests hid the report of the router that ran the culprit.

Ruled out: lengthening the window of a wave (the culprit kills in sequence and would have been cleared with it).

Change: only exchanges whose sent call was lost are accused; reports of one death are merged; a wave of three deaths clears what was part of one death only. Failures to connect and deaths no longer draw on the retry budget: they are bounded by the time an unreachable upstream is left out, which doubles.

--- a/banyansail/log.py
+++ b/banyansail/log.py
@@ -7,10 +7,13 @@
 from typing import TYPE_CHECKING, Any
 
 import eliot
+from twisted.logger import LogLevel, globalLogBeginner
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
+    from twisted.logger import LogEvent
+
 
 @contextmanager
 def open_log(path: str | None) -> Iterator[None]:
@@ -21,6 +24,7 @@
     path : str or None
         File to append to; ``None`` or ``"-"`` means standard error.
     """
+    globalLogBeginner.beginLoggingTo([_pass_on_error], redirectStandardIO=False)
     if path in (None, "-"):
         destination = eliot.FileDestination(file=sys.stderr)
         with _added(destination):
@@ -40,6 +44,15 @@
         eliot.remove_destination(destination)
 
 
+def _pass_on_error(event: LogEvent) -> None:
+    """Log Twisted's errors; its other messages are left out."""
+    if event["log_level"] < LogLevel.error:
+        return
+    failure = event.get("log_failure")
+    text = failure.getTraceback() if failure else str(event.get("log_format"))
+    eliot.log_message(message_type="banyansail:twisted_error", error=text)
+
+
 def log_decision(decision: str, reason: str, **fields: Any) -> None:
     """Log one decision.
 
--- a/banyansail/platform/client.py
+++ b/banyansail/platform/client.py
@@ -11,14 +11,15 @@
 from urllib.parse import quote
 
 from twisted.internet import defer
-from twisted.internet.error import ConnectError, TimeoutError
-from twisted.web.client import Agent, HTTPConnectionPool, ResponseFailed, readBody
+from twisted.internet.error import ConnectError, ConnectionClosed, TimeoutError
+from twisted.web.client import Agent, HTTPConnectionPool, ResponseFailed
 from twisted.web.http_headers import Headers
 from twisted.web.iweb import IResponse
 
 from banyansail.exceptions import ConflictError, PlatformUnavailableError
 from banyansail.platform.budget import CallBudget, CallKind
 from banyansail.upstreams.body import JsonBody
+from banyansail.upstreams.link import AttemptError, read_whole
 
 if TYPE_CHECKING:
     from banyansail.config.fields import Address
@@ -28,6 +29,16 @@
 CONNECT_TIMEOUT_S = 2.0
 CONNECTIONS = 16
 MAX_CONFLICTS = 20
+MAX_ANSWER_BYTES = 8 * 1024**2
+
+UNREACHABLE_ERRORS = (
+    ConnectError,
+    TimeoutError,
+    ConnectionClosed,
+    defer.TimeoutError,
+    ResponseFailed,
+    AttemptError,
+)
 
 
 @dataclass(slots=True, frozen=True)
@@ -240,7 +251,7 @@
             method.encode(), url, headers, producer
         )
         self._note_time(response)
-        text = await readBody(response)
+        text = await read_whole(response, MAX_ANSWER_BYTES)
         etag = response.headers.getRawHeaders("etag", ["0"])[0]
         return _Answer(response.code, int(etag), json.loads(text or b"null"))
 
--- a/banyansail/router/caller.py
+++ b/banyansail/router/caller.py
@@ -71,11 +71,12 @@
         Identity of the request, told to the caller.
     """
 
-    __slots__ = ("_request", "is_gone", "is_streaming", "request_id")
+    __slots__ = ("_has_producer", "_request", "is_gone", "is_streaming", "request_id")
 
     def __init__(self, request: Request, request_id: str) -> None:
         self._request = request
         self.request_id = request_id
+        self._has_producer = False
         self.is_streaming = False
         self.is_gone = False
 
@@ -128,11 +129,13 @@
     def register_producer(self, producer: Any) -> None:
         """Let a slow caller pause the upstream's connection."""
         if not self.is_gone:
+            self._has_producer = True
             self._request.registerProducer(producer, True)
 
     def unregister_producer(self) -> None:
         """Undo `register_producer`."""
-        if not self.is_gone:
+        if self._has_producer and not self.is_gone:
+            self._has_producer = False
             self._request.unregisterProducer()
 
     def drop(self) -> None:
@@ -147,6 +150,7 @@
         self._request.setHeader(REQUEST_ID_HEADER, self.request_id)
 
     def _finish(self) -> None:
+        self.unregister_producer()
         self.is_gone = True
         self._request.finish()
 
--- a/banyansail/router/exchange.py
+++ b/banyansail/router/exchange.py
@@ -108,6 +108,7 @@
             fingerprint=fingerprint,
         )
         self.attempts = 0
+        self.sent_attempts = 0
         self.may_have_run = False
         self.is_over = False
         self.assignment: Assignment | None = None
@@ -201,6 +202,7 @@
             error = await self._try(assignment)
             if error is None:
                 return
+            self.sent_attempts += error.failure is not Failure.NOT_SENT
             if self.is_over:
                 raise error
             await self._prepare_retry(assignment, error)
@@ -242,7 +244,7 @@
             error = self._explain(caught)
             if error.failure in NOT_SENT_FAILURES:
                 self.may_have_run = ran_before
-            await self._examine(name, error)
+            error = await self._examine(name, error)
         finally:
             self.context.registry.discard(name, self)
             self._record_end(assignment, error)
@@ -256,11 +258,16 @@
             return caught
         return AttemptError(Failure.LOST, "given up")
 
-    async def _examine(self, name: str, error: AttemptError) -> None:
-        if self.is_over:
-            return
-        if error.failure in (Failure.LOST, Failure.NOT_SENT):
-            await self.context.health.is_alive(name)
+    async def _examine(self, name: str, error: AttemptError) -> AttemptError:
+        """Tell a lost connection from an upstream that died."""
+        if self.is_over or error.failure not in (Failure.LOST, Failure.NOT_SENT):
+            return error
+        if error.failure is Failure.LOST:
+            self.context.registry.add_lost(name, self)
+        alive = await self.context.health.is_alive(name)
+        if alive or error.failure is Failure.NOT_SENT:
+            return error
+        return AttemptError(Failure.DIED, error.detail)
 
     def _record_end(self, assignment: Assignment, error: AttemptError | None) -> None:
         duration = self.context.clock.monotonic() - self._sent_at
@@ -290,7 +297,7 @@
         decision = decide_retry(
             error.failure,
             repeatable=self.request_class.repeatable,
-            attempts=self.attempts,
+            attempts=self.sent_attempts,
             remaining=self.remaining(),
             budget=self.context.budget(self.request_class.service),
             random=self.context.random,
--- a/banyansail/router/health.py
+++ b/banyansail/router/health.py
@@ -81,10 +81,12 @@
         if link is None:
             return False
         link.close_idle()
+        self._dispatcher.mark_suspect(name)
         alive = await link.probe()
         log_event("probe", upstream=name, alive=alive)
-        if not alive:
-            self._dispatcher.mark_suspect(name)
+        if alive:
+            self._dispatcher.trust(name)
+        else:
             self._record_death(name)
         return alive
 
@@ -92,7 +94,7 @@
         state = self._dispatcher.state_by_name.get(name)
         if state is None or state.is_leaving:
             return
-        fingerprints = self._registry.fingerprints_at(name)
+        fingerprints = self._registry.lost_fingerprints(name)
         death = Death(name, state.rule.zone, frozenset(fingerprints))
         if self._quarantine.record_death(death):
             self._on_death(death)
--- a/banyansail/router/load_prober.py
+++ b/banyansail/router/load_prober.py
@@ -8,10 +8,14 @@
 from typing import TYPE_CHECKING
 
 from twisted.internet import defer
-from twisted.web.client import readBody
 
 from banyansail.fleet.entries import Topic
-from banyansail.upstreams.link import AttemptError, UpstreamCall, UpstreamLink
+from banyansail.upstreams.link import (
+    AttemptError,
+    UpstreamCall,
+    UpstreamLink,
+    read_whole,
+)
 from banyansail.utils import hash64
 from banyansail.wire.gossip_codec import decode_loads, encode_loads
 
@@ -22,6 +26,7 @@
     from banyansail.upstreams.links import LinkTable
 
 PROBERS_PER_UPSTREAM = 2
+MAX_REPORT_BYTES = 64 * 1024
 ASK_TIMEOUT = timedelta(seconds=1)
 
 
@@ -110,4 +115,4 @@
 
 async def _read_load(link: UpstreamLink, call: UpstreamCall) -> int:
     response = await link.send(call)
-    return int(json.loads(await readBody(response))["in_flight"])
+    return int(json.loads(await read_whole(response, MAX_REPORT_BYTES))["in_flight"])
--- a/banyansail/router/model_exchange.py
+++ b/banyansail/router/model_exchange.py
@@ -7,7 +7,6 @@
 from typing import TYPE_CHECKING, Any
 
 from twisted.internet import defer
-from twisted.web.client import readBody
 
 from banyansail.log import log_event
 from banyansail.router.caller import Answer
@@ -24,7 +23,12 @@
     MalformedEvent,
     TokenEvent,
 )
-from banyansail.upstreams.link import AttemptError, BodyReceiver, UpstreamLink
+from banyansail.upstreams.link import (
+    AttemptError,
+    BodyReceiver,
+    UpstreamLink,
+    read_whole,
+)
 from banyansail.upstreams.model_api import ModelApi
 
 if TYPE_CHECKING:
@@ -33,6 +37,7 @@
 COMPLETIONS_PATH = "/v1/chat/completions"
 PREFIX_CHARS = 200
 MIGRATION_MARGIN = timedelta(milliseconds=1500)
+MAX_FAILURE_BYTES = 64 * 1024
 PROGRESS_SLACK = 2  # tokens that may be on their way
 
 
@@ -141,7 +146,7 @@
         self._answer()
 
     async def _read_failure(self, response: IResponse) -> None:
-        body = await readBody(response)
+        body = await read_whole(response, MAX_FAILURE_BYTES)
         if response.headers.getRawHeaders("x-ran", [""])[0] == "not_run":
             raise AttemptError(Failure.REFUSED, f"status {response.code}")
         if response.code >= 500:
--- a/banyansail/router/plain_exchange.py
+++ b/banyansail/router/plain_exchange.py
@@ -8,7 +8,7 @@
 from banyansail.router.exchange import Exchange
 from banyansail.router.silence import SilenceWatch
 from banyansail.routing.retry import Failure
-from banyansail.upstreams.link import AttemptError, BodyReceiver, UpstreamLink
+from banyansail.upstreams.link import AttemptError, UpstreamLink, read_whole
 
 if TYPE_CHECKING:
     from twisted.web.iweb import IResponse
@@ -46,7 +46,7 @@
             response = await link.send(call)
             watch.touch()
             self._check_echo(response)
-            body = await _read_whole(response, watch)
+            body = await read_whole(response, MAX_ANSWER_BYTES, watch.touch)
         if response.headers.getRawHeaders("x-ran", [""])[0] == "not_run":
             raise AttemptError(Failure.REFUSED, f"status {response.code}")
         if response.code >= 500 and self.request_class.repeatable:
@@ -77,21 +77,3 @@
         echoed = response.headers.getRawHeaders("x-request-id")
         if echoed and echoed[0] != self.attempt_id():
             raise AttemptError(Failure.BAD_ANSWER, "the answer is of another request")
-
-
-async def _read_whole(response: IResponse, watch: SilenceWatch) -> bytes:
-    pieces: list[bytes] = []
-    size = 0
-
-    def take(data: bytes) -> None:
-        nonlocal size
-        watch.touch()
-        pieces.append(data)
-        size += len(data)
-        if size > MAX_ANSWER_BYTES:
-            receiver.fail(AttemptError(Failure.BAD_ANSWER, "the answer is too large"))
-
-    receiver = BodyReceiver(take)
-    response.deliverBody(receiver)
-    await receiver.ended
-    return b"".join(pieces)
--- a/banyansail/router/registry.py
+++ b/banyansail/router/registry.py
@@ -21,10 +21,11 @@
 class ExchangeRegistry:
     """Knows which exchanges are in flight, and where."""
 
-    __slots__ = ("_exchanges_by_upstream",)
+    __slots__ = ("_exchanges_by_upstream", "_lost_by_upstream")
 
     def __init__(self) -> None:
         self._exchanges_by_upstream: dict[str, set[Exchange]] = {}
+        self._lost_by_upstream: dict[str, set[Exchange]] = {}
 
     def __len__(self) -> int:
         return sum(len(group) for group in self._exchanges_by_upstream.values())
@@ -39,17 +40,22 @@
 
     def discard(self, upstream: str, exchange: Exchange) -> None:
         """Account for an exchange that has ended."""
-        group = self._exchanges_by_upstream.get(upstream)
-        if group is None:
-            return
-        group.discard(exchange)
-        if not group:
-            del self._exchanges_by_upstream[upstream]
+        for groups in (self._exchanges_by_upstream, self._lost_by_upstream):
+            group = groups.get(upstream)
+            if group is None:
+                continue
+            group.discard(exchange)
+            if not group:
+                del groups[upstream]
 
     def at(self, upstream: str) -> list[Exchange]:
         """Return the exchanges at an upstream."""
         return list(self._exchanges_by_upstream.get(upstream, ()))
 
-    def fingerprints_at(self, upstream: str) -> set[int]:
-        """Return the fingerprints of the exchanges at an upstream."""
-        return {item.fingerprint for item in self.at(upstream)}
+    def add_lost(self, upstream: str, exchange: Exchange) -> None:
+        """Account for an exchange whose connection was lost after it was sent."""
+        self._lost_by_upstream.setdefault(upstream, set()).add(exchange)
+
+    def lost_fingerprints(self, upstream: str) -> set[int]:
+        """Return the fingerprints of the exchanges that an upstream lost."""
+        return {item.fingerprint for item in self._lost_by_upstream.get(upstream, ())}
--- a/banyansail/routing/dispatch.py
+++ b/banyansail/routing/dispatch.py
@@ -21,7 +21,6 @@
 
 INITIAL_SERVICE_TIME = timedelta(milliseconds=200)
 SERVICE_TIME_WEIGHT = 0.1  # weight of a new sample in the moving average
-SUSPECT_TIME = timedelta(seconds=2)
 MIN_RETRY_AFTER = timedelta(seconds=1)
 
 
@@ -185,7 +184,14 @@
         """Send no new work to an upstream for a while."""
         state = self.state_by_name.get(name)
         if state is not None:
-            state.suspect_until = self._clock.monotonic() + SUSPECT_TIME
+            state.suspect(self._clock.monotonic())
+            self._refresh(state)
+
+    def trust(self, name: str) -> None:
+        """Let an upstream that answered a probe take work again."""
+        state = self.state_by_name.get(name)
+        if state is not None:
+            state.trust()
             self._refresh(state)
 
     def refresh_suspects(self) -> None:
@@ -193,7 +199,7 @@
         now = self._clock.monotonic()
         for state in self.state_by_name.values():
             if state.suspect_until and now >= state.suspect_until:
-                state.suspect_until = timedelta(0)
+                state.trust()
                 self._refresh(state)
 
     def offer(self, ticket: Ticket) -> Refusal | None:
@@ -250,6 +256,7 @@
             state.limit.back_off(now)
         else:
             state.limit.observe(latency, assignment.in_flight, now)
+            state.suspicions = 0
             dispatch = self.dispatch_by_service[state.rule.service]
             change = (duration - dispatch.service_time) * SERVICE_TIME_WEIGHT
             dispatch.service_time += change
--- a/banyansail/routing/quarantine.py
+++ b/banyansail/routing/quarantine.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections import deque
+from collections import Counter, deque
 from dataclasses import dataclass
 from datetime import timedelta
 from typing import TYPE_CHECKING
@@ -13,7 +13,7 @@
 SUSPECT_LIFETIME = timedelta(minutes=2)
 QUARANTINE_TIME = timedelta(minutes=10)
 WAVE_WINDOW = timedelta(seconds=5)
-WAVE_DEATHS = 3  # deaths in one zone within the window that are no request's fault
+WAVE_DEATHS = 3  # so many within the window have a common cause outside
 CRASHES_TO_QUARANTINE = 2
 MAX_FINGERPRINTS = 10_000
 
@@ -50,31 +50,40 @@
         Source of time.
     """
 
-    __slots__ = ("_clock", "_deaths", "_suspect_by_fingerprint", "_until")
+    __slots__ = (
+        "_clock",
+        "_deaths",
+        "_fingerprints_by_upstream",
+        "_suspect_by_fingerprint",
+        "_until",
+    )
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
-        self._deaths: deque[tuple[timedelta, Death]] = deque()
+        self._deaths: deque[tuple[timedelta, str]] = deque()
+        self._fingerprints_by_upstream: dict[str, frozenset[int]] = {}
         self._suspect_by_fingerprint: dict[int, _Suspect] = {}
         self._until: dict[int, timedelta] = {}
 
     def record_death(self, death: Death) -> bool:
-        """Account for a death; return whether it was new.
+        """Account for a death; return whether something about it was new.
 
-        A wave of deaths in one zone clears what its members had brought up.
+        Several routers may report one death, each with its own requests. In a wave
+        of deaths only requests that were part of several stay under suspicion.
         """
         now = self._clock.monotonic()
         self._forget_old_deaths(now)
-        if any(item.upstream == death.upstream for _, item in self._deaths):
+        known = self._fingerprints_by_upstream.get(death.upstream)
+        fresh = death.fingerprints - (known or frozenset())
+        if known is not None and not fresh:
             return False
-        self._deaths.append((now, death))
-        wave = [item for _, item in self._deaths if item.zone == death.zone]
-        if len(wave) >= WAVE_DEATHS:
-            for item in wave:
-                self._clear(item)
-            return True
-        for fingerprint in death.fingerprints:
+        if known is None:
+            self._deaths.append((now, death.upstream))
+        self._fingerprints_by_upstream[death.upstream] = fresh | (known or frozenset())
+        for fingerprint in fresh:
             self._accuse(fingerprint, now)
+        if len(self._deaths) >= WAVE_DEATHS:
+            self._clear_wave()
         return True
 
     def record_survival(self, fingerprint: int) -> None:
@@ -115,17 +124,18 @@
         if suspect.deaths >= CRASHES_TO_QUARANTINE:
             self._until[fingerprint] = now + QUARANTINE_TIME
 
-    def _clear(self, death: Death) -> None:
-        for fingerprint in death.fingerprints:
-            suspect = self._suspect_by_fingerprint.get(fingerprint)
-            if suspect is None:
-                continue
-            suspect.deaths -= 1
-            if suspect.deaths < CRASHES_TO_QUARANTINE:
+    def _clear_wave(self) -> None:
+        counts = Counter(
+            fingerprint
+            for fingerprints in self._fingerprints_by_upstream.values()
+            for fingerprint in fingerprints
+        )
+        for fingerprint, count in counts.items():
+            if count < CRASHES_TO_QUARANTINE:
+                self._suspect_by_fingerprint.pop(fingerprint, None)
                 self._until.pop(fingerprint, None)
-            if suspect.deaths <= 0:
-                del self._suspect_by_fingerprint[fingerprint]
 
     def _forget_old_deaths(self, now: timedelta) -> None:
         while self._deaths and now - self._deaths[0][0] > WAVE_WINDOW:
-            self._deaths.popleft()
+            _, upstream = self._deaths.popleft()
+            del self._fingerprints_by_upstream[upstream]
--- a/banyansail/routing/retry.py
+++ b/banyansail/routing/retry.py
@@ -24,11 +24,17 @@
     NOT_SENT = "not_sent"
     REFUSED = "refused"
     LOST = "lost"
+    DIED = "died"
     SILENT = "silent"
     RECLAIMED = "reclaimed"
     BAD_ANSWER = "bad_answer"
 
 
+# Retries after these are bounded by other means: the number of upstreams that die
+# or are announced to go, and the time for which an unreachable one gets no work.
+UNBUDGETED_FAILURES = (Failure.NOT_SENT, Failure.DIED, Failure.RECLAIMED)
+
+
 class RetryBudget:
     """Retries allowed as a share of the requests; unused ones are kept to a bound.
 
@@ -94,11 +100,11 @@
     repeatable : bool
         Whether the call is idempotent.
     attempts : int
-        Attempts made so far.
+        Attempts that were sent so far.
     remaining : timedelta
         Time until the deadline.
     budget : RetryBudget
-        Budget of the service; a reclaim is announced and does not charge it.
+        Budget of the service; `UNBUDGETED_FAILURES` do not charge it.
     random : Random
         Source of the jitter.
     """
@@ -108,10 +114,10 @@
         return RetryAfterBackoff(timedelta(0))
     if attempts >= MAX_ATTEMPTS:
         return GiveUp(f"{attempts} attempts failed")
-    ceiling = min(BACKOFF_CAP, BACKOFF_BASE * 2 ** (attempts - 1))
+    ceiling = min(BACKOFF_CAP, BACKOFF_BASE * 2 ** max(0, attempts - 1))
     delay = ceiling * random.random()
     if delay >= remaining:
         return GiveUp("the deadline leaves no time for another attempt")
-    if not budget.withdraw():
+    if failure not in UNBUDGETED_FAILURES and not budget.withdraw():
         return GiveUp("the retry budget is spent")
     return RetryAfterBackoff(delay)
--- a/banyansail/routing/upstream_state.py
+++ b/banyansail/routing/upstream_state.py
@@ -10,6 +10,8 @@
 if TYPE_CHECKING:
     from banyansail.config.rules import UpstreamRule
 
+SUSPECT_TIME = timedelta(seconds=1)
+MAX_SUSPECT_TIME = timedelta(seconds=30)
 REPORT_LIFETIME = timedelta(seconds=5)
 
 
@@ -34,6 +36,7 @@
         "limit",
         "rule",
         "suspect_until",
+        "suspicions",
     )
 
     def __init__(self, rule: UpstreamRule, target: timedelta) -> None:
@@ -43,6 +46,7 @@
         self.is_exclusive = False
         self.is_leaving = False
         self.suspect_until = timedelta(0)
+        self.suspicions = 0
         self._report = 0
         self._reported_at: timedelta | None = None
         self._changes_since_report = 0
@@ -57,6 +61,18 @@
             return False
         return self.in_flight < self.limit.value
 
+    def suspect(self, now: timedelta) -> None:
+        """Take the upstream out for a while, longer each time in a row."""
+        if now < self.suspect_until:
+            return
+        duration = min(MAX_SUSPECT_TIME, SUSPECT_TIME * 2**self.suspicions)
+        self.suspicions = min(self.suspicions + 1, 8)
+        self.suspect_until = now + duration
+
+    def trust(self) -> None:
+        """Let the upstream take work again: it has answered."""
+        self.suspect_until = timedelta(0)
+
     def start(self) -> None:
         """Account for a call that was sent."""
         self.in_flight += 1
--- a/banyansail/upstreams/link.py
+++ b/banyansail/upstreams/link.py
@@ -125,6 +125,43 @@
             self.transport.loseConnection()
 
 
+async def read_whole(
+    response: IResponse,
+    max_bytes: int,
+    on_data: Callable[[], None] | None = None,
+) -> bytes:
+    """Read a body to its end.
+
+    Parameters
+    ----------
+    max_bytes : int
+        A larger body is given up.
+    on_data : callable or None
+        Called with each piece that comes.
+
+    Raises
+    ------
+    AttemptError
+        If the body is cut short or too large.
+    """
+    pieces: list[bytes] = []
+    size = 0
+
+    def take(data: bytes) -> None:
+        nonlocal size
+        if on_data is not None:
+            on_data()
+        pieces.append(data)
+        size += len(data)
+        if size > max_bytes:
+            receiver.fail(AttemptError(Failure.BAD_ANSWER, "the answer is too large"))
+
+    receiver = BodyReceiver(take)
+    response.deliverBody(receiver)
+    await receiver.ended
+    return b"".join(pieces)
+
+
 class UpstreamLink:
     """Pool of connections to one upstream.
 
--- a/banyansail/upstreams/model_api.py
+++ b/banyansail/upstreams/model_api.py
@@ -7,10 +7,15 @@
 from typing import Any
 
 from twisted.internet import defer
-from twisted.web.client import readBody
 
-from banyansail.upstreams.link import AttemptError, UpstreamCall, UpstreamLink
+from banyansail.upstreams.link import (
+    AttemptError,
+    UpstreamCall,
+    UpstreamLink,
+    read_whole,
+)
 
+MAX_SIDE_ANSWER_BYTES = 256 * 1024**2  # an exported cache is large
 SIDE_CALL_TIMEOUT = timedelta(seconds=1)
 
 
@@ -60,5 +65,5 @@
 
     async def _exchange(self, call: UpstreamCall) -> Any:
         response = await self._link.send(call)
-        text = await readBody(response)
+        text = await read_whole(response, MAX_SIDE_ANSWER_BYTES)
         return json.loads(text) if response.code == 200 else None
--- /dev/null
+++ b/tests/router/test_streams_under_failure.py
@@ -0,0 +1,150 @@
+"""Streamed answers over failures of engines and of connections."""
+
+from __future__ import annotations
+
+import json
+import time
+
+import pytest
+
+from banyansail.standins.engine import EngineOptions, answer_text
+from tests.live import LiveSite, in_reactor
+from tests.processes import completion, wait_until
+
+COMPLETIONS = "/v1/chat/completions"
+
+
+def stream_text(body: bytes) -> str:
+    """Return the text of a stream, and check that its events are whole."""
+    events = body.decode().split("\n\n")
+    assert events[-2] == "data: [DONE]", events[-3:]
+    ids = [int(event.split("\n")[0][4:]) for event in events[:-2]]
+    assert ids == list(range(len(ids)))
+    chunks = [json.loads(event.split("data: ")[1]) for event in events[:-2]]
+    return "".join(chunk["choices"][0]["delta"]["content"] for chunk in chunks)
+
+
+@pytest.fixture
+def site():
+    with LiveSite() as live:
+        for number in range(3):
+            live.engine(f"e{number}", options=EngineOptions(token_s=0.01))
+        live.start()
+        yield live
+
+
+def busy_engine(live: LiveSite, tokens: int = 1) -> str:
+    """Wait until an engine streams and return its name."""
+    found: list[str] = []
+
+    def look() -> bool:
+        for name, item in live.site.upstream_by_name.items():
+            if any(done >= tokens for done in item.state.progress.values()):
+                found.append(name)
+        return bool(found)
+
+    wait_until(look)
+    return found[0]
+
+
+@pytest.mark.parametrize("stream", [True, False])
+def test_killed_engine_loses_no_token(site, stream):
+    body = completion("range review", 60, stream=stream)
+    answer = site.call_later("POST", COMPLETIONS, body)
+    site.kill(busy_engine(site, 5))
+    status, _, data = answer.result()
+    assert status == 200
+    if stream:
+        assert stream_text(data) == answer_text("range review", 60)
+    else:
+        text = json.loads(data)["choices"][0]["message"]["content"]
+        assert text == answer_text("range review", 60)
+    assert site.counter("recomputed_tokens") > 0
+
+
+def test_truncated_stream_is_resumed(site):
+    for name in ("e0", "e1"):
+        site.faults(name, truncate_at=7)
+    status, _, data = site.call(
+        "POST", COMPLETIONS, completion("bill", 20, stream=True)
+    )
+    assert (status, stream_text(data)) == (200, answer_text("bill", 20))
+
+
+def test_crossed_answer_reaches_nobody(site):
+    for name in ("e0", "e1"):
+        site.faults(name, wrong_id=True)
+    status, _, data = site.call(
+        "POST", COMPLETIONS, completion("bill", 20, stream=True)
+    )
+    assert (status, stream_text(data)) == (200, answer_text("bill", 20))
+
+
+def test_silent_connection_is_left_for_a_new_one(site):
+    answer = site.call_later("POST", COMPLETIONS, completion("plan", 80, stream=True))
+    name = busy_engine(site, 5)
+    site.faults(name, silence=True)
+    began = time.monotonic()
+    status, _, data = answer.result()
+    assert (status, stream_text(data)) == (200, answer_text("plan", 80))
+    assert time.monotonic() - began < 8
+    dispatcher = site.site.router_by_name["r0"].dispatcher
+    assert not dispatcher.state_by_name[name].suspect_until
+
+
+def test_idle_connection_that_went_silent_costs_no_answer(site):
+    for number in range(6):
+        assert site.call("POST", COMPLETIONS, completion(f"q{number}", 2))[0] == 200
+    for name in ("e0", "e1", "e2"):
+        site.faults(name, silence=True)
+    for number in range(6):
+        status, _, data = site.call("POST", COMPLETIONS, completion(f"q{number}", 2))
+        assert status == 200
+        text = json.loads(data)["choices"][0]["message"]["content"]
+        assert text == answer_text(f"q{number}", 2)
+
+
+def test_slow_engine_is_not_abandoned(site):
+    for name in ("e0", "e1", "e2"):
+        site.faults(name, stall_at=5, stall_s=1.5)
+    status, _, data = site.call(
+        "POST", COMPLETIONS, completion("slow", 10, stream=True)
+    )
+    assert (status, stream_text(data)) == (200, answer_text("slow", 10))
+    assert site.counter("requests") == 1
+
+
+def test_notice_moves_the_stream_with_its_cache(site):
+    answer = site.call_later("POST", COMPLETIONS, completion("move", 300, stream=True))
+    name = busy_engine(site, 5)
+    platform = site.site.platform.resource
+    in_reactor(platform.reclaim, ids=[name], notice_s=2.0)
+    wait_until(lambda: not site.state(name).progress)
+    site.kill(name)
+    status, _, data = answer.result()
+    assert (status, stream_text(data)) == (200, answer_text("move", 300))
+    assert site.counter("imports") == 1
+    assert site.counter("recomputed_tokens") == 0
+
+
+def test_no_new_work_for_a_leaving_engine(site):
+    platform = site.site.platform.resource
+    in_reactor(platform.reclaim, ids=["e0"], notice_s=60.0)
+    router = site.site.router_by_name["r0"]
+    wait_until(lambda: router.dispatcher.state_by_name["e0"].is_leaving)
+    before = site.state("e0").counters.get("requests", 0)
+    # The lagging list still says that the engine is live.
+    entry = site.site.upstream_by_name["e0"].listed("live")
+    in_reactor(router.catalog._take_list, json.dumps([entry]))
+    for number in range(12):
+        assert site.call("POST", COMPLETIONS, completion(f"n{number}", 2))[0] == 200
+    assert site.state("e0").counters.get("requests", 0) == before
+
+
+def test_refusing_engine_is_left_and_its_refusal_is_true(site):
+    for name in ("e0", "e1", "e2"):
+        site.faults(name, refuse=True)
+    status, headers, _ = site.call("POST", COMPLETIONS, completion("no", 2))
+    assert status in (502, 504)
+    assert headers["x-ran"] == "not_run"
+    assert int(headers["retry-after"]) >= 1
