Plan and order placement under a lease; test ledger, lease and plans

Cause: placement was missing, and the ledger's rules had only end-to-end tests.

Change: a pure plan for least cost (cost of reclaims, on-demand floor, share of a zone, refused places with a doubling pause), orders of versions with fencing numbers under a lease whose holder waits out the old one for engines that ignore the number, loads under the weight store's rate.

--- a/banyansail/clock.py
+++ b/banyansail/clock.py
@@ -18,7 +18,7 @@
 
 
 class SystemClock:
-    """The clock of the operating system."""
+    """The clock of the operating system; time in suspension counts as well."""
 
     __slots__ = ()
 
@@ -28,4 +28,4 @@
 
     def monotonic(self) -> timedelta:
         """Return the time since an arbitrary origin; it never goes back."""
-        return timedelta(seconds=time.monotonic())
+        return timedelta(seconds=time.clock_gettime(time.CLOCK_BOOTTIME))
--- a/banyansail/platform/client.py
+++ b/banyansail/platform/client.py
@@ -208,6 +208,23 @@
             return None
         return _expect(answer, path, 201).body
 
+    async def release_instance(self, name: str) -> None:
+        """Give an instance back."""
+        path = f"/cloud/instances/{quote(name)}"
+        await self._call("DELETE", path, CallKind.PLACEMENT)
+
+    async def list_cloud_instances(self) -> list[dict[str, Any]]:
+        """Return the instances that the cloud has for this organisation."""
+        path = "/cloud/instances"
+        answer = await self._call("GET", path, CallKind.PLACEMENT)
+        return _expect(answer, path, 200).body
+
+    async def list_offers(self) -> list[dict[str, Any]]:
+        """Return what instances cost by zone and class, and how often they go."""
+        path = "/cloud/offers"
+        answer = await self._call("GET", path, CallKind.PLACEMENT)
+        return _expect(answer, path, 200).body
+
     async def _call(
         self,
         method: str,
--- /dev/null
+++ b/banyansail/router/placements.py
@@ -0,0 +1,293 @@
+"""Placement duty at this router: instances asked for and versions ordered."""
+
+from __future__ import annotations
+
+import json
+from typing import TYPE_CHECKING, Any
+
+from twisted.internet import defer
+
+from banyansail.config.rules import InstanceClass, PlacementRule, ServiceKind
+from banyansail.log import log_decision, log_event
+from banyansail.placement.backoff import RefusedPlaces
+from banyansail.placement.orders import (
+    EngineReport,
+    LoadSchedule,
+    LoadVersion,
+    due_orders,
+    plan_versions,
+)
+from banyansail.placement.planner import (
+    Offer,
+    Place,
+    PlacementAction,
+    Running,
+    StartInstance,
+    StopInstance,
+    plan_actions,
+    replicas_for_load,
+)
+from banyansail.platform.budget import CallKind
+from banyansail.platform.lease import LEASE_TIME, Held, Lease
+from banyansail.upstreams.link import AttemptError, UpstreamCall, read_whole
+
+if TYPE_CHECKING:
+    from banyansail.clock import Clock
+    from banyansail.config.rules import RuleSet
+    from banyansail.fleet.duties import Duties
+    from banyansail.platform.client import PlatformClient
+    from banyansail.routing.dispatch import Dispatcher
+    from banyansail.upstreams.links import LinkTable
+
+MAX_REPORT_BYTES = 64 * 1024
+ORDER_TIMEOUT_S = 2.0
+
+
+class _ServicePlacement:
+    """What is kept for one service while the duty is this router's."""
+
+    __slots__ = ("lease", "refused", "schedule")
+
+    def __init__(self, lease: Lease, clock: Clock) -> None:
+        self.lease = lease
+        self.refused = RefusedPlaces(clock)
+        self.schedule = LoadSchedule(clock)
+
+
+class PlacementController:
+    """Brings instances and versions to what the rules want.
+
+    Parameters
+    ----------
+    router_id : str
+        Identity of this process.
+    clock : Clock
+        Source of time.
+    platform : PlatformClient
+        Cloud API and leases.
+    duties : Duties
+        Says whose duty a service's placement is.
+    dispatcher : Dispatcher
+        Knows the upstreams, their load and the shares of versions.
+    links : LinkTable
+        Connections to the engines.
+    """
+
+    def __init__(
+        self,
+        router_id: str,
+        clock: Clock,
+        platform: PlatformClient,
+        duties: Duties,
+        dispatcher: Dispatcher,
+        links: LinkTable,
+    ) -> None:
+        self._router_id = router_id
+        self._clock = clock
+        self._platform = platform
+        self._duties = duties
+        self._dispatcher = dispatcher
+        self._links = links
+        self._rules: RuleSet | None = None
+        self._placement_by_service: dict[str, _ServicePlacement] = {}
+
+    def apply_rules(self, rules: RuleSet) -> None:
+        """Take over the placements."""
+        self._rules = rules
+        for service in self._placement_by_service.keys() - set(
+            rules.placement_by_service
+        ):
+            del self._placement_by_service[service]
+
+    async def place(self) -> None:
+        """Do this router's part of the duty for every service."""
+        if self._rules is None:
+            return
+        for service, rule in self._rules.placement_by_service.items():
+            if self._duties.owner_of(f"placement/{service}") is None:
+                await self._place_service(service, rule)
+            else:
+                await self._give_up(service)
+
+    async def _give_up(self, service: str) -> None:
+        placement = self._placement_by_service.pop(service, None)
+        if placement is not None:
+            await placement.lease.release()
+
+    async def _place_service(self, service: str, rule: PlacementRule) -> None:
+        placement = self._placement_by_service.get(service)
+        if placement is None:
+            placement = _ServicePlacement(self._new_lease(service), self._clock)
+            self._placement_by_service[service] = placement
+        held = await placement.lease.acquire()
+        if held is None:
+            return
+        await self._order_versions(service, placement, held)
+        await self._adjust_instances(service, rule, placement)
+
+    def _new_lease(self, service: str) -> Lease:
+        return Lease(
+            self._platform,
+            f"lease/placement/{service}",
+            self._router_id,
+            self._clock,
+            CallKind.PLACEMENT,
+        )
+
+    async def _adjust_instances(
+        self, service: str, rule: PlacementRule, placement: _ServicePlacement
+    ) -> None:
+        offers = [_offer(item) for item in await self._platform.list_offers()]
+        instances = await self._platform.list_cloud_instances()
+        running = [
+            Running(str(item["id"]), _place_of(item))
+            for item in instances
+            if item.get("service") == service and item.get("state") != "leaving"
+        ]
+        dispatch = self._dispatcher.dispatch_by_service.get(service)
+        load = dispatch.in_flight + len(dispatch.queue) if dispatch else 0
+        room = dispatch.capacity / max(1, len(running)) if dispatch else 1
+        replicas = replicas_for_load(rule, load, room)
+        usable = placement.refused.usable(offers)
+        for action in plan_actions(replicas, rule, usable, running):
+            if placement.lease.held() is None:
+                return
+            await self._act(service, placement, action)
+
+    async def _act(
+        self, service: str, placement: _ServicePlacement, action: PlacementAction
+    ) -> None:
+        match action:
+            case StartInstance(place, reason):
+                await self._start(service, placement, place, reason)
+            case StopInstance(name, reason):
+                log_decision("stop_instance", reason, service=service, instance=name)
+                await self._platform.release_instance(name)
+
+    async def _start(
+        self, service: str, placement: _ServicePlacement, place: Place, reason: str
+    ) -> None:
+        started = await self._platform.start_instance(
+            {
+                "service": service,
+                "version": self._version_to_start(service),
+                "zone": place.zone,
+                "class": place.instance_class.value,
+            }
+        )
+        granted = started is not None
+        if granted:
+            placement.refused.accept(place)
+        else:
+            placement.refused.refuse(place)
+        log_decision(
+            "start_instance",
+            reason,
+            service=service,
+            zone=place.zone,
+            instance_class=place.instance_class.value,
+            granted=granted,
+            instance=started["id"] if granted else "",
+        )
+
+    def _version_to_start(self, service: str) -> str:
+        rollout = self._rules.rollout_by_service.get(service)
+        if rollout is not None:
+            dispatch = self._dispatcher.dispatch_by_service.get(service)
+            full = dispatch and dispatch.shares and dispatch.shares.new_share >= 1
+            return rollout.new_version if full else rollout.old_version
+        versions = [
+            state.rule.version
+            for state in self._dispatcher.state_by_name.values()
+            if state.rule.service == service
+        ]
+        return max(versions, key=versions.count, default="")
+
+    async def _order_versions(
+        self, service: str, placement: _ServicePlacement, held: Held
+    ) -> None:
+        rollout = self._rules.rollout_by_service.get(service)
+        kind = self._rules.service_by_name[service].kind
+        dispatch = self._dispatcher.dispatch_by_service.get(service)
+        if rollout is None or kind is not ServiceKind.MODEL or dispatch is None:
+            return
+        share = dispatch.shares.new_share if dispatch.shares else 0.0
+        reports = await self._read_reports(service)
+        wanted = plan_versions(reports, rollout.old_version, rollout.new_version, share)
+        held_for = self._clock.monotonic() - held.since
+        for order in due_orders(reports, wanted, held.fencing, held_for, LEASE_TIME):
+            if placement.lease.held() is None or not placement.schedule.take():
+                return
+            await self._send_order(order)
+
+    async def _read_reports(self, service: str) -> list[EngineReport]:
+        names = [
+            name
+            for name, state in self._dispatcher.state_by_name.items()
+            if state.rule.service == service and not state.is_leaving
+        ]
+        answers = await defer.DeferredList(
+            [defer.Deferred.fromCoroutine(self._read_report(name)) for name in names]
+        )
+        return [report for done, report in answers if done and report is not None]
+
+    async def _read_report(self, name: str) -> EngineReport | None:
+        body = await self._ask(
+            name, UpstreamCall("GET", "/load", b"", repeatable=False)
+        )
+        state = self._dispatcher.state_by_name.get(name)
+        if body is None or state is None:
+            return None
+        wanted = body.get("wanted") or {}
+        return EngineReport(
+            name,
+            wanted.get("version") or body.get("version", state.rule.version),
+            int(body.get("fencing", 0)),
+            state.rule.fencing,
+        )
+
+    async def _send_order(self, order: LoadVersion) -> None:
+        body = {"fencing": order.fencing, "wanted": {"version": order.version}}
+        call = UpstreamCall(
+            "POST", "/orders", json.dumps(body).encode(), repeatable=False
+        )
+        answer = await self._ask(order.engine, call)
+        log_decision(
+            "load_version",
+            "the engine does not have what is wanted",
+            upstream=order.engine,
+            version=order.version,
+            fencing=order.fencing,
+            taken=answer is not None,
+        )
+
+    async def _ask(self, name: str, call: UpstreamCall) -> Any:
+        link = self._links.get(name)
+        if link is None:
+            return None
+        done = defer.Deferred.fromCoroutine(_exchange(link, call))
+        done.addTimeout(ORDER_TIMEOUT_S, self._links.reactor)
+        try:
+            return await done
+        except (AttemptError, defer.TimeoutError, ValueError) as error:
+            log_event("order_failed", upstream=name, error=str(error))
+            return None
+
+
+async def _exchange(link: Any, call: UpstreamCall) -> Any:
+    response = await link.send(call)
+    text = await read_whole(response, MAX_REPORT_BYTES)
+    return json.loads(text) if response.code == 200 else None
+
+
+def _offer(item: dict[str, Any]) -> Offer:
+    return Offer(
+        item["zone"],
+        InstanceClass(item["class"]),
+        float(item["price"]),
+        float(item.get("reclaims_per_hour", 0.0)),
+    )
+
+
+def _place_of(item: dict[str, Any]) -> Place:
+    return Place(item["zone"], InstanceClass(item.get("class", "reclaimable")))
--- a/banyansail/router/router.py
+++ b/banyansail/router/router.py
@@ -34,6 +34,7 @@
 from banyansail.router.listener import CallerResource
 from banyansail.router.load_prober import LoadProber
 from banyansail.router.peer_service import PeerService
+from banyansail.router.placements import PlacementController
 from banyansail.router.registry import ExchangeRegistry
 from banyansail.router.rollouts import RolloutController
 from banyansail.router.rules_keeper import RulesKeeper
@@ -64,6 +65,7 @@
 LIST_INTERVAL = timedelta(seconds=2)
 PLAN_INTERVAL = timedelta(milliseconds=500)
 SETTLE_INTERVAL = timedelta(seconds=1)
+PLACE_INTERVAL = timedelta(seconds=1)
 CATCH_UP_INTERVAL = timedelta(milliseconds=200)
 WATCH_PAUSE = timedelta(milliseconds=100)
 SUSPECT_INTERVAL = timedelta(milliseconds=250)
@@ -198,6 +200,14 @@
             self.dispatcher,
             self.evidence,
         )
+        self.placements = PlacementController(
+            self.router_id,
+            self.clock,
+            self.platform,
+            self.duties,
+            self.dispatcher,
+            self.links,
+        )
         self.prober = LoadProber(
             self.settings.name,
             self.clock,
@@ -249,6 +259,7 @@
         self.add_task("catalog.notices", self.catalog.watch_notices, WATCH_PAUSE)
         self.add_task("rollout.plan", self._plan, PLAN_INTERVAL)
         self.add_task("rollout.settle", self.rollouts.settle, SETTLE_INTERVAL)
+        self.add_task("placement", self.placements.place, PLACE_INTERVAL)
         self.add_task("suspects", self._refresh_suspects, SUSPECT_INTERVAL)
         self.add_task("loads", self.prober.probe, LoadProber.INTERVAL)
 
@@ -385,6 +396,7 @@
         self.dispatcher.apply_rules(rules)
         self.catalog.apply_rules(rules)
         self.rollouts.apply_rules(rules)
+        self.placements.apply_rules(rules)
         self.lifecycle.take_rules()
         self._publish_member()
         self.gossip.send(self.gossiper.push())
--- a/banyansail/standins/platform.py
+++ b/banyansail/standins/platform.py
@@ -40,6 +40,8 @@
         Writes that take effect but whose answers are lost.
     refuse_starts : int
         Starts of instances that are refused.
+    refuse_zone : str
+        Zone in which every start is refused.
     stale_reads : int
         Reads that are answered with the version before the current one.
     writes_per_s, reads_per_s : float
@@ -50,6 +52,7 @@
     delay_s: float = 0.0
     lose_answers: int = 0
     refuse_starts: int = 0
+    refuse_zone: str = ""
     stale_reads: int = 0
     writes_per_s: float = 400.0
     reads_per_s: float = 2000.0
@@ -91,6 +94,7 @@
     waiters_by_key: dict[str, list[defer.Deferred[None]]] = field(default_factory=dict)
     instance_by_id: dict[str, dict[str, Any]] = field(default_factory=dict)
     notices: list[dict[str, Any]] = field(default_factory=list)
+    offers: list[dict[str, Any]] = field(default_factory=list)
     calls: dict[str, int] = field(default_factory=dict)
     list_history: deque[tuple[float, list[dict[str, Any]]]] = field(
         default_factory=deque
@@ -261,6 +265,11 @@
                 answer_json(request, list(self.state.instance_by_id.values()))
             case ["instances"]:
                 self._start(request)
+            case ["offers"] if request.method == b"GET":
+                answer_json(request, self.state.offers)
+            case ["offers"]:
+                self.state.offers = read_json(request)
+                answer_json(request, {})
             case ["instances", name]:
                 self.state.instance_by_id.pop(name, None)
                 self.state.record_list()
@@ -273,8 +282,7 @@
 
     def _start(self, request: Request) -> None:
         instance = read_json(request)
-        if self.state.faults.refuse_starts > 0 and "state" not in instance:
-            self.state.faults.refuse_starts -= 1
+        if "state" not in instance and self._refuses_start(instance):
             answer_json(request, {"error": "no capacity"}, 409)
             return
         self.state.started += 1
@@ -284,6 +292,15 @@
         self.state.record_list()
         answer_json(request, instance, 201)
 
+    def _refuses_start(self, instance: dict[str, Any]) -> bool:
+        faults = self.state.faults
+        if faults.refuse_zone and instance.get("zone") == faults.refuse_zone:
+            return True
+        if faults.refuse_starts > 0:
+            faults.refuse_starts -= 1
+            return True
+        return False
+
     def reclaim(
         self, zone: str = "", ids: list[str] | None = None, notice_s: float = 5.0
     ) -> None:
--- /dev/null
+++ b/tests/fakes.py
@@ -0,0 +1,75 @@
+"""Small fakes at the interfaces."""
+
+from __future__ import annotations
+
+from datetime import UTC, datetime, timedelta
+
+from banyansail.exceptions import ConflictError, PlatformUnavailableError
+from banyansail.platform.client import StoredObject
+
+START = datetime(2026, 12, 3, 12, tzinfo=UTC)
+
+
+class FakeClock:
+    """A clock that moves only when it is told to."""
+
+    def __init__(self) -> None:
+        self.elapsed = timedelta(seconds=1000)
+        self.step = timedelta(0)
+
+    def now(self) -> datetime:
+        return START + self.elapsed + self.step
+
+    def monotonic(self) -> timedelta:
+        return self.elapsed
+
+    def advance(self, seconds: float) -> None:
+        self.elapsed += timedelta(seconds=seconds)
+
+
+class FakePlatform:
+    """Objects with conditional updates; answers can be lost and calls refused.
+
+    Parameters
+    ----------
+    losses : iterator of bool
+        For each write, whether its answer is lost after it took effect.
+    """
+
+    def __init__(self, clock: FakeClock) -> None:
+        self.clock = clock
+        self.stored: dict[str, tuple[int, object]] = {}
+        self.losses: list[bool] = []
+        self.outages: list[bool] = []
+        self.writes = 0
+        self.reads = 0
+
+    def server_time(self) -> datetime:
+        return self.clock.now()
+
+    async def get(self, key, kind=None) -> StoredObject:
+        self.reads += 1
+        if self.outages and self.outages.pop(0):
+            raise PlatformUnavailableError("outage")
+        return StoredObject(key, *self.stored.get(key, (0, None)))
+
+    async def put(self, key, body, expected, kind=None) -> int:
+        if self.outages and self.outages.pop(0):
+            raise PlatformUnavailableError("outage")
+        self.writes += 1
+        found = self.stored.get(key, (0, None))[0]
+        if found != expected:
+            raise ConflictError(key, expected, found)
+        self.stored[key] = (found + 1, body)
+        if self.losses and self.losses.pop(0):
+            raise PlatformUnavailableError("the answer was lost")
+        return found + 1
+
+
+def run_now(coroutine):
+    """Run a coroutine that never waits; return its result."""
+    try:
+        coroutine.send(None)
+    except StopIteration as stop:
+        return stop.value
+    raise AssertionError("the coroutine waits")
--- /dev/null
+++ b/tests/ledger/test_committer.py
@@ -0,0 +1,108 @@
+"""Group commit over a platform that loses answers, with several writers."""
+
+from __future__ import annotations
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from twisted.internet.task import Clock as TwistedClock
+
+from banyansail.ledger.committer import ShardCommitter
+from banyansail.ledger.records import (
+    FinishKey,
+    KeptAnswer,
+    ReleaseKey,
+    Started,
+    StartKey,
+    decode_records,
+)
+from tests.fakes import FakeClock, FakePlatform
+
+ANSWER = KeptAnswer(200, "text/plain", "done")
+
+
+class Writers:
+    """Committers of several routers on one shard."""
+
+    def __init__(self, count: int) -> None:
+        self.clock = FakeClock()
+        self.reactor = TwistedClock()
+        self.platform = FakePlatform(self.clock)
+        self.committers = [
+            ShardCommitter(self.reactor, self.platform, "shard", self.clock)
+            for _ in range(count)
+        ]
+
+    def submit(self, writer: int, operation) -> list:
+        results: list = []
+        self.committers[writer].submit(operation).addBoth(results.append)
+        return results
+
+    def advance(self, seconds: float) -> None:
+        for _ in range(int(seconds / 0.01)):
+            self.clock.advance(0.01)
+            self.reactor.advance(0.01)
+
+    def records(self):
+        return decode_records(self.platform.stored["shard"][1]).record_by_key
+
+
+@settings(derandomize=True, max_examples=200, deadline=None)
+@given(
+    losses=st.lists(st.booleans(), max_size=12),
+    outages=st.lists(st.booleans(), max_size=12),
+    starts=st.lists(
+        st.tuples(st.integers(0, 2), st.sampled_from("abc")), min_size=1, max_size=12
+    ),
+)
+def test_one_attempt_of_a_key_is_started(losses, outages, starts):
+    writers = Writers(3)
+    writers.platform.losses = losses
+    writers.platform.outages = outages
+    outcomes = []
+    for number, (writer, key) in enumerate(starts):
+        results = writers.submit(writer, StartKey(key, f"t{number}", 1))
+        outcomes.append((key, results))
+        if number % 2:
+            writers.advance(0.05)
+    writers.advance(10)
+    for key in "abc":
+        started = [1 for name, got in outcomes if name == key and got == [Started()]]
+        assert len(started) <= 1
+    assert all(results for _, results in outcomes)
+
+
+def test_company_shares_one_write():
+    writers = Writers(1)
+    writers.submit(0, StartKey("first", "a", 1))
+    writers.advance(0.1)
+    before = writers.platform.writes
+    writers.submit(0, StartKey("lead", "a", 1))
+    writers.advance(0.02)
+    for number in range(50):
+        writers.submit(0, StartKey(f"k{number}", "a", 1))
+        writers.submit(0, FinishKey("first", "a", ANSWER))
+    writers.advance(1)
+    assert writers.platform.writes - before == 2
+    assert len(writers.records()) == 52
+
+
+def test_failed_start_is_released_when_the_platform_is_back():
+    writers = Writers(1)
+    writers.platform.losses = [True]  # the record is written, its answer is lost
+    writers.platform.outages = [False, False, True]  # and so is the reading back
+    results = writers.submit(0, StartKey("k", "a", 1))
+    writers.advance(0.1)
+    assert results and results != [Started()]
+    writers.advance(5)
+    again = writers.submit(0, StartKey("k", "b", 1))
+    writers.advance(1)
+    assert again == [Started()]
+
+
+def test_release_by_a_stranger_changes_nothing():
+    writers = Writers(2)
+    writers.submit(0, StartKey("k", "a", 1))
+    writers.advance(0.1)
+    writers.submit(1, ReleaseKey("k", "b"))
+    writers.advance(1)
+    assert writers.records()["k"].attempt == "a"
--- /dev/null
+++ b/tests/ledger/test_records.py
@@ -0,0 +1,127 @@
+"""Records of keys: a state machine against a naive journal."""
+
+from __future__ import annotations
+
+from datetime import timedelta
+
+import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from banyansail.ledger.records import (
+    MAX_SHARD_BYTES,
+    RETENTION,
+    Finished,
+    FinishKey,
+    InFlight,
+    KeptAnswer,
+    KeyMismatch,
+    Recorded,
+    ReleaseKey,
+    ShardFull,
+    ShardRecords,
+    Started,
+    StartKey,
+    decode_records,
+    encode_records,
+)
+from tests.fakes import START
+
+KEYS = st.sampled_from(["k1", "k2", "k3"])
+ATTEMPTS = st.sampled_from(["a1", "a2", "a3", "a4"])
+ANSWER = KeptAnswer(200, "application/json", "{}")
+
+
+class LedgerMachine(RuleBasedStateMachine):
+    """Many attempts at few keys; at most one of them may ever send."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.records = ShardRecords()
+        self.sent: dict[str, set[str]] = {}
+        self.owner: dict[str, str] = {}
+        self.finished: dict[str, str] = {}
+
+    def apply(self, operation):
+        # Each step goes through the object's body, as at another router.
+        self.records = decode_records(encode_records(self.records))
+        return self.records.apply(operation, START)[0]
+
+    @rule(key=KEYS, attempt=ATTEMPTS)
+    def start(self, key, attempt):
+        result = self.apply(StartKey(key, attempt, 7))
+        match result:
+            case Started():
+                # Either new, or the same attempt whose answer was lost.
+                assert self.owner.get(key, attempt) == attempt
+                self.owner[key] = attempt
+            case InFlight(other):
+                assert self.owner[key] == other != attempt
+            case Finished(answer):
+                assert self.finished[key] == self.owner[key]
+                assert answer == ANSWER
+
+    @rule(key=KEYS)
+    def send(self, key):
+        if key in self.owner:
+            self.sent.setdefault(key, set()).add(self.owner[key])
+
+    @rule(key=KEYS, attempt=ATTEMPTS)
+    def finish(self, key, attempt):
+        if self.owner.get(key) != attempt or attempt not in self.sent.get(key, ()):
+            return
+        assert self.apply(FinishKey(key, attempt, ANSWER)) == Recorded()
+        self.finished[key] = attempt
+
+    @rule(key=KEYS, attempt=ATTEMPTS)
+    def finish_of_a_stranger(self, key, attempt):
+        if self.owner.get(key) != attempt:
+            before = encode_records(self.records)
+            self.apply(FinishKey(key, attempt, ANSWER))
+            assert encode_records(self.records) == before
+
+    @rule(key=KEYS, attempt=ATTEMPTS)
+    def release(self, key, attempt):
+        if attempt in self.sent.get(key, ()):
+            return  # only an attempt that never sends may release
+        self.apply(ReleaseKey(key, attempt))
+        if self.owner.get(key) == attempt:
+            del self.owner[key]
+
+    @invariant()
+    def at_most_one_attempt_sends(self):
+        assert all(len(attempts) <= 1 for attempts in self.sent.values())
+
+
+TestLedgerMachine = LedgerMachine.TestCase
+TestLedgerMachine.settings = settings(
+    derandomize=True, max_examples=150, stateful_step_count=40, deadline=None
+)
+
+
+def test_key_of_another_call():
+    records = ShardRecords()
+    records.apply(StartKey("k", "a", 1), START)
+    assert records.apply(StartKey("k", "b", 2), START) == (KeyMismatch(), False)
+
+
+def test_full_shard_refuses_new_keys_and_keeps_old_ones():
+    records = ShardRecords()
+    count = 0
+    while records.apply(StartKey(f"key-{count:06}", "a" * 40, 1), START)[1]:
+        count += 1
+    assert records.apply(StartKey("new", "a", 1), START) == (ShardFull(), False)
+    again = records.apply(StartKey("key-000000", "other", 1), START)
+    assert again == (InFlight("a" * 40), False)
+    import json
+
+    assert len(json.dumps(encode_records(records))) <= MAX_SHARD_BYTES
+
+
+@pytest.mark.parametrize("age", [RETENTION, RETENTION + timedelta(seconds=1)])
+def test_records_expire_by_age_only(age):
+    records = ShardRecords()
+    records.apply(StartKey("k", "a", 1), START)
+    records.expire(START + age)
+    assert ("k" in records.record_by_key) == (age <= RETENTION)
--- /dev/null
+++ b/tests/placement/test_planner.py
@@ -0,0 +1,114 @@
+"""Plans of instances: bounds, cost, refusals."""
+
+from __future__ import annotations
+
+import math
+from collections import Counter
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from banyansail.config.rules import InstanceClass, PlacementRule
+from banyansail.placement.backoff import RefusedPlaces
+from banyansail.placement.planner import (
+    Offer,
+    Place,
+    Running,
+    StartInstance,
+    StopInstance,
+    plan_actions,
+    plan_places,
+    replicas_for_load,
+)
+from tests.fakes import FakeClock
+
+ZONES = ("glasgow", "edinburgh", "aberdeen", "inverness")
+RECLAIMABLE = InstanceClass.RECLAIMABLE
+ON_DEMAND = InstanceClass.ON_DEMAND
+
+
+def offers(prices: list[float], risk: float = 0.1) -> list[Offer]:
+    cheap = [
+        Offer(zone, RECLAIMABLE, price, risk)
+        for zone, price in zip(ZONES, prices, strict=True)
+    ]
+    return [*cheap, *(Offer(zone, ON_DEMAND, 3.0, 0.0) for zone in ZONES)]
+
+
+@settings(derandomize=True, max_examples=200, deadline=None)
+@given(
+    prices=st.lists(st.floats(0.1, 2.5), min_size=4, max_size=4),
+    replicas=st.integers(2, 40),
+    floor=st.integers(0, 5),
+    share=st.floats(0.26, 1.0),
+)
+def test_plan_keeps_floor_and_zone_share(prices, replicas, floor, share):
+    rule = PlacementRule("s", replicas, min(floor, replicas), share)
+    wanted = plan_places(replicas, rule, offers(prices))
+    assert wanted.total() == replicas
+    by_zone = Counter()
+    for place, count in wanted.items():
+        by_zone[place.zone] += count
+    cap = max(1, math.floor(replicas * share))
+    if cap * len(ZONES) >= replicas:
+        assert max(by_zone.values()) <= cap
+    on_demand = sum(
+        count for place, count in wanted.items() if place.instance_class is ON_DEMAND
+    )
+    assert on_demand >= min(rule.floor, cap * len(ZONES))
+
+
+def test_risky_zone_is_left_when_reclaims_cost_more_than_the_price_saves():
+    rule = PlacementRule("s", 4, 0, 1.0)
+    risky = Offer("glasgow", RECLAIMABLE, 0.9, 6.0)
+    calm = Offer("edinburgh", RECLAIMABLE, 1.0, 0.1)
+    assert plan_places(4, rule, [risky, calm]) == {calm.place: 4}
+
+
+@settings(derandomize=True, max_examples=100, deadline=None)
+@given(
+    prices=st.lists(st.floats(0.1, 2.5), min_size=4, max_size=4),
+    placed=st.lists(st.sampled_from(ZONES), max_size=12),
+)
+def test_actions_lead_to_a_state_with_none(prices, placed):
+    rule = PlacementRule("s", 5, 1, 0.5)
+    running = [
+        Running(f"i{number}", Place(zone, RECLAIMABLE))
+        for number, zone in enumerate(placed)
+    ]
+    for step in range(60):
+        actions = plan_actions(5, rule, offers(prices), running)
+        if not actions:
+            break
+        for number, action in enumerate(actions):
+            match action:
+                case StartInstance(place):
+                    running.append(Running(f"n{step}-{number}", place))
+                case StopInstance(name):
+                    running = [item for item in running if item.name != name]
+    assert not actions
+    assert len(running) == 5
+    assert any(item.place.instance_class is ON_DEMAND for item in running)
+    assert max(Counter(item.place.zone for item in running).values()) <= 2
+
+
+def test_load_asks_for_replicas_beyond_the_rule():
+    rule = PlacementRule("s", 3)
+    assert replicas_for_load(rule, 0, 8) == 3
+    assert replicas_for_load(rule, 56, 8) == 10
+
+
+def test_refused_place_is_left_for_the_next_choice_and_tried_again():
+    clock = FakeClock()
+    refused = RefusedPlaces(clock)
+    rule = PlacementRule("s", 1)
+    every = offers([0.1, 0.2, 0.3, 0.4])
+    first = plan_actions(1, rule, refused.usable(every), [])[0].place
+    assert first.zone == "glasgow"
+    refused.refuse(first)
+    assert plan_actions(1, rule, refused.usable(every), [])[0].place.zone == "edinburgh"
+    clock.advance(11)
+    assert plan_actions(1, rule, refused.usable(every), [])[0].place == first
+    refused.refuse(first)
+    clock.advance(11)  # the pause has doubled
+    assert first not in [offer.place for offer in refused.usable(every)]
