Judge versions by a stratified comparison and retry at the old version

Totals compare different times: the new version had most of its calls after the disturbance began. And a caller of a bad version was answered 502: the retry drew the new version again.

Ruled out: windows alone (a step within the window has the same fault); a prior of 25 calls in each slice (it pulls the old version's rate to 1% where slices are small, and blames the new one).

Change: failures of a slice are held against the new version's part of its calls, summed over slices, with a binomial tail; a doubt without enough of the old version lowers the share until there is a comparison; a request that failed at an unproven version is retried at the old one.

--- a/banyansail/rollout/planner.py
+++ b/banyansail/rollout/planner.py
@@ -10,9 +10,8 @@
     Bad,
     Doubtful,
     Evidence,
-    NoBadSign,
     Tallies,
-    has_baseline,
+    answered_calls,
     judge,
     tally_slice,
 )
@@ -23,7 +22,8 @@
     from banyansail.config.rules import RolloutRule
 
 DOUBT_SHARE = 0.25
-LONGEST_DOUBT = timedelta(seconds=30)
+DOUBT_TIME = timedelta(seconds=10)
+CLOSED_TIME = timedelta(seconds=60)  # a doubt that was compared is not raised again
 
 
 class MovePlanner:
@@ -39,7 +39,7 @@
 
     __slots__ = (
         "_clock",
-        "_doubted_since",
+        "_compared_until",
         "_latency_target",
         "_planned",
         "_windows",
@@ -49,10 +49,10 @@
     def __init__(self, rule: RolloutRule, clock: Clock) -> None:
         self.rule = rule
         self._clock = clock
-        self._windows = EvidenceWindows(self._tally, self._has_baseline)
+        self._windows = EvidenceWindows(self._tally)
         self._latency_target = timedelta(0)
         self._planned: PlannedShare | None = None
-        self._doubted_since: timedelta | None = None
+        self._compared_until = timedelta(0)
 
     def plan(
         self, evidence: Evidence, latency_target: timedelta, *, is_alone: bool
@@ -77,22 +77,22 @@
                 case Bad() as bad:
                     return bad
                 case Doubtful() as found:
-                    doubt = found
-                case NoBadSign(count):
-                    good = count
-        if doubt is not None:
-            return self._compare_first(doubt, now)
+                    doubt = doubt or found
+            good = answered_calls(tallies)
+        if self._is_doubt_open(doubt, now):
+            return self._compare_first(doubt)
         planned = plan_share(self._clock.now(), self.rule, good)
-        self._doubted_since = None
         self._planned = self._hold(planned) if is_alone else planned
         return self._planned
 
-    def _compare_first(self, doubt: Doubtful, now: timedelta) -> PlannedShare | Bad:
+    def _is_doubt_open(self, doubt: Doubtful | None, now: timedelta) -> bool:
+        """Tell whether a doubt needs a comparison; one that had it is closed."""
+        if doubt is not None and now >= self._compared_until:
+            self._compared_until = now + DOUBT_TIME + CLOSED_TIME
+        return doubt is not None and now < self._compared_until - CLOSED_TIME
+
+    def _compare_first(self, doubt: Doubtful) -> PlannedShare:
         """Give most calls to the old version, so that there is a comparison."""
-        if self._doubted_since is None:
-            self._doubted_since = now
-        if now - self._doubted_since > LONGEST_DOUBT:
-            return Bad(f"{doubt.reason}; no comparison could be had")
         before = self._planned.share if self._planned else 0.0
         reason = f"the old version is needed for comparison: {doubt.reason}"
         return PlannedShare(min(before, DOUBT_SHARE), False, False, reason)
@@ -107,9 +107,6 @@
             self._latency_target,
         )
 
-    def _has_baseline(self, part: Evidence) -> bool:
-        return has_baseline(part, self.rule.service, self.rule.old_version)
-
     def _hold(self, planned: PlannedShare) -> PlannedShare:
         before = self._planned
         if before is None or planned.share <= before.share:
--- a/banyansail/rollout/verdict.py
+++ b/banyansail/rollout/verdict.py
@@ -1,14 +1,17 @@
 """Judges a new version by comparing it with the old one at the same time.
 
-Time is cut into slices. In each, the old version's rate says how many failures the
-new one may have; observed and tolerated counts are then summed over the slices of a
-window. Comparing sums alone would blame the new version for a disturbance of both
-that fell into the time in which it had more of the traffic.
+Time is cut into slices. Within a slice a failure falls to the new version with the
+probability of its part of the calls, if both versions fail alike; over all slices
+the observed failures are held against that (a stratified test, as by Mantel and
+Haenszel, with a binomial tail as counts are small). Sums over the whole time would
+blame the new version for a disturbance of both that fell into the time in which it
+had more of the traffic.
 """
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable
+import math
+from collections.abc import Iterator
 from dataclasses import dataclass, field
 from datetime import timedelta
 
@@ -22,16 +25,14 @@
 
 SIGNIFICANCE = 1e-5
 TOLERATED_RATE = 0.02  # failures beyond the old version's that are let pass
-PRIOR_CALLS = 25  # weight of the prior for the old version's rate
-MARGIN_DEVIATIONS = 2.0
+TOLERATED_SLOW_RATE = 0.1
+DOUBTFUL_RATE = 0.05  # with little of the old version to compare with
+DOUBTFUL_SLOW_RATE = 0.2
+DOUBTFUL_SPLIT = 0.6  # part of the calls from which on the old version has little
 SLOW_FACTOR = 2.0  # beyond the old version's 90th percentile
 SLOW_FLOOR_SHARE = 0.25  # of the latency target; faster than this is never slow
 SLOW_PERCENTILE = 0.9
 SLOW_MIN_CALLS = 20  # of the old version, for a percentile to be known
-TOLERATED_SLOW_RATE = 0.1
-MIN_BASELINE_CALLS = 8  # of the old version in a slice, for a comparison
-MAX_RATE = 0.95
-
 ALL_CALLS = "all calls"
 
 Evidence = dict[EvidenceKey, EvidenceCell]
@@ -65,72 +66,65 @@
 
 @dataclass(slots=True, frozen=True)
 class NoBadSign:
-    """Nothing speaks against the new version.
-
-    Parameters
-    ----------
-    good : int
-        Calls that the new version answered.
-    """
-
-    good: int
+    """Nothing speaks against the new version."""
 
 
 Verdict = Bad | Doubtful | NoBadSign
 
 
 @dataclass(slots=True)
-class Counts:
-    """Observed and tolerated counts of the new version.
+class Events:
+    """Bad events of one kind: failures, or slow answers.
 
     Parameters
     ----------
-    calls, failed : int
-        Calls of the new version, and those that it did not answer.
-    tolerated : float
-        Failures that the old version's rate lets it have.
-    good, slow : int
-        Answered calls, and those of them that were slow.
-    tolerated_slow : float
-        Slow calls that the old version's rate lets it have.
+    calls : int
+        Calls of the new version.
+    new, both : int
+        Events of the new version, and of both versions.
+    expected : float
+        Events that would fall to the new version if both did alike.
     """
 
     calls: int = 0
-    failed: int = 0
-    tolerated: float = 0.0
-    good: int = 0
-    slow: int = 0
-    tolerated_slow: float = 0.0
-
-    def add(self, other: Counts) -> None:
-        """Add the counts of another slice."""
-        self.calls += other.calls
-        self.failed += other.failed
-        self.tolerated += other.tolerated
-        self.good += other.good
-        self.slow += other.slow
-        self.tolerated_slow += other.tolerated_slow
+    new: int = 0
+    both: int = 0
+    expected: float = 0.0
+
+    def add(self, other: Events, sign: int = 1) -> None:
+        """Add the events of another slice, or take them out with a sign of -1."""
+        self.calls += sign * other.calls
+        self.new += sign * other.new
+        self.both += sign * other.both
+        self.expected += sign * other.expected
+
+    def is_excess(self, tolerated_rate: float) -> bool:
+        """Tell whether the new version has more than its part, beyond doubt."""
+        if self.new == 0:
+            return False
+        let_pass = self.calls * tolerated_rate
+        trials = max(self.new, math.ceil(self.both + let_pass))
+        probability = min(0.999, (self.expected + let_pass) / trials)
+        return binomial_tail(self.new, trials, probability) < SIGNIFICANCE
+
+    def is_doubtful(self, rate: float) -> bool:
+        """Tell whether the rate is high where the old version has few calls."""
+        if self.new == 0 or self.expected < DOUBTFUL_SPLIT * self.both:
+            return False
+        return binomial_tail(self.new, self.calls, rate) < SIGNIFICANCE
 
 
 @dataclass(slots=True)
 class Tally:
-    """Counts of slices with a baseline, and of those without.
+    """Failures and slow answers of one group of calls."""
 
-    Parameters
-    ----------
-    compared : Counts
-        From slices in which the old version had enough calls.
-    uncompared : Counts
-        From the others; they can raise a doubt but not settle it.
-    """
+    failures: Events = field(default_factory=Events)
+    slow: Events = field(default_factory=Events)
 
-    compared: Counts = field(default_factory=Counts)
-    uncompared: Counts = field(default_factory=Counts)
-
-    def add(self, other: Tally) -> None:
-        """Add the counts of another slice."""
-        self.compared.add(other.compared)
-        self.uncompared.add(other.uncompared)
+    def add(self, other: Tally, sign: int = 1) -> None:
+        """Add the events of another slice, or take them out with a sign of -1."""
+        self.failures.add(other.failures, sign)
+        self.slow.add(other.slow, sign)
 
 
 Tallies = dict[str, Tally]
@@ -161,120 +155,131 @@
         By group of calls: all, each route, and each route's workspaces and load
         bands.
     """
+    old_groups = _group(part, service, old_version)
     new_groups = _group(part, service, new_version)
     if not new_groups:
         return {}
-    old_groups = _group(part, service, old_version)
     usual_groups = _group(totals, service, old_version)
-    every_old = old_groups.get(ALL_CALLS, EvidenceCell())
-    tallies = {}
-    for name, new in new_groups.items():
-        old = old_groups.get(name, EvidenceCell())
-        limit = _slow_limit(usual_groups.get(name, EvidenceCell()), latency_target)
-        tallies[name] = _compare(old, every_old, new, limit)
+    tallies: Tallies = {ALL_CALLS: Tally()}
+    for group in new_groups.keys() | old_groups.keys():
+        usual = usual_groups.get(_Group(group.route), EvidenceCell())
+        limit = _slow_limit(usual, latency_target)
+        old = old_groups.get(group, EvidenceCell())
+        new = new_groups.get(group, EvidenceCell())
+        # Calls of a route are drawn alike in every workspace, but not in every
+        # load band: the versions differ in their load.
+        whole = group if group.load_band is not None else _Group(group.route)
+        split_old = old_groups.get(whole, EvidenceCell())
+        split_new = new_groups.get(whole, EvidenceCell())
+        tally = _compare(old, new, split_old, split_new, limit)
+        tallies[str(group)] = tally
+        if group == _Group(group.route):
+            tallies[ALL_CALLS].add(tally)
     return tallies
 
 
-def has_baseline(part: Evidence, service: str, old_version: str) -> bool:
-    """Tell whether the old version had enough calls in a slice."""
-    calls = sum(
-        cell.total
-        for key, cell in part.items()
-        if key.service == service and key.version == old_version
-    )
-    return calls >= MIN_BASELINE_CALLS
+def add_tallies(total: Tallies, part: Tallies, sign: int = 1) -> None:
+    """Add a slice to a sum, or take it out with a sign of -1."""
+    for name, tally in part.items():
+        total.setdefault(name, Tally()).add(tally, sign)
 
 
-def sum_tallies(slices: Iterable[Tallies]) -> Tallies:
-    """Return the sum over slices."""
-    total: Tallies = {}
-    for tallies in slices:
-        for name, tally in tallies.items():
-            total.setdefault(name, Tally()).add(tally)
-    return total
+def joined_tallies(total: Tallies, part: Tallies) -> Tallies:
+    """Return the sum of two, which are left as they are."""
+    joined: Tallies = {}
+    add_tallies(joined, total)
+    add_tallies(joined, part)
+    return joined
 
 
 def judge(tallies: Tallies) -> Verdict:
     """Judge each group of calls by itself."""
     for name, tally in tallies.items():
-        reason = _find_excess(tally.compared)
-        if reason:
-            return Bad(f"{name}: {reason}")
+        if tally.failures.is_excess(TOLERATED_RATE):
+            return Bad(_explain(name, tally.failures, "failed"))
+        if tally.slow.is_excess(TOLERATED_SLOW_RATE):
+            return Bad(_explain(name, tally.slow, "were slow"))
     for name, tally in tallies.items():
-        reason = _find_excess(tally.uncompared)
-        if reason:
-            return Doubtful(f"{name}: {reason}")
-    every = tallies.get(ALL_CALLS, Tally())
-    return NoBadSign(every.compared.good + every.uncompared.good)
-
-
-def _group(evidence: Evidence, service: str, version: str) -> dict[str, EvidenceCell]:
-    groups: dict[str, EvidenceCell] = {}
-    namers: tuple[Callable[[EvidenceKey], str], ...] = (
-        lambda key: ALL_CALLS,
-        lambda key: f"route {key.route}",
-        lambda key: f"route {key.route} of workspace {key.workspace}",
-        lambda key: f"route {key.route} in load band {key.load_band}",
-    )
+        if tally.failures.is_doubtful(DOUBTFUL_RATE):
+            return Doubtful(_explain(name, tally.failures, "failed"))
+        if tally.slow.is_doubtful(DOUBTFUL_SLOW_RATE):
+            return Doubtful(_explain(name, tally.slow, "were slow"))
+    return NoBadSign()
+
+
+def answered_calls(tallies: Tallies) -> int:
+    """Return how many calls the new version answered."""
+    failures = tallies.get(ALL_CALLS, Tally()).failures
+    return failures.calls - failures.new
+
+
+@dataclass(slots=True, frozen=True)
+class _Group:
+    """Calls that are judged together."""
+
+    route: str
+    workspace: str | None = None
+    load_band: int | None = None
+
+    def __str__(self) -> str:
+        name = f"route {self.route}"
+        if self.workspace is not None:
+            name += f" of workspace {self.workspace}"
+        if self.load_band is not None:
+            name += f" in load band {self.load_band}"
+        return name
+
+
+def _groups_of(key: EvidenceKey) -> Iterator[_Group]:
+    yield _Group(key.route)
+    yield _Group(key.route, workspace=key.workspace)
+    yield _Group(key.route, load_band=key.load_band)
+
+
+def _group(
+    evidence: Evidence, service: str, version: str
+) -> dict[_Group, EvidenceCell]:
+    cell_by_group: dict[_Group, EvidenceCell] = {}
     for key, cell in evidence.items():
         if key.service != service or key.version != version:
             continue
-        for namer in namers:
-            groups.setdefault(namer(key), EvidenceCell()).add(cell)
-    return groups
+        for group in _groups_of(key):
+            cell_by_group.setdefault(group, EvidenceCell()).add(cell)
+    return cell_by_group
 
 
 def _compare(
-    old: EvidenceCell, every_old: EvidenceCell, new: EvidenceCell, limit: timedelta
+    old: EvidenceCell,
+    new: EvidenceCell,
+    split_old: EvidenceCell,
+    split_new: EvidenceCell,
+    limit: timedelta,
 ) -> Tally:
-    """Compare a group; one with few old calls is held against all old calls too."""
-    baselines = [old]
-    if old.total < MIN_BASELINE_CALLS:
-        baselines.append(every_old)
-    rate = max(_tolerated(c.failed, c.total, TOLERATED_RATE) for c in baselines)
-    slow_rate = max(
-        _tolerated(c.count_slower_than(limit), c.good, TOLERATED_SLOW_RATE)
-        for c in baselines
-    )
-    counts = Counts(
+    failures = _count_events(
         new.total,
         new.failed,
-        new.total * rate,
+        old.failed,
+        split_new.total / max(1, split_new.total + split_old.total),
+    )
+    slow = _count_events(
         new.good,
         new.count_slower_than(limit),
-        new.good * slow_rate,
+        old.count_slower_than(limit),
+        split_new.good / max(1, split_new.good + split_old.good),
+    )
+    return Tally(failures, slow)
+
+
+def _count_events(calls: int, new: int, old: int, split: float) -> Events:
+    both = new + old
+    return Events(calls, new, both, both * split)
+
+
+def _explain(group: str, events: Events, what: str) -> str:
+    return (
+        f"{group}: {events.new} of {events.calls} calls {what}, where "
+        f"{events.expected:.1f} of {events.both} would be the new version's part"
     )
-    if max(cell.total for cell in baselines) >= MIN_BASELINE_CALLS:
-        return Tally(compared=counts)
-    return Tally(uncompared=counts)
-
-
-def _find_excess(tally: Counts) -> str:
-    if _is_excess(tally.failed, tally.calls, tally.tolerated):
-        return (
-            f"{tally.failed} of {tally.calls} calls failed; "
-            f"the old version's rate allows {tally.tolerated:.1f}"
-        )
-    if _is_excess(tally.slow, tally.good, tally.tolerated_slow):
-        return (
-            f"{tally.slow} of {tally.good} calls were slow; "
-            f"the old version's rate allows {tally.tolerated_slow:.1f}"
-        )
-    return ""
-
-
-def _tolerated(events: int, calls: int, tolerance: float) -> float:
-    """Return the rate that the new version may have, from the old version's."""
-    weight = calls + PRIOR_CALLS
-    rate = (events + PRIOR_CALLS * tolerance / 2) / weight
-    margin = MARGIN_DEVIATIONS * (rate * (1 - rate) / weight) ** 0.5
-    return min(MAX_RATE, rate + margin + tolerance / 2)
-
-
-def _is_excess(events: int, calls: int, tolerated: float) -> bool:
-    if events == 0:
-        return False
-    return binomial_tail(events, calls, tolerated / calls) < SIGNIFICANCE
 
 
 def _slow_limit(usual: EvidenceCell, target: timedelta) -> timedelta:
--- a/banyansail/rollout/windows.py
+++ b/banyansail/rollout/windows.py
@@ -7,11 +7,13 @@
 from datetime import timedelta
 
 from banyansail.rollout.evidence import EvidenceCell
-from banyansail.rollout.verdict import Counts, Evidence, Tallies, Tally, sum_tallies
+from banyansail.rollout.verdict import Evidence, Tallies, add_tallies, joined_tallies
 
-WINDOWS = (timedelta(seconds=10), timedelta(seconds=60))
+WHOLE = timedelta.max
+WINDOWS = (timedelta(seconds=10), timedelta(seconds=60), WHOLE)
 SLICE = timedelta(seconds=2)
 LONGEST_SLICE = timedelta(seconds=30)
+SLICE_CALLS = 40  # a slice is kept open for so many, but not beyond the longest
 
 
 class EvidenceWindows:
@@ -21,24 +23,20 @@
     ----------
     tally : callable
         Takes the evidence of a slice and the totals; compares the versions.
-    has_baseline : callable
-        Tells whether the evidence of a slice allows a comparison; the slice is
-        kept open for it, but not beyond `LONGEST_SLICE`.
     """
 
-    __slots__ = ("_base", "_base_at", "_has_baseline", "_past", "_slices", "_tally")
+    __slots__ = ("_base", "_base_at", "_slices_by_length", "_sum_by_length", "_tally")
 
-    def __init__(
-        self,
-        tally: Callable[[Evidence, Evidence], Tallies],
-        has_baseline: Callable[[Evidence], bool],
-    ) -> None:
+    def __init__(self, tally: Callable[[Evidence, Evidence], Tallies]) -> None:
         self._tally = tally
-        self._has_baseline = has_baseline
         self._base: Evidence = {}
         self._base_at: timedelta | None = None
-        self._slices: deque[tuple[timedelta, Tallies]] = deque()
-        self._past: Tallies = {}
+        self._slices_by_length: dict[timedelta, deque[tuple[timedelta, Tallies]]] = {
+            length: deque() for length in WINDOWS
+        }
+        self._sum_by_length: dict[timedelta, Tallies] = {
+            length: {} for length in WINDOWS
+        }
 
     def take(self, evidence: Evidence, now: timedelta) -> Iterator[Tallies]:
         """Take in the totals; yield the tallies of each window, the whole last."""
@@ -46,31 +44,31 @@
             self._base_at = now
         difference = subtract(evidence, self._base)
         part = self._tally(difference, evidence)
-        age = now - self._base_at
-        if age >= LONGEST_SLICE or (age >= SLICE and self._has_baseline(difference)):
-            self._close_slice(evidence, part, now)
+        if self._is_complete(difference, now):
+            self._base, self._base_at = evidence, now
+            self._close_slice(part, now)
             part = {}
-        for length in WINDOWS:
-            recent = [item for at, item in self._slices if at > now - length]
-            window = sum_tallies([*recent, part])
-            yield window if length == WINDOWS[0] else _without_uncompared(window)
-        every = [item for _, item in self._slices]
-        yield _without_uncompared(sum_tallies([self._past, *every, part]))
-
-    def _close_slice(self, evidence: Evidence, part: Tallies, now: timedelta) -> None:
-        self._base, self._base_at = evidence, now
-        self._slices.append((now, part))
-        while now - self._slices[0][0] > max(WINDOWS):
-            _, oldest = self._slices.popleft()
-            self._past = sum_tallies([self._past, oldest])
-
-
-def _without_uncompared(tallies: Tallies) -> Tallies:
-    """Leave out old doubts; only windows that end now may raise one."""
-    return {
-        name: Tally(tally.compared, Counts(good=tally.uncompared.good))
-        for name, tally in tallies.items()
-    }
+        for length, total in self._sum_by_length.items():
+            self._drop_old_slices(length, now)
+            yield joined_tallies(total, part)
+
+    def _is_complete(self, difference: Evidence, now: timedelta) -> bool:
+        age = now - self._base_at
+        if age >= LONGEST_SLICE:
+            return True
+        calls = sum(cell.total for cell in difference.values())
+        return age >= SLICE and calls >= SLICE_CALLS
+
+    def _close_slice(self, part: Tallies, now: timedelta) -> None:
+        for length, total in self._sum_by_length.items():
+            add_tallies(total, part)
+            if length is not WHOLE:
+                self._slices_by_length[length].append((now, part))
+
+    def _drop_old_slices(self, length: timedelta, now: timedelta) -> None:
+        slices = self._slices_by_length[length]
+        while slices and slices[0][0] <= now - length:
+            add_tallies(self._sum_by_length[length], slices.popleft()[1], -1)
 
 
 def subtract(evidence: Evidence, earlier: Evidence) -> Evidence:
--- a/banyansail/router/exchange.py
+++ b/banyansail/router/exchange.py
@@ -308,6 +308,7 @@
             case RetryAfterBackoff(delay):
                 self._log_retry(name, error, delay)
                 self._exclude(name, error)
+                self._avoid_unproven(assignment)
                 if delay:
                     await task.deferLater(self.context.reactor, delay.total_seconds())
 
@@ -335,6 +336,16 @@
         if others and error.failure is not Failure.SILENT:
             self.ticket.excluded.add(name)
 
+    def _avoid_unproven(self, assignment: Assignment) -> None:
+        """Retry at the old version what failed at one that is being moved to."""
+        dispatcher = self.context.scheduler.dispatcher
+        dispatch = dispatcher.dispatch_by_service[self.request_class.service]
+        shares = dispatch.shares
+        if shares is None or shares.new_share >= 1:
+            return
+        if assignment.state.rule.version == shares.new_version:
+            self.ticket.version = shares.old_version
+
     def _log_retry(self, name: str, error: AttemptError, delay: timedelta) -> None:
         self.context.metrics.count(f"retry.{error.failure.value}")
         log_decision(
--- a/banyansail/routing/dispatch.py
+++ b/banyansail/routing/dispatch.py
@@ -88,8 +88,8 @@
     def pools_for(self, ticket: Ticket) -> list[Pool]:
         """Return the pools that a request may go to, the preferred one first."""
         pools = self.pool_by_version
-        if ticket.version:
-            return [pools[ticket.version]] if ticket.version in pools else []
+        if ticket.version in pools:
+            return [pools[ticket.version]]
         if self.shares is None:
             return list(pools.values())
         old = pools.get(self.shares.old_version)
--- /dev/null
+++ b/tests/rollout/test_decisions.py
@@ -0,0 +1,154 @@
+"""Schedule, verdict, windows and statements."""
+
+from __future__ import annotations
+
+from datetime import timedelta
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from banyansail.config.rules import RolloutRule
+from banyansail.rollout.binomial import binomial_tail
+from banyansail.rollout.evidence import (
+    EvidenceCell,
+    EvidenceKey,
+    EvidenceRecorder,
+    latency_bucket,
+    merge_evidence,
+)
+from banyansail.rollout.schedule import PROVEN_CALLS, plan_share
+from banyansail.rollout.status import (
+    MoveState,
+    MoveStatement,
+    encode_statement,
+    move_id,
+    settle,
+)
+from banyansail.rollout.verdict import Bad, Doubtful, NoBadSign, judge, tally_slice
+from banyansail.rollout.windows import subtract
+from banyansail.routing.shares import VersionShares
+from tests.fakes import START
+
+RULE = RolloutRule("s", "v1", "v2", START, START + timedelta(hours=1))
+TARGET = timedelta(milliseconds=330)
+
+
+def cell(good: int, failed: int, latency_ms: float = 80) -> EvidenceCell:
+    made = EvidenceCell(good, failed)
+    made.latencies[latency_bucket(timedelta(milliseconds=latency_ms))] = good
+    return made
+
+
+def evidence(old: EvidenceCell, new: EvidenceCell):
+    return {
+        EvidenceKey("s", "v1", "POST /a", "w", 1): old,
+        EvidenceKey("s", "v2", "POST /a", "w", 1): new,
+    }
+
+
+def verdict(old: EvidenceCell, new: EvidenceCell):
+    part = evidence(old, new)
+    return judge(tally_slice(part, part, "s", "v1", "v2", TARGET))
+
+
+@pytest.mark.parametrize(
+    ("old", "new", "expected"),
+    [
+        (cell(500, 0), cell(0, 4), Bad),
+        (cell(500, 0), cell(8, 2), NoBadSign),  # an unlucky start
+        (cell(400, 100), cell(40, 10), NoBadSign),  # both are disturbed
+        (cell(400, 100), cell(0, 50), Bad),
+        (cell(500, 1), cell(500, 3), NoBadSign),
+        (cell(500, 0), cell(30, 0, latency_ms=600), Bad),
+        (cell(500, 0), cell(30, 0, latency_ms=100), NoBadSign),
+        (cell(500, 0, latency_ms=600), cell(30, 0, latency_ms=600), NoBadSign),
+        (cell(2, 0), cell(50, 50), Doubtful),  # nothing to compare with
+    ],
+)
+def test_verdicts(old, new, expected):
+    assert isinstance(verdict(old, new), expected)
+
+
+@settings(derandomize=True, deadline=None)
+@given(st.integers(0, 60), st.integers(1, 60), st.floats(0.01, 0.99))
+def test_binomial_tail_is_the_sum_of_its_terms(successes, trials, probability):
+    import math
+
+    successes = min(successes, trials)
+    exact = sum(
+        math.comb(trials, count)
+        * probability**count
+        * (1 - probability) ** (trials - count)
+        for count in range(successes, trials + 1)
+    )
+    tail = binomial_tail(successes, trials, probability)
+    if exact < 0.1:
+        assert tail == pytest.approx(exact, rel=1e-6)
+    else:
+        assert tail >= exact * 0.5  # far from significance it need not be exact
+
+
+@settings(derandomize=True, deadline=None)
+@given(st.floats(-0.5, 1.5), st.floats(0, 0.5), st.integers(0, 300), st.integers(0, 50))
+def test_share_never_falls_with_time_or_evidence(elapsed, later, good, more):
+    window = RULE.deadline - RULE.start
+    now = RULE.start + window * elapsed
+    first = plan_share(now, RULE, good)
+    second = plan_share(now + window * later, RULE, good + more)
+    assert second.share >= first.share
+    if good < PROVEN_CALLS and elapsed < 0.97:
+        assert first.share <= RULE.first
+
+
+def test_share_is_planned_backwards_from_the_deadline():
+    window = RULE.deadline - RULE.start
+    assert plan_share(RULE.start + window * 0.86, RULE, 500).share == 1.0
+    assert plan_share(RULE.start + window * 0.5, RULE, 500).share == 0.5
+
+
+def test_non_repeatable_calls_wait_for_proof():
+    shares = VersionShares("v1", "v2", 0.5, proven=False)
+    drawn = [shares.draws_new(str(n), repeatable=False) for n in range(200)]
+    assert not any(drawn)
+    drawn = [shares.draws_new(str(n), repeatable=True) for n in range(2000)]
+    assert 0.45 < sum(drawn) / 2000 < 0.55
+
+
+def test_share_bounds_work_in_flight_as_well():
+    shares = VersionShares("v1", "v2", 0.05, proven=True)
+    assert shares.allows_in_flight(0, 0)
+    assert not shares.allows_in_flight(1, 10)
+    assert shares.allows_in_flight(1, 20)
+
+
+def statement(state: MoveState, writer: str) -> MoveStatement:
+    return MoveStatement(move_id(RULE), state, START, "why", writer)
+
+
+def test_first_final_statement_stands_for_good():
+    body = settle(None, statement(MoveState.MOVING, "r0"))
+    body = settle(body, statement(MoveState.TAKEN_BACK, "r1"))
+    for state in MoveState:
+        assert settle(body, statement(state, "r2")) is None
+    other = RolloutRule("s", "v1", "v3", START, START + timedelta(hours=1))
+    new = MoveStatement(move_id(other), MoveState.MOVING, START, "", "r2")
+    assert settle(body, new) == encode_statement(new)
+
+
+def test_merged_evidence_is_the_sum_and_differences_undo_it():
+    first = evidence(cell(5, 1), cell(2, 0))
+    second = evidence(cell(7, 0), cell(1, 3))
+    merged = merge_evidence([first, second])
+    assert merge_evidence([second, first]) == merged
+    assert subtract(merged, first) == second
+
+
+def test_recorder_forgets_services_that_are_not_moved():
+    recorder = EvidenceRecorder()
+    recorder.watch(frozenset(("s",)))
+    for service in ("s", "other"):
+        recorder.record(service, "v1", "r", "w", succeeded=True, latency=TARGET, load=1)
+    assert [key.service for key in recorder.cell_by_key] == ["s"]
+    recorder.watch(frozenset())
+    assert not recorder.cell_by_key
--- /dev/null
+++ b/tests/router/test_moves.py
@@ -0,0 +1,167 @@
+"""Moves of traffic through live routers and a platform with faults."""
+
+from __future__ import annotations
+
+import json
+import threading
+from datetime import UTC, datetime, timedelta
+
+import pytest
+
+from banyansail.rollout.status import MoveState, decode_statement
+from banyansail.standins.engine import EngineOptions
+from tests.live import LiveSite, in_reactor
+from tests.processes import completion, wait_until
+
+COMPLETIONS = "/v1/chat/completions"
+
+
+def move_rule(seconds: float, first: str = "5%") -> str:
+    start = datetime.now(UTC)
+    deadline = start + timedelta(seconds=seconds)
+    return (
+        f"rollout advisor-llm from=v1 to=v2 start={start.isoformat()} "
+        f"deadline={deadline.isoformat()} first={first}  # ewan: new model"
+    )
+
+
+@pytest.fixture
+def site():
+    with LiveSite() as live:
+        for number in range(4):
+            version = "v1" if number < 2 else "v2"
+            options = EngineOptions(version=version, token_s=0.002, slots=16)
+            live.engine(f"e{number}", "glasgow", options)
+        live.start("r0:glasgow", "r1:glasgow", "r2:edinburgh")
+        yield live
+
+
+class Traffic:
+    """Callers that ask until they are stopped."""
+
+    def __init__(self, live: LiveSite, threads: int = 6) -> None:
+        self._live = live
+        self._stop = threading.Event()
+        self._threads = [
+            threading.Thread(target=self._ask, args=(n,)) for n in range(threads)
+        ]
+        self.statuses: list[int] = []
+
+    def __enter__(self) -> Traffic:
+        for thread in self._threads:
+            thread.start()
+        return self
+
+    def __exit__(self, *exc_info: object) -> None:
+        self._stop.set()
+        for thread in self._threads:
+            thread.join()
+
+    def _ask(self, number: int) -> None:
+        count = 0
+        while not self._stop.is_set():
+            count += 1
+            status, _, _ = self._live.call(
+                "POST",
+                COMPLETIONS,
+                completion(f"{number}/{count}", 2),
+                router=f"r{count % 3}",
+            )
+            self.statuses.append(status)
+
+
+def stated(live: LiveSite):
+    stored = live.site.platform_state.object_by_key.get("rollout/advisor-llm")
+    return decode_statement(stored.body) if stored else None
+
+
+def shares(live: LiveSite) -> set[float | None]:
+    found = set()
+    for router in live.site.router_by_name.values():
+        held = router.dispatcher.dispatch_by_service["advisor-llm"].shares
+        found.add(held.new_share if held else None)
+    return found
+
+
+def test_good_version_is_stated_done_once_all_have_moved(site):
+    site.apply(move_rule(10))
+    with Traffic(site) as traffic:
+        wait_until(lambda: stated(site) and stated(site).state is MoveState.DONE, 30)
+        assert shares(site) == {1.0}
+    assert set(traffic.statuses) == {200}
+    assert site.state("e2").counters["requests"] > 0
+
+
+def test_bad_version_is_taken_back_and_costs_no_answer(site):
+    for name in ("e2", "e3"):
+        site.faults(name, fail=True)
+    site.platform_faults(lose_answers=2)  # those of the verdict's writes among them
+    site.apply(move_rule(60))
+    with Traffic(site) as traffic:
+        wait_until(
+            lambda: stated(site) and stated(site).state is MoveState.TAKEN_BACK, 30
+        )
+        wait_until(lambda: shares(site) == {0.0}, 4)
+        before = sum(site.state(name).counters["requests"] for name in ("e2", "e3"))
+        wait_until(lambda: len(traffic.statuses) > 300, 30)
+        after = sum(site.state(name).counters["requests"] for name in ("e2", "e3"))
+    assert after == before
+    assert set(traffic.statuses) == {200}
+    assert "failed" in stated(site).reason
+
+
+def test_taken_back_by_hand_stands_against_a_good_record(site):
+    site.apply(move_rule(60))
+    with Traffic(site, threads=2):
+        wait_until(lambda: shares(site) == {0.05})
+        port = site.site.platform.address.port
+        from tests.processes import Programs
+
+        programs = Programs.__new__(Programs)
+        done = Programs.run_cli(
+            programs,
+            "rollout",
+            "take-back",
+            "advisor-llm",
+            f"--platform=127.0.0.1:{port}",
+            "--by=isla",
+            "--why=wrong model",
+        )
+        assert done.returncode == 0, done.stderr
+        wait_until(lambda: shares(site) == {0.0}, 8)
+    assert stated(site).writer == "isla"
+    status = Programs.run_cli(
+        programs, "rollout", "status", f"--platform=127.0.0.1:{port}", "--json"
+    )
+    assert json.loads(status.stdout)[0]["state"] == "taken_back"
+
+
+def test_unheard_router_is_named_and_done_is_not_said(site):
+    router = site.site.router_by_name["r2"]
+    in_reactor(router.stopService)  # vanishes without leaving
+    site.apply(move_rule(5))
+
+    def ask() -> None:
+        for number in range(150):
+            site.call(
+                "POST", COMPLETIONS, completion(str(number), 2), router=f"r{number % 2}"
+            )
+
+    ask()
+    wait_until(lambda: stated(site) and "r2" in stated(site).reason, 30)
+    assert stated(site).state is MoveState.MOVING
+
+
+def test_platform_outage_stops_no_verdict_at_the_routers(site):
+    site.apply(move_rule(60, first="20%"))
+    wait_until(lambda: shares(site) == {0.2})
+    site.platform_faults(outage=True)
+    for name in ("e2", "e3"):
+        site.faults(name, fail=True)
+    with Traffic(site) as traffic:
+        wait_until(lambda: shares(site) == {0.0}, 30)
+        site.platform_faults(outage=False)
+        wait_until(
+            lambda: stated(site) and stated(site).state is MoveState.TAKEN_BACK, 30
+        )
+    assert set(traffic.statuses) == {200}
