--- a/banyansail/config/rule_store.py
+++ b/banyansail/config/rule_store.py
@@ -58,6 +58,7 @@
             f"at {winner.at.isoformat(timespec='seconds')}; "
             f"you started from version {expected}"
         )
+        self.args = (self.message,)
 
 
 async def read_rules(platform: PlatformClient) -> tuple[AcceptedRules, Any]:
