Keep calls in the home zone until waiting there costs more than the hop

Cause: a differential test showed two thirds of the calls leaving the home zone at no load: the score compared loads alone, and a hop of 1 ms against a target of 330 ms vanished in it.

Change: only load beyond 70% of the limit counts as waiting; among equal waits the price decides, then the hop, then the load.

--- a/banyansail/routing/choice.py
+++ b/banyansail/routing/choice.py
@@ -18,7 +18,8 @@
 AFFINITY_LOAD_FACTOR = 1.25  # bound on the load, as a multiple of the mean
 SAMPLES = 2  # upstreams drawn from each zone's set
 NEAR_HOP = timedelta(milliseconds=5)  # a prefix cache this near is worth the hop
-PRICE_BAND = 10  # loads equal to a tenth are told apart by price
+BUSY_LOAD = 0.7  # of the limit; below it a call does not wait
+PRICE_BAND = 10  # waits equal to a tenth of the target are told apart by price
 
 
 class Hops(Protocol):
@@ -88,10 +89,11 @@
     if not candidates:
         return None
 
-    def rank(state: UpstreamState) -> tuple[float, float, float]:
+    def rank(state: UpstreamState) -> tuple[float, float, float, float]:
         load = (state.load(now) + 1) / state.limit.value
-        score = load + hops.to_zone(state.rule.zone) / latency_target
-        return (round(score * PRICE_BAND), state.rule.price, score)
+        hop = hops.to_zone(state.rule.zone) / latency_target
+        wait = max(0.0, load - BUSY_LOAD)
+        return (round((wait + hop) * PRICE_BAND), state.rule.price, hop, load)
 
     best = min(candidates, key=rank)
     losers = tuple(item.rule.name for item in candidates if item is not best)
--- /dev/null
+++ b/tests/naive/__init__.py
@@ -0,0 +1,1 @@
+"""Naive versions of the decisions, for differential tests and benchmarks."""
--- /dev/null
+++ b/tests/naive/decisions.py
@@ -0,0 +1,73 @@
+"""The simplest decisions that are right where nothing fails and nothing is scarce."""
+
+from __future__ import annotations
+
+from collections import deque
+from datetime import timedelta
+from random import Random
+
+from banyansail.routing.messages import Ticket
+from banyansail.routing.retry import GiveUp, RetryAfterBackoff
+from banyansail.routing.upstream_state import UpstreamState
+
+NAIVE_RETRIES = 2
+
+
+class NaiveQueue:
+    """First come, first served."""
+
+    def __init__(self, capacity: int, weight: object = None) -> None:
+        self.capacity = capacity
+        self._tickets: deque[Ticket] = deque()
+
+    def __len__(self) -> int:
+        return sum(not ticket.cancelled for ticket in self._tickets)
+
+    @property
+    def is_full(self) -> bool:
+        return len(self) >= self.capacity
+
+    def waiting_before(self, priority: int) -> int:
+        return len(self)
+
+    def push(self, ticket: Ticket) -> None:
+        self._tickets.append(ticket)
+
+    def pop(self) -> Ticket | None:
+        while self._tickets:
+            ticket = self._tickets.popleft()
+            if not ticket.cancelled:
+                return ticket
+        return None
+
+    def cancel(self, ticket: Ticket) -> None:
+        ticket.cancelled = True
+
+
+def naive_choose(
+    ticket: Ticket, states: list[UpstreamState], now: timedelta
+) -> UpstreamState | None:
+    """Look at every upstream and take the least loaded one with room."""
+    usable = [
+        state
+        for state in states
+        if state.has_room(now)
+        and state.rule.name not in ticket.excluded
+        and (not ticket.exclusive or state.in_flight == 0)
+    ]
+    return min(usable, key=lambda state: state.load(now), default=None)
+
+
+def naive_random(
+    states: list[UpstreamState], now: timedelta, random: Random
+) -> UpstreamState | None:
+    """Take any upstream with room."""
+    usable = [state for state in states if state.has_room(now)]
+    return random.choice(usable) if usable else None
+
+
+def naive_retry(attempts: int) -> RetryAfterBackoff | GiveUp:
+    """Retry at once, twice, whatever happened and whoever else retries."""
+    if attempts > NAIVE_RETRIES:
+        return GiveUp("tried three times")
+    return RetryAfterBackoff(timedelta(0))
--- /dev/null
+++ b/tests/routing/test_retry.py
@@ -0,0 +1,134 @@
+"""Retries: budget, deadline, and what may never be repeated."""
+
+from __future__ import annotations
+
+from datetime import timedelta
+from random import Random
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from banyansail.routing.retry import (
+    BACKOFF_CAP,
+    MAX_ATTEMPTS,
+    RETRY_BURST,
+    RETRY_SHARE,
+    Failure,
+    GiveUp,
+    RetryAfterBackoff,
+    RetryBudget,
+    decide_retry,
+)
+from banyansail.routing.stream import Break, Deliver, Drop, StreamOrder
+from tests.naive.decisions import naive_retry
+
+ALWAYS_RETRIED = timedelta(hours=1)
+
+
+def decide(failure: Failure, budget: RetryBudget, **changes):
+    options = {
+        "repeatable": True,
+        "attempts": 1,
+        "remaining": ALWAYS_RETRIED,
+        "random": Random(1),
+        **changes,
+    }
+    return decide_retry(failure, budget=budget, **options)
+
+
+def count_attempts(requests: int, retry) -> int:
+    """Count the attempts of requests that all fail for as long as they are tried."""
+    total = 0
+    for _ in range(requests):
+        attempts = 1
+        while isinstance(retry(attempts), RetryAfterBackoff):
+            attempts += 1
+        total += attempts
+    return total
+
+
+@pytest.mark.parametrize(
+    "failure", [Failure.REFUSED, Failure.SILENT, Failure.LOST, Failure.BAD_ANSWER]
+)
+def test_amplification_stays_at_the_share_of_the_budget(failure):
+    budget = RetryBudget()
+
+    def ours(attempts: int):
+        if attempts == 1:
+            budget.deposit()
+        return decide(failure, budget, attempts=attempts)
+
+    requests = 10_000
+    assert count_attempts(requests, ours) <= requests * (1 + RETRY_SHARE) + RETRY_BURST
+    assert count_attempts(requests, naive_retry) == 3 * requests
+
+
+@settings(derandomize=True, deadline=None)
+@given(
+    failure=st.sampled_from(Failure),
+    attempts=st.integers(1, MAX_ATTEMPTS + 2),
+    remaining=st.floats(0, 30),
+)
+def test_non_repeatable_call_is_never_retried_once_sent(failure, attempts, remaining):
+    decision = decide(
+        failure,
+        RetryBudget(),
+        repeatable=False,
+        attempts=attempts,
+        remaining=timedelta(seconds=remaining),
+    )
+    if failure not in (Failure.NOT_SENT, Failure.REFUSED):
+        assert isinstance(decision, GiveUp)
+
+
+@settings(derandomize=True, deadline=None)
+@given(attempts=st.integers(1, 3), remaining=st.floats(0, 2), seed=st.integers(0, 99))
+def test_backoff_fits_inside_the_deadline(attempts, remaining, seed):
+    decision = decide(
+        Failure.LOST,
+        RetryBudget(),
+        attempts=attempts,
+        remaining=timedelta(seconds=remaining),
+        random=Random(seed),
+    )
+    if isinstance(decision, RetryAfterBackoff):
+        assert decision.delay < timedelta(seconds=remaining)
+        assert decision.delay <= BACKOFF_CAP
+
+
+def test_announced_reclaim_is_always_retried():
+    budget = RetryBudget(burst=0)
+    decision = decide(Failure.RECLAIMED, budget, attempts=99)
+    assert decision == RetryAfterBackoff(timedelta(0))
+
+
+@settings(derandomize=True, deadline=None)
+@given(
+    total=st.integers(1, 30),
+    breaks=st.lists(st.tuples(st.integers(0, 30), st.integers(0, 3)), max_size=5),
+)
+def test_stream_broken_anywhere_loses_and_repeats_no_token(total, breaks):
+    """Each attempt resumes a little before or at the break, and ends at a break."""
+    order = StreamOrder()
+    delivered: list[int] = []
+    for length, overlap in [*breaks, (total, 0)]:
+        start = max(0, order.next_index - overlap)
+        for index in range(start, min(total, start + length)):
+            match order.accept(index):
+                case Deliver():
+                    delivered.append(index)
+                case Drop():
+                    assert index in delivered
+                case Break():
+                    raise AssertionError("no gap was made")
+    for index in range(order.next_index, total):
+        order.accept(index)
+        delivered.append(index)
+    assert delivered == list(range(total))
+
+
+def test_gap_breaks_the_stream():
+    order = StreamOrder(3)
+    assert isinstance(order.accept(4), Break)
+    assert isinstance(order.accept(3), Deliver)
