Draw from a near zone before a far one

The other zone was drawn at random, so calls spilled to the far region (20 ms) while the near zone (1 ms) had room.

Change: upstreams are drawn from home, one near zone and one far zone; the rank decides between them.

--- a/banyansail/routing/choice.py
+++ b/banyansail/routing/choice.py
@@ -12,6 +12,7 @@
 
     from banyansail.routing.messages import Ticket
     from banyansail.routing.pool import Pool
+    from banyansail.routing.sampled_set import SampledSet
     from banyansail.routing.upstream_state import UpstreamState
 
 AFFINITY_WALK = 4  # upstreams tried along the ring
@@ -85,7 +86,7 @@
         chosen = _choose_by_affinity(ticket, pool, hops, now)
         if chosen is not None:
             return chosen
-    candidates = _draw(ticket, pool, home_zone, now, random)
+    candidates = _draw(ticket, pool, home_zone, hops, now, random)
     if not candidates:
         return None
 
@@ -131,17 +132,31 @@
 
 
 def _draw(
-    ticket: Ticket, pool: Pool, home_zone: str, now: timedelta, random: Random
+    ticket: Ticket,
+    pool: Pool,
+    home_zone: str,
+    hops: Hops,
+    now: timedelta,
+    random: Random,
 ) -> list[UpstreamState]:
+    """Draw a few upstreams from home, from a near zone and from a far one."""
+    home: list[SampledSet] = []
+    near: list[SampledSet] = []
+    far: list[SampledSet] = []
+    for zone, names_with_room in pool.room_by_zone.items():
+        if not names_with_room:
+            continue
+        if zone == home_zone:
+            home.append(names_with_room)
+        elif hops.to_zone(zone) <= NEAR_HOP:
+            near.append(names_with_room)
+        else:
+            far.append(names_with_room)
     names: list[str] = []
-    home = pool.room_by_zone.get(home_zone)
-    if home:
-        names.extend(home.draw(random, SAMPLES))
-    others = [
-        item for zone, item in pool.room_by_zone.items() if zone != home_zone and item
-    ]
-    if others:
-        names.extend(others[int(random.random() * len(others))].draw(random, SAMPLES))
+    for sets in (home, near, far):
+        if sets:
+            drawn = sets[int(random.random() * len(sets))]
+            names.extend(drawn.draw(random, SAMPLES))
     states = [pool.state_by_name[name] for name in dict.fromkeys(names)]
     usable = [item for item in states if _is_usable(item, ticket, now)]
     if usable or not ticket.excluded:
