--- a/banyansail/ledger/client.py
+++ b/banyansail/ledger/client.py
@@ -16,7 +16,7 @@
     from banyansail.clock import Clock
     from banyansail.platform.client import PlatformClient
 
-SHARDS = 16
+SHARDS = 8
 FORWARD_TIMEOUT = timedelta(seconds=1)
 
 
--- a/banyansail/ledger/committer.py
+++ b/banyansail/ledger/committer.py
@@ -25,7 +25,7 @@
     from banyansail.platform.client import PlatformClient, StoredObject
 
 GROUP_WINDOW = timedelta(milliseconds=25)  # least time between writes of a shard
-OUTCOME_DELAY = timedelta(milliseconds=250)  # outcomes wait for company this long
+OUTCOME_DELAY = timedelta(milliseconds=500)  # outcomes wait for company this long
 RELEASE_RETRY = timedelta(seconds=2)
 MAX_TRIES = 12
 MAX_PENDING_RELEASES = 1000
--- a/banyansail/router/placements.py
+++ b/banyansail/router/placements.py
@@ -146,7 +146,10 @@
         ]
         dispatch = self._dispatcher.dispatch_by_service.get(service)
         load = dispatch.in_flight + len(dispatch.queue) if dispatch else 0
-        room = dispatch.capacity / max(1, len(running)) if dispatch else 1
+        room = 1.0
+        if dispatch is not None:
+            capacity = dispatch.capacity(self._clock.monotonic())
+            room = capacity / max(1, len(running))
         replicas = replicas_for_load(rule, load, room)
         usable = placement.refused.usable(offers)
         for action in plan_actions(replicas, rule, usable, running):
--- a/banyansail/routing/dispatch.py
+++ b/banyansail/routing/dispatch.py
@@ -19,6 +19,7 @@
     from banyansail.config.rules import RuleSet, UpstreamRule
     from banyansail.routing.shares import VersionShares
 
+CAPACITY_LIFETIME = timedelta(milliseconds=100)
 INITIAL_SERVICE_TIME = timedelta(milliseconds=200)
 SERVICE_TIME_WEIGHT = 0.1  # weight of a new sample in the moving average
 MIN_RETRY_AFTER = timedelta(seconds=1)
@@ -45,6 +46,8 @@
     """Queue and pools of one service."""
 
     __slots__ = (
+        "_capacity",
+        "_capacity_at",
         "latency_target",
         "pool_by_version",
         "queue",
@@ -58,10 +61,21 @@
         self.pool_by_version: dict[str, Pool] = {}
         self.service_time = INITIAL_SERVICE_TIME
         self.shares: VersionShares | None = None
+        self._capacity = 0
+        self._capacity_at = -CAPACITY_LIFETIME
 
-    @property
-    def capacity(self) -> int:
-        """Calls that all upstreams together may have in flight."""
+    def capacity(self, now: timedelta) -> int:
+        """Return the calls that all upstreams together may have in flight.
+
+        The sum is kept for a moment, so that a saturated service does not look at
+        every upstream for every request.
+        """
+        if now - self._capacity_at >= CAPACITY_LIFETIME:
+            self._capacity = self._sum_limits()
+            self._capacity_at = now
+        return self._capacity
+
+    def _sum_limits(self) -> int:
         states = (
             state
             for pool in self.pool_by_version.values()
@@ -78,12 +92,12 @@
         """Tell whether any upstream has room."""
         return any(pool.has_room() for pool in self.pool_by_version.values())
 
-    def estimate_wait(self, priority: int) -> timedelta:
+    def estimate_wait(self, priority: int, now: timedelta) -> timedelta:
         """Estimate how long a new request would wait."""
         ahead = self.queue.waiting_before(priority)
         if ahead == 0 and self.has_room():
             return timedelta(0)
-        return self.service_time * (ahead + 1) / max(1, self.capacity)
+        return self.service_time * (ahead + 1) / max(1, self.capacity(now))
 
     def pools_for(self, ticket: Ticket) -> list[Pool]:
         """Return the pools that a request may go to, the preferred one first."""
@@ -122,12 +136,15 @@
         Source of time.
     random : Random
         Source of the draws.
+    queue_class : type
+        Kind of the queues.
     """
 
     __slots__ = (
         "_clock",
         "_hops",
         "_leaving",
+        "_queue_class",
         "_random",
         "_rules",
         "_zone",
@@ -135,7 +152,15 @@
         "state_by_name",
     )
 
-    def __init__(self, zone: str, hops: Hops, clock: Clock, random: Random) -> None:
+    def __init__(
+        self,
+        zone: str,
+        hops: Hops,
+        clock: Clock,
+        random: Random,
+        queue_class: type[FairQueue] = FairQueue,
+    ) -> None:
+        self._queue_class = queue_class
         self._zone = zone
         self._hops = hops
         self._clock = clock
@@ -152,7 +177,7 @@
             capacity = rules.limit(name).queue
             dispatch = self.dispatch_by_service.get(name)
             if dispatch is None:
-                queue = FairQueue(capacity, self._weight)
+                queue = self._queue_class(capacity, self._weight)
                 dispatch = ServiceDispatch(queue, rule.latency)
                 self.dispatch_by_service[name] = dispatch
             dispatch.queue.capacity = capacity
@@ -205,15 +230,16 @@
     def offer(self, ticket: Ticket) -> Refusal | None:
         """Admit a request to its queue, or return why it is refused."""
         dispatch = self.dispatch_by_service[ticket.request_class.service]
+        now = self._clock.monotonic()
         if dispatch.queue.is_full:
-            wait = dispatch.estimate_wait(ticket.priority)
+            wait = dispatch.estimate_wait(ticket.priority, now)
             return _refuse(RefusalCode.QUEUE_FULL, "the queue is full", wait)
         if not dispatch.pool_by_version:
             return _refuse(
                 RefusalCode.NO_UPSTREAM, "no upstream is known", MIN_RETRY_AFTER
             )
-        wait = dispatch.estimate_wait(ticket.priority)
-        if self._clock.monotonic() + wait > ticket.deadline:
+        wait = dispatch.estimate_wait(ticket.priority, now)
+        if now + wait > ticket.deadline:
             text = f"the estimated wait of {wait.total_seconds():.2f} s is too long"
             return _refuse(RefusalCode.CANNOT_MEET_DEADLINE, text, wait)
         dispatch.queue.push(ticket)
--- /dev/null
+++ b/benchmarks/decisions.py
@@ -0,0 +1,118 @@
+"""Time of one routing decision at 5, 60 and 600 upstreams, against a naive scan.
+
+Run with ``python -m benchmarks.decisions``.
+"""
+
+from __future__ import annotations
+
+import statistics
+import time
+from collections.abc import Callable
+from datetime import timedelta
+from random import Random
+
+from banyansail.clock import SystemClock
+from banyansail.commands.table import format_table
+from banyansail.config.fields import Address
+from banyansail.config.rule_parser import parse_rules
+from banyansail.config.rules import ServiceKind, UpstreamRule
+from banyansail.routing.dispatch import Dispatcher
+from banyansail.routing.messages import RequestClass, Ticket
+
+SIZES = (5, 60, 600)
+DECISIONS = 4000
+IN_FLIGHT_SHARE = 0.5
+RULES = "service llm kind=model  # bench: x\nlimit llm queue=1000  # bench: x\n"
+ZONES = [f"zone{number}" for number in range(7)]
+
+
+class FlatHops:
+    """All zones are equally far."""
+
+    def to_zone(self, zone: str) -> timedelta:
+        """Return the latency to a zone."""
+        return timedelta(0) if zone == ZONES[0] else timedelta(milliseconds=1)
+
+
+def build(size: int) -> Dispatcher:
+    """Return a dispatcher with upstreams spread over the zones."""
+    dispatch = Dispatcher(ZONES[0], FlatHops(), SystemClock(), Random(1))
+    dispatch.apply_rules(parse_rules(RULES)[0])
+    dispatch.apply_upstreams(
+        {
+            f"u{number}": UpstreamRule(
+                f"u{number}",
+                "llm",
+                "v1",
+                Address("127.0.0.1", 1),
+                ZONES[number % len(ZONES)],
+            )
+            for number in range(size)
+        }
+    )
+    return dispatch
+
+
+def new_ticket(number: int, affinity: str) -> Ticket:
+    """Return a request that never comes to its deadline."""
+    request_class = RequestClass(
+        "llm", ServiceKind.MODEL, "r", "w", True, 1, timedelta(hours=1)
+    )
+    far = timedelta(days=10_000)
+    return Ticket(f"r{number}", request_class, timedelta(0), far, affinity=affinity)
+
+
+def measure(size: int, affinity: Callable[[int], str]) -> float:
+    """Return the median time of offer, assignment and end, in microseconds."""
+    dispatch = build(size)
+    running = []
+    for number in range(int(size * 8 * IN_FLIGHT_SHARE)):
+        dispatch.offer(new_ticket(number, ""))
+        running.extend(dispatch.assign())
+    samples = []
+    latency = timedelta(milliseconds=50)
+    for number in range(DECISIONS):
+        ticket = new_ticket(number, affinity(number))
+        began = time.perf_counter()
+        dispatch.offer(ticket)
+        made = dispatch.assign()
+        dispatch.finish(running[number % len(running)], latency, latency)
+        samples.append(time.perf_counter() - began)
+        running[number % len(running)] = made[0]
+    return statistics.median(samples) * 1e6
+
+
+def measure_naive(size: int) -> float:
+    """Return the median time of looking at every upstream, in microseconds."""
+    dispatch = build(size)
+    states = list(dispatch.state_by_name.values())
+    samples = []
+    clock = SystemClock()
+    for _ in range(DECISIONS // 10):
+        began = time.perf_counter()
+        now = clock.monotonic()
+        usable = [state for state in states if state.has_room(now)]
+        min(usable, key=lambda state: state.load(now))
+        samples.append(time.perf_counter() - began)
+    return statistics.median(samples) * 1e6
+
+
+def main() -> None:
+    """Print a table."""
+    rows = []
+    for size in SIZES:
+        rows.append(
+            [
+                str(size),
+                f"{measure(size, lambda number: ''):.0f}",
+                f"{measure(size, lambda number: f'w/{number % 50}'):.0f}",
+                f"{measure_naive(size):.0f}",
+            ]
+        )
+    header = ["upstreams", "least loaded, us", "affinity, us", "naive scan, us"]
+    print("median time of one decision (admission, choice, end of a call)")
+    print(format_table(header, rows))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/benchmarks/relay.py
@@ -0,0 +1,96 @@
+"""Processor time of a router for each streamed token and each request.
+
+Runs a router, an engine and this client as separate processes, and reads the
+router's processor time. Run with ``python -m benchmarks.relay``.
+"""
+
+from __future__ import annotations
+
+import os
+import tempfile
+from concurrent.futures import ThreadPoolExecutor
+from pathlib import Path
+
+from banyansail.commands.table import format_table
+from tests.processes import Programs, call, completion, wait_for_http
+
+STREAMS = 8
+TICKS_PER_S = os.sysconf("SC_CLK_TCK")
+
+
+def processor_time_s(process_id: int) -> float:
+    """Return the processor time that a process has used."""
+    fields = Path(f"/proc/{process_id}/stat").read_text().rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / TICKS_PER_S
+
+
+def resident_bytes(process_id: int) -> int:
+    """Return the memory of a process."""
+    pages = int(Path(f"/proc/{process_id}/statm").read_text().split()[1])
+    return pages * os.sysconf("SC_PAGE_SIZE")
+
+
+def main() -> None:
+    """Print a table."""
+    with tempfile.TemporaryDirectory() as folder, Programs(Path(folder)) as programs:
+        platform = programs.start_platform()
+        engine = programs.start_engine("e1", "--token-ms=0.1", "--slots=64")
+        service = programs.start_service("s1")
+        wait_for_http(engine, "/health")
+        wait_for_http(service, "/health")
+        where = "zone=glasgow version=v1"
+        programs.apply_rules(
+            platform,
+            "service advisor-llm kind=model  # b: x\n"
+            "service depot-app kind=plain  # b: x\n"
+            "route advisor-llm POST /v1/chat/completions repeat=yes "
+            "deadline=2m  # b: x\n"
+            "route depot-app GET /stock/* repeat=yes  # b: x\n"
+            f"upstream e1 service=advisor-llm address=127.0.0.1:{engine} {where}"
+            "  # b: x\n"
+            f"upstream s1 service=depot-app address=127.0.0.1:{service} {where}"
+            "  # b: x\n",
+        )
+        listen, _, _ = programs.start_router("r0", platform)
+        process_id = programs.process_by_name["r0"].pid
+        rows = [
+            ["streamed token", *_measure_tokens(listen, process_id)],
+            ["lookup", *_measure_lookups(listen, process_id)],
+        ]
+        print(f"router memory {resident_bytes(process_id) / 1e6:.0f} MB")
+        print(format_table(["work", "count", "processor time each, us"], rows))
+
+
+def _measure_tokens(listen: int, process_id: int) -> list[str]:
+    def stream(tokens: int) -> None:
+        body = completion("bench", tokens, stream=True)
+        status, _, _ = call(listen, "POST", "/v1/chat/completions", body, timeout=120)
+        assert status == 200
+
+    stream(100)
+    with ThreadPoolExecutor(STREAMS) as pool:
+        used = []
+        for tokens in (200, 1200):
+            before = processor_time_s(process_id)
+            list(pool.map(stream, [tokens] * STREAMS))
+            used.append(processor_time_s(process_id) - before)
+    count = 1000 * STREAMS
+    return [str(count), f"{(used[1] - used[0]) / count * 1e6:.0f}"]
+
+
+def _measure_lookups(listen: int, process_id: int) -> list[str]:
+    count = 2000
+
+    def look_up(_: int) -> None:
+        assert call(listen, "GET", "/depot-app/stock/a")[0] == 200
+
+    look_up(0)
+    with ThreadPoolExecutor(STREAMS) as pool:
+        before = processor_time_s(process_id)
+        list(pool.map(look_up, range(count)))
+        used = processor_time_s(process_id) - before
+    return [str(count), f"{used / count * 1e6:.0f}"]
+
+
+if __name__ == "__main__":
+    main()
