Let routers that lost each other meet again, and bound what crosses zones

Cause: measured at 36 routers in 7 zones, some never heard of each other: a router spoke only to live members, and members of one zone that were never live, or no longer, were not tried again.

Ruled out: a longer time to live alone (the ages grew without end).

Change: each exchange also tries one member that is not heard of, bridges those of other zones; bridges push news to one bridge of each zone; exchanges between zones carry the digests of the own zone, those inside a mix; loads are pushed within their zone and never compared; usual news is passed on twice, urgent news by the size of the fleet. Heartbeats of other zones count for 45 s, own ones for 15 s.

Before: test_fleet_of_many_zones_finds_itself_from_few_seeds failed; 32 of 36 routers heard of after 60 s. After: tests/fleet 24 passed.

--- a/banyansail/fleet/entries.py
+++ b/banyansail/fleet/entries.py
@@ -81,7 +81,8 @@
     age : timedelta
         Time since that heartbeat was first heard of.
     sequences : tuple of int
-        Sequence of the entry of each topic, 0 for none.
+        Sequence of the entry of each topic that is compared, 0 for none. Loads
+        are only pushed within their zone: they are too old soon.
     """
 
     origin: str
--- a/banyansail/fleet/gossiper.py
+++ b/banyansail/fleet/gossiper.py
@@ -21,6 +21,7 @@
     Member,
     Topic,
 )
+from banyansail.fleet.view import LIVE_TIME, REMOTE_LIVE_TIME
 from banyansail.utils import hash64
 from banyansail.wire.gossip_codec import decode_member
 
@@ -35,7 +36,8 @@
 BRIDGES_PER_ZONE = 2
 MAX_ENTRY_BYTES_PER_DATAGRAM = 6 * 1024
 MAX_DIGESTS_PER_DATAGRAM = 48
-EXTRA_PUSHES = 2  # beyond the logarithm of the zone's size
+USUAL_PUSHES = 2
+URGENT_TOPICS = (Topic.LEAVING, Topic.DEATHS, Topic.STATEMENTS)
 
 
 @dataclass(slots=True, frozen=True)
@@ -70,7 +72,6 @@
     """
 
     __slots__ = (
-        "_digest_offset",
         "_member_by_name",
         "_own_address",
         "_pushes_left",
@@ -95,7 +96,6 @@
         self._random = random
         self._pushes_left: dict[tuple[str, Topic], tuple[Entry, int]] = {}
         self._member_by_name: dict[str, Member] = {}
-        self._digest_offset = 0
 
     def members(self) -> dict[str, Member]:
         """Return every router that was heard of, live or not."""
@@ -106,9 +106,15 @@
         return {
             name: member
             for name, member in self._member_by_name.items()
-            if self._view.is_live(name)
+            if self.is_live(name)
         }
 
+    def is_live(self, name: str) -> bool:
+        """Tell whether a router was heard of lately, by the measure of its zone."""
+        member = self._member_by_name.get(name)
+        is_near = member is not None and member.zone == self._zone
+        return self._view.is_live(name, LIVE_TIME if is_near else REMOTE_LIVE_TIME)
+
     def publish(self, topic: Topic, value: bytes) -> bool:
         """Replace this router's value; return whether that was news."""
         entry = self._view.publish(topic, value)
@@ -117,26 +123,49 @@
         self._note(entry)
         return True
 
+    def forget_old(self) -> None:
+        """Drop routers that were not heard of for a long time."""
+        self._view.forget_old()
+        known = set(self._view.names)
+        for name in self._member_by_name.keys() - known:
+            del self._member_by_name[name]
+
     def push(self) -> list[Outgoing]:
         """Return the datagrams that pass news on now."""
         if not self._pushes_left:
             return []
         entries = self._take_pushes()
-        targets = self._sample(self._zone_peers(), PUSH_FANOUT)
-        targets += self._sample(self._bridge_peers(), PUSH_FANOUT)
-        if not targets:
-            targets = self._sample(self._seeds, PUSH_FANOUT)
-        return [self._outgoing(target, entries, (), LAST_STEP) for target in targets]
+        zone_peers = self._sample(self._zone_peers(), PUSH_FANOUT)
+        outgoing = [
+            self._outgoing(target, entries, (), LAST_STEP) for target in zone_peers
+        ]
+        shared = [entry for entry in entries if entry.topic is not Topic.LOADS]
+        others = [
+            self._random.choice(peers) for peers in self._bridges_by_zone().values()
+        ]
+        if not zone_peers and not others:
+            others = self._sample(self._seeds, PUSH_FANOUT)
+        if shared:
+            outgoing += [
+                self._outgoing(target, shared, (), LAST_STEP) for target in others
+            ]
+        return outgoing
 
     def exchange(self) -> list[Outgoing]:
         """Return the datagrams that compare what was heard."""
         self._view.beat()
-        digests = self._next_digests()
         targets = self._sample(self._zone_peers(), DIGEST_FANOUT)
-        targets += self._sample(self._bridge_peers(), DIGEST_FANOUT)
         unheard = [seed for seed in self._seeds if seed not in self._known_addresses()]
         targets += self._sample(unheard, 1)
-        return [self._outgoing(target, (), digests, 0) for target in targets]
+        targets += self._sample(self._lost_peers(), 1)
+        digests = self._digests(self._mixed_names())
+        outgoing = [self._outgoing(target, (), digests, 0) for target in targets]
+        # What is heard first-hand in a zone is what other zones need of it.
+        digests = self._digests(self._zone_names())
+        bridges = [peer for peers in self._bridges_by_zone().values() for peer in peers]
+        for target in self._sample(bridges, DIGEST_FANOUT):
+            outgoing.append(self._outgoing(target, (), digests, 0))
+        return outgoing
 
     def receive(
         self, gossip: Gossip, sender: Address
@@ -199,8 +228,10 @@
 
     def _note(self, entry: Entry) -> None:
         """Pass an entry on and keep track of members."""
-        size = max(2, len(self._member_by_name))
-        pushes = math.ceil(math.log2(size)) + EXTRA_PUSHES
+        pushes = USUAL_PUSHES
+        if entry.topic in URGENT_TOPICS:
+            size = max(2, len(self._member_by_name))
+            pushes = math.ceil(math.log2(size) / PUSH_FANOUT) + USUAL_PUSHES
         self._pushes_left[entry.origin, entry.topic] = (entry, pushes)
         if entry.topic is Topic.MEMBER:
             try:
@@ -221,20 +252,30 @@
                 self._pushes_left[key] = (entry, left - 1)
         return taken
 
-    def _next_digests(self) -> list[Digest]:
-        return [
-            self._view.digest(name)
-            for name in self._next_names()[:MAX_DIGESTS_PER_DATAGRAM]
+    def _digests(self, names: Iterable[str]) -> list[Digest]:
+        return [self._view.digest(name) for name in names]
+
+    def _zone_names(self) -> list[str]:
+        """Return this router and others of its zone."""
+        others = [
+            name
+            for name, member in self._member_by_name.items()
+            if member.zone == self._zone and name != self._view.name
         ]
+        window = self._window(others, MAX_DIGESTS_PER_DATAGRAM - 1)
+        return [self._view.name, *window]
 
-    def _next_names(self) -> list[str]:
-        """Return all names; this router first, the others from a moving start."""
-        names = [name for name in self._view.names if name != self._view.name]
-        if names:
-            start = self._digest_offset % len(names)
-            names = names[start:] + names[:start]
-        self._digest_offset += MAX_DIGESTS_PER_DATAGRAM - 1
-        return [self._view.name, *names]
+    def _mixed_names(self) -> list[str]:
+        """Return this router, some of its zone and some of others."""
+        own = self._zone_names()[: MAX_DIGESTS_PER_DATAGRAM // 2]
+        others = [name for name in self._view.names if name not in set(own)]
+        return [*own, *self._window(others, MAX_DIGESTS_PER_DATAGRAM - len(own))]
+
+    def _window(self, names: list[str], count: int) -> list[str]:
+        """Return all names, or some drawn at random if they are too many."""
+        if len(names) <= count:
+            return names
+        return self._random.sample(names, count)
 
     def _zone_peers(self) -> list[Address]:
         return [
@@ -243,20 +284,40 @@
             if member.zone == self._zone and name != self._view.name
         ]
 
-    def _bridge_peers(self) -> list[Address]:
+    def _lost_peers(self) -> list[Address]:
+        """Return routers that are not heard of now; a lost path may be back.
+
+        Those of other zones are left to the bridges.
+        """
+        is_bridge = self._is_bridge()
+        return [
+            member.peer
+            for name, member in self._member_by_name.items()
+            if (is_bridge or member.zone == self._zone) and not self.is_live(name)
+        ]
+
+    def _is_bridge(self) -> bool:
+        names = [
+            name
+            for name, member in self.live_members().items()
+            if member.zone == self._zone
+        ]
+        return self._view.name in _bridges(self._zone, names)
+
+    def _bridges_by_zone(self) -> dict[str, list[Address]]:
         """Return bridges of other zones, if this router is a bridge itself."""
         names_by_zone: dict[str, list[str]] = {}
         live = self.live_members()
         for name, member in live.items():
             names_by_zone.setdefault(member.zone, []).append(name)
-        own = _bridges(self._zone, names_by_zone.get(self._zone, []))
-        if self._view.name not in own and own:
-            return []
-        peers = []
-        for zone, names in names_by_zone.items():
-            if zone != self._zone:
-                peers.extend(live[name].peer for name in _bridges(zone, names))
-        return peers
+        if self._view.name not in _bridges(
+            self._zone, names_by_zone.pop(self._zone, [])
+        ):
+            return {}
+        return {
+            zone: [live[name].peer for name in _bridges(zone, names)]
+            for zone, names in names_by_zone.items()
+        }
 
     def _known_addresses(self) -> set[Address]:
         return {member.peer for member in self.live_members().values()}
--- a/banyansail/fleet/view.py
+++ b/banyansail/fleet/view.py
@@ -12,8 +12,10 @@
 if TYPE_CHECKING:
     from banyansail.clock import Clock
 
-LIVE_TIME = timedelta(seconds=10)
+LIVE_TIME = timedelta(seconds=15)  # within a zone
+REMOTE_LIVE_TIME = timedelta(seconds=45)  # heartbeats of other zones come late
 FORGET_TIME = timedelta(hours=1)
+COMPARED_TOPICS = tuple(topic for topic in Topic if topic is not Topic.LOADS)
 
 
 @dataclass(slots=True)
@@ -28,7 +30,8 @@
     def sequences(self) -> tuple[int, ...]:
         entries = self.entry_by_topic
         return tuple(
-            entries[topic].sequence if topic in entries else 0 for topic in Topic
+            entries[topic].sequence if topic in entries else 0
+            for topic in COMPARED_TOPICS
         )
 
 
@@ -121,10 +124,12 @@
         origin = self._origin_by_name.get(digest.origin)
         if origin is None or origin.incarnation < digest.incarnation:
             return
-        known = dict(zip(Topic, digest.sequences, strict=False))
+        known = dict(zip(COMPARED_TOPICS, digest.sequences, strict=False))
         if origin.incarnation > digest.incarnation:
             known = {}
         for topic, entry in origin.entry_by_topic.items():
+            if topic not in COMPARED_TOPICS:
+                continue
             if entry.sequence > known.get(topic, 0):
                 yield entry
 
@@ -138,14 +143,14 @@
         pairs = zip(digest.sequences, origin.sequences(), strict=False)
         return any(theirs > ours for theirs, ours in pairs)
 
-    def is_live(self, name: str) -> bool:
-        """Tell whether a router was heard of lately."""
+    def is_live(self, name: str, within: timedelta = REMOTE_LIVE_TIME) -> bool:
+        """Tell whether a router was heard of within a time."""
         if name == self.name:
             return True
         origin = self._origin_by_name.get(name)
         if origin is None:
             return False
-        return self._clock.monotonic() - origin.heard_at < LIVE_TIME
+        return self._clock.monotonic() - origin.heard_at < within
 
     def age(self, name: str) -> timedelta:
         """Return the time since a router was heard of."""
@@ -178,7 +183,7 @@
             return None
         if origin is None or origin.incarnation < incarnation:
             # Not live until a heartbeat of this incarnation is heard of.
-            never = self._clock.monotonic() - LIVE_TIME
+            never = self._clock.monotonic() - REMOTE_LIVE_TIME
             origin = _Origin(incarnation, 0, never)
             self._origin_by_name[name] = origin
         return origin
--- a/banyansail/router/rollouts.py
+++ b/banyansail/router/rollouts.py
@@ -267,16 +267,14 @@
         heard = self._view.values(Topic.STATEMENTS, live_only=False)
         missing = []
         for name, member in self._gossiper.members().items():
-            if name == self._name or (member.is_leaving and not self._is_heard(name)):
+            has_left = member.is_leaving and not self._gossiper.is_live(name)
+            if name == self._name or has_left:
                 continue
             if name not in heard or wanted not in decode_names(heard[name]):
                 age = self._view.age(name).total_seconds()
                 missing.append(f"{name} (heard {age:.0f} s ago)")
         return missing
 
-    def _is_heard(self, name: str) -> bool:
-        return self._view.is_live(name)
-
     def _names_final(self, move: _Move) -> bool:
         done = f"{MoveState.DONE.value} {move_id(move.rule)}"
         taken_back = f"{MoveState.TAKEN_BACK.value} {move_id(move.rule)}"
--- a/banyansail/router/router.py
+++ b/banyansail/router/router.py
@@ -339,7 +339,7 @@
                 "zone": member.zone,
                 "rules_version": member.rules_version,
                 "rules_since": member.rules_since.isoformat(),
-                "live": self.view.is_live(name),
+                "live": self.gossiper.is_live(name),
                 "heard_s": round(self.view.age(name).total_seconds(), 1),
             }
             for name, member in sorted(self.gossiper.members().items())
@@ -366,7 +366,7 @@
         self.gossip.send(self.gossiper.push())
 
     async def _exchange(self) -> None:
-        self.view.forget_old()
+        self.gossiper.forget_old()
         self._publish_leaving()
         self.gossip.send(self.gossiper.exchange())
 
--- /dev/null
+++ b/benchmarks/gossip_size.py
@@ -0,0 +1,99 @@
+"""Bytes of gossip for each router at sizes up to 320, over a fake clock.
+
+The gossipers of all routers run in this process; datagrams are encoded and decoded
+as on the wire. Run with ``python -m benchmarks.gossip_size [SIZE...]``.
+"""
+
+from __future__ import annotations
+
+import sys
+
+from banyansail.commands.table import format_table
+from banyansail.fleet.entries import Topic
+from benchmarks.points import save_points
+from tests.fleet.network import Network
+
+SIZES = (36, 90, 180, 320)
+ZONES = 7
+SETTLE_S = 60
+REST_S = 10
+MAC_BYTES = 16
+UDP_HEADER_BYTES = 28
+
+
+def measure(size: int) -> dict[str, float]:
+    """Measure one size: at rest, for a change of rules, for a leaving mark."""
+    network = Network(1)
+    for number in range(size):
+        network.add(f"router-{number:03d}", f"zone-{number % ZONES}")
+    network.run(SETTLE_S)
+    heard = [
+        len(node.gossiper.live_members()) for node in network.node_by_name.values()
+    ]
+    rest = _bytes_in(network, REST_S) / REST_S
+    change_s, change = _change_rules(network)
+    leaving_s, leaving = _mark_leaving(network)
+    return {
+        "routers": size,
+        "least_heard": min(heard),
+        "rest_bytes_per_s": rest,
+        "change_bytes": max(0.0, change - rest * REST_S),
+        "change_known_s": change_s,
+        "leaving_bytes": max(0.0, leaving - rest * REST_S),
+        "leaving_known_s": leaving_s,
+    }
+
+
+def _bytes_in(network: Network, seconds: float) -> float:
+    """Return what a router sends and receives in a time, on average."""
+    before = sum(network.bytes_by_name.values())
+    datagrams = len(network.recorded)
+    network.run(seconds)
+    sent = sum(network.bytes_by_name.values()) - before
+    overhead = (len(network.recorded) - datagrams) * (MAC_BYTES + UDP_HEADER_BYTES)
+    return 2 * (sent + overhead) / len(network.node_by_name)
+
+
+def _change_rules(network: Network) -> tuple[float, float]:
+    """Let watchers put new rules in force, and the others once they hear of it."""
+    nodes = list(network.node_by_name.values())
+    for node in nodes[: 2 * ZONES]:
+        node.publish_member(7)
+    before = sum(network.bytes_by_name.values())
+    waiting = set(network.node_by_name) - {node.name for node in nodes[: 2 * ZONES]}
+    elapsed = 0.0
+    while elapsed < REST_S:
+        network.tick()
+        elapsed += 0.2
+        for name in list(waiting):
+            if 7 in network.versions_at(name).values():
+                network.node_by_name[name].publish_member(7)
+                waiting.discard(name)
+                known = elapsed
+    assert not waiting
+    sent = sum(network.bytes_by_name.values()) - before
+    return known, 2 * sent / len(nodes)
+
+
+def _mark_leaving(network: Network) -> tuple[float, float]:
+    before = sum(network.bytes_by_name.values())
+    network.node_by_name["router-007"].gossiper.publish(Topic.LEAVING, b"x" * 40)
+    took = network.run_until(
+        lambda: network.all_know(Topic.LEAVING, "router-007", b"x" * 40)
+    )
+    network.run(max(0.0, REST_S - took))
+    sent = sum(network.bytes_by_name.values()) - before
+    return took, 2 * sent / len(network.node_by_name)
+
+
+def main(sizes: list[int]) -> None:
+    """Print a table and keep the points."""
+    points = [measure(size) for size in sizes]
+    save_points("gossip", points)
+    header = list(points[0])
+    rows = [[f"{point[name]:.4g}" for name in header] for point in points]
+    print(format_table(header, rows))
+
+
+if __name__ == "__main__":
+    main([int(item) for item in sys.argv[1:]] or list(SIZES))
