--- a/banyansail/router/order_exchange.py
+++ b/banyansail/router/order_exchange.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import json
 from datetime import timedelta
 from typing import TYPE_CHECKING, Any
+from urllib.parse import quote
 
 from twisted.internet import defer, task
 
@@ -24,6 +26,12 @@
 from banyansail.router.plain_exchange import PlainExchange
 from banyansail.router.scheduler import RefusedError
 from banyansail.routing.messages import RanState, Refusal, RefusalCode
+from banyansail.upstreams.link import (
+    AttemptError,
+    UpstreamCall,
+    UpstreamLink,
+    read_whole,
+)
 
 if TYPE_CHECKING:
     from banyansail.ledger.records import Result
@@ -39,6 +47,12 @@
     RanState.RAN,
     "the call was run; its answer was too large to keep",
 )
+RAN_BEFORE = Refusal(
+    409,
+    RefusalCode.OUTCOME_UNKNOWN,
+    RanState.RAN,
+    "the call was run; its answer was lost",
+)
 KEY_REUSED = Refusal(
     422,
     RefusalCode.KEY_REUSED,
@@ -72,11 +86,37 @@
             return
         try:
             await super().run_attempts()
-        except (RefusedError, defer.CancelledError):
+        except (RefusedError, defer.CancelledError) as error:
             if self.final_ran() is RanState.NOT_RUN:
                 self._release()
+            elif isinstance(error, RefusedError) and await self.look_up():
+                raise RefusedError(RAN_BEFORE) from error
             raise
 
+    async def look_up(self) -> bool:
+        """Ask the service whether the key was run; only a yes can be relied on.
+
+        A no may be overtaken by a call that is still on its way.
+        """
+        service = self.context.rules.service_by_name[self.request_class.service]
+        states = self.context.scheduler.dispatcher.state_by_name
+        for name, state in states.items():
+            link = self.context.links.get(name)
+            is_usable = state.rule.service == service.name and not state.is_leaving
+            if service.lookup and is_usable and link is not None:
+                return await self._ask(link, service.lookup)
+        return False
+
+    async def _ask(self, link: UpstreamLink, lookup: str) -> bool:
+        path = lookup.replace("{key}", quote(self.request.key, safe=""))
+        call = UpstreamCall("GET", path, b"", self.base_headers(), repeatable=False)
+        try:
+            response = await link.send(call)
+            body = await read_whole(response, MAX_KEPT_ANSWER_BYTES)
+            return response.code == 200 and json.loads(body).get("ran") is True
+        except (AttemptError, ValueError, AttributeError):
+            return False
+
     def deliver(self, answer: Answer) -> None:
         """Give the caller the answer and record it for repeats."""
         super().deliver(answer)
@@ -95,6 +135,7 @@
     async def _claim(self) -> Answer | None:
         """Claim the key; return the kept answer if the call was run before."""
         operation = StartKey(self.key, self._attempt_token, self.fingerprint)
+        limit = min(MAX_WAIT_FOR_OTHER, self.remaining() / 2)
         waited_since = self.context.clock.monotonic()
         while True:
             result = await self._start(operation)
@@ -102,9 +143,11 @@
                 break
             self.may_have_run = True  # by the other attempt
             waited = self.context.clock.monotonic() - waited_since
-            if waited > MAX_WAIT_FOR_OTHER:
+            if waited > limit:
                 break
             await task.deferLater(self.context.reactor, POLL_INTERVAL.total_seconds())
+        if isinstance(result, InFlight) and await self.look_up():
+            raise RefusedError(RAN_BEFORE)
         return self._act_on(result)
 
     async def _start(self, operation: StartKey) -> Result:
--- a/banyansail/router/router.py
+++ b/banyansail/router/router.py
@@ -40,6 +40,7 @@
 from banyansail.router.rules_keeper import RulesKeeper
 from banyansail.router.scheduler import Scheduler
 from banyansail.router.supervisor import Supervisor
+from banyansail.router.tls import ReloadingContextFactory
 from banyansail.router.web import BoundedSite
 from banyansail.routing.dispatch import Dispatcher
 from banyansail.routing.quarantine import Death, Quarantine
@@ -70,6 +71,7 @@
 WATCH_PAUSE = timedelta(milliseconds=100)
 SUSPECT_INTERVAL = timedelta(milliseconds=250)
 PUBLISHED_DEATHS = 20
+LISTEN_BACKLOG = 512
 HOP_WITHIN_REGION = timedelta(milliseconds=1)
 HOP_BETWEEN_REGIONS = timedelta(milliseconds=20)
 
@@ -283,8 +285,14 @@
         super().startService()
 
     def _listen_for_callers(self, listen: Address) -> Any:
-        return self._reactor.listenTCP(
-            listen.port, self.site, backlog=512, interface=listen.host
+        settings = self.settings
+        if settings.certificate is None or settings.private_key is None:
+            return self._reactor.listenTCP(
+                listen.port, self.site, LISTEN_BACKLOG, listen.host
+            )
+        contexts = ReloadingContextFactory(settings.certificate, settings.private_key)
+        return self._reactor.listenSSL(
+            listen.port, self.site, contexts, LISTEN_BACKLOG, listen.host
         )
 
     def _listen_for_operators(self, admin: Address) -> Any:
--- a/tests/router/test_orders.py
+++ b/tests/router/test_orders.py
@@ -163,3 +163,20 @@
     status, headers, _ = order(site)
     assert (status, headers["x-ran"]) == (502, "unknown")
     assert effects(site) == {"k": 1}
+
+
+def test_lookup_by_key_tells_that_a_lost_order_was_run(site):
+    site.rules = [
+        line.replace("kind=plain", "kind=plain lookup=/orders/by-key/{key}")
+        for line in site.rules
+    ]
+    version = site.apply()
+    routers = site.site.router_by_name.values()
+    wait_until(lambda: all(r.rules_keeper.rules.version == version for r in routers))
+    for name in ("s0", "s1"):
+        site.faults(name, drop_answers=1)
+    _, headers, _ = order(site)
+    assert headers["x-ran"] == "ran"
+    _, headers, _ = order(site, router="r2")
+    assert headers["x-ran"] == "ran"
+    assert effects(site) == {"k": 1}
