Seal settled records of the ledger in segments

Ruled out: expiry by size, which would let an old order run again; more shards, which take the company away that makes writes few.

Change: a head over 256 KB has its settled records moved to a segment that never changes and is named by the head; every writer reads the segments it lacks.

Before: 300 orders with answers of 1.5 KB filled a shard (ShardFull).

--- a/banyansail/ledger/committer.py
+++ b/banyansail/ledger/committer.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import uuid
 from dataclasses import dataclass
 from datetime import timedelta
 from typing import TYPE_CHECKING, Any
@@ -11,12 +12,15 @@
 from banyansail.exceptions import ConflictError, PlatformUnavailableError
 from banyansail.ledger.records import (
     Operation,
+    Record,
     ReleaseKey,
     Result,
     ShardRecords,
     StartKey,
     decode_records,
+    decode_segment,
     encode_records,
+    encode_segment,
 )
 from banyansail.platform.budget import CallKind
 
@@ -62,6 +66,7 @@
         "_reactor",
         "_records",
         "_releases",
+        "_sealed_by_segment",
         "_timer",
         "_version",
         "writes",
@@ -77,6 +82,7 @@
         self._pending: list[_Pending] = []
         self._releases: dict[str, ReleaseKey] = {}
         self._records: ShardRecords | None = None
+        self._sealed_by_segment: dict[str, dict[str, Record]] = {}
         self._version = 0
         self._is_writing = False
         self._last_write = -GROUP_WINDOW
@@ -137,6 +143,11 @@
             self._records = None
             self._fail(batch, error)
             return
+        except Exception as error:  # a body that can't be read must not hang callers
+            self._records = None
+            text = f"{self._key}: {error!r}"
+            self._fail(batch, PlatformUnavailableError(text))
+            return
         for item, result in zip(batch, results, strict=True):
             _fire(item.done, result)
 
@@ -162,6 +173,7 @@
         raise PlatformUnavailableError(f"{self._key}: {MAX_TRIES} conflicts")
 
     async def _put(self, records: ShardRecords) -> bool:
+        await self._seal(records)
         body = encode_records(records)
         self.writes += 1
         try:
@@ -173,8 +185,15 @@
             await self._read()
             return False
         self._records = records
+        self._forget_segments(records)
         return True
 
+    def _forget_segments(self, records: ShardRecords) -> None:
+        """Drop segments that have expired."""
+        named = {segment.name for segment in records.segments}
+        for name in self._sealed_by_segment.keys() - named:
+            del self._sealed_by_segment[name]
+
     def _apply(
         self, operations: list[Operation]
     ) -> tuple[list[Result], bool, ShardRecords]:
@@ -187,8 +206,36 @@
 
     async def _read(self) -> None:
         stored: StoredObject = await self._platform.get(self._key, CallKind.LEDGER)
+        records = decode_records(stored.body, self._sealed_by_segment)
+        for segment in records.segments:
+            if segment.name not in self._sealed_by_segment:
+                await self._read_segment(segment.name)
         self._version = stored.version
-        self._records = decode_records(stored.body)
+        self._records = records
+
+    async def _read_segment(self, name: str) -> None:
+        stored = await self._platform.get(f"{self._key}/{name}", CallKind.LEDGER)
+        if stored.body is None:
+            # A lagging read; the head names only segments that were written.
+            raise PlatformUnavailableError(f"segment {self._key}/{name} is missing")
+        self._sealed_by_segment[name] = decode_segment(stored.body)
+
+    async def _seal(self, records: ShardRecords) -> None:
+        """Move settled records of a large head to a segment, written before it.
+
+        A segment that no head comes to name is harmless.
+        """
+        sealed = records.sealable(self._platform.server_time())
+        if not sealed:
+            return
+        name = uuid.uuid4().hex
+        try:
+            await self._platform.put(
+                f"{self._key}/{name}", encode_segment(sealed), 0, CallKind.LEDGER
+            )
+        except (ConflictError, PlatformUnavailableError):
+            return
+        records.seal(name, sealed)
 
     def _fail(self, batch: list[_Pending], error: PlatformUnavailableError) -> None:
         for item in batch:
--- a/banyansail/ledger/records.py
+++ b/banyansail/ledger/records.py
@@ -14,6 +14,8 @@
 MAX_SHARD_BYTES = 900 * 1024  # below the platform's limit of 1 MB a value
 MAX_KEPT_ANSWER_BYTES = 2048
 RECORD_OVERHEAD_BYTES = 96
+SEAL_BYTES = 256 * 1024  # a larger head has its settled records sealed
+SEAL_AGE = timedelta(minutes=5)  # longer than any attempt is waited for
 
 
 class KeyState(Enum):
@@ -60,6 +62,22 @@
     answer: KeptAnswer | None = None
 
 
+@dataclass(slots=True, frozen=True)
+class SegmentRef:
+    """An object that holds sealed records of a shard; it never changes.
+
+    Parameters
+    ----------
+    name : str
+        Unique within the shard.
+    newest : datetime
+        Start of its newest record, for the expiry.
+    """
+
+    name: str
+    newest: datetime
+
+
 @dataclass(slots=True, frozen=True)
 class StartKey:
     """Claim a key for one attempt."""
@@ -127,29 +145,73 @@
 
 
 class ShardRecords:
-    """Records of one shard.
+    """Records of one shard: those of its head, and those that are sealed.
 
     Parameters
     ----------
     record_by_key : dict
-        The records.
+        Records of the head.
+    segments : tuple of SegmentRef
+        Segments that the head names.
+    sealed_by_segment : dict
+        Records of the segments; shared between copies, as segments never change.
     """
 
-    __slots__ = ("_bytes", "record_by_key")
+    __slots__ = ("_bytes", "record_by_key", "sealed_by_segment", "segments")
 
-    def __init__(self, record_by_key: dict[str, Record] | None = None) -> None:
+    def __init__(
+        self,
+        record_by_key: dict[str, Record] | None = None,
+        segments: tuple[SegmentRef, ...] = (),
+        sealed_by_segment: dict[str, dict[str, Record]] | None = None,
+    ) -> None:
         self.record_by_key = record_by_key or {}
+        self.segments = segments
+        self.sealed_by_segment = {} if sealed_by_segment is None else sealed_by_segment
         self._bytes = sum(
             _size(key, record) for key, record in self.record_by_key.items()
         )
 
     def copy(self) -> ShardRecords:
-        """Return a copy that can be changed on its own."""
-        copied = ShardRecords()
+        """Return a copy whose head can be changed on its own."""
+        copied = ShardRecords(None, self.segments, self.sealed_by_segment)
         copied.record_by_key = dict(self.record_by_key)
         copied._bytes = self._bytes
         return copied
 
+    def find(self, key: str) -> Record | None:
+        """Return the record of a key, from the head or from a segment."""
+        record = self.record_by_key.get(key)
+        if record is not None:
+            return record
+        for segment in self.segments:
+            record = self.sealed_by_segment[segment.name].get(key)
+            if record is not None:
+                return record
+        return None
+
+    def sealable(self, now: datetime) -> dict[str, Record]:
+        """Return the records to be sealed now; none while the head is small.
+
+        Records whose outcome may still come stay in the head.
+        """
+        if self._bytes <= SEAL_BYTES:
+            return {}
+        return {
+            key: record
+            for key, record in self.record_by_key.items()
+            if record.state is KeyState.DONE or now - record.at > SEAL_AGE
+        }
+
+    def seal(self, name: str, sealed: dict[str, Record]) -> None:
+        """Move records from the head to a segment that has been written."""
+        newest = max(record.at for record in sealed.values())
+        self.segments = (*self.segments, SegmentRef(name, newest))
+        self.sealed_by_segment[name] = sealed
+        for key, record in sealed.items():
+            del self.record_by_key[key]
+            self._bytes -= _size(key, record)
+
     def apply(self, operation: Operation, now: datetime) -> tuple[Result, bool]:
         """Apply an operation.
 
@@ -177,9 +239,12 @@
         ]
         for key in old:
             self._bytes -= _size(key, self.record_by_key.pop(key))
+        self.segments = tuple(
+            segment for segment in self.segments if now - segment.newest <= RETENTION
+        )
 
     def _start(self, operation: StartKey, now: datetime) -> tuple[Result, bool]:
-        record = self.record_by_key.get(operation.key)
+        record = self.find(operation.key)
         if record is None or record.state is KeyState.RELEASED:
             return self._claim(operation, now)
         if record.fingerprint != operation.fingerprint:
@@ -224,9 +289,31 @@
 
 
 def encode_records(records: ShardRecords) -> dict[str, object]:
-    """Encode records as the JSON body of the shard's object."""
+    """Encode the head of a shard as the JSON body of its object."""
+    segments = [
+        [segment.name, segment.newest.timestamp()] for segment in records.segments
+    ]
+    return {"segments": segments, **encode_segment(records.record_by_key)}
+
+
+def decode_records(
+    body: dict[str, object] | None,
+    sealed_by_segment: dict[str, dict[str, Record]] | None = None,
+) -> ShardRecords:
+    """Decode the JSON body of a shard's object; ``None`` means an empty shard."""
+    if body is None:
+        return ShardRecords()
+    segments = tuple(
+        SegmentRef(name, datetime.fromtimestamp(newest, tz=UTC))
+        for name, newest in body["segments"]
+    )
+    return ShardRecords(decode_segment(body), segments, sealed_by_segment)
+
+
+def encode_segment(record_by_key: dict[str, Record]) -> dict[str, object]:
+    """Encode records as the JSON body of a segment."""
     encoded = {}
-    for key, record in records.record_by_key.items():
+    for key, record in record_by_key.items():
         answer = record.answer
         kept = [answer.status, answer.content_type, answer.body] if answer else None
         encoded[key] = [
@@ -239,10 +326,8 @@
     return {"records": encoded}
 
 
-def decode_records(body: dict[str, object] | None) -> ShardRecords:
-    """Decode the JSON body of a shard's object; ``None`` means an empty shard."""
-    if body is None:
-        return ShardRecords()
+def decode_segment(body: dict[str, object]) -> dict[str, Record]:
+    """Decode the JSON body of a segment."""
     decoded = {}
     for key, item in body["records"].items():
         state, attempt, fingerprint, at, kept = item
@@ -253,4 +338,4 @@
             datetime.fromtimestamp(at, tz=UTC),
             KeptAnswer(*kept) if kept else None,
         )
-    return ShardRecords(decoded)
+    return decoded
--- a/tests/ledger/test_committer.py
+++ b/tests/ledger/test_committer.py
@@ -8,6 +8,7 @@
 
 from banyansail.ledger.committer import ShardCommitter
 from banyansail.ledger.records import (
+    Finished,
     FinishKey,
     KeptAnswer,
     ReleaseKey,
@@ -106,3 +107,42 @@
     writers.submit(1, ReleaseKey("k", "b"))
     writers.advance(1)
     assert writers.records()["k"].attempt == "a"
+
+
+def test_settled_records_are_sealed_and_still_found_by_every_writer():
+    writers = Writers(2)
+    body = KeptAnswer(200, "text/plain", "x" * 1500)
+    count = 300
+    for number in range(count):
+        writers.submit(0, StartKey(f"k{number}", "a", 1))
+        writers.submit(0, FinishKey(f"k{number}", "a", body))
+        if number % 20 == 0:
+            writers.advance(1)
+    writers.advance(2)
+    head = writers.platform.stored["shard"][1]
+    assert head["segments"]
+    assert len(head["records"]) < count
+    for writer in range(2):
+        repeats = [
+            writers.submit(writer, StartKey(f"k{number}", "b", 1))
+            for number in range(count)
+        ]
+        writers.advance(3)
+        assert all(results == [Finished(body)] for results in repeats)
+
+
+def test_segments_expire_as_a_whole():
+    writers = Writers(1)
+    body = KeptAnswer(200, "text/plain", "x" * 2000)
+    for number in range(200):
+        writers.submit(0, StartKey(f"k{number}", "a", 1))
+        writers.submit(0, FinishKey(f"k{number}", "a", body))
+        writers.advance(0.05)
+    writers.advance(2)
+    assert writers.platform.stored["shard"][1]["segments"]
+    writers.clock.advance(25 * 3600)
+    writers.submit(0, StartKey("new", "a", 1))
+    writers.advance(1)
+    head = writers.platform.stored["shard"][1]
+    assert head["segments"] == []
+    assert list(head["records"]) == ["new"]
