--- a/Makefile
+++ b/Makefile
@@ -18,3 +18,16 @@
 	python3 -m venv $(VENV)
 	$(PYTHON) -m pip install --quiet --editable '.[test]'
 	touch $(INSTALLED)
+
+bench: $(INSTALLED)
+	$(PYTHON) -m benchmarks.decisions
+	$(PYTHON) -m benchmarks.memory
+	$(PYTHON) -m benchmarks.relay
+	for name in hop questions affinity amplification ledger; do \
+	  $(PYTHON) -m benchmarks.requests $$name || exit 1; done
+	$(PYTHON) -m benchmarks.rollout_cases 5
+	$(PYTHON) -m benchmarks.gossip_size 36 90
+	$(PYTHON) -m benchmarks.fleet
+
+capacity: $(INSTALLED)
+	$(PYTHON) -m benchmarks.capacity
--- a/benchmarks/decisions.py
+++ b/benchmarks/decisions.py
@@ -18,6 +18,7 @@
 from banyansail.config.rules import ServiceKind, UpstreamRule
 from banyansail.routing.dispatch import Dispatcher
 from banyansail.routing.messages import RequestClass, Ticket
+from benchmarks.points import save_points
 
 SIZES = (5, 60, 600)
 DECISIONS = 4000
@@ -99,16 +100,17 @@
 
 def main() -> None:
     """Print a table."""
-    rows = []
-    for size in SIZES:
-        rows.append(
-            [
-                str(size),
-                f"{measure(size, lambda number: ''):.0f}",
-                f"{measure(size, lambda number: f'w/{number % 50}'):.0f}",
-                f"{measure_naive(size):.0f}",
-            ]
-        )
+    points = [
+        {
+            "upstreams": size,
+            "least_loaded_us": measure(size, lambda number: ""),
+            "affinity_us": measure(size, lambda number: f"w/{number % 50}"),
+            "naive_us": measure_naive(size),
+        }
+        for size in SIZES
+    ]
+    save_points("decisions", points)
+    rows = [[f"{value:.0f}" for value in point.values()] for point in points]
     header = ["upstreams", "least loaded, us", "affinity, us", "naive scan, us"]
     print("median time of one decision (admission, choice, end of a call)")
     print(format_table(header, rows))
--- a/benchmarks/relay.py
+++ b/benchmarks/relay.py
@@ -12,6 +12,7 @@
 from pathlib import Path
 
 from banyansail.commands.table import format_table
+from benchmarks.points import save_points
 from tests.processes import Programs, call, completion, wait_for_http
 
 STREAMS = 12
@@ -65,6 +66,14 @@
             ["streamed token", *_measure_tokens(listen, process_id)],
             ["lookup", *_measure_lookups(listen, process_id)],
         ]
+        save_points(
+            "relay",
+            {
+                "token_us": float(rows[0][2]),
+                "lookup_us": float(rows[1][2]),
+                "memory_mb": resident_bytes(process_id) / 1e6,
+            },
+        )
         print(f"router memory {resident_bytes(process_id) / 1e6:.0f} MB")
         print(format_table(["work", "count", "processor time each, us"], rows))
 
--- a/benchmarks/requests.py
+++ b/benchmarks/requests.py
@@ -14,6 +14,7 @@
 from twisted.web.client import Agent, HTTPConnectionPool, readBody
 
 from banyansail.clock import SystemClock
+from banyansail.commands.remote import run_coroutine
 from banyansail.commands.table import format_table
 from banyansail.demo.load import LoadTool
 from banyansail.demo.site import LocalSite
@@ -21,6 +22,7 @@
 from banyansail.routing.retry import RetryBudget
 from banyansail.standins.engine import EngineOptions
 from benchmarks.measure import percentile, ready, run_site, until
+from benchmarks.points import save_points
 from tests.naive.decisions import NaiveQueue
 
 RULES = [
@@ -225,10 +227,10 @@
     return run
 
 
-def _run_each(title: str, header: list[str], acts: list) -> None:
-    from banyansail.commands.remote import run_coroutine
-
-    _table(title, [header, *run_coroutine(_each(acts))])
+def _run_each(title: str, header: list[str], acts: list) -> list[list[str]]:
+    rows = run_coroutine(_each(acts))
+    _table(title, [header, *rows])
+    return rows
 
 
 def bench_questions() -> None:
@@ -274,11 +276,13 @@
 
 def bench_ledger() -> None:
     """Print platform writes for each order."""
-    _run_each(
+    rows = _run_each(
         "Platform writes for each order, three routers",
         ["orders/s", "orders", "writes an order", "p95, ms"],
         [lambda site, rate=rate: measure_ledger(site, rate) for rate in (1, 10, 100)],
     )
+    points = [{"rate": float(row[0]), "writes": float(row[2])} for row in rows]
+    save_points("ledger", points)
 
 
 BENCHES = {
