Split the largest modules by their jobs

Cause: read as a newcomer, router.py (476 lines), exchange.py, dispatch.py, gossiper.py, records.py and two stand-ins each did several things.

Change: signs about upstreams, the status report, hops, the exchange's context, where a retry goes, a service's queue and pools, the fleet's topology, the ledger's codec and the stand-ins' states have modules of their own. Behaviour is unchanged.

--- a/banyansail/demo/load.py
+++ b/banyansail/demo/load.py
@@ -12,7 +12,7 @@
 from twisted.web.client import Agent, HTTPConnectionPool, readBody
 from twisted.web.http_headers import Headers
 
-from banyansail.standins.engine import answer_text
+from banyansail.standins.engine_state import answer_text
 from banyansail.upstreams.body import JsonBody
 
 if TYPE_CHECKING:
--- a/banyansail/demo/run.py
+++ b/banyansail/demo/run.py
@@ -14,7 +14,7 @@
 from banyansail.demo.load import LoadTool
 from banyansail.demo.site import LocalSite
 from banyansail.log import open_log
-from banyansail.standins.engine import EngineOptions
+from banyansail.standins.engine_state import EngineOptions
 
 ZONES = ("glasgow", "edinburgh", "aberdeen")
 RECLAIMED_ZONE = "aberdeen"
--- a/banyansail/demo/site.py
+++ b/banyansail/demo/site.py
@@ -15,8 +15,8 @@
 from banyansail.platform.budget import CallBudget
 from banyansail.platform.client import PlatformClient
 from banyansail.router.router import Router
-from banyansail.standins.engine import EngineOptions
-from banyansail.standins.platform import PlatformState
+from banyansail.standins.engine_state import EngineOptions
+from banyansail.standins.platform_state import PlatformState
 from banyansail.standins.server import (
     RunningStandin,
     start_engine,
--- a/banyansail/fleet/gossiper.py
+++ b/banyansail/fleet/gossiper.py
@@ -21,8 +21,7 @@
     Member,
     Topic,
 )
-from banyansail.fleet.view import LIVE_TIME, REMOTE_LIVE_TIME
-from banyansail.utils import hash64
+from banyansail.fleet.topology import Topology
 from banyansail.wire.gossip_codec import decode_member
 
 if TYPE_CHECKING:
@@ -33,7 +32,6 @@
 
 PUSH_FANOUT = 2
 DIGEST_FANOUT = 1
-BRIDGES_PER_ZONE = 2
 MAX_ENTRY_BYTES_PER_DATAGRAM = 6 * 1024
 MAX_DIGESTS_PER_DATAGRAM = 48
 USUAL_PUSHES = 2
@@ -72,11 +70,11 @@
     """
 
     __slots__ = (
-        "_member_by_name",
         "_own_address",
         "_pushes_left",
         "_random",
         "_seeds",
+        "_topology",
         "_view",
         "_zone",
     )
@@ -95,25 +93,19 @@
         self._seeds = [seed for seed in seeds if seed != own_address]
         self._random = random
         self._pushes_left: dict[tuple[str, Topic], tuple[Entry, int]] = {}
-        self._member_by_name: dict[str, Member] = {}
+        self._topology = Topology(view, zone)
 
     def members(self) -> dict[str, Member]:
         """Return every router that was heard of, live or not."""
-        return self._member_by_name
+        return self._topology.members()
 
     def live_members(self) -> dict[str, Member]:
         """Return the routers that were heard of lately, this one included."""
-        return {
-            name: member
-            for name, member in self._member_by_name.items()
-            if self.is_live(name)
-        }
+        return self._topology.live_members()
 
     def is_live(self, name: str) -> bool:
         """Tell whether a router was heard of lately, by the measure of its zone."""
-        member = self._member_by_name.get(name)
-        is_near = member is not None and member.zone == self._zone
-        return self._view.is_live(name, LIVE_TIME if is_near else REMOTE_LIVE_TIME)
+        return self._topology.is_live(name)
 
     def publish(self, topic: Topic, value: bytes) -> bool:
         """Replace this router's value; return whether that was news."""
@@ -126,22 +118,21 @@
     def forget_old(self) -> None:
         """Drop routers that were not heard of for a long time."""
         self._view.forget_old()
-        known = set(self._view.names)
-        for name in self._member_by_name.keys() - known:
-            del self._member_by_name[name]
+        self._topology.forget_old()
 
     def push(self) -> list[Outgoing]:
         """Return the datagrams that pass news on now."""
         if not self._pushes_left:
             return []
         entries = self._take_pushes()
-        zone_peers = self._sample(self._zone_peers(), PUSH_FANOUT)
+        zone_peers = self._sample(self._topology.zone_peers(), PUSH_FANOUT)
         outgoing = [
             self._outgoing(target, entries, (), LAST_STEP) for target in zone_peers
         ]
         shared = [entry for entry in entries if entry.topic is not Topic.LOADS]
         others = [
-            self._random.choice(peers) for peers in self._bridges_by_zone().values()
+            self._random.choice(peers)
+            for peers in self._topology.bridges_by_zone().values()
         ]
         if not zone_peers and not others:
             others = self._sample(self._seeds, PUSH_FANOUT)
@@ -154,15 +145,21 @@
     def exchange(self) -> list[Outgoing]:
         """Return the datagrams that compare what was heard."""
         self._view.beat()
-        targets = self._sample(self._zone_peers(), DIGEST_FANOUT)
-        unheard = [seed for seed in self._seeds if seed not in self._known_addresses()]
+        targets = self._sample(self._topology.zone_peers(), DIGEST_FANOUT)
+        unheard = [
+            seed for seed in self._seeds if seed not in self._topology.known_addresses()
+        ]
         targets += self._sample(unheard, 1)
-        targets += self._sample(self._lost_peers(), 1)
+        targets += self._sample(self._topology.lost_peers(), 1)
         digests = self._digests(self._mixed_names())
         outgoing = [self._outgoing(target, (), digests, 0) for target in targets]
         # What is heard first-hand in a zone is what other zones need of it.
         digests = self._digests(self._zone_names())
-        bridges = [peer for peers in self._bridges_by_zone().values() for peer in peers]
+        bridges = [
+            peer
+            for peers in self._topology.bridges_by_zone().values()
+            for peer in peers
+        ]
         for target in self._sample(bridges, DIGEST_FANOUT):
             outgoing.append(self._outgoing(target, (), digests, 0))
         return outgoing
@@ -230,12 +227,12 @@
         """Pass an entry on and keep track of members."""
         pushes = USUAL_PUSHES
         if entry.topic in URGENT_TOPICS:
-            size = max(2, len(self._member_by_name))
+            size = max(2, len(self.members()))
             pushes = math.ceil(math.log2(size) / PUSH_FANOUT) + USUAL_PUSHES
         self._pushes_left[entry.origin, entry.topic] = (entry, pushes)
         if entry.topic is Topic.MEMBER:
             try:
-                self._member_by_name[entry.origin] = decode_member(entry.value)
+                self._topology.learn(entry.origin, decode_member(entry.value))
             except WireError:
                 return
 
@@ -259,7 +256,7 @@
         """Return this router and others of its zone."""
         others = [
             name
-            for name, member in self._member_by_name.items()
+            for name, member in self.members().items()
             if member.zone == self._zone and name != self._view.name
         ]
         window = self._window(others, MAX_DIGESTS_PER_DATAGRAM - 1)
@@ -277,51 +274,6 @@
             return names
         return self._random.sample(names, count)
 
-    def _zone_peers(self) -> list[Address]:
-        return [
-            member.peer
-            for name, member in self.live_members().items()
-            if member.zone == self._zone and name != self._view.name
-        ]
-
-    def _lost_peers(self) -> list[Address]:
-        """Return routers that are not heard of now; a lost path may be back.
-
-        Those of other zones are left to the bridges.
-        """
-        is_bridge = self._is_bridge()
-        return [
-            member.peer
-            for name, member in self._member_by_name.items()
-            if (is_bridge or member.zone == self._zone) and not self.is_live(name)
-        ]
-
-    def _is_bridge(self) -> bool:
-        names = [
-            name
-            for name, member in self.live_members().items()
-            if member.zone == self._zone
-        ]
-        return self._view.name in _bridges(self._zone, names)
-
-    def _bridges_by_zone(self) -> dict[str, list[Address]]:
-        """Return bridges of other zones, if this router is a bridge itself."""
-        names_by_zone: dict[str, list[str]] = {}
-        live = self.live_members()
-        for name, member in live.items():
-            names_by_zone.setdefault(member.zone, []).append(name)
-        if self._view.name not in _bridges(
-            self._zone, names_by_zone.pop(self._zone, [])
-        ):
-            return {}
-        return {
-            zone: [live[name].peer for name in _bridges(zone, names)]
-            for zone, names in names_by_zone.items()
-        }
-
-    def _known_addresses(self) -> set[Address]:
-        return {member.peer for member in self.live_members().values()}
-
     def _sample(self, addresses: list[Address], count: int) -> list[Address]:
         if len(addresses) <= count:
             return list(addresses)
@@ -338,9 +290,3 @@
             self._view.name, self._zone, tuple(entries), tuple(digests), step
         )
         return Outgoing(address, gossip)
-
-
-def _bridges(zone: str, names: list[str]) -> list[str]:
-    """Return the few routers of a zone that talk to other zones."""
-    ranked = sorted(names, key=lambda name: hash64(f"{zone}/{name}"))
-    return ranked[:BRIDGES_PER_ZONE]
--- a/banyansail/ledger/committer.py
+++ b/banyansail/ledger/committer.py
@@ -10,6 +10,12 @@
 from twisted.internet import defer, task
 
 from banyansail.exceptions import ConflictError, PlatformUnavailableError
+from banyansail.ledger.codec import (
+    decode_records,
+    decode_segment,
+    encode_records,
+    encode_segment,
+)
 from banyansail.ledger.records import (
     Operation,
     Record,
@@ -17,10 +23,6 @@
     Result,
     ShardRecords,
     StartKey,
-    decode_records,
-    decode_segment,
-    encode_records,
-    encode_segment,
 )
 from banyansail.platform.budget import CallKind
 
--- a/banyansail/router/exchange.py
+++ b/banyansail/router/exchange.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
 from datetime import timedelta
 from typing import TYPE_CHECKING, Any
 
@@ -15,57 +14,21 @@
     Failure,
     GiveUp,
     RetryAfterBackoff,
-    RetryBudget,
     decide_retry,
 )
+from banyansail.routing.steering import steer_retry
 from banyansail.upstreams.link import AttemptError, UpstreamCall, UpstreamLink
 
 if TYPE_CHECKING:
-    from random import Random
-
-    from banyansail.clock import Clock
-    from banyansail.config.rules import RuleSet
-    from banyansail.ledger.client import LedgerClient
-    from banyansail.metrics import Metrics
-    from banyansail.rollout.evidence import EvidenceRecorder
     from banyansail.router.caller import Caller, CallerRequest
-    from banyansail.router.handoff import StreamStore
-    from banyansail.router.health import HealthExaminer
-    from banyansail.router.registry import ExchangeRegistry
-    from banyansail.router.scheduler import Scheduler
+    from banyansail.router.context import ExchangeContext
     from banyansail.routing.dispatch import Assignment
     from banyansail.routing.messages import RequestClass
-    from banyansail.routing.quarantine import Quarantine
-    from banyansail.upstreams.links import LinkTable
 
 RETRY_LATER = timedelta(seconds=1)
 NOT_SENT_FAILURES = (Failure.NOT_SENT, Failure.REFUSED)
 
 
-@dataclass(slots=True)
-class ExchangeContext:
-    """What the exchanges of a router share."""
-
-    reactor: Any
-    clock: Clock
-    random: Random
-    metrics: Metrics
-    scheduler: Scheduler
-    links: LinkTable
-    health: HealthExaminer
-    quarantine: Quarantine
-    registry: ExchangeRegistry
-    ledger: LedgerClient
-    streams: StreamStore
-    evidence: EvidenceRecorder
-    rules: RuleSet
-    budget_by_service: dict[str, RetryBudget] = field(default_factory=dict)
-
-    def budget(self, service: str) -> RetryBudget:
-        """Return the retry budget of a service."""
-        return self.budget_by_service.setdefault(service, RetryBudget())
-
-
 class Exchange:
     """One request of a caller, from its arrival to its final answer.
 
@@ -307,8 +270,12 @@
                 raise RefusedError(self.explain_failure(error, reason))
             case RetryAfterBackoff(delay):
                 self._log_retry(name, error, delay)
-                self._exclude(name, error)
-                self._avoid_unproven(assignment)
+                steer_retry(
+                    self.context.scheduler.dispatcher,
+                    assignment,
+                    error.failure,
+                    self.context.clock.monotonic(),
+                )
                 if delay:
                     await task.deferLater(self.context.reactor, delay.total_seconds())
 
@@ -324,28 +291,6 @@
         message = f"{error.detail or error.failure.value}; {reason}"
         return Refusal(502, code, ran, message, RETRY_LATER if repeat else None)
 
-    def _exclude(self, name: str, error: AttemptError) -> None:
-        self.ticket.excluded.clear()
-        states = self.context.scheduler.dispatcher.state_by_name
-        service = self.request_class.service
-        now = self.context.clock.monotonic()
-        others = any(
-            state.rule.service == service and other != name and state.is_eligible(now)
-            for other, state in states.items()
-        )
-        if others and error.failure is not Failure.SILENT:
-            self.ticket.excluded.add(name)
-
-    def _avoid_unproven(self, assignment: Assignment) -> None:
-        """Retry at the old version what failed at one that is being moved to."""
-        dispatcher = self.context.scheduler.dispatcher
-        dispatch = dispatcher.dispatch_by_service[self.request_class.service]
-        shares = dispatch.shares
-        if shares is None or shares.new_share >= 1:
-            return
-        if assignment.state.rule.version == shares.new_version:
-            self.ticket.version = shares.old_version
-
     def _log_retry(self, name: str, error: AttemptError, delay: timedelta) -> None:
         self.context.metrics.count(f"retry.{error.failure.value}")
         log_decision(
--- a/banyansail/router/listener.py
+++ b/banyansail/router/listener.py
@@ -34,7 +34,8 @@
 )
 
 if TYPE_CHECKING:
-    from banyansail.router.exchange import Exchange, ExchangeContext
+    from banyansail.router.context import ExchangeContext
+    from banyansail.router.exchange import Exchange
     from banyansail.router.lifecycle import Lifecycle
 
 NOT_READY_RETRY = timedelta(seconds=2)
--- a/banyansail/router/router.py
+++ b/banyansail/router/router.py
@@ -20,38 +20,34 @@
 from banyansail.fleet.peer_calls import PeerCaller, PeerServerFactory
 from banyansail.fleet.view import FleetView
 from banyansail.ledger.client import LedgerClient
-from banyansail.log import log_decision, log_event
 from banyansail.metrics import Metrics
 from banyansail.platform.budget import CallBudget
 from banyansail.platform.client import PlatformClient
 from banyansail.rollout.evidence import EvidenceRecorder
 from banyansail.router.admin import AdminResource
 from banyansail.router.catalog import Catalog
-from banyansail.router.exchange import ExchangeContext
+from banyansail.router.context import ExchangeContext
 from banyansail.router.handoff import StreamStore
 from banyansail.router.health import HealthExaminer
+from banyansail.router.hops import ZoneHops
 from banyansail.router.lifecycle import Lifecycle, RouterState
 from banyansail.router.listener import CallerResource
 from banyansail.router.load_prober import LoadProber
 from banyansail.router.peer_service import PeerService
 from banyansail.router.placements import PlacementController
 from banyansail.router.registry import ExchangeRegistry
+from banyansail.router.report import report_status
 from banyansail.router.rollouts import RolloutController
 from banyansail.router.rules_keeper import RulesKeeper
 from banyansail.router.scheduler import Scheduler
+from banyansail.router.signs import UpstreamSigns
 from banyansail.router.supervisor import Supervisor
 from banyansail.router.tls import ReloadingContextFactory
 from banyansail.router.web import BoundedSite
 from banyansail.routing.dispatch import Dispatcher
-from banyansail.routing.quarantine import Death, Quarantine
+from banyansail.routing.quarantine import Quarantine
 from banyansail.upstreams.links import LinkTable
-from banyansail.wire.gossip_codec import (
-    decode_deaths,
-    decode_leaving,
-    encode_deaths,
-    encode_leaving,
-    encode_member,
-)
+from banyansail.wire.gossip_codec import encode_member
 from banyansail.wire.seal import Seal
 
 if TYPE_CHECKING:
@@ -70,38 +66,7 @@
 CATCH_UP_INTERVAL = timedelta(milliseconds=200)
 WATCH_PAUSE = timedelta(milliseconds=100)
 SUSPECT_INTERVAL = timedelta(milliseconds=250)
-PUBLISHED_DEATHS = 20
 LISTEN_BACKLOG = 512
-HOP_WITHIN_REGION = timedelta(milliseconds=1)
-HOP_BETWEEN_REGIONS = timedelta(milliseconds=20)
-
-
-class ZoneHops:
-    """Distance to zones, from the regions that members report.
-
-    Parameters
-    ----------
-    zone, region : str
-        Where this router is.
-    """
-
-    __slots__ = ("_region", "_region_by_zone", "_zone")
-
-    def __init__(self, zone: str, region: str) -> None:
-        self._zone = zone
-        self._region = region
-        self._region_by_zone: dict[str, str] = {}
-
-    def learn(self, member: Member) -> None:
-        """Take in where a router is."""
-        self._region_by_zone[member.zone] = member.region
-
-    def to_zone(self, zone: str) -> timedelta:
-        """Return the one-way latency to a zone."""
-        if zone == self._zone:
-            return timedelta(0)
-        region = self._region_by_zone.get(zone, self._region)
-        return HOP_WITHIN_REGION if region == self._region else HOP_BETWEEN_REGIONS
 
 
 class Router(Supervisor):
@@ -130,8 +95,6 @@
         self.settings = settings
         self.clock = clock or SystemClock()
         self._resources = ExitStack()
-        self._deaths: list[Death] = []
-        self._leaving_at: dict[str, timedelta] = {}
         self.metrics = Metrics(settings.statsd)
         self._build_fleet()
         self._build_platform()
@@ -176,7 +139,7 @@
             self.peers,
             self.duties,
             self._on_upstreams,
-            self._on_leaving,
+            lambda notices: self.signs.see_leaving(notices),
         )
         self.peer_service = PeerService()
         self.ledger = self._resources.enter_context(
@@ -218,13 +181,24 @@
             self.links,
         )
 
+        self.signs = UpstreamSigns(
+            self.clock,
+            self.gossiper,
+            self._push_news,
+            self.dispatcher,
+            self.quarantine,
+            self.registry,
+            self.prober,
+            self.hops,
+        )
+
     def _build_exchanges(self) -> None:
         health = HealthExaminer(
             self.links,
             self.dispatcher,
             self.quarantine,
             self.registry,
-            self._on_death,
+            self.signs.see_death,
         )
         self.streams = StreamStore(self.gossiper, self.peers, self.duties)
         self.context = ExchangeContext(
@@ -324,58 +298,22 @@
 
     def status(self) -> dict[str, Any]:
         """Return counters and states, for operators and tests."""
-        return {
-            "name": self.settings.name,
-            "state": self.lifecycle.state.value,
-            "rules_version": self.rules_keeper.rules.version,
-            "rules_since": self.rules_keeper.since.isoformat(),
-            "in_progress": self.lifecycle.in_progress,
-            "platform_calls": self.platform.calls,
-            "ledger_writes": self.ledger.writes,
-            "gossip_bytes_sent": self.gossip.bytes_sent,
-            "gossip_bytes_received": self.gossip.bytes_received,
-            "gossip_datagrams_sent": self.gossip.datagrams_sent,
-            "gossip_dropped": self.gossip.dropped,
-            "members": self._member_rows(),
-            "upstreams": self._upstream_rows(),
-        }
-
-    def _member_rows(self) -> list[dict[str, Any]]:
-        return [
-            {
-                "name": name,
-                "zone": member.zone,
-                "rules_version": member.rules_version,
-                "rules_since": member.rules_since.isoformat(),
-                "live": self.gossiper.is_live(name),
-                "heard_s": round(self.view.age(name).total_seconds(), 1),
-            }
-            for name, member in sorted(self.gossiper.members().items())
-        ]
-
-    def _upstream_rows(self) -> list[dict[str, Any]]:
-        now = self.clock.monotonic()
-        return [
-            {
-                "name": name,
-                "service": state.rule.service,
-                "version": state.rule.version,
-                "zone": state.rule.zone,
-                "in_flight": state.in_flight,
-                "limit": state.limit.value,
-                "leaving": state.is_leaving,
-                "suspect": not state.is_leaving and not state.is_eligible(now),
-            }
-            for name, state in sorted(self.dispatcher.state_by_name.items())
-        ]
+        return report_status(self)
 
     async def _push(self) -> None:
         self._publish_member()
+        self._push_news()
+
+    def _push_news(self) -> None:
         self.gossip.send(self.gossiper.push())
 
+    def _on_news(self, entries: list[Entry]) -> None:
+        self.signs.hear(entries)
+        self.scheduler.pump()
+
     async def _exchange(self) -> None:
         self.gossiper.forget_old()
-        self._publish_leaving()
+        self.signs.publish_leaving()
         self.gossip.send(self.gossiper.exchange())
 
     async def _plan(self) -> None:
@@ -408,69 +346,10 @@
         self.placements.apply_rules(rules)
         self.lifecycle.take_rules()
         self._publish_member()
-        self.gossip.send(self.gossiper.push())
+        self._push_news()
         self.scheduler.pump()
 
     def _on_upstreams(self, rule_by_name: dict[str, Any]) -> None:
         self.dispatcher.apply_upstreams(rule_by_name)
         self.links.apply(rule_by_name)
         self.scheduler.pump()
-
-    def _on_leaving(self, notice_by_name: dict[str, timedelta]) -> None:
-        """Act on a first-hand sign that instances are leaving, and tell the others."""
-        new = self._mark_leaving(notice_by_name, "platform")
-        now = self.clock.monotonic()
-        for name in new:
-            self._leaving_at[name] = now + notice_by_name[name]
-        if new:
-            self._publish_leaving()
-            self.gossip.send(self.gossiper.push())
-
-    def _mark_leaving(
-        self, notice_by_name: dict[str, timedelta], source: str
-    ) -> set[str]:
-        new = self.dispatcher.mark_leaving(set(notice_by_name))
-        for name in new:
-            log_decision("leave", source, upstream=name)
-            for exchange in self.registry.at(name):
-                exchange.prepare_for_reclaim(notice_by_name[name])
-        return new
-
-    def _publish_leaving(self) -> None:
-        if not self._leaving_at:
-            return
-        now = self.clock.monotonic()
-        left = {
-            name: max(moment - now, timedelta(0))
-            for name, moment in self._leaving_at.items()
-        }
-        self.gossiper.publish(Topic.LEAVING, encode_leaving(left))
-
-    def _on_death(self, death: Death) -> None:
-        log_event("upstream_died", upstream=death.upstream, zone=death.zone)
-        self._deaths = [*self._deaths, death][-PUBLISHED_DEATHS:]
-        self.gossiper.publish(Topic.DEATHS, encode_deaths(self._deaths))
-        self.gossip.send(self.gossiper.push())
-
-    def _on_news(self, entries: list[Entry]) -> None:
-        for entry in entries:
-            try:
-                self._take_news(entry)
-            except WireError as error:
-                log_event("bad_entry", origin=entry.origin, error=error.message)
-
-    def _take_news(self, entry: Entry) -> None:
-        match entry.topic:
-            case Topic.MEMBER:
-                member = self.gossiper.members().get(entry.origin)
-                if member is not None:
-                    self.hops.learn(member)
-            case Topic.LEAVING:
-                self._mark_leaving(decode_leaving(entry.value), entry.origin)
-                self.scheduler.pump()
-            case Topic.DEATHS:
-                for death in decode_deaths(entry.value):
-                    if self.quarantine.record_death(death):
-                        self.dispatcher.mark_suspect(death.upstream)
-            case Topic.LOADS:
-                self.prober.take_report(entry.value)
--- a/banyansail/standins/__main__.py
+++ b/banyansail/standins/__main__.py
@@ -25,7 +25,7 @@
 from twisted.internet import reactor
 
 from banyansail.config.fields import parse_address
-from banyansail.standins.engine import EngineOptions
+from banyansail.standins.engine_state import EngineOptions
 from banyansail.standins.server import start_engine, start_platform, start_service
 from banyansail.standins.service import ServiceState
 
--- a/banyansail/standins/server.py
+++ b/banyansail/standins/server.py
@@ -9,8 +9,10 @@
 from twisted.internet.interfaces import IListeningPort
 
 from banyansail.config.fields import Address
-from banyansail.standins.engine import EngineOptions, EngineStandin, EngineState
-from banyansail.standins.platform import PlatformStandin, PlatformState
+from banyansail.standins.engine import EngineStandin
+from banyansail.standins.engine_state import EngineOptions, EngineState
+from banyansail.standins.platform import PlatformStandin
+from banyansail.standins.platform_state import PlatformState
 from banyansail.standins.service import ServiceStandin, ServiceState
 from banyansail.standins.web import StandinResource, TrackingSite
 
--- a/benchmarks/requests.py
+++ b/benchmarks/requests.py
@@ -20,7 +20,7 @@
 from banyansail.demo.site import LocalSite
 from banyansail.routing import choice
 from banyansail.routing.retry import RetryBudget
-from banyansail.standins.engine import EngineOptions
+from banyansail.standins.engine_state import EngineOptions
 from benchmarks.measure import percentile, ready, run_site, until
 from benchmarks.points import save_points
 from tests.naive.decisions import NaiveQueue
--- a/tests/golden/test_sessions.py
+++ b/tests/golden/test_sessions.py
@@ -14,7 +14,7 @@
 import eliot
 import pytest
 
-from banyansail.standins.engine import EngineOptions
+from banyansail.standins.engine_state import EngineOptions
 from tests.live import LiveSite, in_reactor
 from tests.processes import completion, wait_until
 
--- a/tests/ledger/test_committer.py
+++ b/tests/ledger/test_committer.py
@@ -6,6 +6,7 @@
 from hypothesis import strategies as st
 from twisted.internet.task import Clock as TwistedClock
 
+from banyansail.ledger.codec import decode_records
 from banyansail.ledger.committer import ShardCommitter
 from banyansail.ledger.records import (
     Finished,
@@ -14,7 +15,6 @@
     ReleaseKey,
     Started,
     StartKey,
-    decode_records,
 )
 from tests.fakes import FakeClock, FakePlatform
 
--- a/tests/ledger/test_records.py
+++ b/tests/ledger/test_records.py
@@ -9,6 +9,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
+from banyansail.ledger.codec import decode_records, encode_records
 from banyansail.ledger.records import (
     MAX_SHARD_BYTES,
     RETENTION,
@@ -24,8 +25,6 @@
     ShardRecords,
     Started,
     StartKey,
-    decode_records,
-    encode_records,
 )
 from tests.fakes import START
 
--- a/tests/router/test_crashing_requests.py
+++ b/tests/router/test_crashing_requests.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from banyansail.standins.engine import EngineOptions, answer_text
+from banyansail.standins.engine_state import EngineOptions, answer_text
 from tests.live import LiveSite, in_reactor
 from tests.processes import completion, wait_until
 
--- a/tests/router/test_moves.py
+++ b/tests/router/test_moves.py
@@ -9,7 +9,7 @@
 import pytest
 
 from banyansail.rollout.status import MoveState, decode_statement
-from banyansail.standins.engine import EngineOptions
+from banyansail.standins.engine_state import EngineOptions
 from tests.live import LiveSite, in_reactor
 from tests.processes import completion, wait_until
 
--- a/tests/router/test_placement.py
+++ b/tests/router/test_placement.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from banyansail.standins.engine import EngineOptions
+from banyansail.standins.engine_state import EngineOptions
 from tests.live import LiveSite
 from tests.processes import call, wait_until
 
--- a/tests/router/test_reclaims.py
+++ b/tests/router/test_reclaims.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from banyansail.standins.engine import EngineOptions, answer_text
+from banyansail.standins.engine_state import EngineOptions, answer_text
 from tests.live import LiveSite, in_reactor
 from tests.processes import completion, wait_until
 from tests.router.test_streams_under_failure import stream_text
--- a/tests/test_killed_and_frozen_routers.py
+++ b/tests/test_killed_and_frozen_routers.py
@@ -10,7 +10,7 @@
 
 import pytest
 
-from banyansail.standins.engine import answer_text
+from banyansail.standins.engine_state import answer_text
 from tests.processes import Programs, call, completion, wait_for_http, wait_until
 from tests.router.test_streams_under_failure import stream_text
 
--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from banyansail.standins.engine import answer_text
+from banyansail.standins.engine_state import answer_text
 from tests.processes import Programs, call, completion, wait_for_http, wait_until
 
 ZONES = ("glasgow", "edinburgh", "aberdeen")
