Be ready only with the newest rules that other routers have; drop dead code

Cause: a new router whose read of the platform lagged served older rules until it heard of newer ones, though it must not go below what a peer has in force.

Change: a router becomes ready once its rules are as new as those of every live router it hears from, or it knows no seeds, or none answered within 3 s. Unused functions and fields are gone; the list of errors that mean an unreachable platform is used where it was meant to be (a closed connection escaped it before). Placement is measured over made-up prices and reclaims against two naive plans.

--- a/Makefile
+++ b/Makefile
@@ -26,6 +26,7 @@
 	for name in hop questions affinity amplification ledger; do \
 	  $(PYTHON) -m benchmarks.requests $$name || exit 1; done
 	$(PYTHON) -m benchmarks.rollout_cases 5
+	$(PYTHON) -m benchmarks.placement_cost
 	$(PYTHON) -m benchmarks.gossip_size 36 90
 	$(PYTHON) -m benchmarks.fleet
 
--- a/banyansail/exceptions.py
+++ b/banyansail/exceptions.py
@@ -66,9 +66,3 @@
     """A frame or datagram of a peer is malformed or fails authentication."""
 
     code = "bad_frame"
-
-
-class LedgerFullError(BanyansailError):
-    """A shard of the ledger has no room for a new key until old keys expire."""
-
-    code = "ledger_full"
--- a/banyansail/fleet/gossiper.py
+++ b/banyansail/fleet/gossiper.py
@@ -33,7 +33,7 @@
 PUSH_FANOUT = 2
 DIGEST_FANOUT = 1
 MAX_ENTRY_BYTES_PER_DATAGRAM = 6 * 1024
-MAX_DIGESTS_PER_DATAGRAM = 48
+MAX_DIGESTS_PER_DATAGRAM = 80
 USUAL_PUSHES = 2
 URGENT_TOPICS = (Topic.LEAVING, Topic.DEATHS, Topic.STATEMENTS)
 
@@ -70,7 +70,6 @@
     """
 
     __slots__ = (
-        "_own_address",
         "_pushes_left",
         "_random",
         "_seeds",
@@ -89,7 +88,6 @@
     ) -> None:
         self._view = view
         self._zone = zone
-        self._own_address = own_address
         self._seeds = [seed for seed in seeds if seed != own_address]
         self._random = random
         self._pushes_left: dict[tuple[str, Topic], tuple[Entry, int]] = {}
--- a/banyansail/fleet/view.py
+++ b/banyansail/fleet/view.py
@@ -13,7 +13,7 @@
     from banyansail.clock import Clock
 
 LIVE_TIME = timedelta(seconds=15)  # within a zone
-REMOTE_LIVE_TIME = timedelta(seconds=45)  # heartbeats of other zones come late
+REMOTE_LIVE_TIME = timedelta(seconds=60)  # heartbeats of other zones come late
 FORGET_TIME = timedelta(hours=1)
 COMPARED_TOPICS = tuple(topic for topic in Topic if topic is not Topic.LOADS)
 
--- a/banyansail/metrics.py
+++ b/banyansail/metrics.py
@@ -15,7 +15,7 @@
 
 
 class Metrics:
-    """Counters, gauges and timings; a client without an address drops them all.
+    """Counters and timings; a client without an address drops them all.
 
     Parameters
     ----------
@@ -37,11 +37,6 @@
         if self._client is not None:
             self._client.incr(name, amount)
 
-    def gauge(self, name: str, value: float) -> None:
-        """Set a gauge."""
-        if self._client is not None:
-            self._client.gauge(name, value)
-
     def time(self, name: str, duration: timedelta) -> None:
         """Record a duration."""
         if self._client is not None:
--- a/banyansail/platform/client.py
+++ b/banyansail/platform/client.py
@@ -182,11 +182,6 @@
             return StoredObject(key, version, body)
         raise PlatformUnavailableError(f"object {key!r}: {MAX_CONFLICTS} conflicts")
 
-    async def list_objects(self, prefix: str, kind: CallKind) -> dict[str, int]:
-        """Return the versions of the objects whose keys have a prefix."""
-        answer = await self._call("GET", f"/objects?prefix={quote(prefix)}", kind)
-        return _expect(answer, "/objects", 200).body
-
     async def list_instances(self) -> list[dict[str, Any]]:
         """Return the lagging list of live and leaving instances."""
         answer = await self._call("GET", "/instances", CallKind.NOTICES)
@@ -246,12 +241,7 @@
         exchange.addTimeout(timeout.total_seconds(), self._reactor)
         try:
             answer = await exchange
-        except (
-            ConnectError,
-            TimeoutError,
-            defer.TimeoutError,
-            ResponseFailed,
-        ) as error:
+        except UNREACHABLE_ERRORS as error:
             text = f"{method} {path}: {type(error).__name__}"
             raise PlatformUnavailableError(text) from error
         except (ValueError, OSError) as error:
--- a/banyansail/router/lifecycle.py
+++ b/banyansail/router/lifecycle.py
@@ -55,7 +55,6 @@
         self._stop_notice = stop_notice
         self._exchanges: set[Exchange] = set()
         self.state = RouterState.STARTING
-        self.has_rules = False
 
     @property
     def takes_callers(self) -> bool:
@@ -75,9 +74,8 @@
         """Account for an exchange that has ended."""
         self._exchanges.discard(exchange)
 
-    def take_rules(self) -> None:
-        """Become ready, now that rules are in force."""
-        self.has_rules = True
+    def become_ready(self) -> None:
+        """Take callers from now on."""
         if self.state is RouterState.STARTING:
             self.state = RouterState.READY
             log_event("ready")
--- a/banyansail/router/listener.py
+++ b/banyansail/router/listener.py
@@ -12,6 +12,7 @@
 
 from banyansail.config.rules import ServiceKind
 from banyansail.router.caller import Caller, CallerRequest
+from banyansail.router.lifecycle import RouterState
 from banyansail.router.model_exchange import ModelExchange
 from banyansail.router.order_exchange import OrderExchange
 from banyansail.router.parsing import (
@@ -89,13 +90,13 @@
         return json.dumps({"state": state.value}).encode()
 
     def _begin(self, http: Request, caller: Caller, parsed: ParsedRequest) -> None:
-        if not self._lifecycle.has_rules:
+        if self._lifecycle.state is RouterState.STARTING:
             caller.refuse(
                 Refusal(
                     503,
                     RefusalCode.NOT_READY,
                     RanState.NOT_RUN,
-                    "the router has no rules yet",
+                    "the router does not have the newest rules yet",
                     NOT_READY_RETRY,
                 )
             )
--- a/banyansail/router/order_exchange.py
+++ b/banyansail/router/order_exchange.py
@@ -76,7 +76,6 @@
         self.key = f"{self.request_class.service}/{self.request.workspace}/"
         self.key += self.request.key
         self._attempt_token = f"{router_id}/{self.request.request_id}"
-        self._is_claimed = False
 
     async def run_attempts(self) -> None:
         """Claim the key, then make attempts as long as nothing was sent."""
--- a/banyansail/router/router.py
+++ b/banyansail/router/router.py
@@ -56,6 +56,7 @@
 
 PLATFORM_CALLS_PER_S = 60.0
 PLATFORM_BURST = 120.0
+PEERS_WAIT = timedelta(seconds=3)  # for the first answer of another router
 PUSH_INTERVAL = timedelta(milliseconds=200)
 EXCHANGE_INTERVAL = timedelta(seconds=1)
 RULES_POLL_INTERVAL = timedelta(seconds=60)
@@ -95,6 +96,7 @@
         self.settings = settings
         self.clock = clock or SystemClock()
         self._resources = ExitStack()
+        self._started_at = self.clock.monotonic()
         self.metrics = Metrics(settings.statsd)
         self._build_fleet()
         self._build_platform()
@@ -241,6 +243,7 @@
 
     def startService(self) -> None:
         """Listen and start all tasks."""
+        self._started_at = self.clock.monotonic()
         self._publish_member()
         peer = self.settings.peer
         self._ports = [
@@ -300,7 +303,19 @@
         """Return counters and states, for operators and tests."""
         return report_status(self)
 
+    def _check_ready(self) -> None:
+        """Become ready once the platform and other routers were asked for rules."""
+        if self.lifecycle.state is not RouterState.STARTING:
+            return
+        heard = len(self.gossiper.live_members()) > 1
+        waited = self.clock.monotonic() - self._started_at
+        if self.rules_keeper.is_newest() and (
+            heard or not self.settings.peers or waited > PEERS_WAIT
+        ):
+            self.lifecycle.become_ready()
+
     async def _push(self) -> None:
+        self._check_ready()
         self._publish_member()
         self._push_news()
 
@@ -344,7 +359,7 @@
         self.catalog.apply_rules(rules)
         self.rollouts.apply_rules(rules)
         self.placements.apply_rules(rules)
-        self.lifecycle.take_rules()
+        self._check_ready()
         self._publish_member()
         self._push_news()
         self.scheduler.pump()
--- a/banyansail/router/rules_keeper.py
+++ b/banyansail/router/rules_keeper.py
@@ -8,7 +8,7 @@
 from banyansail.config.findings import has_errors
 from banyansail.config.rule_parser import parse_rules
 from banyansail.config.rules import RuleSet
-from banyansail.exceptions import PlatformUnavailableError, WireError
+from banyansail.exceptions import WireError
 from banyansail.log import log_event
 from banyansail.platform.budget import CallKind
 from banyansail.wire.call_codec import Document, FetchDocument
@@ -117,12 +117,11 @@
                 self.take(reply.version, reply.text, str(member.peer))
                 return
 
-    async def get_ready(self) -> None:
-        """Get rules from wherever they can be had, at the start."""
-        try:
-            await self.poll()
-        except PlatformUnavailableError:
-            await self.catch_up()
+    def is_newest(self) -> bool:
+        """Tell whether no live router has newer rules in force."""
+        members = self._gossiper.live_members().values()
+        newest = max((member.rules_version for member in members), default=0)
+        return self.has_rules and self.rules.version >= newest
 
     def _take_stored(self, stored: StoredObject) -> None:
         if stored.body is not None:
--- a/banyansail/upstreams/link.py
+++ b/banyansail/upstreams/link.py
@@ -175,11 +175,10 @@
         The upstream.
     """
 
-    __slots__ = ("_address", "_base", "_fresh", "_pool", "_pooled", "_reactor")
+    __slots__ = ("_base", "_fresh", "_pool", "_pooled", "_reactor")
 
     def __init__(self, reactor: Any, address: Address) -> None:
         self._reactor = reactor
-        self._address = address
         self._base = f"http://{address}"
         self._pool = HTTPConnectionPool(reactor, persistent=True)
         self._pool.maxPersistentPerHost = IDLE_CONNECTIONS
