Let the time to live of other zones' routers grow with the fleet

Ruled out: a longer test; duties by zone (seven writers of one object).

Change: 15 s and 150 ms for each known router. Also: statements of moves, the stand-ins' switches and the listener's continuation of streams in pieces of their own.

After: tests/fleet and tests/router/test_moves.py 29 passed.

--- a/banyansail/fleet/topology.py
+++ b/banyansail/fleet/topology.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from banyansail.fleet.view import LIVE_TIME, REMOTE_LIVE_TIME
+from banyansail.fleet.view import LIVE_TIME
 from banyansail.utils import hash64
 
 if TYPE_CHECKING:
@@ -62,7 +62,7 @@
         """Tell whether a router was heard of lately, by the measure of its zone."""
         member = self._member_by_name.get(name)
         is_near = member is not None and member.zone == self._zone
-        return self._view.is_live(name, LIVE_TIME if is_near else REMOTE_LIVE_TIME)
+        return self._view.is_live(name, LIVE_TIME if is_near else None)
 
     def zone_peers(self) -> list[Address]:
         """Return the other live routers of this zone."""
--- a/banyansail/fleet/view.py
+++ b/banyansail/fleet/view.py
@@ -13,7 +13,7 @@
     from banyansail.clock import Clock
 
 LIVE_TIME = timedelta(seconds=15)  # within a zone
-REMOTE_LIVE_TIME = timedelta(seconds=60)  # heartbeats of other zones come late
+LIVE_TIME_PER_ROUTER = timedelta(milliseconds=150)  # for those of other zones
 FORGET_TIME = timedelta(hours=1)
 COMPARED_TOPICS = tuple(topic for topic in Topic if topic is not Topic.LOADS)
 
@@ -143,14 +143,29 @@
         pairs = zip(digest.sequences, origin.sequences(), strict=False)
         return any(theirs > ours for theirs, ours in pairs)
 
-    def is_live(self, name: str, within: timedelta = REMOTE_LIVE_TIME) -> bool:
-        """Tell whether a router was heard of within a time."""
+    @property
+    def remote_live_time(self) -> timedelta:
+        """Return how long routers of other zones count as live unheard of.
+
+        Their heartbeats take turns in the digests and come later in a large fleet.
+        """
+        return LIVE_TIME + LIVE_TIME_PER_ROUTER * len(self._origin_by_name)
+
+    def is_live(self, name: str, within: timedelta | None = None) -> bool:
+        """Tell whether a router was heard of within a time.
+
+        Parameters
+        ----------
+        within : timedelta or None
+            The time; ``None`` for that of routers of other zones.
+        """
         if name == self.name:
             return True
         origin = self._origin_by_name.get(name)
         if origin is None:
             return False
-        return self._clock.monotonic() - origin.heard_at < within
+        age = self._clock.monotonic() - origin.heard_at
+        return age < (within or self.remote_live_time)
 
     def age(self, name: str) -> timedelta:
         """Return the time since a router was heard of."""
@@ -183,7 +198,7 @@
             return None
         if origin is None or origin.incarnation < incarnation:
             # Not live until a heartbeat of this incarnation is heard of.
-            never = self._clock.monotonic() - REMOTE_LIVE_TIME
+            never = self._clock.monotonic() - self.remote_live_time
             origin = _Origin(incarnation, 0, never)
             self._origin_by_name[name] = origin
         return origin
--- a/banyansail/router/listener.py
+++ b/banyansail/router/listener.py
@@ -4,7 +4,7 @@
 
 import json
 from datetime import timedelta
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING
 
 from twisted.internet import defer
 from twisted.web.resource import Resource
@@ -16,6 +16,7 @@
 from banyansail.router.model_exchange import ModelExchange
 from banyansail.router.order_exchange import OrderExchange
 from banyansail.router.parsing import (
+    COMPLETIONS_PATH,
     STREAMS_PATH,
     BadRequestError,
     ParsedRequest,
@@ -33,13 +34,21 @@
     RefusalCode,
     RequestClass,
 )
+from banyansail.upstreams.events import SEPARATOR
 
 if TYPE_CHECKING:
     from banyansail.router.context import ExchangeContext
     from banyansail.router.exchange import Exchange
     from banyansail.router.lifecycle import Lifecycle
-
-NOT_READY_RETRY = timedelta(seconds=2)
+    from banyansail.wire.call_codec import StreamRecord
+
+NOT_READY = Refusal(
+    503,
+    RefusalCode.NOT_READY,
+    RanState.NOT_RUN,
+    "the router does not have the newest rules yet",
+    timedelta(seconds=2),
+)
 
 
 class CallerResource(Resource):
@@ -91,15 +100,7 @@
 
     def _begin(self, http: Request, caller: Caller, parsed: ParsedRequest) -> None:
         if self._lifecycle.state is RouterState.STARTING:
-            caller.refuse(
-                Refusal(
-                    503,
-                    RefusalCode.NOT_READY,
-                    RanState.NOT_RUN,
-                    "the router does not have the newest rules yet",
-                    NOT_READY_RETRY,
-                )
-            )
+            caller.refuse(NOT_READY)
             return
         request = parsed.request
         path = request.path.partition("?")[0]
@@ -170,12 +171,11 @@
         if record is None or last_event >= len(record.events):
             caller.refuse(_no_stream(request_id))
             return
-        completion: dict[str, Any] = decode_completion(record.body)
         request = CallerRequest(
             request_id,
             record.service,
             "POST",
-            "/v1/chat/completions",
+            COMPLETIONS_PATH,
             record.workspace,
             record.body,
             "application/json",
@@ -184,7 +184,7 @@
         classified = classify(
             self._context.rules,
             record.service,
-            "POST",
+            request.method,
             request.path,
             record.workspace,
             None,
@@ -192,19 +192,27 @@
         if isinstance(classified, Refusal):
             caller.refuse(classified)
             return
-        exchange = ModelExchange(
+        caller.begin_stream()
+        for event in record.events[last_event + 1 :]:
+            caller.write(event + SEPARATOR)
+        self._run(http, self._resume(caller, request, classified, record))
+
+    def _resume(
+        self,
+        caller: Caller,
+        request: CallerRequest,
+        request_class: RequestClass,
+        record: StreamRecord,
+    ) -> ModelExchange:
+        return ModelExchange(
             self._context,
             caller,
             request,
-            classified,
+            request_class,
             fingerprint_of(request),
-            body=completion,
+            body=decode_completion(record.body),
             delivered=list(record.events),
         )
-        caller.begin_stream()
-        for event in record.events[last_event + 1 :]:
-            caller.write(event + b"\n\n")
-        self._run(http, exchange)
 
 
 def _no_stream(request_id: str) -> Refusal:
--- a/banyansail/router/rollouts.py
+++ b/banyansail/router/rollouts.py
@@ -7,20 +7,11 @@
 
 from banyansail.fleet.entries import Topic
 from banyansail.log import log_decision
-from banyansail.platform.budget import CallKind
 from banyansail.rollout.evidence import merge_evidence
-from banyansail.rollout.planner import MovePlanner
 from banyansail.rollout.schedule import DONE, LATE, TAKEN_BACK, PlannedShare
-from banyansail.rollout.status import (
-    MoveState,
-    MoveStatement,
-    decode_statement,
-    encode_statement,
-    move_id,
-    settle,
-    status_key,
-)
+from banyansail.rollout.status import MoveState, MoveStatement, move_id
 from banyansail.rollout.verdict import Bad
+from banyansail.router.statements import Move, StatementDesk
 from banyansail.routing.shares import VersionShares
 from banyansail.wire.gossip_codec import (
     decode_evidence,
@@ -31,7 +22,7 @@
 
 if TYPE_CHECKING:
     from banyansail.clock import Clock
-    from banyansail.config.rules import RolloutRule, RuleSet
+    from banyansail.config.rules import RuleSet
     from banyansail.fleet.duties import Duties
     from banyansail.fleet.gossiper import Gossiper
     from banyansail.fleet.view import FleetView
@@ -43,23 +34,6 @@
 WATCH_AFTER_FULL = timedelta(seconds=10)
 
 
-class _Move:
-    """State of one move at this router."""
-
-    __slots__ = ("is_settled", "planned", "planner", "rule", "statement")
-
-    def __init__(self, rule: RolloutRule, clock: Clock) -> None:
-        self.rule = rule
-        self.planner = MovePlanner(rule, clock)
-        self.statement: MoveStatement | None = None
-        self.is_settled = False
-        self.planned: PlannedShare | None = None
-
-    @property
-    def state(self) -> MoveState:
-        return self.statement.state if self.statement else MoveState.MOVING
-
-
 class RolloutController:
     """Plans the shares of all moves and settles their verdicts.
 
@@ -96,14 +70,14 @@
     ) -> None:
         self._name = name
         self._clock = clock
-        self._platform = platform
+        self._desk = StatementDesk(platform)
         self._view = view
         self._gossiper = gossiper
         self._duties = duties
         self._dispatcher = dispatcher
         self._recorder = recorder
         self._rules: RuleSet | None = None
-        self._move_by_service: dict[str, _Move] = {}
+        self._move_by_service: dict[str, Move] = {}
 
     def apply_rules(self, rules: RuleSet) -> None:
         """Take over the moves; one that is changed begins anew."""
@@ -115,7 +89,7 @@
         for service, rule in rules.rollout_by_service.items():
             held = moves.get(service)
             if held is None or move_id(held.rule) != move_id(rule):
-                moves[service] = _Move(rule, self._clock)
+                moves[service] = Move(rule, self._clock)
             else:
                 held.rule = held.planner.rule = rule
         self._recorder.watch(frozenset(moves))
@@ -139,12 +113,12 @@
         """Write verdicts, and read those of others if that is this router's duty."""
         for service, move in list(self._move_by_service.items()):
             if move.statement is not None and not move.is_settled:
-                await self._write(service, move, move.statement)
+                await self._desk.settle(service, move)
             elif not move.is_settled and self._is_duty(service):
-                await self._read(service, move)
+                await self._desk.read(service, move)
                 await self._state_progress(service, move)
             elif not move.is_settled and self._names_final(move):
-                await self._read(service, move)
+                await self._desk.read(service, move)
 
     def _plan(self, service: str) -> None:
         move = self._move_by_service[service]
@@ -163,7 +137,7 @@
             ),
         )
 
-    def _planned_share(self, service: str, move: _Move) -> PlannedShare:
+    def _planned_share(self, service: str, move: Move) -> PlannedShare:
         match move.state:
             case MoveState.TAKEN_BACK:
                 return TAKEN_BACK
@@ -186,7 +160,7 @@
         known = len(self._gossiper.members())
         return known > 1 and len(self._gossiper.live_members()) == 1
 
-    def _take_back(self, move: _Move, reason: str) -> None:
+    def _take_back(self, move: Move, reason: str) -> None:
         move.statement = MoveStatement(
             move_id(move.rule),
             MoveState.TAKEN_BACK,
@@ -195,28 +169,7 @@
             self._name,
         )
 
-    async def _write(self, service: str, move: _Move, wanted: MoveStatement) -> None:
-        stored = await self._platform.update(
-            status_key(service),
-            lambda body: settle(body, wanted),
-            lambda body: body == encode_statement(wanted),
-            CallKind.ROLLOUT,
-        )
-        self._take_statement(move, decode_statement(stored.body))
-
-    async def _read(self, service: str, move: _Move) -> None:
-        stored = await self._platform.get(status_key(service), CallKind.ROLLOUT)
-        self._take_statement(move, decode_statement(stored.body))
-
-    def _take_statement(self, move: _Move, held: MoveStatement | None) -> None:
-        if held is None or held.move != move_id(move.rule):
-            return
-        if held.state is not MoveState.MOVING:
-            move.statement = held
-            move.is_settled = True
-            log_decision("rollout", held.state.value, move=held.move, why=held.reason)
-
-    async def _state_progress(self, service: str, move: _Move) -> None:
+    async def _state_progress(self, service: str, move: Move) -> None:
         planned = move.planned
         if move.is_settled or planned is None:
             return
@@ -231,38 +184,15 @@
             if planned.share >= 1 and missing:
                 reason += f"; not heard to have moved: {', '.join(missing)}"
         statement = MoveStatement(move_id(move.rule), state, now, reason, self._name)
-        await self._write_progress(service, move, statement)
-
-    async def _write_progress(
-        self, service: str, move: _Move, statement: MoveStatement
-    ) -> None:
-        def change(body: dict[str, Any] | None) -> dict[str, Any] | None:
-            held = decode_statement(body)
-            same = held is not None and held.move == statement.move
-            if same and (held.state, held.reason) == (
-                statement.state,
-                statement.reason,
-            ):
-                return None
-            if same and held.state is not MoveState.MOVING:
-                return None
-            return encode_statement(statement)
-
-        stored = await self._platform.update(
-            status_key(service),
-            change,
-            lambda body: body == encode_statement(statement),
-            CallKind.ROLLOUT,
-        )
-        self._take_statement(move, decode_statement(stored.body))
+        await self._desk.report(service, move, statement)
 
-    def _has_watched(self, move: _Move, now: datetime) -> bool:
+    def _has_watched(self, move: Move, now: datetime) -> bool:
         """Tell whether the new version was watched under all of the traffic."""
         window = move.rule.deadline - move.rule.start
         watched = min(WATCH_AFTER_FULL, window * (1 - LATE) / 2)
         return now >= move.rule.start + window * LATE + watched
 
-    def _routers_not_full(self, move: _Move) -> list[str]:
+    def _routers_not_full(self, move: Move) -> list[str]:
         wanted = f"{FULL} {move_id(move.rule)}"
         heard = self._view.values(Topic.STATEMENTS, live_only=False)
         missing = []
@@ -275,7 +205,7 @@
                 missing.append(f"{name} (heard {age:.0f} s ago)")
         return missing
 
-    def _names_final(self, move: _Move) -> bool:
+    def _names_final(self, move: Move) -> bool:
         done = f"{MoveState.DONE.value} {move_id(move.rule)}"
         taken_back = f"{MoveState.TAKEN_BACK.value} {move_id(move.rule)}"
         return bool({done, taken_back} & self._heard())
@@ -314,7 +244,7 @@
         if dispatch is not None:
             dispatch.shares = shares
 
-    def _log(self, service: str, move: _Move, planned: PlannedShare) -> None:
+    def _log(self, service: str, move: Move, planned: PlannedShare) -> None:
         log_decision(
             "share",
             planned.reason,
--- a/banyansail/router/router.py
+++ b/banyansail/router/router.py
@@ -157,6 +157,19 @@
         self.quarantine = Quarantine(self.clock)
         self.registry = ExchangeRegistry()
         self.evidence = EvidenceRecorder()
+        self._build_controllers()
+        self.signs = UpstreamSigns(
+            self.clock,
+            self.gossiper,
+            self._push_news,
+            self.dispatcher,
+            self.quarantine,
+            self.registry,
+            self.prober,
+            self.hops,
+        )
+
+    def _build_controllers(self) -> None:
         self.rollouts = RolloutController(
             self.settings.name,
             self.clock,
@@ -183,17 +196,6 @@
             self.links,
         )
 
-        self.signs = UpstreamSigns(
-            self.clock,
-            self.gossiper,
-            self._push_news,
-            self.dispatcher,
-            self.quarantine,
-            self.registry,
-            self.prober,
-            self.hops,
-        )
-
     def _build_exchanges(self) -> None:
         health = HealthExaminer(
             self.links,
--- a/banyansail/standins/web.py
+++ b/banyansail/standins/web.py
@@ -26,6 +26,15 @@
         """Answer one request."""
         raise NotImplementedError
 
+    def set_faults(self, request: Request, faults: Any, site: Site | None) -> None:
+        """Set the switches that a request names; ``silence`` acts at once."""
+        switches = read_json(request)
+        answer_json(request, {})
+        if switches.pop("silence", False) and site is not None:
+            reactor.callLater(0, site.silence)
+        for name, value in switches.items():
+            setattr(faults, name, value)
+
 
 def _answer_failure(request: Request, failure: Any) -> None:
     if not is_open(request):
