Fill the tables of the capacity page

Cause: the page's tables were empty, and the script that fills them ran over the end of an empty one into the next.

--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -173,6 +173,7 @@
     orders = REQUESTS_PER_S * ORDER_SHARE
     shard_mb = orders * RETENTION_S / SHARDS * record / 1e6
     decision_core = requests * decisions["least_loaded_us"] / 1e6
+    full_at = 1e6 / (tokens * relay["token_us"])
     return [
         [
             "entry and relay",
@@ -180,7 +181,7 @@
             f"{tokens * relay['token_us'] / 1e6:.2f} of a core for tokens, "
             f"{requests * relay['lookup_us'] / 1e6:.3f} for requests",
             "one pass of bytes for each token; the balancer spreads callers",
-            "processor: at 2.3 times the tokens a node is full",
+            f"processor: at {full_at:.1f} times the tokens a core is full",
         ],
         [
             "admission and choice",
@@ -287,9 +288,9 @@
     """Replace the tables of the page."""
     text = PAGE.read_text(encoding="utf-8")
     for name, table in make_tables(load_points()).items():
-        pattern = rf"(<!-- {name} -->\n).*?(\n<!-- end -->)"
-        replacement = rf"\g<1>{table}\g<2>"
-        text = re.sub(pattern, replacement, text, flags=re.DOTALL)
+        pattern = rf"<!-- {name} -->\n.*?<!-- end -->"
+        replacement = f"<!-- {name} -->\n{table}\n<!-- end -->"
+        text = re.sub(pattern, lambda _, new=replacement: new, text, flags=re.DOTALL)
     PAGE.write_text(text, encoding="utf-8")
 
 
