--- a/banyansail/router/exchange.py
+++ b/banyansail/router/exchange.py
@@ -13,6 +13,7 @@
 from banyansail.routing.retry import (
     Failure,
     GiveUp,
+    GiveUpCause,
     RetryAfterBackoff,
     decide_retry,
 )
@@ -266,8 +267,8 @@
             random=self.context.random,
         )
         match decision:
-            case GiveUp(reason):
-                raise RefusedError(self.explain_failure(error, reason))
+            case GiveUp(cause):
+                raise RefusedError(self.explain_failure(error, cause))
             case RetryAfterBackoff(delay):
                 self._log_retry(name, error, delay)
                 steer_retry(
@@ -279,16 +280,16 @@
                 if delay:
                     await task.deferLater(self.context.reactor, delay.total_seconds())
 
-    def explain_failure(self, error: AttemptError, reason: str) -> Refusal:
+    def explain_failure(self, error: AttemptError, cause: GiveUpCause) -> Refusal:
         """Return the final answer after the last attempt failed."""
         ran = self.final_ran()
         code = RefusalCode.UPSTREAM_FAILED
-        if "budget" in reason:
+        if cause is GiveUpCause.BUDGET_SPENT:
             code = RefusalCode.RETRY_BUDGET_SPENT
         elif ran is RanState.UNKNOWN and not self.request_class.repeatable:
             code = RefusalCode.OUTCOME_UNKNOWN
         repeat = self.request_class.repeatable or ran is RanState.NOT_RUN
-        message = f"{error.detail or error.failure.value}; {reason}"
+        message = f"{error.detail or error.failure.value}; {cause.value}"
         return Refusal(502, code, ran, message, RETRY_LATER if repeat else None)
 
     def _log_retry(self, name: str, error: AttemptError, delay: timedelta) -> None:
--- a/banyansail/routing/retry.py
+++ b/banyansail/routing/retry.py
@@ -72,11 +72,20 @@
     delay: timedelta
 
 
+class GiveUpCause(Enum):
+    """Why no further attempt is made."""
+
+    NOT_REPEATABLE = "the call may not be repeated"
+    ATTEMPTS_SPENT = "the attempts are spent"
+    NO_TIME = "the deadline leaves no time for another attempt"
+    BUDGET_SPENT = "the retry budget is spent"
+
+
 @dataclass(slots=True, frozen=True)
 class GiveUp:
     """Give the final answer now."""
 
-    reason: str
+    cause: GiveUpCause
 
 
 RetryDecision = RetryAfterBackoff | GiveUp
@@ -109,15 +118,15 @@
         Source of the jitter.
     """
     if not repeatable and failure not in (Failure.NOT_SENT, Failure.REFUSED):
-        return GiveUp("the call may not be repeated")
+        return GiveUp(GiveUpCause.NOT_REPEATABLE)
     if failure is Failure.RECLAIMED:
         return RetryAfterBackoff(timedelta(0))
     if attempts >= MAX_ATTEMPTS:
-        return GiveUp(f"{attempts} attempts failed")
+        return GiveUp(GiveUpCause.ATTEMPTS_SPENT)
     ceiling = min(BACKOFF_CAP, BACKOFF_BASE * 2 ** max(0, attempts - 1))
     delay = ceiling * random.random()
     if delay >= remaining:
-        return GiveUp("the deadline leaves no time for another attempt")
+        return GiveUp(GiveUpCause.NO_TIME)
     if failure not in UNBUDGETED_FAILURES and not budget.withdraw():
-        return GiveUp("the retry budget is spent")
+        return GiveUp(GiveUpCause.BUDGET_SPENT)
     return RetryAfterBackoff(delay)
--- a/tests/naive/decisions.py
+++ b/tests/naive/decisions.py
@@ -7,7 +7,7 @@
 from random import Random
 
 from banyansail.routing.messages import Ticket
-from banyansail.routing.retry import GiveUp, RetryAfterBackoff
+from banyansail.routing.retry import GiveUp, GiveUpCause, RetryAfterBackoff
 from banyansail.routing.upstream_state import UpstreamState
 
 NAIVE_RETRIES = 2
@@ -69,5 +69,5 @@
 def naive_retry(attempts: int) -> RetryAfterBackoff | GiveUp:
     """Retry at once, twice, whatever happened and whoever else retries."""
     if attempts > NAIVE_RETRIES:
-        return GiveUp("tried three times")
+        return GiveUp(GiveUpCause.ATTEMPTS_SPENT)
     return RetryAfterBackoff(timedelta(0))
--- a/tests/test_killed_and_frozen_routers.py
+++ b/tests/test_killed_and_frozen_routers.py
@@ -7,6 +7,7 @@
 import threading
 import time
 from concurrent.futures import ThreadPoolExecutor
+from datetime import UTC, datetime, timedelta
 
 import pytest
 
@@ -223,3 +224,52 @@
         "last_event": int(events[-1].split("\n")[0][4:]),
         "text": "".join(chunk["choices"][0]["delta"]["content"] for chunk in chunks),
     }
+
+
+def test_frozen_router_delays_done_and_changes_nothing_when_it_wakes(site):
+    """Whichever router has the duty of the move, one of the two is frozen in it."""
+    start = datetime.now(UTC)
+    deadline = start + timedelta(seconds=8)
+    second = site.programs.start_engine("e2", "--version-name=v2", "--token-ms=2")
+    wait_for_http(second, "/health")
+    site.programs.apply_rules(
+        site.platform,
+        site.rules()
+        + "upstream e2 service=advisor-llm version=v2 zone=glasgow "
+        + f"address=127.0.0.1:{second}  # isla: new\n"
+        + f"rollout advisor-llm from=v1 to=v2 start={start.isoformat()} "
+        + f"deadline={deadline.isoformat()} first=5%  # ewan: new model\n",
+    )
+
+    def stated() -> tuple[str, str]:
+        done = site.programs.run_cli(
+            "rollout", "status", f"--platform=127.0.0.1:{site.platform}", "--json"
+        )
+        move = json.loads(done.stdout)[0]
+        return move["state"], move["reason"]
+
+    def ask(router: str) -> None:
+        port = site.ports[router]
+        assert call(port, "POST", COMPLETIONS, completion("x", 2))[0] == 200
+
+    for _ in range(20):
+        ask("r0")
+        ask("r1")
+    site.programs.signal("r1", signal.SIGSTOP)
+
+    def is_named() -> bool:
+        ask("r0")
+        state, reason = stated()
+        return state == "moving" and "not heard to have moved: r1" in reason
+
+    wait_until(is_named, 60)
+    site.programs.signal("r1", signal.SIGCONT)
+
+    def is_done() -> bool:
+        ask("r0")
+        return stated()[0] == "done"
+
+    wait_until(is_done, 60)
+    final = stated()
+    time.sleep(3)
+    assert stated() == final
