Call upstreams over TLS if their rule says so

Cause: upstreams could only be called in the clear.

Seen on the way: pooled connections were made without the check's policy and refused every certificate (502), which the test found.

--- a/banyansail/config/rule_options.py
+++ b/banyansail/config/rule_options.py
@@ -139,6 +139,7 @@
             "fencing": _optional(
                 "fencing", fields.parse_flag, "whether it refuses old fencing numbers"
             ),
+            "tls": _optional("tls", fields.parse_flag, "whether it is called over TLS"),
         },
         "One upstream of a service.",
     ),
--- a/banyansail/config/rules.py
+++ b/banyansail/config/rules.py
@@ -54,6 +54,8 @@
         Price for one instance and hour.
     fencing : bool
         Whether the upstream refuses an order with an old fencing number.
+    tls : bool
+        Whether it is called over TLS.
     """
 
     name: str
@@ -64,6 +66,7 @@
     instance_class: InstanceClass = InstanceClass.RECLAIMABLE
     price: float = 1.0
     fencing: bool = False
+    tls: bool = False
 
 
 @dataclass(slots=True, frozen=True)
--- a/banyansail/config/settings.py
+++ b/banyansail/config/settings.py
@@ -48,6 +48,9 @@
         How long a planned stop may take.
     max_connections : int
         Connections of callers that are served at once.
+    upstream_ca : str or None
+        PEM file of the authorities that sign the certificates of upstreams; those of
+        the system if absent.
     certificate, private_key : str or None
         PEM files; with both set callers are served over TLS.
     """
@@ -65,6 +68,7 @@
     log: str | None = None
     stop_notice: timedelta = timedelta(seconds=30)
     max_connections: int = 2000
+    upstream_ca: str | None = None
     certificate: str | None = None
     private_key: str | None = None
 
@@ -96,6 +100,7 @@
     "log": _Option(str),
     "stop_notice": _Option(fields.parse_duration),
     "max_connections": _Option(fields.parse_count),
+    "upstream_ca": _Option(str),
     "certificate": _Option(str),
     "private_key": _Option(str),
 }
--- a/banyansail/router/router.py
+++ b/banyansail/router/router.py
@@ -47,6 +47,7 @@
 from banyansail.routing.dispatch import Dispatcher
 from banyansail.routing.quarantine import Quarantine
 from banyansail.upstreams.links import LinkTable
+from banyansail.upstreams.tls import UpstreamTrust
 from banyansail.wire.gossip_codec import encode_member
 from banyansail.wire.seal import Seal
 
@@ -153,7 +154,9 @@
             self.settings.zone, self.hops, self.clock, self._random
         )
         self.scheduler = Scheduler(self.dispatcher, self.metrics)
-        self.links = self._resources.enter_context(LinkTable(self._reactor))
+        self.links = self._resources.enter_context(
+            LinkTable(self._reactor, UpstreamTrust(self.settings.upstream_ca))
+        )
         self.quarantine = Quarantine(self.clock)
         self.registry = ExchangeRegistry()
         self.evidence = EvidenceRecorder()
--- a/banyansail/standins/web.py
+++ b/banyansail/standins/web.py
@@ -109,10 +109,11 @@
 
     def abort(self) -> None:
         """Drop every open connection, as a crash would."""
-        for channel in self.channels:
-            if channel.transport is not None:
+        channels, self.channels = self.channels, set()
+        for channel in channels:
+            # A channel that has ended keeps a transport that can't be aborted again.
+            if channel.transport is not None and channel.transport.connected:
                 channel.transport.abortConnection()
-        self.channels.clear()
 
 
 def _do_nothing(*args: Any) -> None:
--- a/banyansail/upstreams/link.py
+++ b/banyansail/upstreams/link.py
@@ -10,6 +10,7 @@
 from twisted.internet.protocol import Protocol
 from twisted.web.client import (
     Agent,
+    BrowserLikePolicyForHTTPS,
     HTTPConnectionPool,
     PotentialDataLoss,
     ResponseDone,
@@ -27,6 +28,7 @@
     from twisted.web.iweb import IResponse
 
     from banyansail.config.fields import Address
+    from banyansail.upstreams.tls import UpstreamTrust
 
 CONNECT_TIMEOUT_S = 1.0
 IDLE_CONNECTIONS = 64
@@ -173,19 +175,25 @@
         Twisted's reactor.
     address : Address
         The upstream.
+    trust : UpstreamTrust or None
+        Checks its certificate; ``None`` for plain HTTP.
     """
 
     __slots__ = ("_base", "_fresh", "_pool", "_pooled", "_reactor")
 
-    def __init__(self, reactor: Any, address: Address) -> None:
+    def __init__(
+        self, reactor: Any, address: Address, trust: UpstreamTrust | None = None
+    ) -> None:
         self._reactor = reactor
-        self._base = f"http://{address}"
+        scheme = "http" if trust is None else "https"
+        self._base = f"{scheme}://{address}"
+        policy = trust or BrowserLikePolicyForHTTPS()
         self._pool = HTTPConnectionPool(reactor, persistent=True)
         self._pool.maxPersistentPerHost = IDLE_CONNECTIONS
         self._pool.cachedConnectionTimeout = IDLE_TIMEOUT_S
         self._pool.retryAutomatically = False
-        self._pooled = Agent(reactor, connectTimeout=CONNECT_TIMEOUT_S, pool=self._pool)
-        self._fresh = Agent(reactor, connectTimeout=CONNECT_TIMEOUT_S)
+        self._pooled = Agent(reactor, policy, CONNECT_TIMEOUT_S, pool=self._pool)
+        self._fresh = Agent(reactor, policy, CONNECT_TIMEOUT_S)
 
     def __enter__(self) -> UpstreamLink:
         return self
@@ -214,8 +222,7 @@
         except NOT_SENT_ERRORS as caught:
             raise AttemptError(Failure.NOT_SENT, str(caught)) from caught
         except (ResponseFailed, OSError, error.ConnectionClosed) as caught:
-            detail = type(caught).__name__
-            raise AttemptError(Failure.LOST, detail) from caught
+            raise AttemptError(Failure.LOST, _describe(caught)) from caught
 
     async def probe(self, path: str = "/health") -> bool:
         """Tell whether the upstream answers on a new connection."""
@@ -231,5 +238,13 @@
         return response.code < 500
 
 
+def _describe(caught: Exception) -> str:
+    """Return what broke a connection; Twisted wraps the reasons."""
+    reasons = getattr(caught, "reasons", None)
+    if not reasons:
+        return type(caught).__name__
+    return f"{type(caught).__name__}: {reasons[0].getErrorMessage()}"
+
+
 def _ignore(_: object) -> None:
     return None
--- a/banyansail/upstreams/links.py
+++ b/banyansail/upstreams/links.py
@@ -8,6 +8,7 @@
 
 if TYPE_CHECKING:
     from banyansail.config.rules import UpstreamRule
+    from banyansail.upstreams.tls import UpstreamTrust
 
 
 class LinkTable:
@@ -17,12 +18,15 @@
     ----------
     reactor : object
         Twisted's reactor.
+    trust : UpstreamTrust
+        Checks the certificates of upstreams that are called over TLS.
     """
 
-    __slots__ = ("_link_by_name", "_rule_by_name", "reactor")
+    __slots__ = ("_link_by_name", "_rule_by_name", "_trust", "reactor")
 
-    def __init__(self, reactor: Any) -> None:
+    def __init__(self, reactor: Any, trust: UpstreamTrust) -> None:
         self.reactor = reactor
+        self._trust = trust
         self._link_by_name: dict[str, UpstreamLink] = {}
         self._rule_by_name: dict[str, UpstreamRule] = {}
 
@@ -44,9 +48,15 @@
             del self._rule_by_name[name]
         for name, rule in rule_by_name.items():
             known = self._rule_by_name.get(name)
-            if known is not None and known.address == rule.address:
+            if known is not None and _same_place(known, rule):
                 continue
             if known is not None:
                 self._link_by_name[name].close_idle()
             self._rule_by_name[name] = rule
-            self._link_by_name[name] = UpstreamLink(self.reactor, rule.address)
+            self._link_by_name[name] = UpstreamLink(
+                self.reactor, rule.address, self._trust if rule.tls else None
+            )
+
+
+def _same_place(known: UpstreamRule, rule: UpstreamRule) -> bool:
+    return (known.address, known.tls) == (rule.address, rule.tls)
--- a/tests/router/test_tls.py
+++ b/tests/router/test_tls.py
@@ -6,13 +6,19 @@
 import ssl
 from dataclasses import replace
 from datetime import UTC, datetime, timedelta
+from ipaddress import ip_address
 
 import pytest
 from cryptography import x509
 from cryptography.hazmat.primitives import hashes, serialization
 from cryptography.hazmat.primitives.asymmetric import ec
+from twisted.internet import reactor
 
+from banyansail.config.fields import Address
+from banyansail.config.settings import Settings
+from banyansail.demo.site import SHARED_KEY, pick_port
 from banyansail.router.router import Router
+from banyansail.router.tls import ReloadingContextFactory
 from tests.live import LiveSite, in_reactor
 from tests.processes import wait_until
 
@@ -29,6 +35,11 @@
         .serial_number(x509.random_serial_number())
         .not_valid_before(now - timedelta(days=1))
         .not_valid_after(now + timedelta(days=1))
+        .add_extension(
+            x509.SubjectAlternativeName([x509.IPAddress(ip_address("127.0.0.1"))]),
+            critical=False,
+        )
+        .add_extension(x509.BasicConstraints(ca=True, path_length=0), critical=True)
         .sign(key, hashes.SHA256())
     )
     encoding = serialization.Encoding.PEM
@@ -88,3 +99,65 @@
 def test_broken_keys_leave_the_old_ones_in_use(port, tmp_path):
     (tmp_path / "key.pem").write_text("nonsense")
     assert served_name(port) == "CN=first"
+
+
+@pytest.fixture
+def secured(tmp_path):
+    """Run a service behind TLS and a router that trusts its certificate."""
+    write_pair(tmp_path, "service")
+    files = (str(tmp_path / "cert.pem"), str(tmp_path / "key.pem"))
+    with LiveSite() as live:
+        upstream = live.service("s0")
+
+        def listen() -> int:
+            standin = upstream.standin
+            port = reactor.listenSSL(
+                0, standin.site, ReloadingContextFactory(*files), interface="127.0.0.1"
+            )
+            standin.kill()
+            standin.port = port
+            standin.address = Address("127.0.0.1", port.getHost().port)
+            return standin.address.port
+
+        in_reactor(listen)
+        upstream.rule_options = "tls=yes"
+        live.apply()
+        trusting = start_router(live, "r0", upstream_ca=files[0])
+        strange = start_router(live, "r1", upstream_ca=None)
+        for router in (trusting, strange):
+            wait_until(lambda ready=router: ready.lifecycle.takes_callers)
+        yield live
+
+
+def start_router(live: LiveSite, name: str, **changes) -> Router:
+    settings = Settings(
+        name=name,
+        zone="glasgow",
+        region="scotland",
+        listen=Address("127.0.0.1", pick_port()),
+        peer=Address("127.0.0.1", pick_port()),
+        platform=live.site.platform.address,
+        shared_key=SHARED_KEY,
+        **changes,
+    )
+    router = in_reactor(Router, settings, reactor)
+    live.site.router_by_name[name] = router
+    in_reactor(router.startService)
+    return router
+
+
+def test_upstreams_are_called_over_tls(secured):
+    status, _, body = secured.call("GET", "/depot-app/stock/abc")
+    assert status == 200, body
+    status, _, _ = secured.call(
+        "POST", "/depot-app/orders", {"n": 1}, idempotency_key="k"
+    )
+    assert status == 200
+
+
+def test_certificate_of_an_unknown_authority_gets_no_call(secured):
+    status, _, _ = secured.call(
+        "GET", "/depot-app/stock/abc", router="r1", x_deadline_seconds="1"
+    )
+    assert status in (502, 504)
+    assert secured.state("s0").calls == 0
