Name things in the field's terms

Cause: read as a newcomer, StatementDesk, UpstreamSigns, hear, outbid and steer_retry need explaining.

Change: StatementStore, UpstreamSignals, merge_digest, refute and constrain_retry, and the modules likewise.

--- a/banyansail/fleet/gossiper.py
+++ b/banyansail/fleet/gossiper.py
@@ -178,7 +178,7 @@
         for entry in news:
             self._note(entry)
         for digest in gossip.digests:
-            self._view.hear(digest)
+            self._view.merge_digest(digest)
         if gossip.step >= LAST_STEP:
             return news, []
         reply = self._reply(gossip, sender)
--- a/banyansail/fleet/view.py
+++ b/banyansail/fleet/view.py
@@ -84,7 +84,7 @@
     def merge(self, entry: Entry) -> bool:
         """Take in an entry; return whether it is news."""
         if entry.origin == self.name:
-            self._outbid(entry.incarnation)
+            self._refute(entry.incarnation)
             return False
         origin = self._origin(entry.origin, entry.incarnation)
         if origin is None:
@@ -95,10 +95,10 @@
         origin.entry_by_topic[entry.topic] = entry
         return True
 
-    def hear(self, digest: Digest) -> None:
+    def merge_digest(self, digest: Digest) -> None:
         """Take in how long ago a router's heartbeat was heard of elsewhere."""
         if digest.origin == self.name:
-            self._outbid(digest.incarnation)
+            self._refute(digest.incarnation)
             return
         if digest.age > FORGET_TIME:
             return
@@ -203,7 +203,7 @@
             self._origin_by_name[name] = origin
         return origin
 
-    def _outbid(self, incarnation: int) -> None:
+    def _refute(self, incarnation: int) -> None:
         """Outrank entries of an earlier process, after a clock that went back."""
         own = self._own
         if incarnation <= own.incarnation:
--- a/banyansail/router/exchange.py
+++ b/banyansail/router/exchange.py
@@ -17,7 +17,7 @@
     RetryAfterBackoff,
     decide_retry,
 )
-from banyansail.routing.steering import steer_retry
+from banyansail.routing.retry_target import constrain_retry
 from banyansail.upstreams.link import AttemptError, UpstreamCall, UpstreamLink
 
 if TYPE_CHECKING:
@@ -271,7 +271,7 @@
                 raise RefusedError(self.explain_failure(error, cause))
             case RetryAfterBackoff(delay):
                 self._log_retry(name, error, delay)
-                steer_retry(
+                constrain_retry(
                     self.context.scheduler.dispatcher,
                     assignment,
                     error.failure,
--- a/banyansail/router/rollouts.py
+++ b/banyansail/router/rollouts.py
@@ -11,7 +11,7 @@
 from banyansail.rollout.schedule import DONE, LATE, TAKEN_BACK, PlannedShare
 from banyansail.rollout.status import MoveState, MoveStatement, move_id
 from banyansail.rollout.verdict import Bad
-from banyansail.router.statements import Move, StatementDesk
+from banyansail.router.statements import Move, StatementStore
 from banyansail.routing.shares import VersionShares
 from banyansail.wire.gossip_codec import (
     decode_evidence,
@@ -72,7 +72,7 @@
     ) -> None:
         self._name = name
         self._clock = clock
-        self._desk = StatementDesk(platform)
+        self._statements = StatementStore(platform)
         self._view = view
         self._gossiper = gossiper
         self._duties = duties
@@ -121,12 +121,12 @@
         """Write verdicts, and read those of others if that is this router's duty."""
         for service, move in list(self._move_by_service.items()):
             if move.statement is not None and not move.is_settled:
-                await self._desk.settle(service, move)
+                await self._statements.settle(service, move)
             elif not move.is_settled and self._is_duty(service):
-                await self._desk.read(service, move)
+                await self._statements.read(service, move)
                 await self._state_progress(service, move)
             elif not move.is_settled and self._names_final(move):
-                await self._desk.read(service, move)
+                await self._statements.read(service, move)
 
     def _plan(self, service: str) -> None:
         move = self._move_by_service[service]
@@ -193,7 +193,7 @@
             if planned.share >= 1 and missing:
                 reason += f"; not heard to have moved: {', '.join(missing)}"
         statement = MoveStatement(move_id(move.rule), state, now, reason, self._name)
-        await self._desk.report(service, move, statement)
+        await self._statements.report(service, move, statement)
 
     def _has_watched(self, move: Move, now: datetime) -> bool:
         """Tell whether the new version was watched under all of the traffic."""
--- a/banyansail/router/router.py
+++ b/banyansail/router/router.py
@@ -40,9 +40,9 @@
 from banyansail.router.rollouts import RolloutController
 from banyansail.router.rules_keeper import RulesKeeper
 from banyansail.router.scheduler import Scheduler
-from banyansail.router.signs import UpstreamSigns
 from banyansail.router.supervisor import Supervisor
 from banyansail.router.tls import ReloadingContextFactory
+from banyansail.router.upstream_signals import UpstreamSignals
 from banyansail.router.web import BoundedSite
 from banyansail.routing.dispatch import Dispatcher
 from banyansail.routing.quarantine import Quarantine
@@ -142,7 +142,7 @@
             self.peers,
             self.duties,
             self._on_upstreams,
-            lambda notices: self.signs.see_leaving(notices),
+            lambda notices: self.signals.report_leaving(notices),
         )
         self.peer_service = PeerService()
         self.ledger = self._resources.enter_context(
@@ -161,7 +161,7 @@
         self.registry = ExchangeRegistry()
         self.evidence = EvidenceRecorder()
         self._build_controllers()
-        self.signs = UpstreamSigns(
+        self.signals = UpstreamSignals(
             self.clock,
             self.gossiper,
             self._push_news,
@@ -205,7 +205,7 @@
             self.dispatcher,
             self.quarantine,
             self.registry,
-            self.signs.see_death,
+            self.signals.report_death,
         )
         self.streams = StreamStore(self.gossiper, self.peers, self.duties)
         self.context = ExchangeContext(
@@ -328,12 +328,12 @@
         self.gossip.send(self.gossiper.push())
 
     def _on_news(self, entries: list[Entry]) -> None:
-        self.signs.hear(entries)
+        self.signals.receive(entries)
         self.scheduler.pump()
 
     async def _exchange(self) -> None:
         self.gossiper.forget_old()
-        self.signs.publish_leaving()
+        self.signals.publish_leaving()
         self.gossip.send(self.gossiper.exchange())
 
     async def _plan(self) -> None:
--- a/banyansail/router/statements.py
+++ b/banyansail/router/statements.py
@@ -50,7 +50,7 @@
         return self.statement.state if self.statement else MoveState.MOVING
 
 
-class StatementDesk:
+class StatementStore:
     """Writes and reads the statements of moves.
 
     Parameters
--- a/banyansail/router/signs.py
+++ b/banyansail/router/upstream_signals.py
@@ -1,4 +1,4 @@
-"""Signs about upstreams: leaving and deaths, first-hand and heard of."""
+"""Signals about upstreams: leaving and deaths, first-hand and from other routers."""
 
 from __future__ import annotations
 
@@ -29,8 +29,8 @@
 PUBLISHED_DEATHS = 20
 
 
-class UpstreamSigns:
-    """Acts on signs and passes first-hand ones on.
+class UpstreamSignals:
+    """Acts on signals and passes first-hand ones on.
 
     Parameters
     ----------
@@ -74,8 +74,8 @@
         self._deaths: list[Death] = []
         self._leaving_at: dict[str, timedelta] = {}
 
-    def see_leaving(self, notice_by_name: dict[str, timedelta]) -> None:
-        """Act on a first-hand sign that instances are leaving."""
+    def report_leaving(self, notice_by_name: dict[str, timedelta]) -> None:
+        """Act on a first-hand signal that instances are leaving."""
         new = self._mark_leaving(notice_by_name, "platform")
         now = self._clock.monotonic()
         for name in new:
@@ -84,7 +84,7 @@
             self.publish_leaving()
             self._push()
 
-    def see_death(self, death: Death) -> None:
+    def report_death(self, death: Death) -> None:
         """Act on a death that was found out here."""
         log_event("upstream_died", upstream=death.upstream, zone=death.zone)
         self._deaths = [*self._deaths, death][-PUBLISHED_DEATHS:]
@@ -102,7 +102,7 @@
         }
         self._gossiper.publish(Topic.LEAVING, encode_leaving(left))
 
-    def hear(self, entries: list[Entry]) -> None:
+    def receive(self, entries: list[Entry]) -> None:
         """Take in what other routers say."""
         for entry in entries:
             try:
--- a/banyansail/routing/steering.py
+++ b/banyansail/routing/retry_target.py
@@ -11,7 +11,7 @@
     from banyansail.routing.dispatch import Assignment, Dispatcher
 
 
-def steer_retry(
+def constrain_retry(
     dispatcher: Dispatcher, assignment: Assignment, failure: Failure, now: timedelta
 ) -> None:
     """Send the next attempt to another upstream, and not to an unproven version.
