Keep the router's own answers in one module

Cause: refusals were built in three modules, in the middle of other logic.

Change: router/refusals.py has them all; when asking again makes sense is worked out in one place.

--- a/banyansail/router/exchange.py
+++ b/banyansail/router/exchange.py
@@ -8,12 +8,17 @@
 from twisted.internet import defer, task
 
 from banyansail.log import log_decision, log_event
+from banyansail.router.refusals import (
+    attempts_failed,
+    deadline_exceeded,
+    quarantined,
+    router_failed,
+)
 from banyansail.router.scheduler import RefusedError
-from banyansail.routing.messages import RanState, Refusal, RefusalCode, Ticket
+from banyansail.routing.messages import RanState, Refusal, Ticket
 from banyansail.routing.retry import (
     Failure,
     GiveUp,
-    GiveUpCause,
     RetryAfterBackoff,
     decide_retry,
 )
@@ -26,7 +31,6 @@
     from banyansail.routing.dispatch import Assignment
     from banyansail.routing.messages import RequestClass
 
-RETRY_LATER = timedelta(seconds=1)
 NOT_SENT_FAILURES = (Failure.NOT_SENT, Failure.REFUSED)
 
 
@@ -175,15 +179,7 @@
         quarantine = self.context.quarantine
         remaining = quarantine.quarantined_for(self.fingerprint)
         if remaining is not None:
-            raise RefusedError(
-                Refusal(
-                    422,
-                    RefusalCode.QUARANTINED,
-                    self.final_ran(),
-                    "this request crashed the upstreams that ran it",
-                    remaining,
-                )
-            )
+            raise RefusedError(quarantined(self.final_ran(), remaining))
         return quarantine.is_suspect(self.fingerprint)
 
     async def _try(self, assignment: Assignment) -> AttemptError | None:
@@ -268,7 +264,11 @@
         )
         match decision:
             case GiveUp(cause):
-                raise RefusedError(self.explain_failure(error, cause))
+                detail = error.detail or error.failure.value
+                repeatable = self.request_class.repeatable
+                raise RefusedError(
+                    attempts_failed(detail, cause, self.final_ran(), repeatable)
+                )
             case RetryAfterBackoff(delay):
                 self._log_retry(name, error, delay)
                 constrain_retry(
@@ -280,18 +280,6 @@
                 if delay:
                     await task.deferLater(self.context.reactor, delay.total_seconds())
 
-    def explain_failure(self, error: AttemptError, cause: GiveUpCause) -> Refusal:
-        """Return the final answer after the last attempt failed."""
-        ran = self.final_ran()
-        code = RefusalCode.UPSTREAM_FAILED
-        if cause is GiveUpCause.BUDGET_SPENT:
-            code = RefusalCode.RETRY_BUDGET_SPENT
-        elif ran is RanState.UNKNOWN and not self.request_class.repeatable:
-            code = RefusalCode.OUTCOME_UNKNOWN
-        repeat = self.request_class.repeatable or ran is RanState.NOT_RUN
-        message = f"{error.detail or error.failure.value}; {cause.value}"
-        return Refusal(502, code, ran, message, RETRY_LATER if repeat else None)
-
     def _log_retry(self, name: str, error: AttemptError, delay: timedelta) -> None:
         self.context.metrics.count(f"retry.{error.failure.value}")
         log_decision(
@@ -307,19 +295,10 @@
     def _exceed_deadline(self) -> None:
         if self.is_over:
             return
-        refusal = Refusal(
-            504,
-            RefusalCode.DEADLINE_EXCEEDED,
-            self.final_ran(),
-            "the deadline has passed",
-            RETRY_LATER if self._may_repeat() else None,
-        )
-        self.refuse(refusal)
+        repeatable = self.request_class.repeatable
+        self.refuse(deadline_exceeded(self.final_ran(), repeatable))
         self._stop()
 
-    def _may_repeat(self) -> bool:
-        return self.request_class.repeatable or not self.may_have_run
-
     def _stop(self) -> None:
         self.is_over = True
         if self._run is not None and not self._run.called:
@@ -330,9 +309,7 @@
         if failure.check(defer.CancelledError, AttemptError) and self.is_over:
             return
         log_event("internal_error", request=self.request.request_id, error=str(failure))
-        ran = self.final_ran()
-        text = "the router failed; see its log"
-        self.caller.refuse(Refusal(500, RefusalCode.UPSTREAM_FAILED, ran, text))
+        self.caller.refuse(router_failed(self.final_ran()))
 
     def base_headers(self) -> dict[str, str]:
         """Return the headers that every upstream gets."""
--- a/banyansail/router/listener.py
+++ b/banyansail/router/listener.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import json
-from datetime import timedelta
 from typing import TYPE_CHECKING
 
 from twisted.internet import defer
@@ -27,13 +26,9 @@
     read_last_event,
 )
 from banyansail.router.plain_exchange import PlainExchange
+from banyansail.router.refusals import NOT_READY, body_too_large, no_stream
 from banyansail.routing.classify import classify
-from banyansail.routing.messages import (
-    RanState,
-    Refusal,
-    RefusalCode,
-    RequestClass,
-)
+from banyansail.routing.messages import Refusal, RequestClass
 from banyansail.upstreams.events import SEPARATOR
 
 if TYPE_CHECKING:
@@ -42,14 +37,6 @@
     from banyansail.router.lifecycle import Lifecycle
     from banyansail.wire.call_codec import StreamRecord
 
-NOT_READY = Refusal(
-    503,
-    RefusalCode.NOT_READY,
-    RanState.NOT_RUN,
-    "the router does not have the newest rules yet",
-    timedelta(seconds=2),
-)
-
 
 class CallerResource(Resource):
     """Answers every path of the callers' port.
@@ -117,10 +104,7 @@
             return
         limit = self._context.rules.limit(request.service).body
         if len(request.body) > limit:
-            text = f"the body is over {limit} bytes"
-            caller.refuse(
-                Refusal(413, RefusalCode.BODY_TOO_LARGE, RanState.NOT_RUN, text)
-            )
+            caller.refuse(body_too_large(limit))
             return
         exchange = self._build(caller, parsed, classified)
         if exchange is None:
@@ -162,14 +146,14 @@
         done = defer.Deferred.fromCoroutine(
             self._find_and_continue(http, caller, request_id, last_event)
         )
-        done.addErrback(lambda failure: caller.refuse(_no_stream(request_id)))
+        done.addErrback(lambda failure: caller.refuse(no_stream(request_id)))
 
     async def _find_and_continue(
         self, http: Request, caller: Caller, request_id: str, last_event: int
     ) -> None:
         record = await self._context.streams.find(request_id)
         if record is None or last_event >= len(record.events):
-            caller.refuse(_no_stream(request_id))
+            caller.refuse(no_stream(request_id))
             return
         request = CallerRequest(
             request_id,
@@ -213,8 +197,3 @@
             body=decode_completion(record.body),
             delivered=list(record.events),
         )
-
-
-def _no_stream(request_id: str) -> Refusal:
-    text = f"no record of stream {request_id!r} is kept here"
-    return Refusal(404, RefusalCode.UNKNOWN_ROUTE, RanState.UNKNOWN, text)
--- a/banyansail/router/order_exchange.py
+++ b/banyansail/router/order_exchange.py
@@ -24,8 +24,16 @@
 )
 from banyansail.router.caller import Answer
 from banyansail.router.plain_exchange import PlainExchange
+from banyansail.router.refusals import (
+    JOURNAL_FULL,
+    KEY_REUSED,
+    NOT_KEPT,
+    RAN_BEFORE,
+    not_recorded,
+    outcome_unknown,
+)
 from banyansail.router.scheduler import RefusedError
-from banyansail.routing.messages import RanState, Refusal, RefusalCode
+from banyansail.routing.messages import RanState
 from banyansail.upstreams.link import (
     AttemptError,
     UpstreamCall,
@@ -39,33 +47,6 @@
 POLL_INTERVAL = timedelta(milliseconds=200)
 MAX_WAIT_FOR_OTHER = timedelta(seconds=5)
 LINGER = timedelta(seconds=30)  # a late answer is still recorded
-JOURNAL_RETRY = timedelta(seconds=5)
-
-NOT_KEPT = Refusal(
-    409,
-    RefusalCode.OUTCOME_UNKNOWN,
-    RanState.RAN,
-    "the call was run; its answer was too large to keep",
-)
-RAN_BEFORE = Refusal(
-    409,
-    RefusalCode.OUTCOME_UNKNOWN,
-    RanState.RAN,
-    "the call was run; its answer was lost",
-)
-KEY_REUSED = Refusal(
-    422,
-    RefusalCode.KEY_REUSED,
-    RanState.NOT_RUN,
-    "the key was used for another call",
-)
-JOURNAL_FULL = Refusal(
-    503,
-    RefusalCode.JOURNAL_UNAVAILABLE,
-    RanState.NOT_RUN,
-    "the journal has no room for a new key",
-    JOURNAL_RETRY,
-)
 
 
 class OrderExchange(PlainExchange):
@@ -153,15 +134,7 @@
         try:
             return await self.context.ledger.perform(operation)
         except PlatformUnavailableError as error:
-            raise RefusedError(
-                Refusal(
-                    503,
-                    RefusalCode.JOURNAL_UNAVAILABLE,
-                    RanState.NOT_RUN,
-                    f"the call can't be recorded: {error.message}",
-                    JOURNAL_RETRY,
-                )
-            ) from error
+            raise RefusedError(not_recorded(error.message)) from error
         except defer.CancelledError:
             self._release()
             raise
@@ -179,10 +152,7 @@
             case ShardFull():
                 raise RefusedError(JOURNAL_FULL)
             case InFlight(attempt):
-                text = f"attempt {attempt} was started and its outcome is not known"
-                raise RefusedError(
-                    Refusal(409, RefusalCode.OUTCOME_UNKNOWN, RanState.UNKNOWN, text)
-                )
+                raise RefusedError(outcome_unknown(attempt))
         return None
 
     def _release(self) -> None:
