Count a death once as evidence, and a passed-on 500 as a failure

An upstream of the new version that died with many calls counted as many failures, enough to take a good version back; and a 500 that is passed on, as the call may not be repeated, counted as an answer, so that a version that failed every order was never seen as bad.

Change: calls lost to one death count once at each router; an answer of 500 or more is a failure of its version. The router's sockets have a module of their own.

--- a/banyansail/router/context.py
+++ b/banyansail/router/context.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
+from datetime import timedelta
 from typing import TYPE_CHECKING, Any
 
 from banyansail.routing.retry import RetryBudget
@@ -23,6 +24,9 @@
     from banyansail.upstreams.links import LinkTable
 
 
+ONE_DEATH = timedelta(seconds=5)  # calls lost within it were lost to one death
+
+
 @dataclass(slots=True)
 class ExchangeContext:
     """What the exchanges of a router share."""
@@ -41,7 +45,17 @@
     evidence: EvidenceRecorder
     rules: RuleSet
     budget_by_service: dict[str, RetryBudget] = field(default_factory=dict)
+    death_by_upstream: dict[str, timedelta] = field(default_factory=dict)
 
     def budget(self, service: str) -> RetryBudget:
         """Return the retry budget of a service."""
         return self.budget_by_service.setdefault(service, RetryBudget())
+
+    def count_death(self, upstream: str) -> bool:
+        """Tell whether a death is to be counted; it is, once for a while."""
+        now = self.clock.monotonic()
+        last = self.death_by_upstream.get(upstream)
+        if last is not None and now - last < ONE_DEATH:
+            return False
+        self.death_by_upstream[upstream] = now
+        return True
--- a/banyansail/router/exchange.py
+++ b/banyansail/router/exchange.py
@@ -32,6 +32,7 @@
     from banyansail.routing.messages import RequestClass
 
 NOT_SENT_FAILURES = (Failure.NOT_SENT, Failure.REFUSED)
+FAULTLESS_FAILURES = (Failure.RECLAIMED, Failure.SILENT)
 
 
 class Exchange:
@@ -78,6 +79,7 @@
         self.attempts = 0
         self.sent_attempts = 0
         self.may_have_run = False
+        self.has_failed_answer = False
         self.is_over = False
         self.assignment: Assignment | None = None
         self._first_byte: timedelta | None = None
@@ -232,26 +234,33 @@
     def _record_end(self, assignment: Assignment, error: AttemptError | None) -> None:
         duration = self.context.clock.monotonic() - self._sent_at
         latency = self._first_byte if error is None else None
-        if error is not None and error.failure in (Failure.RECLAIMED, Failure.SILENT):
+        if error is not None and error.failure in FAULTLESS_FAILURES:
             latency = self._first_byte or duration
         self.context.scheduler.release(assignment, latency, duration)
         rule = assignment.state.rule
         self.context.metrics.time(f"attempt.{rule.service}", duration)
-        counted = error is None or error.failure not in (
-            Failure.RECLAIMED,
-            Failure.SILENT,
-        )
-        if counted and not (self.is_over and error is not None):
+        if self._is_evidence(rule.name, error):
             self.context.evidence.record(
                 rule.service,
                 rule.version,
                 self.request_class.route,
                 self.request_class.workspace,
-                succeeded=error is None,
+                succeeded=error is None and not self.has_failed_answer,
                 latency=self._first_byte or duration,
                 load=assignment.in_flight,
             )
 
+    def _is_evidence(self, upstream: str, error: AttemptError | None) -> bool:
+        """Tell whether the attempt says something about the version.
+
+        A death counts once, however many calls it took with it.
+        """
+        if error is None:
+            return True
+        if self.is_over or error.failure in FAULTLESS_FAILURES:
+            return False
+        return error.failure is not Failure.DIED or self.context.count_death(upstream)
+
     async def _prepare_retry(self, assignment: Assignment, error: AttemptError) -> None:
         name = assignment.state.rule.name
         decision = decide_retry(
--- /dev/null
+++ b/banyansail/router/listeners.py
@@ -0,0 +1,84 @@
+"""Sockets on which a router listens."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Coroutine
+from typing import TYPE_CHECKING, Any
+
+from twisted.internet import defer
+from twisted.web.server import Site
+
+from banyansail.fleet.peer_calls import PeerServerFactory
+from banyansail.router.admin import AdminResource
+from banyansail.router.tls import ReloadingContextFactory
+
+if TYPE_CHECKING:
+    from twisted.internet.protocol import DatagramProtocol
+
+    from banyansail.config.settings import Settings
+    from banyansail.wire.call_codec import PeerCall, PeerReply
+    from banyansail.wire.seal import Seal
+
+BACKLOG = 512  # connections that wait to be accepted
+
+
+class Listeners:
+    """Opens the ports of a router and closes them with it.
+
+    Parameters
+    ----------
+    settings : Settings
+        Addresses and keys.
+    reactor : object
+        Twisted's reactor.
+    seal : Seal
+        Authenticates other routers.
+    """
+
+    __slots__ = ("_ports", "_reactor", "_seal", "_settings")
+
+    def __init__(self, settings: Settings, reactor: Any, seal: Seal) -> None:
+        self._settings = settings
+        self._reactor = reactor
+        self._seal = seal
+        self._ports: list[Any] = []
+
+    def open(
+        self,
+        gossip: DatagramProtocol,
+        handle_call: Callable[[PeerCall], Coroutine[Any, Any, PeerReply]],
+    ) -> None:
+        """Listen for other routers."""
+        peer = self._settings.peer
+        factory = PeerServerFactory(self._seal, handle_call)
+        self._ports += [
+            self._reactor.listenUDP(peer.port, gossip, interface=peer.host),
+            self._reactor.listenTCP(peer.port, factory, interface=peer.host),
+        ]
+
+    def open_for_people(
+        self, callers: Site, read_status: Callable[[], dict[str, Any]]
+    ) -> None:
+        """Listen for callers and, if an address is set, for operators."""
+        self._ports.append(self._listen_for_callers(callers))
+        admin = self._settings.admin
+        if admin is not None:
+            site = Site(AdminResource(read_status))
+            port = self._reactor.listenTCP(admin.port, site, interface=admin.host)
+            self._ports.append(port)
+
+    def close(self) -> defer.Deferred[Any]:
+        """Stop listening; connections that are open stay so."""
+        ports, self._ports = self._ports, []
+        closed = [defer.maybeDeferred(port.stopListening) for port in ports]
+        return defer.DeferredList(closed, consumeErrors=True)
+
+    def _listen_for_callers(self, callers: Site) -> Any:
+        settings = self._settings
+        listen = settings.listen
+        if settings.certificate is None or settings.private_key is None:
+            return self._reactor.listenTCP(listen.port, callers, BACKLOG, listen.host)
+        contexts = ReloadingContextFactory(settings.certificate, settings.private_key)
+        return self._reactor.listenSSL(
+            listen.port, callers, contexts, BACKLOG, listen.host
+        )
--- a/banyansail/router/plain_exchange.py
+++ b/banyansail/router/plain_exchange.py
@@ -27,6 +27,7 @@
         """Send the call and pass the whole answer on."""
         answer = await self.fetch(link)
         self.on_first_byte()
+        self.has_failed_answer = answer.status >= 500
         self.deliver(answer)
 
     def deliver(self, answer: Answer) -> None:
--- a/banyansail/router/router.py
+++ b/banyansail/router/router.py
@@ -8,23 +8,20 @@
 from typing import TYPE_CHECKING, Any
 
 from twisted.internet import defer
-from twisted.web.server import Site
 
 from banyansail.clock import Clock, SystemClock
-from banyansail.config.fields import Address
 from banyansail.exceptions import WireError
 from banyansail.fleet.datagrams import GossipProtocol
 from banyansail.fleet.duties import Duties
 from banyansail.fleet.entries import Entry, Member, Topic
 from banyansail.fleet.gossiper import Gossiper
-from banyansail.fleet.peer_calls import PeerCaller, PeerServerFactory
+from banyansail.fleet.peer_calls import PeerCaller
 from banyansail.fleet.view import FleetView
 from banyansail.ledger.client import LedgerClient
 from banyansail.metrics import Metrics
 from banyansail.platform.budget import CallBudget
 from banyansail.platform.client import PlatformClient
 from banyansail.rollout.evidence import EvidenceRecorder
-from banyansail.router.admin import AdminResource
 from banyansail.router.catalog import Catalog
 from banyansail.router.context import ExchangeContext
 from banyansail.router.handoff import StreamStore
@@ -32,6 +29,7 @@
 from banyansail.router.hops import ZoneHops
 from banyansail.router.lifecycle import Lifecycle, RouterState
 from banyansail.router.listener import CallerResource
+from banyansail.router.listeners import Listeners
 from banyansail.router.load_prober import LoadProber
 from banyansail.router.peer_service import PeerService
 from banyansail.router.placements import PlacementController
@@ -41,7 +39,6 @@
 from banyansail.router.rules_keeper import RulesKeeper
 from banyansail.router.scheduler import Scheduler
 from banyansail.router.supervisor import Supervisor
-from banyansail.router.tls import ReloadingContextFactory
 from banyansail.router.upstream_signals import UpstreamSignals
 from banyansail.router.web import BoundedSite
 from banyansail.routing.dispatch import Dispatcher
@@ -68,7 +65,6 @@
 CATCH_UP_INTERVAL = timedelta(milliseconds=200)
 WATCH_PAUSE = timedelta(milliseconds=100)
 SUSPECT_INTERVAL = timedelta(milliseconds=250)
-LISTEN_BACKLOG = 512
 
 
 class Router(Supervisor):
@@ -100,6 +96,7 @@
         self._started_at = self.clock.monotonic()
         self.metrics = Metrics(settings.statsd)
         self._build_fleet()
+        self._listeners = Listeners(settings, reactor, self.seal)
         self._build_platform()
         self._build_routing()
         self._build_exchanges()
@@ -250,42 +247,13 @@
         """Listen and start all tasks."""
         self._started_at = self.clock.monotonic()
         self._publish_member()
-        peer = self.settings.peer
-        self._ports = [
-            self._reactor.listenUDP(peer.port, self.gossip, interface=peer.host),
-            self._reactor.listenTCP(
-                peer.port,
-                PeerServerFactory(self.seal, self.peer_service.handle),
-                interface=peer.host,
-            ),
-        ]
-        listen = self.settings.listen
-        self._caller_port = self._listen_for_callers(listen)
-        self._ports.append(self._caller_port)
-        if self.settings.admin is not None:
-            self._ports.append(self._listen_for_operators(self.settings.admin))
+        self._listeners.open(self.gossip, self.peer_service.handle)
+        self._listeners.open_for_people(self.site, self.status)
         super().startService()
 
-    def _listen_for_callers(self, listen: Address) -> Any:
-        settings = self.settings
-        if settings.certificate is None or settings.private_key is None:
-            return self._reactor.listenTCP(
-                listen.port, self.site, LISTEN_BACKLOG, listen.host
-            )
-        contexts = ReloadingContextFactory(settings.certificate, settings.private_key)
-        return self._reactor.listenSSL(
-            listen.port, self.site, contexts, LISTEN_BACKLOG, listen.host
-        )
-
-    def _listen_for_operators(self, admin: Address) -> Any:
-        site = Site(AdminResource(self.status))
-        return self._reactor.listenTCP(admin.port, site, interface=admin.host)
-
     def stopService(self) -> defer.Deferred[Any]:
         """Close all sockets and stop all tasks at once; see `stop_gracefully`."""
-        stopped = [super().stopService()]
-        for port in self._ports:
-            stopped.append(defer.maybeDeferred(port.stopListening))
+        stopped = [super().stopService(), self._listeners.close()]
         self._resources.close()
         return defer.DeferredList(stopped, consumeErrors=True)
 
--- a/tests/router/test_moves.py
+++ b/tests/router/test_moves.py
@@ -165,3 +165,56 @@
             lambda: stated(site) and stated(site).state is MoveState.TAKEN_BACK, 30
         )
     assert set(traffic.statuses) == {200}
+
+
+def test_death_of_a_new_upstream_counts_once_and_takes_nothing_back(site):
+    for name in ("e2", "e3"):
+        site.faults(name, slowdown=40.0)
+    for name in ("e0", "e1"):
+        site.faults(name, slowdown=40.0)
+    site.apply(move_rule(60, first="50%"))
+    wait_until(lambda: shares(site) == {0.5})
+    answers = [
+        site.call_later(
+            "POST", COMPLETIONS, completion(f"x{n}", 20), router=f"r{n % 3}"
+        )
+        for n in range(40)
+    ]
+    wait_until(lambda: len(site.state("e2").progress) >= 5)
+    site.kill("e2")
+    assert {answer.result()[0] for answer in answers} == {200}
+    failed = sum(
+        cell.failed
+        for router in site.site.router_by_name.values()
+        for key, cell in router.evidence.cell_by_key.items()
+        if key.version == "v2"
+    )
+    assert failed <= 3  # one for each router
+    assert stated(site).state is MoveState.MOVING
+
+
+def test_failed_orders_speak_against_a_version(site):
+    """A 500 that is passed on, as the call may not be repeated, is a failure."""
+    for number, version in enumerate(("v1", "v2")):
+        site.service(f"s{number}", "glasgow", version=version)
+    site.faults("s1", fail=True)
+    rule = move_rule(60, first="50%").replace("advisor-llm", "depot-app")
+    site.apply(rule.replace("first=50%", "first=50% unproven-calls=yes"))
+    moves = "rollout/depot-app"
+    objects = site.site.platform_state.object_by_key
+
+    def is_taken_back() -> bool:
+        site.call("POST", "/depot-app/orders", {"n": 1}, idempotency_key=new_key())
+        stored = objects.get(moves)
+        return stored is not None and stored.body["state"] == "taken_back"
+
+    count = 0
+
+    def new_key() -> str:
+        nonlocal count
+        count += 1
+        return f"k{count}"
+
+    wait_until(is_taken_back)
+    effects = site.effects()
+    assert max(effects.values()) == 1
