--- /dev/null
+++ b/banyansail/router/decision_log.py
@@ -0,0 +1,46 @@
+"""Lines of the decision log about one request."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from banyansail.log import log_decision
+
+if TYPE_CHECKING:
+    from datetime import timedelta
+
+    from banyansail.router.caller import CallerRequest
+    from banyansail.routing.messages import Refusal
+    from banyansail.upstreams.link import AttemptError
+
+
+def log_refusal(request: CallerRequest, refusal: Refusal, attempts: int) -> None:
+    """Log a final answer that the router gives itself."""
+    log_decision(
+        "refuse",
+        refusal.code.value,
+        request=request.request_id,
+        service=request.service,
+        ran=refusal.ran.value,
+        message=refusal.message,
+        attempts=attempts,
+    )
+
+
+def log_retry(
+    request: CallerRequest,
+    upstream: str,
+    error: AttemptError,
+    delay: timedelta,
+    attempts: int,
+) -> None:
+    """Log that an attempt failed and is followed by another."""
+    log_decision(
+        "retry",
+        error.failure.value,
+        request=request.request_id,
+        upstream=upstream,
+        detail=error.detail,
+        delay_s=delay.total_seconds(),
+        attempts=attempts,
+    )
--- a/banyansail/router/exchange.py
+++ b/banyansail/router/exchange.py
@@ -7,7 +7,8 @@
 
 from twisted.internet import defer, task
 
-from banyansail.log import log_decision, log_event
+from banyansail.log import log_event
+from banyansail.router.decision_log import log_refusal, log_retry
 from banyansail.router.refusals import (
     attempts_failed,
     deadline_exceeded,
@@ -15,6 +16,7 @@
     router_failed,
 )
 from banyansail.router.scheduler import RefusedError
+from banyansail.router.upstream_headers import upstream_headers
 from banyansail.routing.messages import RanState, Refusal, Ticket
 from banyansail.routing.retry import (
     Failure,
@@ -137,15 +139,7 @@
     def refuse(self, refusal: Refusal) -> None:
         """Give the caller the final answer."""
         self.context.metrics.count(f"refuse.{refusal.code.value}")
-        log_decision(
-            "refuse",
-            refusal.code.value,
-            request=self.request.request_id,
-            service=self.request_class.service,
-            ran=refusal.ran.value,
-            message=refusal.message,
-            attempts=self.attempts,
-        )
+        log_refusal(self.request, refusal, self.attempts)
         self.caller.refuse(refusal)
 
     async def _run_to_answer(self) -> None:
@@ -279,7 +273,8 @@
                     attempts_failed(detail, cause, self.final_ran(), repeatable)
                 )
             case RetryAfterBackoff(delay):
-                self._log_retry(name, error, delay)
+                self.context.metrics.count(f"retry.{error.failure.value}")
+                log_retry(self.request, name, error, delay, self.attempts)
                 constrain_retry(
                     self.context.scheduler.dispatcher,
                     assignment,
@@ -289,18 +284,6 @@
                 if delay:
                     await task.deferLater(self.context.reactor, delay.total_seconds())
 
-    def _log_retry(self, name: str, error: AttemptError, delay: timedelta) -> None:
-        self.context.metrics.count(f"retry.{error.failure.value}")
-        log_decision(
-            "retry",
-            error.failure.value,
-            request=self.request.request_id,
-            upstream=name,
-            detail=error.detail,
-            delay_s=delay.total_seconds(),
-            attempts=self.attempts,
-        )
-
     def _exceed_deadline(self) -> None:
         if self.is_over:
             return
@@ -322,15 +305,9 @@
 
     def base_headers(self) -> dict[str, str]:
         """Return the headers that every upstream gets."""
-        headers = {
-            "x-request-id": self.attempt_id(),
-            "x-deadline-seconds": f"{self.remaining().total_seconds():.3f}",
-            "x-priority": str(self.request_class.priority),
-            "x-workspace": self.request.workspace,
-        }
-        if self.request.content_type:
-            headers["content-type"] = self.request.content_type
-        return headers
+        return upstream_headers(
+            self.request, self.request_class, self.attempt_id(), self.remaining()
+        )
 
     def attempt_id(self) -> str:
         """Return the identity of the current attempt."""
--- a/banyansail/router/router.py
+++ b/banyansail/router/router.py
@@ -39,6 +39,7 @@
 from banyansail.router.rules_keeper import RulesKeeper
 from banyansail.router.scheduler import Scheduler
 from banyansail.router.supervisor import Supervisor
+from banyansail.router.tasks import add_tasks
 from banyansail.router.upstream_signals import UpstreamSignals
 from banyansail.router.web import BoundedSite
 from banyansail.routing.dispatch import Dispatcher
@@ -55,16 +56,6 @@
 PLATFORM_CALLS_PER_S = 60.0
 PLATFORM_BURST = 120.0
 PEERS_WAIT = timedelta(seconds=3)  # for the first answer of another router
-PUSH_INTERVAL = timedelta(milliseconds=200)
-EXCHANGE_INTERVAL = timedelta(seconds=1)
-RULES_POLL_INTERVAL = timedelta(seconds=60)
-LIST_INTERVAL = timedelta(seconds=2)
-PLAN_INTERVAL = timedelta(milliseconds=500)
-SETTLE_INTERVAL = timedelta(seconds=1)
-PLACE_INTERVAL = timedelta(seconds=1)
-CATCH_UP_INTERVAL = timedelta(milliseconds=200)
-WATCH_PAUSE = timedelta(milliseconds=100)
-SUSPECT_INTERVAL = timedelta(milliseconds=250)
 
 
 class Router(Supervisor):
@@ -100,7 +91,7 @@
         self._build_platform()
         self._build_routing()
         self._build_exchanges()
-        self._build_tasks()
+        add_tasks(self)
 
     def _build_fleet(self) -> None:
         settings = self.settings
@@ -229,20 +220,6 @@
         resource = CallerResource(self.context, self.lifecycle, self.router_id)
         self.site = BoundedSite(resource, self.settings.max_connections)
 
-    def _build_tasks(self) -> None:
-        self.add_task("gossip.push", self._push, PUSH_INTERVAL)
-        self.add_task("gossip.exchange", self._exchange, EXCHANGE_INTERVAL)
-        self.add_task("rules.watch", self.rules_keeper.watch, WATCH_PAUSE)
-        self.add_task("rules.catch_up", self.rules_keeper.catch_up, CATCH_UP_INTERVAL)
-        self.add_task("rules.poll", self.rules_keeper.poll, RULES_POLL_INTERVAL)
-        self.add_task("catalog.list", self.catalog.refresh_list, LIST_INTERVAL)
-        self.add_task("catalog.notices", self.catalog.watch_notices, WATCH_PAUSE)
-        self.add_task("rollout.plan", self._plan, PLAN_INTERVAL)
-        self.add_task("rollout.settle", self.rollouts.settle, SETTLE_INTERVAL)
-        self.add_task("placement", self.placements.place, PLACE_INTERVAL)
-        self.add_task("suspects", self._refresh_suspects, SUSPECT_INTERVAL)
-        self.add_task("loads", self.prober.probe, LoadProber.INTERVAL)
-
     def startService(self) -> None:
         """Listen and start all tasks."""
         self._started_at = self.clock.monotonic()
@@ -287,7 +264,8 @@
         ):
             self.lifecycle.become_ready()
 
-    async def _push(self) -> None:
+    async def push(self) -> None:
+        """Pass news on."""
         self._check_ready()
         self._publish_member()
         self._push_news()
@@ -299,17 +277,20 @@
         self.signals.receive(entries)
         self.scheduler.pump()
 
-    async def _exchange(self) -> None:
+    async def exchange(self) -> None:
+        """Compare with other routers what was heard."""
         self.gossiper.forget_old()
         self.signals.publish_leaving()
         self.gossip.send(self.gossiper.exchange())
 
-    async def _plan(self) -> None:
+    async def plan(self) -> None:
+        """Judge the moves and set their shares."""
         self.rollouts.publish_evidence()
         self.rollouts.plan()
         self.scheduler.pump()
 
-    async def _refresh_suspects(self) -> None:
+    async def refresh_suspects(self) -> None:
+        """Let suspects take work again whose time is over."""
         self.dispatcher.refresh_suspects()
         self.scheduler.pump()
 
--- /dev/null
+++ b/banyansail/router/upstream_headers.py
@@ -0,0 +1,37 @@
+"""Headers that a router gives to upstreams."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from datetime import timedelta
+
+    from banyansail.router.caller import CallerRequest
+    from banyansail.routing.messages import RequestClass
+
+
+def upstream_headers(
+    request: CallerRequest,
+    request_class: RequestClass,
+    attempt_id: str,
+    remaining: timedelta,
+) -> dict[str, str]:
+    """Return the headers of a call; of the caller's own only the type is passed on.
+
+    Parameters
+    ----------
+    attempt_id : str
+        Identity of the attempt, which the upstream echoes.
+    remaining : timedelta
+        Time until the deadline; the attempt has to fit inside it.
+    """
+    headers = {
+        "x-request-id": attempt_id,
+        "x-deadline-seconds": f"{remaining.total_seconds():.3f}",
+        "x-priority": str(request_class.priority),
+        "x-workspace": request.workspace,
+    }
+    if request.content_type:
+        headers["content-type"] = request.content_type
+    return headers
