Keep the sum of evidence up to date by what has changed

Change: totals are replaced in a running sum when they change; what a router counted before it was replaced stays in it, so that the sum never shrinks, and a total that shrank makes no difference in place of counting anew.

--- a/banyansail/rollout/evidence.py
+++ b/banyansail/rollout/evidence.py
@@ -54,12 +54,12 @@
         """Return all calls."""
         return self.good + self.failed
 
-    def add(self, other: EvidenceCell) -> None:
-        """Add the counts of another cell."""
-        self.good += other.good
-        self.failed += other.failed
+    def add(self, other: EvidenceCell, sign: int = 1) -> None:
+        """Add the counts of another cell, or take them out with a sign of -1."""
+        self.good += sign * other.good
+        self.failed += sign * other.failed
         for index, count in enumerate(other.latencies[:LATENCY_BUCKETS]):
-            self.latencies[index] += count
+            self.latencies[index] += sign * count
 
     def count_slower_than(self, limit: timedelta) -> int:
         """Return how many answered calls took longer, to the bucket."""
--- a/banyansail/rollout/windows.py
+++ b/banyansail/rollout/windows.py
@@ -72,17 +72,19 @@
 
 
 def subtract(evidence: Evidence, earlier: Evidence) -> Evidence:
-    """Return the difference of totals; a total that shrank counts from zero.
+    """Return the difference of totals; one that shrank has none.
 
-    Totals shrink when a router that reported them is replaced.
+    The totals of the fleet do not shrink, see `EvidenceSum`; a difference that can't
+    be told apart from old counts must not be judged as new ones.
     """
     difference: Evidence = {}
     for key, cell in evidence.items():
         before = earlier.get(key)
-        if before is None or before.good > cell.good or before.failed > cell.failed:
+        if before is None:
             difference[key] = cell
             continue
-        if before.total == cell.total:
+        has_shrunk = before.good > cell.good or before.failed > cell.failed
+        if has_shrunk or before.total == cell.total:
             continue
         latencies = [
             max(0, count - past)
--- a/banyansail/router/rollouts.py
+++ b/banyansail/router/rollouts.py
@@ -7,7 +7,7 @@
 
 from banyansail.fleet.entries import Topic
 from banyansail.log import log_decision
-from banyansail.rollout.evidence import merge_evidence
+from banyansail.rollout.evidence_sum import EvidenceSum
 from banyansail.rollout.schedule import DONE, LATE, TAKEN_BACK, PlannedShare
 from banyansail.rollout.status import MoveState, MoveStatement, move_id
 from banyansail.rollout.verdict import Bad
@@ -80,6 +80,7 @@
         self._recorder = recorder
         self._rules: RuleSet | None = None
         self._evidence_due = clock.monotonic()
+        self._others = EvidenceSum(decode_evidence)
         self._move_by_service: dict[str, Move] = {}
 
     def apply_rules(self, rules: RuleSet) -> None:
@@ -236,14 +237,10 @@
         self._gossiper.publish(Topic.STATEMENTS, encode_names(names))
 
     def _evidence(self) -> dict[Any, Any]:
-        parts = [
-            decode_evidence(value)
-            for name, value in self._view.values(
-                Topic.EVIDENCE, live_only=False
-            ).items()
-            if name != self._name
-        ]
-        return merge_evidence([*parts, self._recorder.cell_by_key])
+        values = self._view.values(Topic.EVIDENCE, live_only=False)
+        values.pop(self._name, None)
+        self._others.update(values)
+        return self._others.with_own(self._recorder.cell_by_key)
 
     def _is_duty(self, service: str) -> bool:
         return self._duties.owner_of(f"rollout/{service}") is None
--- a/tests/rollout/test_decisions.py
+++ b/tests/rollout/test_decisions.py
@@ -17,6 +17,7 @@
     latency_bucket,
     merge_evidence,
 )
+from banyansail.rollout.evidence_sum import EvidenceSum
 from banyansail.rollout.schedule import PROVEN_CALLS, plan_share
 from banyansail.rollout.status import (
     MoveState,
@@ -152,3 +153,30 @@
     assert [key.service for key in recorder.cell_by_key] == ["s"]
     recorder.watch(frozenset())
     assert not recorder.cell_by_key
+
+
+def test_sum_of_evidence_goes_on_over_replaced_routers():
+    parts = {
+        b"1": evidence(cell(5, 1), cell(2, 0)),
+        b"2": evidence(cell(7, 1), cell(3, 0)),
+    }
+    parts[b"3"] = evidence(cell(1, 0), cell(1, 1))  # the router was replaced
+    total = EvidenceSum(parts.__getitem__)
+    total.update({"r1": b"1"})
+    total.update({"r1": b"1"})
+    assert total.with_own({}) == parts[b"1"]
+    total.update({"r1": b"2"})
+    assert total.with_own({}) == parts[b"2"]
+    total.update({"r1": b"3"})
+    assert total.with_own({}) == merge_evidence([parts[b"2"], parts[b"3"]])
+    total.update({})
+    own = evidence(cell(1, 0), cell(0, 0))
+    expected = merge_evidence([parts[b"2"], parts[b"3"], own])
+    assert total.with_own(own) == expected
+
+
+def test_totals_that_shrank_have_no_difference():
+    assert (
+        subtract(evidence(cell(1, 0), cell(0, 0)), evidence(cell(5, 0), cell(0, 0)))
+        == {}
+    )
