Tell the evidence of a second try from that of the first

Cause: a move of the same versions with a new start was judged by the evidence of the one before it, and a mended version was taken back at once.

--- a/banyansail/rollout/evidence.py
+++ b/banyansail/rollout/evidence.py
@@ -24,6 +24,8 @@
     ----------
     load_band : int
         0 for low, 1 for middle, 2 for high load at the upstream.
+    move : int
+        Number of the move; a second try of the same versions has another.
     """
 
     service: str
@@ -31,6 +33,7 @@
     route: str
     workspace: str
     load_band: int
+    move: int = 0
 
 
 @dataclass(slots=True)
@@ -96,22 +99,22 @@
 class EvidenceRecorder:
     """Totals of this router's traffic for the services that are being moved."""
 
-    __slots__ = ("cell_by_key", "is_changed", "services")
+    __slots__ = ("cell_by_key", "is_changed", "move_by_service")
 
     def __init__(self) -> None:
         self.cell_by_key: dict[EvidenceKey, EvidenceCell] = {}
-        self.services: frozenset[str] = frozenset()
+        self.move_by_service: dict[str, int] = {}
         self.is_changed = False
 
-    def watch(self, services: frozenset[str]) -> None:
-        """Keep evidence for these services and forget that of others."""
-        if services == self.services:
+    def watch(self, move_by_service: dict[str, int]) -> None:
+        """Keep evidence for these moves and forget that of others."""
+        if move_by_service == self.move_by_service:
             return
-        self.services = services
+        self.move_by_service = move_by_service
         self.cell_by_key = {
             key: cell
             for key, cell in self.cell_by_key.items()
-            if key.service in services
+            if move_by_service.get(key.service) == key.move
         }
         self.is_changed = True
 
@@ -127,9 +130,10 @@
         load: int,
     ) -> None:
         """Count one call of a service that is being moved."""
-        if service not in self.services:
+        move = self.move_by_service.get(service)
+        if move is None:
             return
-        key = EvidenceKey(service, version, route, workspace, load_band(load))
+        key = EvidenceKey(service, version, route, workspace, load_band(load), move)
         cell = self.cell_by_key.get(key)
         if cell is None:
             if len(self.cell_by_key) >= MAX_CELLS:
--- a/banyansail/rollout/status.py
+++ b/banyansail/rollout/status.py
@@ -7,6 +7,8 @@
 from enum import Enum
 from typing import TYPE_CHECKING, Any
 
+from banyansail.utils import hash32
+
 if TYPE_CHECKING:
     from banyansail.config.rules import RolloutRule
 
@@ -48,6 +50,11 @@
     return f"{rule.service}:{rule.old_version}>{rule.new_version}@{start}"
 
 
+def move_number(rule: RolloutRule) -> int:
+    """Return a number for a move, by which its evidence is told apart."""
+    return hash32(move_id(rule))
+
+
 def status_key(service: str) -> str:
     """Return the key of the object that holds a service's statement."""
     return f"rollout/{service}"
--- a/banyansail/router/rollouts.py
+++ b/banyansail/router/rollouts.py
@@ -3,14 +3,14 @@
 from __future__ import annotations
 
 from datetime import datetime, timedelta
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING
 
 from banyansail.fleet.entries import Topic
 from banyansail.log import log_decision
 from banyansail.rollout.evidence_sum import EvidenceSum
 from banyansail.rollout.schedule import DONE, LATE, TAKEN_BACK, PlannedShare
-from banyansail.rollout.status import MoveState, MoveStatement, move_id
-from banyansail.rollout.verdict import Bad
+from banyansail.rollout.status import MoveState, MoveStatement, move_id, move_number
+from banyansail.rollout.verdict import Bad, Evidence
 from banyansail.router.statements import Move, StatementStore
 from banyansail.routing.shares import VersionShares
 from banyansail.wire.gossip_codec import (
@@ -22,7 +22,7 @@
 
 if TYPE_CHECKING:
     from banyansail.clock import Clock
-    from banyansail.config.rules import RuleSet
+    from banyansail.config.rules import RolloutRule, RuleSet
     from banyansail.fleet.duties import Duties
     from banyansail.fleet.gossiper import Gossiper
     from banyansail.fleet.view import FleetView
@@ -96,7 +96,9 @@
                 moves[service] = Move(rule, self._clock)
             else:
                 held.rule = held.planner.rule = rule
-        self._recorder.watch(frozenset(moves))
+        self._recorder.watch(
+            {service: move_number(move.rule) for service, move in moves.items()}
+        )
         for service in moves:
             self._plan(service)
 
@@ -156,7 +158,7 @@
         if f"{MoveState.TAKEN_BACK.value} {move_id(move.rule)}" in self._heard():
             return TAKEN_BACK
         outcome = move.planner.plan(
-            self._evidence(),
+            self._evidence(move.rule),
             self._rules.service_by_name[service].latency,
             is_alone=self._is_alone(),
         )
@@ -236,11 +238,13 @@
                 names.add(f"{FULL} {identity}")
         self._gossiper.publish(Topic.STATEMENTS, encode_names(names))
 
-    def _evidence(self) -> dict[Any, Any]:
+    def _evidence(self, rule: RolloutRule) -> Evidence:
         values = self._view.values(Topic.EVIDENCE, live_only=False)
         values.pop(self._name, None)
         self._others.update(values)
-        return self._others.with_own(self._recorder.cell_by_key)
+        every = self._others.with_own(self._recorder.cell_by_key)
+        number = move_number(rule)
+        return {key: cell for key, cell in every.items() if key.move == number}
 
     def _is_duty(self, service: str) -> bool:
         return self._duties.owner_of(f"rollout/{service}") is None
--- a/banyansail/wire/gossip_codec.py
+++ b/banyansail/wire/gossip_codec.py
@@ -205,6 +205,7 @@
             "route": key.route,
             "workspace": key.workspace,
             "loadBand": key.load_band,
+            "move": key.move,
             "good": cell.good,
             "failed": cell.failed,
             "latencies": list(cell.latencies),
@@ -219,7 +220,12 @@
     decoded = {}
     for item in unpack(schema.Evidence, data).cells:
         key = EvidenceKey(
-            item.service, item.version, item.route, item.workspace, item.loadBand
+            item.service,
+            item.version,
+            item.route,
+            item.workspace,
+            item.loadBand,
+            item.move,
         )
         decoded[key] = EvidenceCell(item.good, item.failed, list(item.latencies))
     return decoded
--- a/banyansail/wire/schema.capnp
+++ b/banyansail/wire/schema.capnp
@@ -83,6 +83,7 @@
   good @5 :UInt32;
   failed @6 :UInt32;
   latencies @7 :List(UInt32);  # counts by bucket
+  move @8 :UInt32;
 }
 
 # Calls between routers, over TCP.
--- a/benchmarks/rollout_cases.py
+++ b/benchmarks/rollout_cases.py
@@ -164,7 +164,7 @@
 
     def __init__(self, rule: RolloutRule, clock: DriveClock) -> None:
         self.recorder = EvidenceRecorder()
-        self.recorder.watch(frozenset(("s",)))
+        self.recorder.watch({"s": 0})
         self.published: list[Evidence] = []
         self.planner = MovePlanner(rule, clock)
         self.shares = VersionShares("v1", "v2", 0.0, False)
--- a/tests/rollout/test_decisions.py
+++ b/tests/rollout/test_decisions.py
@@ -147,11 +147,11 @@
 
 def test_recorder_forgets_services_that_are_not_moved():
     recorder = EvidenceRecorder()
-    recorder.watch(frozenset(("s",)))
+    recorder.watch({"s": 1})
     for service in ("s", "other"):
         recorder.record(service, "v1", "r", "w", succeeded=True, latency=TARGET, load=1)
     assert [key.service for key in recorder.cell_by_key] == ["s"]
-    recorder.watch(frozenset())
+    recorder.watch({"s": 2})  # a second try of the same versions
     assert not recorder.cell_by_key
 
 
--- a/tests/router/test_moves.py
+++ b/tests/router/test_moves.py
@@ -218,3 +218,17 @@
     wait_until(is_taken_back)
     effects = site.effects()
     assert max(effects.values()) == 1
+
+
+def test_second_try_of_a_mended_version_is_not_judged_by_the_first(site):
+    for name in ("e2", "e3"):
+        site.faults(name, fail=True)
+    site.apply(move_rule(60, first="20%"))
+    with Traffic(site, threads=3):
+        wait_until(
+            lambda: stated(site) and stated(site).state is MoveState.TAKEN_BACK, 30
+        )
+        for name in ("e2", "e3"):
+            site.faults(name, fail=False)
+        site.apply(move_rule(12, first="20%"))
+        wait_until(lambda: stated(site).state is MoveState.DONE, 40)
