Ask upstreams for JSON in one place, and drop three twins

Cause: read as a whole, the change had the same side call to an upstream (new connection, timeout, bounded JSON, none on failure) in four modules; the ranking by rendezvous stood in duties and again for bridges; two constants stood twice.

Ruled out: one writer for the router's and the operator's take-back, which share a call only.

--- a/banyansail/fleet/topology.py
+++ b/banyansail/fleet/topology.py
@@ -4,8 +4,8 @@
 
 from typing import TYPE_CHECKING
 
+from banyansail.fleet.duties import rank_names
 from banyansail.fleet.view import LIVE_TIME
-from banyansail.utils import hash64
 
 if TYPE_CHECKING:
     from banyansail.config.fields import Address
@@ -114,5 +114,4 @@
 
 def _bridges(zone: str, names: list[str]) -> list[str]:
     """Return the few routers of a zone that talk to other zones."""
-    ranked = sorted(names, key=lambda name: hash64(f"{zone}/{name}"))
-    return ranked[:BRIDGES_PER_ZONE]
+    return rank_names(zone, names)[:BRIDGES_PER_ZONE]
--- a/banyansail/router/load_prober.py
+++ b/banyansail/router/load_prober.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import json
 from bisect import bisect_left
 from datetime import timedelta
 from typing import TYPE_CHECKING
@@ -10,12 +9,6 @@
 from twisted.internet import defer
 
 from banyansail.fleet.entries import Topic
-from banyansail.upstreams.link import (
-    AttemptError,
-    UpstreamCall,
-    UpstreamLink,
-    read_whole,
-)
 from banyansail.utils import hash64
 from banyansail.wire.gossip_codec import decode_loads, encode_loads
 
@@ -26,8 +19,6 @@
     from banyansail.upstreams.links import LinkTable
 
 PROBERS_PER_UPSTREAM = 2
-MAX_REPORT_BYTES = 64 * 1024
-ASK_TIMEOUT = timedelta(seconds=1)
 
 
 class LoadProber:
@@ -104,15 +95,5 @@
         link = self._links.get(name)
         if link is None:
             return None
-        call = UpstreamCall("GET", "/load", b"", repeatable=False)
-        done = defer.Deferred.fromCoroutine(_read_load(link, call))
-        done.addTimeout(ASK_TIMEOUT.total_seconds(), self._links.reactor)
-        try:
-            return await done
-        except (AttemptError, defer.TimeoutError, ValueError, KeyError):
-            return None
-
-
-async def _read_load(link: UpstreamLink, call: UpstreamCall) -> int:
-    response = await link.send(call)
-    return int(json.loads(await read_whole(response, MAX_REPORT_BYTES))["in_flight"])
+        report = await link.ask_json("GET", "/load")
+        return None if report is None else report.get("in_flight")
--- a/banyansail/router/model_exchange.py
+++ b/banyansail/router/model_exchange.py
@@ -11,6 +11,7 @@
 from banyansail.log import log_event
 from banyansail.router.caller import Answer
 from banyansail.router.exchange import Exchange
+from banyansail.router.parsing import COMPLETIONS_PATH
 from banyansail.router.silence import SilenceWatch
 from banyansail.routing.retry import Failure
 from banyansail.routing.stream import Break, Deliver, StreamOrder
@@ -34,7 +35,6 @@
 if TYPE_CHECKING:
     from twisted.web.iweb import IResponse
 
-COMPLETIONS_PATH = "/v1/chat/completions"
 PREFIX_CHARS = 200
 MIGRATION_MARGIN = timedelta(milliseconds=1500)
 MAX_FAILURE_BYTES = 64 * 1024
@@ -78,7 +78,7 @@
 
     async def attempt(self, link: UpstreamLink) -> None:
         """Send the completion and pass its events on."""
-        self._api = ModelApi(self.context.reactor, link)
+        self._api = ModelApi(link)
         self._splitter = EventSplitter()
         attempt_id = self.attempt_id()
         self._attempt_bytes = attempt_id.encode()
--- a/banyansail/router/order_exchange.py
+++ b/banyansail/router/order_exchange.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import json
 from datetime import timedelta
 from typing import TYPE_CHECKING, Any
 from urllib.parse import quote
@@ -34,15 +33,10 @@
 )
 from banyansail.router.scheduler import RefusedError
 from banyansail.routing.messages import RanState
-from banyansail.upstreams.link import (
-    AttemptError,
-    UpstreamCall,
-    UpstreamLink,
-    read_whole,
-)
 
 if TYPE_CHECKING:
     from banyansail.ledger.records import Result
+    from banyansail.upstreams.link import UpstreamLink
 
 POLL_INTERVAL = timedelta(milliseconds=200)
 MAX_WAIT_FOR_OTHER = timedelta(seconds=5)
@@ -89,13 +83,8 @@
 
     async def _ask(self, link: UpstreamLink, lookup: str) -> bool:
         path = lookup.replace("{key}", quote(self.request.key, safe=""))
-        call = UpstreamCall("GET", path, b"", self.base_headers(), repeatable=False)
-        try:
-            response = await link.send(call)
-            body = await read_whole(response, MAX_KEPT_ANSWER_BYTES)
-            return response.code == 200 and json.loads(body).get("ran") is True
-        except (AttemptError, ValueError, AttributeError):
-            return False
+        body = await link.ask_json("GET", path)
+        return isinstance(body, dict) and body.get("ran") is True
 
     def deliver(self, answer: Answer) -> None:
         """Give the caller the answer and record it for repeats."""
--- a/banyansail/router/placements.py
+++ b/banyansail/router/placements.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+from datetime import timedelta
 from typing import TYPE_CHECKING, Any
 
 from twisted.internet import defer
@@ -29,7 +30,6 @@
 )
 from banyansail.platform.budget import CallKind
 from banyansail.platform.lease import LEASE_TIME, Held, Lease
-from banyansail.upstreams.link import AttemptError, UpstreamCall, read_whole
 
 if TYPE_CHECKING:
     from banyansail.clock import Clock
@@ -39,8 +39,7 @@
     from banyansail.routing.dispatch import Dispatcher
     from banyansail.upstreams.links import LinkTable
 
-MAX_REPORT_BYTES = 64 * 1024
-ORDER_TIMEOUT_S = 2.0
+ORDER_TIMEOUT = timedelta(seconds=2)
 
 
 class _ServicePlacement:
@@ -235,9 +234,7 @@
         return [report for done, report in answers if done and report is not None]
 
     async def _read_report(self, name: str) -> EngineReport | None:
-        body = await self._ask(
-            name, UpstreamCall("GET", "/load", b"", repeatable=False)
-        )
+        body = await self._ask(name, "GET", "/load")
         state = self._dispatcher.state_by_name.get(name)
         if body is None or state is None:
             return None
@@ -251,10 +248,8 @@
 
     async def _send_order(self, order: LoadVersion) -> None:
         body = {"fencing": order.fencing, "wanted": {"version": order.version}}
-        call = UpstreamCall(
-            "POST", "/orders", json.dumps(body).encode(), repeatable=False
-        )
-        answer = await self._ask(order.engine, call)
+        data = json.dumps(body).encode()
+        answer = await self._ask(order.engine, "POST", "/orders", data)
         log_decision(
             "load_version",
             "the engine does not have what is wanted",
@@ -264,23 +259,14 @@
             taken=answer is not None,
         )
 
-    async def _ask(self, name: str, call: UpstreamCall) -> Any:
+    async def _ask(self, name: str, method: str, path: str, body: bytes = b"") -> Any:
         link = self._links.get(name)
         if link is None:
             return None
-        done = defer.Deferred.fromCoroutine(_exchange(link, call))
-        done.addTimeout(ORDER_TIMEOUT_S, self._links.reactor)
-        try:
-            return await done
-        except (AttemptError, defer.TimeoutError, ValueError) as error:
-            log_event("order_failed", upstream=name, error=str(error))
-            return None
-
-
-async def _exchange(link: Any, call: UpstreamCall) -> Any:
-    response = await link.send(call)
-    text = await read_whole(response, MAX_REPORT_BYTES)
-    return json.loads(text) if response.code == 200 else None
+        answer = await link.ask_json(method, path, body, timeout=ORDER_TIMEOUT)
+        if answer is None:
+            log_event("order_failed", upstream=name, path=path)
+        return answer
 
 
 def _offer(item: dict[str, Any]) -> Offer:
--- a/banyansail/router/rules_keeper.py
+++ b/banyansail/router/rules_keeper.py
@@ -7,6 +7,7 @@
 
 from banyansail.config.findings import has_errors
 from banyansail.config.rule_parser import parse_rules
+from banyansail.config.rule_store import RULES_KEY
 from banyansail.config.rules import RuleSet
 from banyansail.exceptions import WireError
 from banyansail.log import log_event
@@ -22,7 +23,6 @@
     from banyansail.fleet.peer_calls import PeerCaller
     from banyansail.platform.client import PlatformClient, StoredObject
 
-RULES_KEY = "rules"
 RULES_DOCUMENT = "rules"
 
 
--- a/banyansail/upstreams/link.py
+++ b/banyansail/upstreams/link.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 from dataclasses import dataclass, field
 from datetime import timedelta
 from typing import TYPE_CHECKING, Any
@@ -33,6 +34,8 @@
 CONNECT_TIMEOUT_S = 1.0
 IDLE_CONNECTIONS = 64
 IDLE_TIMEOUT_S = 30
+SIDE_CALL_TIMEOUT = timedelta(seconds=1)
+MAX_SIDE_ANSWER_BYTES = 64 * 1024
 PROBE_TIMEOUT = timedelta(seconds=1)
 
 NOT_SENT_ERRORS = (
@@ -224,6 +227,32 @@
         except (ResponseFailed, OSError, error.ConnectionClosed) as caught:
             raise AttemptError(Failure.LOST, _describe(caught)) from caught
 
+    async def ask_json(
+        self,
+        method: str,
+        path: str,
+        body: bytes = b"",
+        *,
+        timeout: timedelta = SIDE_CALL_TIMEOUT,
+        max_bytes: int = MAX_SIDE_ANSWER_BYTES,
+    ) -> Any:
+        """Return the JSON of a side call, or ``None`` if it can't be had.
+
+        The call uses a new connection. An answer other than 200 gives ``None``.
+        """
+        call = UpstreamCall(method, path, body, repeatable=False)
+        done = defer.Deferred.fromCoroutine(self._exchange_json(call, max_bytes))
+        done.addTimeout(timeout.total_seconds(), self._reactor)
+        try:
+            return await done
+        except (AttemptError, defer.TimeoutError, ValueError):
+            return None
+
+    async def _exchange_json(self, call: UpstreamCall, max_bytes: int) -> Any:
+        response = await self.send(call)
+        text = await read_whole(response, max_bytes)
+        return json.loads(text) if response.code == 200 else None
+
     async def probe(self, path: str = "/health") -> bool:
         """Tell whether the upstream answers on a new connection."""
         request = self._fresh.request(b"GET", (self._base + path).encode())
--- a/banyansail/upstreams/model_api.py
+++ b/banyansail/upstreams/model_api.py
@@ -3,20 +3,11 @@
 from __future__ import annotations
 
 import json
-from datetime import timedelta
 from typing import Any
 
-from twisted.internet import defer
+from banyansail.upstreams.link import UpstreamLink
 
-from banyansail.upstreams.link import (
-    AttemptError,
-    UpstreamCall,
-    UpstreamLink,
-    read_whole,
-)
-
-MAX_SIDE_ANSWER_BYTES = 256 * 1024**2  # an exported cache is large
-SIDE_CALL_TIMEOUT = timedelta(seconds=1)
+MAX_EXPORT_BYTES = 256 * 1024**2  # an exported cache is large
 
 
 class ModelApi:
@@ -24,16 +15,13 @@
 
     Parameters
     ----------
-    reactor : object
-        Twisted's reactor.
     link : UpstreamLink
         The engine.
     """
 
-    __slots__ = ("_link", "_reactor")
+    __slots__ = ("_link",)
 
-    def __init__(self, reactor: Any, link: UpstreamLink) -> None:
-        self._reactor = reactor
+    def __init__(self, link: UpstreamLink) -> None:
         self._link = link
 
     async def progress(self, attempt_id: str) -> int | None:
@@ -59,15 +47,4 @@
         return await self._call("PUT", f"/kv/{attempt_id}", body) is not None
 
     async def _call(self, method: str, path: str, body: bytes) -> Any:
-        call = UpstreamCall(method, path, body, repeatable=False)
-        done = defer.Deferred.fromCoroutine(self._exchange(call))
-        done.addTimeout(SIDE_CALL_TIMEOUT.total_seconds(), self._reactor)
-        try:
-            return await done
-        except (AttemptError, defer.TimeoutError, ValueError):
-            return None
-
-    async def _exchange(self, call: UpstreamCall) -> Any:
-        response = await self._link.send(call)
-        text = await read_whole(response, MAX_SIDE_ANSWER_BYTES)
-        return json.loads(text) if response.code == 200 else None
+        return await self._link.ask_json(method, path, body, max_bytes=MAX_EXPORT_BYTES)
