Add up the evidence of a zone before it crosses zones

Cause: every router's totals went to every other. At 8 KB/s that is one value every 2 s at 9 routers and every 80 s at 320, so a router at 320 knew of the calls of others minutes late. Besides, when one of two moves ended, the totals of the other were counted twice: the sum took a value that lacks a key for a new process. The new sum tells processes apart by their incarnation. Change: totals go to two aggregators of the zone, whose sum is published; of two sums of a zone the larger of each count is taken, so that nothing counts twice.

--- a/banyansail/fleet/duties.py
+++ b/banyansail/fleet/duties.py
@@ -14,6 +14,7 @@
     from banyansail.fleet.gossiper import Gossiper
 
 WATCHERS_PER_ZONE = 2
+AGGREGATORS_PER_ZONE = 2
 
 
 def rank_names(duty: str, names: Iterable[str]) -> list[str]:
@@ -57,8 +58,15 @@
 
     def zone_watchers(self) -> list[str]:
         """Return the routers that watch the platform for this zone."""
+        return self._rank_zone("watch")[:WATCHERS_PER_ZONE]
+
+    def zone_aggregators(self) -> list[str]:
+        """Return the routers that add up the evidence of this zone."""
+        return self._rank_zone("evidence")[:AGGREGATORS_PER_ZONE]
+
+    def _rank_zone(self, duty: str) -> list[str]:
         names = {*self.zone_members(), self._name}
-        return rank_names(f"watch/{self._zone}", names)[:WATCHERS_PER_ZONE]
+        return rank_names(f"{duty}/{self._zone}", names)
 
     def zone_members(self) -> list[str]:
         """Return the live routers of this zone that are not being stopped."""
--- a/banyansail/fleet/entries.py
+++ b/banyansail/fleet/entries.py
@@ -20,6 +20,7 @@
     DEATHS = 3
     EVIDENCE = 4
     STATEMENTS = 5
+    ZONE_EVIDENCE = 6
 
 
 @dataclass(slots=True, frozen=True)
@@ -81,8 +82,7 @@
     age : timedelta
         Time since that heartbeat was first heard of.
     sequences : tuple of int
-        Sequence of the entry of each topic that is compared, 0 for none. Loads
-        are only pushed within their zone: they are too old soon.
+        Sequence of the entry of each topic that is compared, 0 for none.
     """
 
     origin: str
--- a/banyansail/fleet/gossiper.py
+++ b/banyansail/fleet/gossiper.py
@@ -70,6 +70,7 @@
     """
 
     __slots__ = (
+        "_addressed",
         "_pushes_left",
         "_random",
         "_seeds",
@@ -91,6 +92,7 @@
         self._seeds = [seed for seed in seeds if seed != own_address]
         self._random = random
         self._pushes_left: dict[tuple[str, Topic], tuple[Entry, int]] = {}
+        self._addressed: list[Outgoing] = []
         self._topology = Topology(view, zone)
 
     def members(self) -> dict[str, Member]:
@@ -113,6 +115,20 @@
         self._note(entry)
         return True
 
+    def send_to(self, names: Iterable[str], topic: Topic, value: bytes) -> None:
+        """Replace this router's value and send it to some routers only.
+
+        It is sent with the next push, also if it is the same as before.
+        """
+        self._view.publish(topic, value)
+        entry = self._view.own_entry(topic)
+        members = self.members()
+        self._addressed += [
+            self._outgoing(members[name].peer, [entry], (), LAST_STEP)
+            for name in names
+            if name in members
+        ]
+
     def forget_old(self) -> None:
         """Drop routers that were not heard of for a long time."""
         self._view.forget_old()
@@ -120,6 +136,10 @@
 
     def push(self) -> list[Outgoing]:
         """Return the datagrams that pass news on now."""
+        addressed, self._addressed = self._addressed, []
+        return addressed + self._push_news()
+
+    def _push_news(self) -> list[Outgoing]:
         if not self._pushes_left:
             return []
         entries = self._take_pushes()
@@ -127,7 +147,7 @@
         outgoing = [
             self._outgoing(target, entries, (), LAST_STEP) for target in zone_peers
         ]
-        shared = [entry for entry in entries if entry.topic is not Topic.LOADS]
+        shared = [entry for entry in entries if self._crosses_zones(entry)]
         others = [
             self._random.choice(peers)
             for peers in self._topology.bridges_by_zone().values()
@@ -234,12 +254,23 @@
 
     def _pushes_for(self, topic: Topic) -> int:
         if topic is Topic.EVIDENCE:
-            return 0  # large and often replaced: left to the exchanges
+            return 0  # meant for its receiver only
+        if topic is Topic.ZONE_EVIDENCE:
+            return 1  # the exchanges do the rest
         if topic not in URGENT_TOPICS:
             return USUAL_PUSHES
         size = max(2, len(self.members()))
         return math.ceil(math.log2(size) / PUSH_FANOUT) + USUAL_PUSHES
 
+    def _crosses_zones(self, entry: Entry) -> bool:
+        """Tell whether a bridge pushes an entry to other zones."""
+        if entry.topic is Topic.LOADS:
+            return False
+        if entry.topic is not Topic.ZONE_EVIDENCE:
+            return True
+        writer = self.members().get(entry.origin)
+        return writer is not None and writer.zone == self._zone
+
     def _take_pushes(self) -> list[Entry]:
         taken: list[Entry] = []
         size = 0
--- a/banyansail/fleet/view.py
+++ b/banyansail/fleet/view.py
@@ -15,7 +15,8 @@
 LIVE_TIME = timedelta(seconds=15)  # within a zone
 LIVE_TIME_PER_ROUTER = timedelta(milliseconds=150)  # for those of other zones
 FORGET_TIME = timedelta(hours=1)
-COMPARED_TOPICS = tuple(topic for topic in Topic if topic is not Topic.LOADS)
+ZONE_TOPICS = (Topic.LOADS, Topic.EVIDENCE)  # sent within a zone, never compared
+COMPARED_TOPICS = tuple(topic for topic in Topic if topic not in ZONE_TOPICS)
 
 
 @dataclass(slots=True)
@@ -173,12 +174,22 @@
 
     def values(self, topic: Topic, *, live_only: bool = True) -> dict[str, bytes]:
         """Return the values of a topic by router."""
-        found = {}
-        for name, origin in self._origin_by_name.items():
+        return {
+            entry.origin: entry.value
+            for entry in self.entries(topic)
+            if not live_only or self.is_live(entry.origin)
+        }
+
+    def entries(self, topic: Topic) -> Iterator[Entry]:
+        """Yield the entries of a topic, those of routers that fell silent too."""
+        for origin in self._origin_by_name.values():
             entry = origin.entry_by_topic.get(topic)
-            if entry is not None and (not live_only or self.is_live(name)):
-                found[name] = entry.value
-        return found
+            if entry is not None:
+                yield entry
+
+    def own_entry(self, topic: Topic) -> Entry | None:
+        """Return this router's entry of a topic."""
+        return self._own.entry_by_topic.get(topic)
 
     def forget_old(self) -> None:
         """Drop routers that were not heard of for a long time."""
--- a/banyansail/rollout/evidence.py
+++ b/banyansail/rollout/evidence.py
@@ -5,7 +5,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Set
 from dataclasses import dataclass, field
 from datetime import timedelta
 
@@ -64,11 +64,21 @@
         for index, count in enumerate(other.latencies[:LATENCY_BUCKETS]):
             self.latencies[index] += sign * count
 
+    def raise_to(self, other: EvidenceCell) -> None:
+        """Take the larger of each count; totals of one source only grow."""
+        self.good = max(self.good, other.good)
+        self.failed = max(self.failed, other.failed)
+        for index, count in enumerate(other.latencies[:LATENCY_BUCKETS]):
+            self.latencies[index] = max(self.latencies[index], count)
+
     def count_slower_than(self, limit: timedelta) -> int:
         """Return how many answered calls took longer, to the bucket."""
         return sum(self.latencies[latency_bucket(limit) + 1 :])
 
 
+Evidence = dict[EvidenceKey, EvidenceCell]
+
+
 def latency_bucket(latency: timedelta) -> int:
     """Return the bucket of a latency; buckets grow by the square root of two."""
     ratio = latency / FIRST_BUCKET
@@ -85,24 +95,28 @@
     return sum(in_flight > edge for edge in LOAD_BAND_EDGES)
 
 
-def merge_evidence(
-    parts: Iterable[dict[EvidenceKey, EvidenceCell]],
-) -> dict[EvidenceKey, EvidenceCell]:
+def merge_evidence(parts: Iterable[Evidence]) -> Evidence:
     """Return the sum of the evidence of several routers."""
-    merged: dict[EvidenceKey, EvidenceCell] = {}
+    merged: Evidence = {}
     for part in parts:
         for key, cell in part.items():
             merged.setdefault(key, EvidenceCell()).add(cell)
     return merged
 
 
+def forget_moves(evidence: Evidence, kept: Set[int]) -> None:
+    """Drop the cells of moves that are not to be kept."""
+    for key in [key for key in evidence if key.move not in kept]:
+        del evidence[key]
+
+
 class EvidenceRecorder:
     """Totals of this router's traffic for the services that are being moved."""
 
     __slots__ = ("cell_by_key", "is_changed", "move_by_service")
 
     def __init__(self) -> None:
-        self.cell_by_key: dict[EvidenceKey, EvidenceCell] = {}
+        self.cell_by_key: Evidence = {}
         self.move_by_service: dict[str, int] = {}
         self.is_changed = False
 
--- a/banyansail/rollout/evidence_sum.py
+++ b/banyansail/rollout/evidence_sum.py
@@ -1,16 +1,38 @@
-"""Sum of the evidence of all routers, kept up to date by what has changed."""
+"""Sum of the evidence of several routers, kept up to date by what has changed."""
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable, Set
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
 
-from banyansail.rollout.evidence import EvidenceCell, EvidenceKey
+from banyansail.rollout.evidence import (
+    Evidence,
+    EvidenceCell,
+    forget_moves,
+    merge_evidence,
+)
 
-Evidence = dict[EvidenceKey, EvidenceCell]
+if TYPE_CHECKING:
+    from banyansail.fleet.entries import Entry
+
+
+@dataclass(slots=True)
+class _Part:
+    """Latest totals of one router's process.
+
+    Parameters
+    ----------
+    version : tuple of int
+        Incarnation of the router and sequence of its entry.
+    """
+
+    version: tuple[int, int]
+    evidence: Evidence
 
 
 class EvidenceSum:
-    """Totals of other routers, added up.
+    """Totals of several routers, added up.
 
     The sum never shrinks: what a router counted before it was replaced, or fell
     silent, stays in it, and its next process counts from zero on top.
@@ -21,43 +43,39 @@
         Decodes the totals of one router.
     """
 
-    __slots__ = ("_decode", "_part_by_name", "_total", "_value_by_name")
+    __slots__ = ("_decode", "_part_by_name", "_total")
 
     def __init__(self, decode: Callable[[bytes], Evidence]) -> None:
         self._decode = decode
-        self._value_by_name: dict[str, bytes] = {}
-        self._part_by_name: dict[str, Evidence] = {}
+        self._part_by_name: dict[str, _Part] = {}
         self._total: Evidence = {}
 
-    def update(self, value_by_name: dict[str, bytes]) -> None:
-        """Take in the totals that are heard of now, by router."""
-        for name, value in value_by_name.items():
-            if self._value_by_name.get(name) != value:
-                self._value_by_name[name] = value
-                self._replace(name, self._decode(value))
+    def update(self, entries: Iterable[Entry]) -> None:
+        """Take in the totals that are heard of now."""
+        for entry in entries:
+            version = (entry.incarnation, entry.sequence)
+            held = self._part_by_name.get(entry.origin)
+            if held is None or held.version < version:
+                self._replace(entry.origin, version, self._decode(entry.value))
+
+    def keep_moves(self, moves: Set[int]) -> None:
+        """Forget what was counted for other moves."""
+        forget_moves(self._total, moves)
+        for part in self._part_by_name.values():
+            forget_moves(part.evidence, moves)
 
     def with_own(self, own: Evidence) -> Evidence:
         """Return the sum with a router's own totals, as a copy."""
-        merged: Evidence = {}
-        for part in (self._total, own):
-            for key, cell in part.items():
-                merged.setdefault(key, EvidenceCell()).add(cell)
-        return merged
-
-    def _replace(self, name: str, part: Evidence) -> None:
-        before = self._part_by_name.get(name, {})
-        if _continues(before, part):
-            self._add(before, -1)
-        self._add(part, 1)
-        self._part_by_name[name] = part
-
-    def _add(self, part: Evidence, sign: int) -> None:
-        for key, cell in part.items():
-            self._total.setdefault(key, EvidenceCell()).add(cell, sign)
-
-
-def _continues(before: Evidence, part: Evidence) -> bool:
-    """Tell whether totals go on from earlier ones, and do not begin anew."""
-    return all(
-        key in part and part[key].total >= cell.total for key, cell in before.items()
-    )
+        return merge_evidence((self._total, own))
+
+    def _replace(self, name: str, version: tuple[int, int], totals: Evidence) -> None:
+        held = self._part_by_name.get(name)
+        is_same_process = held is not None and held.version[0] == version[0]
+        before = held.evidence if is_same_process else {}
+        for key, cell in totals.items():
+            counted = self._total.setdefault(key, EvidenceCell())
+            past = before.get(key)
+            if past is not None and past.total <= cell.total:
+                counted.add(past, -1)
+            counted.add(cell)
+        self._part_by_name[name] = _Part(version, {**before, **totals})
--- a/banyansail/rollout/planner.py
+++ b/banyansail/rollout/planner.py
@@ -9,7 +9,6 @@
 from banyansail.rollout.verdict import (
     Bad,
     Doubtful,
-    Evidence,
     Tallies,
     answered_calls,
     judge,
@@ -20,6 +19,7 @@
 if TYPE_CHECKING:
     from banyansail.clock import Clock
     from banyansail.config.rules import RolloutRule
+    from banyansail.rollout.evidence import Evidence
 
 DOUBT_SHARE = 0.25
 DOUBT_TIME = timedelta(seconds=10)
--- a/banyansail/rollout/verdict.py
+++ b/banyansail/rollout/verdict.py
@@ -19,6 +19,7 @@
 from banyansail.rollout.evidence import (
     BUCKETS_PER_DOUBLING,
     FIRST_BUCKET,
+    Evidence,
     EvidenceCell,
     EvidenceKey,
 )
@@ -35,8 +36,6 @@
 SLOW_MIN_CALLS = 20  # of the old version, for a percentile to be known
 ALL_CALLS = "all calls"
 
-Evidence = dict[EvidenceKey, EvidenceCell]
-
 
 @dataclass(slots=True, frozen=True)
 class Bad:
--- a/banyansail/rollout/windows.py
+++ b/banyansail/rollout/windows.py
@@ -6,8 +6,8 @@
 from collections.abc import Callable, Iterator
 from datetime import timedelta
 
-from banyansail.rollout.evidence import EvidenceCell
-from banyansail.rollout.verdict import Evidence, Tallies, add_tallies, joined_tallies
+from banyansail.rollout.evidence import Evidence, EvidenceCell
+from banyansail.rollout.verdict import Tallies, add_tallies, joined_tallies
 
 WHOLE = timedelta.max
 WINDOWS = (timedelta(seconds=10), timedelta(seconds=60), WHOLE)
--- a/banyansail/router/rollouts.py
+++ b/banyansail/router/rollouts.py
@@ -7,18 +7,12 @@
 
 from banyansail.fleet.entries import Topic
 from banyansail.log import log_decision
-from banyansail.rollout.evidence_sum import EvidenceSum
 from banyansail.rollout.schedule import DONE, LATE, TAKEN_BACK, PlannedShare
 from banyansail.rollout.status import MoveState, MoveStatement, move_id, move_number
-from banyansail.rollout.verdict import Bad, Evidence
+from banyansail.rollout.verdict import Bad
 from banyansail.router.statements import Move, StatementStore
 from banyansail.routing.shares import VersionShares
-from banyansail.wire.gossip_codec import (
-    decode_evidence,
-    decode_names,
-    encode_evidence,
-    encode_names,
-)
+from banyansail.wire.gossip_codec import decode_names, encode_names
 
 if TYPE_CHECKING:
     from banyansail.clock import Clock
@@ -27,12 +21,11 @@
     from banyansail.fleet.gossiper import Gossiper
     from banyansail.fleet.view import FleetView
     from banyansail.platform.client import PlatformClient
-    from banyansail.rollout.evidence import EvidenceRecorder
+    from banyansail.rollout.evidence import Evidence
+    from banyansail.router.evidence_exchange import EvidenceExchange
     from banyansail.routing.dispatch import Dispatcher
 
 FULL = "full"
-EVIDENCE_BYTES_PER_S = 8000.0  # what a router spends on the evidence of all
-EVIDENCE_COPIES = 4  # of each value, sent and received by a router
 WATCH_AFTER_FULL = timedelta(seconds=10)
 
 
@@ -48,15 +41,15 @@
     platform : PlatformClient
         Holds the statements.
     view : FleetView
-        Holds the evidence of other routers.
+        Holds the statements of other routers.
     gossiper : Gossiper
-        Publishes this router's evidence.
+        Publishes this router's statements.
     duties : Duties
         Says whose duty a move is.
     dispatcher : Dispatcher
         Acts on the shares.
-    recorder : EvidenceRecorder
-        Counts this router's traffic.
+    evidence : EvidenceExchange
+        Adds up the evidence of all routers.
     """
 
     def __init__(
@@ -68,7 +61,7 @@
         gossiper: Gossiper,
         duties: Duties,
         dispatcher: Dispatcher,
-        recorder: EvidenceRecorder,
+        evidence: EvidenceExchange,
     ) -> None:
         self._name = name
         self._clock = clock
@@ -77,10 +70,8 @@
         self._gossiper = gossiper
         self._duties = duties
         self._dispatcher = dispatcher
-        self._recorder = recorder
+        self._evidence = evidence
         self._rules: RuleSet | None = None
-        self._evidence_due = clock.monotonic()
-        self._others = EvidenceSum(decode_evidence)
         self._move_by_service: dict[str, Move] = {}
 
     def apply_rules(self, rules: RuleSet) -> None:
@@ -96,26 +87,15 @@
                 moves[service] = Move(rule, self._clock)
             else:
                 held.rule = held.planner.rule = rule
-        self._recorder.watch(
+        self._evidence.watch(
             {service: move_number(move.rule) for service, move in moves.items()}
         )
         for service in moves:
             self._plan(service)
 
-    def publish_evidence(self) -> None:
-        """Tell the other routers what this one's traffic showed, now and then."""
-        now = self._clock.monotonic()
-        if not self._recorder.is_changed or now < self._evidence_due:
-            return
-        self._recorder.is_changed = False
-        value = encode_evidence(self._recorder.cell_by_key)
-        self._gossiper.publish(Topic.EVIDENCE, value)
-        bytes_of_fleet = len(value) * len(self._gossiper.live_members())
-        pause = bytes_of_fleet * EVIDENCE_COPIES / EVIDENCE_BYTES_PER_S
-        self._evidence_due = now + timedelta(seconds=pause)
-
     def plan(self) -> None:
         """Judge every move and set its share."""
+        self._evidence.exchange()
         for service in self._move_by_service:
             self._plan(service)
         self._publish_statements()
@@ -158,7 +138,7 @@
         if f"{MoveState.TAKEN_BACK.value} {move_id(move.rule)}" in self._heard():
             return TAKEN_BACK
         outcome = move.planner.plan(
-            self._evidence(move.rule),
+            self._evidence_of(move.rule),
             self._rules.service_by_name[service].latency,
             is_alone=self._is_alone(),
         )
@@ -238,13 +218,10 @@
                 names.add(f"{FULL} {identity}")
         self._gossiper.publish(Topic.STATEMENTS, encode_names(names))
 
-    def _evidence(self, rule: RolloutRule) -> Evidence:
-        values = self._view.values(Topic.EVIDENCE, live_only=False)
-        values.pop(self._name, None)
-        self._others.update(values)
-        every = self._others.with_own(self._recorder.cell_by_key)
+    def _evidence_of(self, rule: RolloutRule) -> Evidence:
         number = move_number(rule)
-        return {key: cell for key, cell in every.items() if key.move == number}
+        total = self._evidence.total()
+        return {key: cell for key, cell in total.items() if key.move == number}
 
     def _is_duty(self, service: str) -> bool:
         return self._duties.owner_of(f"rollout/{service}") is None
--- a/banyansail/router/router.py
+++ b/banyansail/router/router.py
@@ -24,6 +24,7 @@
 from banyansail.rollout.evidence import EvidenceRecorder
 from banyansail.router.catalog import Catalog
 from banyansail.router.context import ExchangeContext
+from banyansail.router.evidence_exchange import EvidenceExchange
 from banyansail.router.handoff import StreamStore
 from banyansail.router.health import HealthExaminer
 from banyansail.router.hops import ZoneHops
@@ -161,6 +162,15 @@
         )
 
     def _build_controllers(self) -> None:
+        evidence = EvidenceExchange(
+            self.settings.name,
+            self.settings.zone,
+            self.clock,
+            self.view,
+            self.gossiper,
+            self.duties,
+            self.evidence,
+        )
         self.rollouts = RolloutController(
             self.settings.name,
             self.clock,
@@ -169,7 +179,7 @@
             self.gossiper,
             self.duties,
             self.dispatcher,
-            self.evidence,
+            evidence,
         )
         self.placements = PlacementController(
             self.router_id,
@@ -285,7 +295,6 @@
 
     async def plan(self) -> None:
         """Judge the moves and set their shares."""
-        self.rollouts.publish_evidence()
         self.rollouts.plan()
         self.scheduler.pump()
 
--- a/banyansail/wire/gossip_codec.py
+++ b/banyansail/wire/gossip_codec.py
@@ -11,7 +11,7 @@
 from banyansail.config.fields import Address
 from banyansail.exceptions import WireError
 from banyansail.fleet.entries import Digest, Entry, Gossip, Member, Topic
-from banyansail.rollout.evidence import EvidenceCell, EvidenceKey
+from banyansail.rollout.evidence import Evidence, EvidenceCell, EvidenceKey
 from banyansail.routing.quarantine import Death
 from banyansail.wire.schema import schema
 
@@ -196,8 +196,8 @@
     ]
 
 
-def encode_evidence(cell_by_key: dict[EvidenceKey, EvidenceCell]) -> bytes:
-    """Encode a value of `Topic.EVIDENCE`."""
+def encode_evidence(evidence: Evidence, zone: str = "") -> bytes:
+    """Encode a value of `Topic.EVIDENCE`, or of `Topic.ZONE_EVIDENCE` with a zone."""
     cells = [
         {
             "service": key.service,
@@ -210,15 +210,25 @@
             "failed": cell.failed,
             "latencies": list(cell.latencies),
         }
-        for key, cell in cell_by_key.items()
+        for key, cell in evidence.items()
     ]
-    return schema.Evidence.new_message(cells=cells).to_bytes_packed()
+    return schema.Evidence.new_message(cells=cells, zone=zone).to_bytes_packed()
 
 
-def decode_evidence(data: bytes) -> dict[EvidenceKey, EvidenceCell]:
+def decode_evidence(data: bytes) -> Evidence:
     """Decode a value of `Topic.EVIDENCE`."""
+    return _decode_cells(unpack(schema.Evidence, data))
+
+
+def decode_zone_evidence(data: bytes) -> tuple[str, Evidence]:
+    """Decode a value of `Topic.ZONE_EVIDENCE`: the zone and its evidence."""
+    message = unpack(schema.Evidence, data)
+    return message.zone, _decode_cells(message)
+
+
+def _decode_cells(message: Any) -> Evidence:
     decoded = {}
-    for item in unpack(schema.Evidence, data).cells:
+    for item in message.cells:
         key = EvidenceKey(
             item.service,
             item.version,
--- a/banyansail/wire/schema.capnp
+++ b/banyansail/wire/schema.capnp
@@ -72,6 +72,7 @@
 
 struct Evidence {
   cells @0 :List(EvidenceCell);
+  zone @1 :Text;  # whose evidence is added up; empty for that of one router
 }
 
 struct EvidenceCell {
--- /dev/null
+++ b/benchmarks/evidence.py
@@ -0,0 +1,103 @@
+"""Bytes and delay of the evidence of a move at sizes up to 320 routers.
+
+The exchanges of all routers run in this process over a fake clock; datagrams are
+encoded and decoded as on the wire. Run with
+``python -m benchmarks.evidence [SIZE...]``.
+"""
+
+from __future__ import annotations
+
+import sys
+import time
+
+from banyansail.commands.table import format_table
+from benchmarks.points import save_points
+from tests.router.evidence_network import Routers
+
+SIZES = (9, 36, 90, 320)
+ZONES = 7
+WORKSPACES = 5
+TRAFFIC_S = 20
+STEP_S = 0.4
+LONGEST_S = 120
+
+
+def measure(size: int) -> dict[str, float]:
+    """Measure one size, with traffic of the move at every router."""
+    zones = min(ZONES, size // 2)
+    routers = Routers(zones, size // zones)
+    at_rest = _bytes_per_s(routers, [])
+    names = list(routers.recorder_by_name)
+    moving = _bytes_per_s(routers, names)
+    return {
+        "routers": len(names),
+        "rest_bytes_per_s": at_rest["mean"],
+        "evidence_bytes_per_s": moving["mean"] - at_rest["mean"],
+        "busiest_bytes_per_s": moving["most"] - at_rest["mean"],
+        "known_everywhere_s": _known_after(routers),
+        "plan_ms": _plan_ms(routers),
+    }
+
+
+def _bytes_per_s(routers: Routers, counting: list[str]) -> dict[str, float]:
+    """Return what a router sends and receives each second."""
+    network = routers.network
+    before = dict(network.bytes_by_name)
+    received = dict(network.received_by_name)
+    for _ in range(round(TRAFFIC_S / STEP_S)):
+        for name in counting:
+            for number in range(WORKSPACES):
+                routers.count(name, 1, f"workspace-{number}")
+        routers.run(STEP_S)
+    both = [
+        network.bytes_by_name[name]
+        - before[name]
+        + network.received_by_name[name]
+        - received[name]
+        for name in routers.recorder_by_name
+    ]
+    return {
+        "mean": sum(both) / len(both) / TRAFFIC_S,
+        "most": max(both) / TRAFFIC_S,
+    }
+
+
+def _known_after(routers: Routers) -> float:
+    """Return how long it takes until every router knows of a call."""
+    name = next(iter(routers.recorder_by_name))
+    routers.run(LONGEST_S / 4)
+    (before,) = routers.totals()
+    routers.count(name, 1)
+    elapsed = 0.0
+    while routers.totals() != {before + 1}:
+        routers.run(STEP_S)
+        elapsed += STEP_S
+        assert elapsed < LONGEST_S
+    return elapsed
+
+
+def _plan_ms(routers: Routers) -> float:
+    """Return the processor time of one exchange and sum at an aggregator."""
+    node = next(iter(routers.network.node_by_name.values()))
+    name = routers.duties(node).zone_aggregators()[0]
+    exchange = routers.exchange_by_name[name]
+    rounds = 20
+    start = time.process_time()
+    for _ in range(rounds):
+        exchange.exchange()
+        exchange.total()
+    return (time.process_time() - start) / rounds * 1e3
+
+
+def main(sizes: list[int]) -> None:
+    """Print a table and keep the points."""
+    points = [measure(size) for size in sizes]
+    for point in points:
+        save_points(f"evidence-{point['routers']}", point)
+    header = list(points[0])
+    rows = [[f"{point[name]:.4g}" for name in header] for point in points]
+    print(format_table(header, rows))
+
+
+if __name__ == "__main__":
+    main([int(item) for item in sys.argv[1:]] or list(SIZES))
--- a/benchmarks/rollout_cases.py
+++ b/benchmarks/rollout_cases.py
@@ -14,10 +14,10 @@
 
 from banyansail.commands.table import format_table
 from banyansail.config.rules import RolloutRule
-from banyansail.rollout.evidence import EvidenceRecorder, merge_evidence
+from banyansail.rollout.evidence import Evidence, EvidenceRecorder, merge_evidence
 from banyansail.rollout.planner import MovePlanner
 from banyansail.rollout.schedule import PROVEN_CALLS
-from banyansail.rollout.verdict import Bad, Evidence
+from banyansail.rollout.verdict import Bad
 from banyansail.routing.shares import Exposure, VersionShares
 
 START = datetime.fromisoformat("2026-12-03T12:00:00+00:00")
--- a/tests/fleet/network.py
+++ b/tests/fleet/network.py
@@ -53,6 +53,7 @@
         self._in_flight: list[tuple[Node, Outgoing]] = []
         self._ticks = 0
         self.bytes_by_name: dict[str, int] = {}
+        self.received_by_name: dict[str, int] = {}
         self.recorded: list[bytes] = []
 
     def add(self, name: str, zone: str = "z0", incarnation: int = 1) -> Node:
@@ -109,6 +110,8 @@
 
     def _receive(self, sender: Node, receiver: Node, data: bytes) -> None:
         self.recorded.append(data)
+        received = self.received_by_name.get(receiver.name, 0) + len(data)
+        self.received_by_name[receiver.name] = received
         gossip = decode_gossip(data)
         _, replies = receiver.gossiper.receive(gossip, sender.address)
         self._in_flight += [(receiver, reply) for reply in replies]
--- a/tests/rollout/test_decisions.py
+++ b/tests/rollout/test_decisions.py
@@ -9,6 +9,7 @@
 from hypothesis import strategies as st
 
 from banyansail.config.rules import RolloutRule
+from banyansail.fleet.entries import Entry, Topic
 from banyansail.rollout.binomial import binomial_tail
 from banyansail.rollout.evidence import (
     EvidenceCell,
@@ -28,6 +29,7 @@
 )
 from banyansail.rollout.verdict import Bad, Doubtful, NoBadSign, judge, tally_slice
 from banyansail.rollout.windows import subtract
+from banyansail.rollout.zone_evidence import ZoneEvidence
 from banyansail.routing.shares import VersionShares
 from tests.fakes import START
 
@@ -155,26 +157,49 @@
     assert not recorder.cell_by_key
 
 
+def entry(value: bytes, incarnation: int, sequence: int) -> Entry:
+    return Entry("r1", incarnation, Topic.EVIDENCE, sequence, value)
+
+
 def test_sum_of_evidence_goes_on_over_replaced_routers():
     parts = {
         b"1": evidence(cell(5, 1), cell(2, 0)),
         b"2": evidence(cell(7, 1), cell(3, 0)),
+        b"3": evidence(cell(9, 1), cell(4, 1)),  # of the next process
     }
-    parts[b"3"] = evidence(cell(1, 0), cell(1, 1))  # the router was replaced
     total = EvidenceSum(parts.__getitem__)
-    total.update({"r1": b"1"})
-    total.update({"r1": b"1"})
+    total.update([entry(b"1", 1, 1)])
+    total.update([entry(b"1", 1, 1)])
     assert total.with_own({}) == parts[b"1"]
-    total.update({"r1": b"2"})
+    total.update([entry(b"2", 1, 2)])
     assert total.with_own({}) == parts[b"2"]
-    total.update({"r1": b"3"})
+    total.update([entry(b"3", 2, 1)])
+    total.update([entry(b"2", 1, 2)])  # late
     assert total.with_own({}) == merge_evidence([parts[b"2"], parts[b"3"]])
-    total.update({})
     own = evidence(cell(1, 0), cell(0, 0))
     expected = merge_evidence([parts[b"2"], parts[b"3"], own])
     assert total.with_own(own) == expected
 
 
+def test_end_of_one_move_counts_nothing_of_another_twice():
+    first = {EvidenceKey("a", "v1", "r", "w", 0, 1): cell(5, 0)}
+    second = {EvidenceKey("b", "v1", "r", "w", 0, 2): cell(7, 1)}
+    parts = {b"both": {**first, **second}, b"second": second}
+    total = EvidenceSum(parts.__getitem__)
+    total.update([entry(b"both", 1, 1)])
+    total.update([entry(b"second", 1, 2)])
+    total.keep_moves({2})
+    assert total.with_own({}) == second
+
+
+def test_two_sums_of_one_zone_count_nothing_twice():
+    zones = ZoneEvidence()
+    zones.raise_to("east", evidence(cell(5, 1), cell(2, 0)))
+    zones.raise_to("east", evidence(cell(4, 2), cell(2, 1)))
+    zones.raise_to("west", evidence(cell(1, 0), cell(1, 0)))
+    assert zones.total() == evidence(cell(6, 2), cell(3, 1))
+
+
 def test_totals_that_shrank_have_no_difference():
     assert (
         subtract(evidence(cell(1, 0), cell(0, 0)), evidence(cell(5, 0), cell(0, 0)))
