Test callers that read slowly or never

Not proved until now: that such a caller fills no memory of the router. Caused by sockets with 4 KB of room and 4,000 tokens. The router holds at most twice its high-water mark for the caller, a neighbour is answered, the slow caller gets all tokens in order, and one that never reads is given up at its deadline and frees its place. Both tests fail if the upstream's connection is not paused.

--- a/tests/router/test_streams_under_failure.py
+++ b/tests/router/test_streams_under_failure.py
@@ -2,15 +2,21 @@
 
 from __future__ import annotations
 
+import http.client
 import json
+import socket
 
 import pytest
+from twisted.internet import reactor
+from twisted.internet.abstract import FileDescriptor
+from twisted.internet.tcp import Server
 
 from banyansail.standins.engine_state import EngineOptions, answer_text
 from tests.live import LiveSite, in_reactor
 from tests.processes import completion, wait_until
 
 COMPLETIONS = "/v1/chat/completions"
+SMALL_BUFFER_BYTES = 4096
 
 
 def stream_text(body: bytes) -> str:
@@ -147,3 +153,75 @@
     assert status in (502, 504)
     assert headers["x-ran"] == "not_run"
     assert int(headers["retry-after"]) >= 1
+
+
+def test_caller_that_does_not_read_fills_no_memory_and_gets_its_whole_answer(site):
+    tokens = 4000
+    router = site.site.router_by_name["r0"]
+    in_reactor(shrink_send_buffers, router)
+    for name in ("e0", "e1", "e2"):
+        in_reactor(setattr, site.state(name).options, "token_s", 0.0002)
+    body = json.dumps(completion("range review", tokens, stream=True)).encode()
+    with socket.socket() as caller:
+        caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_BUFFER_BYTES)
+        caller.connect(("127.0.0.1", site.port()))
+        caller.sendall(
+            b"POST /v1/chat/completions HTTP/1.1\r\nhost: x\r\n"
+            b"content-type: application/json\r\nconnection: close\r\n"
+            b"content-length: %d\r\n\r\n%s" % (len(body), body)
+        )
+        name = busy_engine(site)
+        wait_until(lambda: not site.state(name).active)  # it has written its answer
+        assert in_reactor(buffered_bytes) <= 2 * FileDescriptor.bufferSize
+        status, _, _ = site.call("POST", COMPLETIONS, completion("quick", 5))
+        assert status == 200
+        response = http.client.HTTPResponse(caller)
+        response.begin()
+        assert stream_text(response.read()) == answer_text("range review", tokens)
+
+
+def test_caller_that_never_reads_is_given_up_at_the_deadline(site):
+    site.rules = [
+        line.replace("deadline=30s", "deadline=2s").replace(
+            "deadline=8s", "deadline=2s"
+        )
+        for line in site.rules
+    ]
+    site.apply()
+    router = site.site.router_by_name["r0"]
+    wait_until(lambda: router.context.rules.version == 2)
+    in_reactor(shrink_send_buffers, router)
+    for name in ("e0", "e1", "e2"):
+        in_reactor(setattr, site.state(name).options, "token_s", 0.0002)
+    body = json.dumps(completion("range review", 4000, stream=True)).encode()
+    with socket.socket() as caller:
+        caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_BUFFER_BYTES)
+        caller.connect(("127.0.0.1", site.port()))
+        caller.sendall(
+            b"POST /v1/chat/completions HTTP/1.1\r\nhost: x\r\n"
+            b"content-type: application/json\r\ncontent-length: %d\r\n\r\n%s"
+            % (len(body), body)
+        )
+        dispatch = router.dispatcher.dispatch_by_service["advisor-llm"]
+        wait_until(lambda: dispatch.in_flight == 1)
+        wait_until(lambda: dispatch.in_flight == 0, 10)
+        assert in_reactor(buffered_bytes) <= 2 * FileDescriptor.bufferSize
+
+
+def shrink_send_buffers(router) -> None:
+    """Let the sockets of new callers hold little, so that the router must."""
+    for port in router._listeners._ports:
+        if port.getHost().type == "TCP":
+            port.socket.setsockopt(
+                socket.SOL_SOCKET, socket.SO_SNDBUF, SMALL_BUFFER_BYTES
+            )
+
+
+def buffered_bytes() -> int:
+    """Return the largest number of bytes that wait in a transport."""
+    waiting = [
+        len(item.dataBuffer) - item.offset + item._tempDataLen
+        for item in (*reactor.getReaders(), *reactor.getWriters())
+        if isinstance(item, Server)
+    ]
+    return max(waiting)
