Say unknown, not not_run, of a key that could not be looked up

Seen when a router was killed under 24 callers: 3 of 430 refusals were false. The refusals themselves came from a spent budget of platform calls, as each of 8 shards wrote 40 times a second. Change: before a key is claimed or found, a refusal says unknown, also one by a router that is not ready or by changed rules. A group waits and grows until the budget has room. An outcome that can't be written is written later; it was dropped, and the key stayed unknown for good.

--- a/banyansail/ledger/committer.py
+++ b/banyansail/ledger/committer.py
@@ -12,6 +12,7 @@
 from banyansail.ledger.archive import ShardArchive
 from banyansail.ledger.codec import decode_records, encode_records
 from banyansail.ledger.records import (
+    FinishKey,
     Operation,
     ReleaseKey,
     Result,
@@ -26,9 +27,10 @@
 
 GROUP_WINDOW = timedelta(milliseconds=25)  # least time between writes of a shard
 OUTCOME_DELAY = timedelta(milliseconds=500)  # outcomes wait for company this long
-RELEASE_RETRY = timedelta(seconds=2)
+UNWRITTEN_RETRY = timedelta(seconds=2)
 MAX_TRIES = 12
-MAX_PENDING_RELEASES = 1000
+CALLS_OF_A_WRITE = 3  # a segment, a page and the head
+MAX_UNWRITTEN = 1000
 
 
 @dataclass(slots=True)
@@ -62,8 +64,8 @@
         "_platform",
         "_reactor",
         "_records",
-        "_releases",
         "_timer",
+        "_unwritten",
         "_version",
         "writes",
     )
@@ -76,7 +78,7 @@
         self._key = key
         self._clock = clock
         self._pending: list[_Pending] = []
-        self._releases: dict[str, ReleaseKey] = {}
+        self._unwritten: dict[str, ReleaseKey | FinishKey] = {}
         self._records: ShardRecords | None = None
         self._archive = ShardArchive(platform, key)
         self._version = 0
@@ -118,6 +120,10 @@
     def _begin(self) -> None:
         if self._is_writing or not self._pending:
             return
+        wait = self._platform.time_until(CallKind.LEDGER, CALLS_OF_A_WRITE)
+        if wait:
+            self._schedule(wait)  # the group grows meanwhile
+            return
         self._is_writing = True
         batch, self._pending = self._pending, []
         done = defer.Deferred.fromCoroutine(self._write(batch))
@@ -211,23 +217,24 @@
         for item in batch:
             match item.operation:
                 case StartKey(key, attempt):
-                    self._release_later(ReleaseKey(key, attempt))
-                case ReleaseKey():
-                    self._release_later(item.operation)
+                    self._write_later(ReleaseKey(key, attempt))
+                case ReleaseKey() | FinishKey():
+                    self._write_later(item.operation)
             if not item.done.called:
                 item.done.errback(error)
 
-    def _release_later(self, release: ReleaseKey) -> None:
-        if len(self._releases) < MAX_PENDING_RELEASES:
-            self._releases[release.attempt] = release
-        if len(self._releases) == 1:
-            delay = RELEASE_RETRY.total_seconds()
-            self._reactor.callLater(delay, self._retry_releases)
-
-    def _retry_releases(self) -> None:
-        releases, self._releases = self._releases, {}
-        for release in releases.values():
-            self.submit(release).addErrback(lambda failure: None)
+    def _write_later(self, operation: ReleaseKey | FinishKey) -> None:
+        """Try again what only this router can tell, when the platform may be back."""
+        if len(self._unwritten) < MAX_UNWRITTEN:
+            self._unwritten[operation.attempt] = operation
+        if len(self._unwritten) == 1:
+            delay = UNWRITTEN_RETRY.total_seconds()
+            self._reactor.callLater(delay, self._retry_unwritten)
+
+    def _retry_unwritten(self) -> None:
+        operations, self._unwritten = self._unwritten, {}
+        for operation in operations.values():
+            self.submit(operation).addErrback(lambda failure: None)
 
 
 def _fire(done: defer.Deferred[Result], result: Result) -> None:
--- a/banyansail/platform/budget.py
+++ b/banyansail/platform/budget.py
@@ -57,12 +57,20 @@
 
     def take(self, kind: CallKind) -> bool:
         """Take one call out; return whether the kind may have it now."""
-        self._refill()
-        if self._tokens < 1 + self._burst * RESERVE_BY_KIND[kind]:
+        if self._lacking(kind, 1) > 0:
             return False
         self._tokens -= 1
         return True
 
+    def time_until(self, kind: CallKind, calls: int) -> timedelta:
+        """Return the time until a kind may have so many calls at once."""
+        lacking = self._lacking(kind, calls)
+        return timedelta(seconds=max(0.0, lacking) / self._rate)
+
+    def _lacking(self, kind: CallKind, calls: int) -> float:
+        self._refill()
+        return calls + self._burst * RESERVE_BY_KIND[kind] - self._tokens
+
     def _refill(self) -> None:
         now = self._clock.monotonic()
         gained = (now - self._at) / timedelta(seconds=1) * self._rate
--- a/banyansail/platform/client.py
+++ b/banyansail/platform/client.py
@@ -103,6 +103,10 @@
         """Return the platform's time at its latest answer; it never goes back."""
         return self._server_time
 
+    def time_until(self, kind: CallKind, calls: int) -> timedelta:
+        """Return the time until the budget allows so many calls at once."""
+        return self._budget.time_until(kind, calls)
+
     async def get(self, key: str, kind: CallKind) -> StoredObject:
         """Return an object; one that does not exist has version 0.
 
--- a/banyansail/router/listener.py
+++ b/banyansail/router/listener.py
@@ -26,7 +26,12 @@
     read_last_event,
 )
 from banyansail.router.plain_exchange import PlainExchange
-from banyansail.router.refusals import NOT_READY, body_too_large, no_stream
+from banyansail.router.refusals import (
+    NOT_READY,
+    before_claim,
+    body_too_large,
+    no_stream,
+)
 from banyansail.routing.classify import classify
 from banyansail.routing.messages import Refusal, RequestClass
 from banyansail.upstreams.events import SEPARATOR
@@ -87,7 +92,7 @@
 
     def _begin(self, http: Request, caller: Caller, parsed: ParsedRequest) -> None:
         if self._lifecycle.state is RouterState.STARTING:
-            caller.refuse(NOT_READY)
+            caller.refuse(before_claim(NOT_READY, parsed.request.key))
             return
         request = parsed.request
         path = request.path.partition("?")[0]
@@ -100,11 +105,11 @@
             parsed.timeout,
         )
         if isinstance(classified, Refusal):
-            caller.refuse(classified)
+            caller.refuse(before_claim(classified, request.key))
             return
         limit = self._context.rules.limit(request.service).body
         if len(request.body) > limit:
-            caller.refuse(body_too_large(limit))
+            caller.refuse(before_claim(body_too_large(limit), request.key))
             return
         exchange = self._build(caller, parsed, classified)
         if exchange is None:
--- a/banyansail/router/order_exchange.py
+++ b/banyansail/router/order_exchange.py
@@ -51,6 +51,7 @@
         self.key = f"{self.request_class.service}/{self.request.workspace}/"
         self.key += self.request.key
         self._attempt_token = f"{router_id}/{self.request.request_id}"
+        self.may_have_run = True  # through another router, until the key is claimed
 
     async def run_attempts(self) -> None:
         """Claim the key, then make attempts as long as nothing was sent."""
@@ -110,7 +111,6 @@
             result = await self._start(operation)
             if not isinstance(result, InFlight):
                 break
-            self.may_have_run = True  # by the other attempt
             waited = self.context.clock.monotonic() - waited_since
             if waited > limit:
                 break
@@ -131,6 +131,7 @@
     def _act_on(self, result: Result) -> Answer | None:
         match result:
             case Started():
+                self.may_have_run = False
                 return None
             case Finished(KeptAnswer(status, content_type, body)) if body is not None:
                 return Answer(status, content_type, body.encode())
--- a/banyansail/router/refusals.py
+++ b/banyansail/router/refusals.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from datetime import timedelta
 
 from banyansail.routing.messages import RanState, Refusal, RefusalCode
@@ -101,13 +102,18 @@
 
 
 def not_recorded(reason: str) -> Refusal:
-    """Refuse a call whose key can't be claimed."""
-    text = f"the call can't be recorded: {reason}"
+    """Refuse a call whose key can't be claimed; an earlier call may have run."""
+    text = f"nothing was sent now, as the key can't be recorded: {reason}"
     return Refusal(
-        503, RefusalCode.JOURNAL_UNAVAILABLE, RanState.NOT_RUN, text, JOURNAL_RETRY
+        503, RefusalCode.JOURNAL_UNAVAILABLE, RanState.UNKNOWN, text, JOURNAL_RETRY
     )
 
 
+def before_claim(refusal: Refusal, key: str) -> Refusal:
+    """Refuse a call before its key was looked up, if it has one."""
+    return replace(refusal, ran=RanState.UNKNOWN) if key else refusal
+
+
 def outcome_unknown(attempt: str) -> Refusal:
     """Refuse a call whose key another attempt has claimed."""
     text = f"attempt {attempt} was started and its outcome is not known"
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -44,6 +44,9 @@
         self.writes = 0
         self.reads = 0
 
+    def time_until(self, kind, calls) -> timedelta:
+        return timedelta(0)
+
     def server_time(self) -> datetime:
         return self.clock.now()
 
--- a/tests/ledger/test_committer.py
+++ b/tests/ledger/test_committer.py
@@ -16,6 +16,7 @@
     Started,
     StartKey,
 )
+from banyansail.platform.budget import CallBudget
 from tests.fakes import FakeClock, FakePlatform
 
 ANSWER = KeptAnswer(200, "text/plain", "done")
@@ -192,3 +193,26 @@
     again = writers.submit(1, StartKey(key, "c", 1))
     writers.advance(1)
     assert isinstance(again[0], Finished)
+
+
+def test_spent_budget_makes_larger_groups_and_refuses_nothing():
+    writers = Writers(1)
+    writers.submit(0, StartKey("lead", "a", 1))
+    writers.advance(1)
+    budget = CallBudget(5, 5, writers.clock)
+    writers.platform.time_until = budget.time_until
+    put = writers.platform.put
+
+    async def put_within_budget(key, body, expected, kind):
+        assert budget.take(kind)
+        return await put(key, body, expected, kind)
+
+    writers.platform.put = put_within_budget
+    before = writers.platform.writes
+    results = []
+    for number in range(200):
+        results.append(writers.submit(0, StartKey(f"k{number}", "a", 1)))
+        writers.advance(0.02)
+    writers.advance(1)
+    assert all(result == [Started()] for result in results)
+    assert writers.platform.writes - before <= 5 + 5 * 5
