--- a/Makefile
+++ b/Makefile
@@ -28,6 +28,9 @@
 	$(PYTHON) -m benchmarks.rollout_cases 5
 	$(PYTHON) -m benchmarks.placement_cost
 	$(PYTHON) -m benchmarks.gossip_size 36 90
+	$(PYTHON) -m benchmarks.evidence 9 36
+	$(PYTHON) -m benchmarks.ledger_size 0 100000
+	$(PYTHON) -m benchmarks.unknown_orders
 	$(PYTHON) -m benchmarks.fleet
 
 capacity: $(INSTALLED)
