Leave an owner of a shard out for a while if it did not answer

Change: after a failure the owner is not asked for 5 s; the second one is. After, fake clock: the order after a failed one is answered within 0.1 s by the second owner (before 1 s), and the first is asked again after 5 s.

--- a/banyansail/ledger/client.py
+++ b/banyansail/ledger/client.py
@@ -19,6 +19,7 @@
 SHARDS = 8
 # The second owner had the shard before the first one came, or reads it in now.
 FORWARD_TIMEOUTS = (timedelta(seconds=1), timedelta(seconds=3))
+AVOID_TIME = timedelta(seconds=5)  # an owner that did not answer is not asked
 
 
 class Owners(Protocol):
@@ -62,6 +63,7 @@
     """
 
     __slots__ = (
+        "_avoided_until_by_owner",
         "_clock",
         "_committer_by_shard",
         "_forwarder",
@@ -84,6 +86,7 @@
         self._owners = owners
         self._forwarder = forwarder
         self._committer_by_shard: dict[int, ShardCommitter] = {}
+        self._avoided_until_by_owner: dict[str, timedelta] = {}
 
     def __enter__(self) -> LedgerClient:
         return self
@@ -111,16 +114,31 @@
         duty = f"ledger/{shard_of(operation.key)}"
         owners = self._owners.ranked_before(duty, len(FORWARD_TIMEOUTS))
         for owner, timeout in zip(owners, FORWARD_TIMEOUTS, strict=False):
-            forwarded = defer.Deferred.fromCoroutine(
-                self._forwarder.forward_operation(owner, operation)
-            )
-            forwarded.addTimeout(timeout.total_seconds(), self._reactor)
+            if self._is_avoided(owner):
+                continue
             try:
-                return await forwarded
+                return await self._forward(owner, operation, timeout)
             except (WireError, defer.TimeoutError):
-                continue  # the same operation may be applied again, see records
+                # The same operation may be applied again, see records.
+                until = self._clock.monotonic() + AVOID_TIME
+                self._avoided_until_by_owner[owner] = until
         return await self.commit(operation)
 
+    def _forward(
+        self, owner: str, operation: Operation, timeout: timedelta
+    ) -> defer.Deferred[Result]:
+        forwarded = defer.Deferred.fromCoroutine(
+            self._forwarder.forward_operation(owner, operation)
+        )
+        return forwarded.addTimeout(timeout.total_seconds(), self._reactor)
+
+    def _is_avoided(self, owner: str) -> bool:
+        until = self._avoided_until_by_owner.get(owner)
+        if until is None or self._clock.monotonic() < until:
+            return until is not None
+        del self._avoided_until_by_owner[owner]
+        return False
+
     async def commit(self, operation: Operation) -> Result:
         """Write an operation from this router."""
         return await self._committer(shard_of(operation.key)).submit(operation)
--- a/tests/ledger/test_client.py
+++ b/tests/ledger/test_client.py
@@ -36,6 +36,32 @@
         await defer.Deferred()
 
 
+class Asker:
+    """A client behind two owners."""
+
+    def __init__(self, first: str, second: str) -> None:
+        self.clock = FakeClock()
+        self.reactor = TwistedClock()
+        self.platform = FakePlatform(self.clock)
+        self.forwarder = Forwarder({"first": first, "second": second})
+        self.client = LedgerClient(
+            self.reactor, self.platform, self.clock, Owners(), self.forwarder
+        )
+
+    def start(self, key: str, seconds: float) -> list:
+        """Start a key; return what came of it within a time."""
+        results: list = []
+        done = self.client.perform(StartKey(key, "a", 1))
+        defer.Deferred.fromCoroutine(done).addBoth(results.append)
+        self.advance(seconds)
+        return results
+
+    def advance(self, seconds: float) -> None:
+        for _ in range(round(seconds / 0.1)):
+            self.clock.advance(0.1)
+            self.reactor.advance(0.1)
+
+
 @pytest.mark.parametrize(
     ("first", "second", "asked", "writes"),
     [
@@ -49,17 +75,18 @@
 def test_two_owners_are_asked_before_a_router_writes_itself(
     first, second, asked, writes
 ):
-    clock = FakeClock()
-    reactor = TwistedClock()
-    platform = FakePlatform(clock)
-    forwarder = Forwarder({"first": first, "second": second})
-    client = LedgerClient(reactor, platform, clock, Owners(), forwarder)
-    done = defer.Deferred.fromCoroutine(client.perform(StartKey("k", "a", 1)))
-    results: list = []
-    done.addBoth(results.append)
-    for _ in range(50):
-        clock.advance(0.1)
-        reactor.advance(0.1)
-    assert results == [Started()]
-    assert forwarder.asked == asked
-    assert platform.writes == writes
+    asker = Asker(first, second)
+    assert asker.start("k", 5) == [Started()]
+    assert asker.forwarder.asked == asked
+    assert asker.platform.writes == writes
+
+
+def test_owner_that_did_not_answer_is_left_out_for_a_while():
+    asker = Asker("silent", "answers")
+    assert asker.start("k", 1.2) == [Started()]
+    assert asker.start("k", 0.1) == [Started()]  # at once
+    assert asker.forwarder.asked == ["first", "second", "second"]
+    asker.forwarder.behaviour_by_name["first"] = "answers"
+    asker.advance(5)
+    assert asker.start("k", 0.1) == [Started()]
+    assert asker.forwarder.asked[-1] == "first"
