--- a/banyansail/commands/rollout.py
+++ b/banyansail/commands/rollout.py
@@ -12,13 +12,12 @@
 from banyansail.config.rule_parser import parse_rules
 from banyansail.config.rule_store import read_rules
 from banyansail.platform.budget import CallKind
+from banyansail.platform.statements import settle_statement
 from banyansail.rollout.status import (
     MoveState,
     MoveStatement,
     decode_statement,
-    encode_statement,
     move_id,
-    settle,
     status_key,
 )
 
@@ -69,13 +68,7 @@
         statement = MoveStatement(
             move_id(rule), MoveState.TAKEN_BACK, SystemClock().now(), why, by
         )
-        stored = await platform.update(
-            status_key(service),
-            lambda body: settle(body, statement),
-            lambda body: body == encode_statement(statement),
-            CallKind.ROLLOUT,
-        )
-        return decode_statement(stored.body)
+        return await settle_statement(platform, service, statement)
 
     held = run_with_platform(platform_address, act)
     if held is None:
--- /dev/null
+++ b/banyansail/platform/statements.py
@@ -0,0 +1,36 @@
+"""The conditional update that settles a statement about a move."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from banyansail.platform.budget import CallKind
+from banyansail.rollout.status import (
+    MoveStatement,
+    decode_statement,
+    encode_statement,
+    settle,
+    status_key,
+)
+
+if TYPE_CHECKING:
+    from banyansail.platform.client import PlatformClient
+
+
+async def settle_statement(
+    platform: PlatformClient, service: str, statement: MoveStatement
+) -> MoveStatement | None:
+    """Write a final statement unless another stands; return the one that stands.
+
+    Raises
+    ------
+    PlatformUnavailableError
+        If the platform can't be reached.
+    """
+    stored = await platform.update(
+        status_key(service),
+        lambda body: settle(body, statement),
+        lambda body: body == encode_statement(statement),
+        CallKind.ROLLOUT,
+    )
+    return decode_statement(stored.body)
--- a/banyansail/router/statements.py
+++ b/banyansail/router/statements.py
@@ -6,6 +6,7 @@
 
 from banyansail.log import log_decision
 from banyansail.platform.budget import CallKind
+from banyansail.platform.statements import settle_statement
 from banyansail.rollout.planner import MovePlanner
 from banyansail.rollout.status import (
     MoveState,
@@ -13,7 +14,6 @@
     decode_statement,
     encode_statement,
     move_id,
-    settle,
     status_key,
 )
 
@@ -66,14 +66,7 @@
 
     async def settle(self, service: str, move: Move) -> None:
         """Write this router's verdict, unless another stands already."""
-        wanted = move.statement
-        stored = await self._platform.update(
-            status_key(service),
-            lambda body: settle(body, wanted),
-            lambda body: body == encode_statement(wanted),
-            CallKind.ROLLOUT,
-        )
-        _take(move, decode_statement(stored.body))
+        _take(move, await settle_statement(self._platform, service, move.statement))
 
     async def read(self, service: str, move: Move) -> None:
         """Take over a final statement of another router or of an operator."""
--- a/tests/test_killed_and_frozen_routers.py
+++ b/tests/test_killed_and_frozen_routers.py
@@ -32,6 +32,7 @@
         programs.apply_rules(self.platform, self.rules())
         r0 = programs.start_router("r0", self.platform, stop_notice=stop_notice)
         r1 = programs.start_router("r1", self.platform, peers=[r0[1]])
+        self.seed = r0[1]
         self.ports = {"r0": r0[0], "r1": r1[0]}
         self.admin = {"r0": r0[2], "r1": r1[2]}
         for port in self.admin.values():
