Give the news of gossip a module; share the set-up of two tests

The tests of slow callers and of frozen routers share their set-up. The slow caller's test waits for the engine's count of tokens, as a quick engine could be through between two looks.

--- a/banyansail/fleet/gossiper.py
+++ b/banyansail/fleet/gossiper.py
@@ -7,7 +7,6 @@
 
 from __future__ import annotations
 
-import math
 from collections.abc import Iterable
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
@@ -21,6 +20,7 @@
     Member,
     Topic,
 )
+from banyansail.fleet.news import MAX_ENTRY_BYTES_PER_DATAGRAM, PUSH_FANOUT, NewsQueue
 from banyansail.fleet.topology import Topology
 from banyansail.wire.gossip_codec import decode_member
 
@@ -30,13 +30,9 @@
     from banyansail.config.fields import Address
     from banyansail.fleet.view import FleetView
 
-PUSH_FANOUT = 2
 DIGEST_FANOUT = 1
 ASKS_OF_A_LOST = 2  # a second, of all routers of a zone or all bridges together
-MAX_ENTRY_BYTES_PER_DATAGRAM = 6 * 1024
 MAX_DIGESTS_PER_DATAGRAM = 80
-USUAL_PUSHES = 2
-URGENT_TOPICS = (Topic.LEAVING, Topic.DEATHS, Topic.STATEMENTS)
 
 
 @dataclass(slots=True, frozen=True)
@@ -72,7 +68,7 @@
 
     __slots__ = (
         "_addressed",
-        "_pushes_left",
+        "_news",
         "_random",
         "_seeds",
         "_topology",
@@ -92,7 +88,7 @@
         self._zone = zone
         self._seeds = [seed for seed in seeds if seed != own_address]
         self._random = random
-        self._pushes_left: dict[tuple[str, Topic], tuple[Entry, int]] = {}
+        self._news = NewsQueue()
         self._addressed: list[Outgoing] = []
         self._topology = Topology(view, zone)
 
@@ -141,9 +137,9 @@
         return addressed + self._push_news()
 
     def _push_news(self) -> list[Outgoing]:
-        if not self._pushes_left:
+        entries = self._news.take()
+        if not entries:
             return []
-        entries = self._take_pushes()
         zone_peers = self._sample(self._topology.zone_peers(), PUSH_FANOUT)
         outgoing = [
             self._outgoing(target, entries, (), LAST_STEP) for target in zone_peers
@@ -246,25 +242,13 @@
 
     def _note(self, entry: Entry) -> None:
         """Pass an entry on and keep track of members."""
-        pushes = self._pushes_for(entry.topic)
-        if pushes:
-            self._pushes_left[entry.origin, entry.topic] = (entry, pushes)
+        self._news.add(entry, len(self.members()))
         if entry.topic is Topic.MEMBER:
             try:
                 self._topology.learn(entry.origin, decode_member(entry.value))
             except WireError:
                 return
 
-    def _pushes_for(self, topic: Topic) -> int:
-        if topic is Topic.EVIDENCE:
-            return 0  # meant for its receiver only
-        if topic is Topic.ZONE_EVIDENCE:
-            return 1  # the exchanges do the rest
-        if topic not in URGENT_TOPICS:
-            return USUAL_PUSHES
-        size = max(2, len(self.members()))
-        return math.ceil(math.log2(size) / PUSH_FANOUT) + USUAL_PUSHES
-
     def _crosses_zones(self, entry: Entry) -> bool:
         """Tell whether a bridge pushes an entry to other zones."""
         if entry.topic is Topic.LOADS:
@@ -274,19 +258,6 @@
         writer = self.members().get(entry.origin)
         return writer is not None and writer.zone == self._zone
 
-    def _take_pushes(self) -> list[Entry]:
-        taken: list[Entry] = []
-        size = 0
-        for key, (entry, left) in list(self._pushes_left.items()):
-            size += len(entry.value)
-            if taken and size > MAX_ENTRY_BYTES_PER_DATAGRAM:
-                break
-            taken.append(entry)
-            del self._pushes_left[key]
-            if left > 1:
-                self._pushes_left[key] = (entry, left - 1)
-        return taken
-
     def _digests(self, names: Iterable[str]) -> list[Digest]:
         return [self._view.digest(name) for name in names]
 
--- a/tests/router/test_streams_under_failure.py
+++ b/tests/router/test_streams_under_failure.py
@@ -159,19 +159,9 @@
     tokens = 4000
     router = site.site.router_by_name["r0"]
     in_reactor(shrink_send_buffers, router)
-    for name in ("e0", "e1", "e2"):
-        in_reactor(setattr, site.state(name).options, "token_s", 0.0002)
-    body = json.dumps(completion("range review", tokens, stream=True)).encode()
     with socket.socket() as caller:
-        caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_BUFFER_BYTES)
-        caller.connect(("127.0.0.1", site.port()))
-        caller.sendall(
-            b"POST /v1/chat/completions HTTP/1.1\r\nhost: x\r\n"
-            b"content-type: application/json\r\nconnection: close\r\n"
-            b"content-length: %d\r\n\r\n%s" % (len(body), body)
-        )
-        name = busy_engine(site)
-        wait_until(lambda: not site.state(name).active)  # it has written its answer
+        ask_without_reading(site, caller, tokens)
+        wait_until(lambda: site.counter("tokens") >= tokens)
         assert in_reactor(buffered_bytes) <= 2 * FileDescriptor.bufferSize
         status, _, _ = site.call("POST", COMPLETIONS, completion("quick", 5))
         assert status == 200
@@ -191,23 +181,28 @@
     router = site.site.router_by_name["r0"]
     wait_until(lambda: router.context.rules.version == 2)
     in_reactor(shrink_send_buffers, router)
-    for name in ("e0", "e1", "e2"):
-        in_reactor(setattr, site.state(name).options, "token_s", 0.0002)
-    body = json.dumps(completion("range review", 4000, stream=True)).encode()
     with socket.socket() as caller:
-        caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_BUFFER_BYTES)
-        caller.connect(("127.0.0.1", site.port()))
-        caller.sendall(
-            b"POST /v1/chat/completions HTTP/1.1\r\nhost: x\r\n"
-            b"content-type: application/json\r\ncontent-length: %d\r\n\r\n%s"
-            % (len(body), body)
-        )
+        ask_without_reading(site, caller, tokens=4000)
         dispatch = router.dispatcher.dispatch_by_service["advisor-llm"]
         wait_until(lambda: dispatch.in_flight == 1)
         wait_until(lambda: dispatch.in_flight == 0, 10)
         assert in_reactor(buffered_bytes) <= 2 * FileDescriptor.bufferSize
 
 
+def ask_without_reading(site: LiveSite, caller: socket.socket, tokens: int) -> None:
+    """Ask for a fast stream over a socket that holds little."""
+    for name in ("e0", "e1", "e2"):
+        in_reactor(setattr, site.state(name).options, "token_s", 0.0002)
+    body = json.dumps(completion("range review", tokens, stream=True)).encode()
+    caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_BUFFER_BYTES)
+    caller.connect(("127.0.0.1", site.port()))
+    caller.sendall(
+        b"POST /v1/chat/completions HTTP/1.1\r\nhost: x\r\n"
+        b"content-type: application/json\r\nconnection: close\r\n"
+        b"content-length: %d\r\n\r\n%s" % (len(body), body)
+    )
+
+
 def shrink_send_buffers(router) -> None:
     """Let the sockets of new callers hold little, so that the router must."""
     for port in router._listeners._ports:
--- a/tests/test_killed_and_frozen_routers.py
+++ b/tests/test_killed_and_frozen_routers.py
@@ -51,6 +51,18 @@
             f"address=127.0.0.1:{self.service} {upstream}\n"
         )
 
+    def begin_move(self, engine: int, deadline: datetime) -> None:
+        """Move traffic from the first engine to a second one."""
+        start = datetime.now(UTC).isoformat()
+        self.programs.apply_rules(
+            self.platform,
+            self.rules()
+            + "upstream e2 service=advisor-llm version=v2 zone=glasgow "
+            + f"address=127.0.0.1:{engine}  # isla: new\n"
+            + f"rollout advisor-llm from=v1 to=v2 start={start} "
+            + f"deadline={deadline.isoformat()} first=5%  # ewan: new model\n",
+        )
+
     def live_members(self, admin: int) -> int:
         status = json.loads(call(admin, "GET", "/status")[2])
         return sum(item["live"] for item in status["members"])
@@ -229,18 +241,10 @@
 
 def test_frozen_router_delays_done_and_changes_nothing_when_it_wakes(site):
     """Whichever router has the duty of the move, one of the two is frozen in it."""
-    start = datetime.now(UTC)
-    deadline = start + timedelta(seconds=8)
+    deadline = datetime.now(UTC) + timedelta(seconds=8)
     second = site.programs.start_engine("e2", "--version-name=v2", "--token-ms=2")
     wait_for_http(second, "/health")
-    site.programs.apply_rules(
-        site.platform,
-        site.rules()
-        + "upstream e2 service=advisor-llm version=v2 zone=glasgow "
-        + f"address=127.0.0.1:{second}  # isla: new\n"
-        + f"rollout advisor-llm from=v1 to=v2 start={start.isoformat()} "
-        + f"deadline={deadline.isoformat()} first=5%  # ewan: new model\n",
-    )
+    site.begin_move(second, deadline)
 
     def stated() -> tuple[str, str]:
         done = site.programs.run_cli(
--- a/tests/test_two_frozen_routers.py
+++ b/tests/test_two_frozen_routers.py
@@ -59,18 +59,10 @@
 @pytest.mark.parametrize("platform_delay_s", [0.0, 0.7])
 def test_both_routers_frozen_while_a_move_is_about_to_be_done(site, platform_delay_s):
     """An operator takes it back meanwhile; what is stated first stands for good."""
-    start = datetime.now(UTC)
-    deadline = start + timedelta(seconds=6)
+    deadline = datetime.now(UTC) + timedelta(seconds=6)
     second = site.programs.start_engine("e2", "--version-name=v2", "--token-ms=2")
     wait_for_http(second, "/health")
-    site.programs.apply_rules(
-        site.platform,
-        site.rules()
-        + "upstream e2 service=advisor-llm version=v2 zone=glasgow "
-        + f"address=127.0.0.1:{second}  # isla: new\n"
-        + f"rollout advisor-llm from=v1 to=v2 start={start.isoformat()} "
-        + f"deadline={deadline.isoformat()} first=5%  # ewan: new model\n",
-    )
+    site.begin_move(second, deadline)
     is_over = threading.Event()
     callers = [
         threading.Thread(target=ask_on, args=(site, name, is_over)) for name in FROZEN
