Let unreadable evidence of one router hide that of no other

Cause: a value that can't be decoded raised in every plan of every router, so that no share was planned and no verdict reached while it stood. Seen in reading; the new test failed with WireError.

--- a/banyansail/rollout/evidence_sum.py
+++ b/banyansail/rollout/evidence_sum.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from banyansail.exceptions import WireError
 from banyansail.rollout.evidence import (
     Evidence,
     EvidenceCell,
@@ -50,13 +51,27 @@
         self._part_by_name: dict[str, _Part] = {}
         self._total: Evidence = {}
 
-    def update(self, entries: Iterable[Entry]) -> None:
-        """Take in the totals that are heard of now."""
+    def update(self, entries: Iterable[Entry]) -> list[tuple[Entry, WireError]]:
+        """Take in the totals that are heard of now.
+
+        Returns
+        -------
+        unreadable : list of (Entry, WireError)
+            Entries that can't be decoded; each is returned once.
+        """
+        unreadable = []
         for entry in entries:
             version = (entry.incarnation, entry.sequence)
             held = self._part_by_name.get(entry.origin)
-            if held is None or held.version < version:
-                self._replace(entry.origin, version, self._decode(entry.value))
+            if held is not None and held.version >= version:
+                continue
+            try:
+                totals = self._decode(entry.value)
+            except WireError as error:
+                unreadable.append((entry, error))
+                totals = {}
+            self._replace(entry.origin, version, totals)
+        return unreadable
 
     def keep_moves(self, moves: Set[int]) -> None:
         """Forget what was counted for other moves."""
--- a/banyansail/router/evidence_exchange.py
+++ b/banyansail/router/evidence_exchange.py
@@ -9,7 +9,9 @@
 from datetime import timedelta
 from typing import TYPE_CHECKING
 
-from banyansail.fleet.entries import Topic
+from banyansail.exceptions import WireError
+from banyansail.fleet.entries import Entry, Topic
+from banyansail.log import log_event
 from banyansail.rollout.evidence_sum import EvidenceSum
 from banyansail.rollout.zone_evidence import ZoneEvidence
 from banyansail.wire.gossip_codec import (
@@ -110,7 +112,9 @@
         now = self._clock.monotonic()
         self._take_zones(now)
         heard = self._view.entries(Topic.EVIDENCE)
-        self._zone_sum.update(item for item in heard if item.origin != self._name)
+        others = [item for item in heard if item.origin != self._name]
+        for entry, error in self._zone_sum.update(others):
+            _log_unreadable(entry, error)
         own = self._recorder.cell_by_key
         self._zones.raise_to(self._zone, self._zone_sum.with_own(own))
         aggregators = self._duties.zone_aggregators()
@@ -125,7 +129,11 @@
             if self._version_by_origin.get(entry.origin) == version:
                 continue
             self._version_by_origin[entry.origin] = version
-            zone, evidence = decode_zone_evidence(entry.value)
+            try:
+                zone, evidence = decode_zone_evidence(entry.value)
+            except WireError as error:
+                _log_unreadable(entry, error)
+                continue
             self._zones.raise_to(zone, evidence)
             if zone == self._zone and entry.origin != self._name:
                 self._zone_heard_at = now
@@ -155,3 +163,8 @@
         self._gossiper.send_to(receivers, Topic.EVIDENCE, value)
         received = len(value) * len(self._duties.zone_members())
         self._own_due = now + timedelta(seconds=received / BYTES_PER_S)
+
+
+def _log_unreadable(entry: Entry, error: WireError) -> None:
+    """Note evidence that can't be decoded; that of other routers still counts."""
+    log_event("unreadable_evidence", router=entry.origin, error=error.message)
--- a/tests/router/test_evidence_exchange.py
+++ b/tests/router/test_evidence_exchange.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from banyansail.fleet.entries import Topic
 from tests.router.evidence_network import Routers
 
 
@@ -64,3 +65,17 @@
     network.is_cut = lambda sender, receiver: False
     routers.run(40)
     assert routers.totals() == {18}
+
+
+def test_unreadable_evidence_of_one_router_hides_that_of_no_other():
+    routers = Routers(3, 3)
+    network = routers.network
+    bad = network.node_by_name["r001"].gossiper
+    bad.publish(Topic.ZONE_EVIDENCE, b"\xff not a struct")
+    bad.send_to(list(network.node_by_name), Topic.EVIDENCE, b"\xff not a struct")
+    for name in routers.recorder_by_name:
+        if name != "r001":
+            routers.count(name, 1)
+    network.run(5)
+    routers.run(20)
+    assert routers.totals() == {8}
