Let an unreadable statement of a router stop no verdict

Cause: as with evidence, a statement that can't be decoded raised in every plan while its router was taken for live. The new test, with a router that is live and whose statement is garbage, failed: the bad version was not taken back in 30 s. Change: such a statement says nothing.

--- a/banyansail/router/rollouts.py
+++ b/banyansail/router/rollouts.py
@@ -5,6 +5,7 @@
 from datetime import datetime, timedelta
 from typing import TYPE_CHECKING
 
+from banyansail.exceptions import WireError
 from banyansail.fleet.entries import Topic
 from banyansail.log import log_decision
 from banyansail.rollout.schedule import DONE, LATE, TAKEN_BACK, PlannedShare
@@ -192,7 +193,7 @@
             has_left = member.is_leaving and not self._gossiper.is_live(name)
             if name == self._name or has_left:
                 continue
-            if name not in heard or wanted not in decode_names(heard[name]):
+            if name not in heard or wanted not in _names_in(heard[name]):
                 age = self._view.age(name).total_seconds()
                 missing.append(f"{name} (heard {age:.0f} s ago)")
         return missing
@@ -205,7 +206,7 @@
     def _heard(self) -> set[str]:
         names: set[str] = set()
         for value in self._view.values(Topic.STATEMENTS).values():
-            names |= decode_names(value)
+            names |= _names_in(value)
         return names
 
     def _publish_statements(self) -> None:
@@ -240,3 +241,11 @@
             share=planned.share,
             proven=planned.is_proven,
         )
+
+
+def _names_in(value: bytes) -> set[str]:
+    """Return the statements in a value; one that can't be decoded says nothing."""
+    try:
+        return decode_names(value)
+    except WireError:
+        return set()
--- a/tests/router/test_moves.py
+++ b/tests/router/test_moves.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import itertools
 import json
 import threading
 from datetime import UTC, datetime, timedelta
 
 import pytest
 
+from banyansail.fleet.entries import LAST_STEP, Digest, Entry, Gossip, Topic
 from banyansail.rollout.status import MoveState, decode_statement
 from banyansail.standins.engine_state import EngineOptions
 from tests.live import LiveSite, in_reactor
@@ -116,6 +118,30 @@
     assert "failed" in stated(site).reason
 
 
+def test_unreadable_statements_of_a_router_stop_no_verdict(site):
+    beats = itertools.count(1)
+
+    def is_taken_back() -> bool:
+        send_unreadable_statement(site, next(beats))
+        return stated(site) and stated(site).state is MoveState.TAKEN_BACK
+
+    send_unreadable_statement(site, next(beats))
+    for name in ("e2", "e3"):
+        site.faults(name, fail=True)
+    site.apply(move_rule(60))
+    with Traffic(site):
+        wait_until(is_taken_back, 30)
+
+
+def send_unreadable_statement(live: LiveSite, heartbeat: int) -> None:
+    """Make the routers believe in a live one whose statements can't be decoded."""
+    digest = Digest("ghost", 1, heartbeat, timedelta(0), ())
+    entry = Entry("ghost", 1, Topic.STATEMENTS, 1, b"\xff not a struct")
+    lie = Gossip("ghost", "glasgow", (entry,), (digest,), LAST_STEP)
+    for router in live.site.router_by_name.values():
+        in_reactor(router.gossiper.receive, lie, router.settings.peer)
+
+
 def test_taken_back_by_hand_stands_against_a_good_record(site):
     site.apply(move_rule(60))
     with Traffic(site, threads=2):
