Test a router that is cut off during a move

Not proved until now: that a router which hears no other raises its share no further, is named in the statement, and that done follows only when it is back. Both tests pass as the code was.

--- a/tests/rollout/test_decisions.py
+++ b/tests/rollout/test_decisions.py
@@ -19,6 +19,7 @@
     merge_evidence,
 )
 from banyansail.rollout.evidence_sum import EvidenceSum
+from banyansail.rollout.planner import MovePlanner
 from banyansail.rollout.schedule import PROVEN_CALLS, plan_share
 from banyansail.rollout.status import (
     MoveState,
@@ -31,7 +32,7 @@
 from banyansail.rollout.windows import subtract
 from banyansail.rollout.zone_evidence import ZoneEvidence
 from banyansail.routing.shares import VersionShares
-from tests.fakes import START
+from tests.fakes import START, FakeClock
 
 RULE = RolloutRule("s", "v1", "v2", START, START + timedelta(hours=1))
 TARGET = timedelta(milliseconds=330)
@@ -205,3 +206,16 @@
         subtract(evidence(cell(1, 0), cell(0, 0)), evidence(cell(5, 0), cell(0, 0)))
         == {}
     )
+
+
+def test_router_that_hears_no_other_does_not_raise_its_share():
+    clock = FakeClock()
+    planner = MovePlanner(RULE, clock)
+    good = evidence(cell(500, 0), cell(200, 0))
+    first = planner.plan(good, TARGET, is_alone=False)
+    clock.advance(1800)
+    assert planner.plan(good, TARGET, is_alone=True).share == first.share < 0.95
+    assert planner.plan(good, TARGET, is_alone=False).share == 0.95
+    clock.advance(600)
+    assert planner.plan(good, TARGET, is_alone=True).share == 0.95
+    assert planner.plan(good, TARGET, is_alone=False).share == 1.0
--- a/tests/router/test_moves.py
+++ b/tests/router/test_moves.py
@@ -259,3 +259,37 @@
             site.faults(name, fail=False)
         site.apply(move_rule(12, first="20%"))
         wait_until(lambda: stated(site).state is MoveState.DONE, 40)
+
+
+def test_router_cut_off_during_a_move_holds_its_share_and_is_named(site):
+    """Its share rises no further, and done is not said until it is back."""
+    site.apply(move_rule(30))
+    lone = site.site.router_by_name["r2"]
+    with Traffic(site):
+        wait_until(lambda: share_of(lone) == 0.05)
+        in_reactor(cut_off, lone)
+        wait_until(lambda: len(in_reactor(lone.gossiper.live_members)) == 1, 60)
+        held = share_of(lone)
+        assert held < 1.0
+        wait_until(lambda: stated(site) and "moved: r2" in stated(site).reason, 60)
+        assert share_of(lone) == held
+        assert stated(site).state is MoveState.MOVING
+        in_reactor(join_again, lone)
+        wait_until(lambda: stated(site).state is MoveState.DONE, 60)
+        wait_until(lambda: shares(site) == {1.0})
+
+
+def share_of(router) -> float | None:
+    held = router.dispatcher.dispatch_by_service["advisor-llm"].shares
+    return held.new_share if held else None
+
+
+def cut_off(router) -> None:
+    """Lose all gossip of a router."""
+    router.gossip.datagramReceived = lambda datagram, addr: None
+    router.gossip.send = lambda outgoing: None
+
+
+def join_again(router) -> None:
+    del router.gossip.datagramReceived
+    del router.gossip.send
