Do in one place what stood twice, and once what was done for each move

Found by reading the change again; behaviour stays as it was. - The statements of all routers were decoded, and the evidence of all moves added up, once for each move of a plan: the statements now once a plan, the evidence of the move alone. - The topology sorted live routers into zones in two ways and twice for one question; retention of segments and pages was tested in two places. - replicas_for_load was called by tests and a benchmark only, since replicas come from Demand: it is gone, its two assertions hold Demand to the same numbers. - An owner that is left out needs no entry that is deleted when read. - Two benchmarks of placement had the same made-up cloud, three the same table; they share benchmarks/rented.py and report_sizes. Tests share their fill and share_of.

--- a/banyansail/fleet/topology.py
+++ b/banyansail/fleet/topology.py
@@ -78,40 +78,33 @@
         Those of other zones are left to the bridges. With each goes the number of
         routers that may ask it.
         """
-        live = self.live_members().values()
-        zones = {member.zone for member in live}
-        near = sum(member.zone == self._zone for member in live)
-        far = BRIDGES_PER_ZONE * max(1, len(zones) - 1)
-        is_bridge = self._is_bridge()
+        live = self._live_names_by_zone()
+        near = live.get(self._zone, [])
+        far = BRIDGES_PER_ZONE * max(1, len(live) - 1)
+        is_bridge = self._view.name in _bridges(self._zone, near)
         return [
-            (member.peer, near if member.zone == self._zone else far)
+            (member.peer, len(near) if member.zone == self._zone else far)
             for name, member in self._member_by_name.items()
             if (is_bridge or member.zone == self._zone) and not self.is_live(name)
         ]
 
-    def _is_bridge(self) -> bool:
-        names = [
-            name
-            for name, member in self.live_members().items()
-            if member.zone == self._zone
-        ]
-        return self._view.name in _bridges(self._zone, names)
-
     def bridges_by_zone(self) -> dict[str, list[Address]]:
         """Return bridges of other zones, if this router is a bridge itself."""
-        names_by_zone: dict[str, list[str]] = {}
-        live = self.live_members()
-        for name, member in live.items():
-            names_by_zone.setdefault(member.zone, []).append(name)
-        if self._view.name not in _bridges(
-            self._zone, names_by_zone.pop(self._zone, [])
-        ):
+        live = self._live_names_by_zone()
+        near = live.pop(self._zone, [])
+        if self._view.name not in _bridges(self._zone, near):
             return {}
         return {
-            zone: [live[name].peer for name in _bridges(zone, names)]
-            for zone, names in names_by_zone.items()
+            zone: [self._member_by_name[name].peer for name in _bridges(zone, names)]
+            for zone, names in live.items()
         }
 
+    def _live_names_by_zone(self) -> dict[str, list[str]]:
+        names_by_zone: dict[str, list[str]] = {}
+        for name, member in self.live_members().items():
+            names_by_zone.setdefault(member.zone, []).append(name)
+        return names_by_zone
+
     def known_addresses(self) -> set[Address]:
         """Return the addresses of all live routers."""
         return {member.peer for member in self.live_members().values()}
--- a/banyansail/ledger/archive.py
+++ b/banyansail/ledger/archive.py
@@ -18,7 +18,7 @@
     encode_segments,
     hash_key,
 )
-from banyansail.ledger.records import RETENTION
+from banyansail.ledger.records import unexpired
 from banyansail.platform.budget import CallKind
 
 if TYPE_CHECKING:
@@ -125,7 +125,7 @@
         if kept and kept[-1].keys + keys <= MAX_PAGE_KEYS:
             segments = self._index_by_page[kept[-1].name].segments() + segments
             kept = kept[:-1]
-        segments = tuple(item for item in segments if now - item.newest <= RETENTION)
+        segments = unexpired(segments, now)
         name = await self._write({"segments": encode_segments(segments)})
         if name is None:
             return
--- a/banyansail/ledger/client.py
+++ b/banyansail/ledger/client.py
@@ -133,11 +133,8 @@
         return forwarded.addTimeout(timeout.total_seconds(), self._reactor)
 
     def _is_avoided(self, owner: str) -> bool:
-        until = self._avoided_until_by_owner.get(owner)
-        if until is None or self._clock.monotonic() < until:
-            return until is not None
-        del self._avoided_until_by_owner[owner]
-        return False
+        until = self._avoided_until_by_owner.get(owner, timedelta(0))
+        return self._clock.monotonic() < until
 
     async def commit(self, operation: Operation) -> Result:
         """Write an operation from this router."""
--- a/banyansail/ledger/records.py
+++ b/banyansail/ledger/records.py
@@ -220,8 +220,8 @@
         ]
         for key in old:
             self._bytes -= _size(key, self.record_by_key.pop(key))
-        self.segments = _unexpired(self.segments, now)
-        self.pages = _unexpired(self.pages, now)
+        self.segments = unexpired(self.segments, now)
+        self.pages = unexpired(self.pages, now)
 
     def _start(self, operation: StartKey, now: datetime) -> tuple[Result, bool]:
         record = self.record_by_key.get(operation.key)
@@ -263,7 +263,8 @@
         self._bytes += _size(key, record)
 
 
-def _unexpired(items: tuple[Any, ...], now: datetime) -> tuple[Any, ...]:
+def unexpired(items: tuple[Any, ...], now: datetime) -> tuple[Any, ...]:
+    """Return the segments or pages whose newest record is within the retention."""
     return tuple(item for item in items if now - item.newest <= RETENTION)
 
 
--- a/banyansail/placement/planner.py
+++ b/banyansail/placement/planner.py
@@ -89,9 +89,7 @@
 PlacementAction = StartInstance | StopInstance
 
 
-def replicas_for_load(
-    rule: PlacementRule, in_flight: float, room_of_replica: float
-) -> int:
+def replicas_needed(in_flight: float, room_of_replica: float) -> int:
     """Return the replicas that keep the latency target under a load.
 
     Parameters
@@ -101,11 +99,6 @@
     room_of_replica : float
         Calls that one replica takes at the latency target.
     """
-    return max(rule.replicas, replicas_needed(in_flight, room_of_replica))
-
-
-def replicas_needed(in_flight: float, room_of_replica: float) -> int:
-    """Return the replicas for a load, whatever a rule asks for."""
     return math.ceil(in_flight / max(1.0, room_of_replica * UTILISATION))
 
 
--- a/banyansail/rollout/zone_evidence.py
+++ b/banyansail/rollout/zone_evidence.py
@@ -39,6 +39,9 @@
         """Return the totals of a zone."""
         return self._evidence_by_zone.get(zone, {})
 
-    def total(self) -> Evidence:
-        """Return the sum over all zones, as a copy."""
-        return merge_evidence(self._evidence_by_zone.values())
+    def of_move(self, move: int) -> Evidence:
+        """Return the sum of a move's evidence over all zones, as a copy."""
+        return merge_evidence(
+            {key: cell for key, cell in evidence.items() if key.move == move}
+            for evidence in self._evidence_by_zone.values()
+        )
--- a/banyansail/router/evidence_exchange.py
+++ b/banyansail/router/evidence_exchange.py
@@ -103,9 +103,9 @@
         self._zone_sum.keep_moves(moves)
         self._zones.keep_moves(moves)
 
-    def total(self) -> Evidence:
-        """Return the evidence of the fleet, as far as it was heard of."""
-        return self._zones.total()
+    def of_move(self, move: int) -> Evidence:
+        """Return the fleet's evidence of a move, as far as it was heard of."""
+        return self._zones.of_move(move)
 
     def exchange(self) -> None:
         """Take in what was heard, and tell what is due."""
--- a/banyansail/router/rollouts.py
+++ b/banyansail/router/rollouts.py
@@ -17,12 +17,11 @@
 
 if TYPE_CHECKING:
     from banyansail.clock import Clock
-    from banyansail.config.rules import RolloutRule, RuleSet
+    from banyansail.config.rules import RuleSet
     from banyansail.fleet.duties import Duties
     from banyansail.fleet.gossiper import Gossiper
     from banyansail.fleet.view import FleetView
     from banyansail.platform.client import PlatformClient
-    from banyansail.rollout.evidence import Evidence
     from banyansail.router.evidence_exchange import EvidenceExchange
     from banyansail.routing.dispatch import Dispatcher
 
@@ -91,30 +90,33 @@
         self._evidence.watch(
             {service: move_number(move.rule) for service, move in moves.items()}
         )
-        for service in moves:
-            self._plan(service)
+        self._plan_all()
 
     def plan(self) -> None:
         """Judge every move and set its share."""
         self._evidence.exchange()
-        for service in self._move_by_service:
-            self._plan(service)
+        self._plan_all()
         self._publish_statements()
 
     async def settle(self) -> None:
         """Write verdicts, and read those of others if that is this router's duty."""
+        heard = self._heard()
         for service, move in list(self._move_by_service.items()):
             if move.statement is not None and not move.is_settled:
                 await self._statements.settle(service, move)
             elif not move.is_settled and self._is_duty(service):
                 await self._statements.read(service, move)
                 await self._state_progress(service, move)
-            elif not move.is_settled and self._names_final(move):
+            elif not move.is_settled and _names_final(move, heard):
                 await self._statements.read(service, move)
 
-    def _plan(self, service: str) -> None:
-        move = self._move_by_service[service]
-        planned = self._planned_share(service, move)
+    def _plan_all(self) -> None:
+        heard = self._heard()
+        for service, move in self._move_by_service.items():
+            self._plan(service, move, heard)
+
+    def _plan(self, service: str, move: Move, heard: set[str]) -> None:
+        planned = self._planned_share(service, move, heard)
         if move.planned != planned:
             self._log(service, move, planned)
         move.planned = planned
@@ -130,16 +132,16 @@
             ),
         )
 
-    def _planned_share(self, service: str, move: Move) -> PlannedShare:
+    def _planned_share(self, service: str, move: Move, heard: set[str]) -> PlannedShare:
         match move.state:
             case MoveState.TAKEN_BACK:
                 return TAKEN_BACK
             case MoveState.DONE:
                 return DONE
-        if f"{MoveState.TAKEN_BACK.value} {move_id(move.rule)}" in self._heard():
+        if _statement_name(MoveState.TAKEN_BACK, move) in heard:
             return TAKEN_BACK
         outcome = move.planner.plan(
-            self._evidence_of(move.rule),
+            self._evidence.of_move(move_number(move.rule)),
             self._rules.service_by_name[service].latency,
             is_alone=self._is_alone(),
         )
@@ -198,12 +200,8 @@
                 missing.append(f"{name} (heard {age:.0f} s ago)")
         return missing
 
-    def _names_final(self, move: Move) -> bool:
-        done = f"{MoveState.DONE.value} {move_id(move.rule)}"
-        taken_back = f"{MoveState.TAKEN_BACK.value} {move_id(move.rule)}"
-        return bool({done, taken_back} & self._heard())
-
     def _heard(self) -> set[str]:
+        """Return what the live routers state of all moves."""
         names: set[str] = set()
         for value in self._view.values(Topic.STATEMENTS).values():
             names |= _names_in(value)
@@ -212,18 +210,12 @@
     def _publish_statements(self) -> None:
         names = set()
         for move in self._move_by_service.values():
-            identity = move_id(move.rule)
             if move.state is not MoveState.MOVING:
-                names.add(f"{move.state.value} {identity}")
+                names.add(_statement_name(move.state, move))
             if move.planned is not None and move.planned.share >= 1:
-                names.add(f"{FULL} {identity}")
+                names.add(f"{FULL} {move_id(move.rule)}")
         self._gossiper.publish(Topic.STATEMENTS, encode_names(names))
 
-    def _evidence_of(self, rule: RolloutRule) -> Evidence:
-        number = move_number(rule)
-        total = self._evidence.total()
-        return {key: cell for key, cell in total.items() if key.move == number}
-
     def _is_duty(self, service: str) -> bool:
         return self._duties.owner_of(f"rollout/{service}") is None
 
@@ -243,6 +235,16 @@
         )
 
 
+def _statement_name(state: MoveState, move: Move) -> str:
+    return f"{state.value} {move_id(move.rule)}"
+
+
+def _names_final(move: Move, heard: set[str]) -> bool:
+    """Tell whether a router has heard a final statement about a move."""
+    final = (MoveState.DONE, MoveState.TAKEN_BACK)
+    return any(_statement_name(state, move) in heard for state in final)
+
+
 def _names_in(value: bytes) -> set[str]:
     """Return the statements in a value; one that can't be decoded says nothing."""
     try:
--- a/banyansail/router/router.py
+++ b/banyansail/router/router.py
@@ -162,7 +162,7 @@
         )
 
     def _build_controllers(self) -> None:
-        evidence = EvidenceExchange(
+        evidence_exchange = EvidenceExchange(
             self.settings.name,
             self.settings.zone,
             self.clock,
@@ -179,7 +179,7 @@
             self.gossiper,
             self.duties,
             self.dispatcher,
-            evidence,
+            evidence_exchange,
         )
         self.placements = PlacementController(
             self.router_id,
--- a/benchmarks/evidence.py
+++ b/benchmarks/evidence.py
@@ -10,9 +10,8 @@
 import sys
 import time
 
-from banyansail.commands.table import format_table
-from benchmarks.points import save_points
-from tests.router.evidence_network import Routers
+from benchmarks.points import report_sizes
+from tests.router.evidence_network import MOVE, Routers
 
 SIZES = (9, 36, 90, 320)
 ZONES = 7
@@ -86,18 +85,13 @@
     start = time.process_time()
     for _ in range(rounds):
         exchange.exchange()
-        exchange.total()
+        exchange.of_move(MOVE)
     return (time.process_time() - start) / rounds * 1e3
 
 
 def main(sizes: list[int]) -> None:
     """Print a table and keep the points."""
-    points = [measure(size) for size in sizes]
-    for point in points:
-        save_points(f"evidence-{point['routers']}", point)
-    header = list(points[0])
-    rows = [[f"{point[name]:.4g}" for name in header] for point in points]
-    print(format_table(header, rows))
+    report_sizes("evidence", "routers", [measure(size) for size in sizes])
 
 
 if __name__ == "__main__":
--- a/benchmarks/gossip_size.py
+++ b/benchmarks/gossip_size.py
@@ -8,9 +8,8 @@
 
 import sys
 
-from banyansail.commands.table import format_table
 from banyansail.fleet.entries import Topic
-from benchmarks.points import save_points
+from benchmarks.points import report_sizes
 from tests.fleet.network import Network
 
 SIZES = (36, 90, 180, 320)
@@ -88,12 +87,7 @@
 
 def main(sizes: list[int]) -> None:
     """Print a table and keep the points."""
-    points = [measure(size) for size in sizes]
-    for point in points:
-        save_points(f"gossip-{point['routers']}", point)
-    header = list(points[0])
-    rows = [[f"{point[name]:.4g}" for name in header] for point in points]
-    print(format_table(header, rows))
+    report_sizes("gossip", "routers", [measure(size) for size in sizes])
 
 
 if __name__ == "__main__":
--- a/benchmarks/ledger_size.py
+++ b/benchmarks/ledger_size.py
@@ -14,7 +14,6 @@
 
 from twisted.internet.task import Clock as TwistedClock
 
-from banyansail.commands.table import format_table
 from banyansail.ledger.archive import MAX_PAGE_KEYS
 from banyansail.ledger.codec import encode_records
 from banyansail.ledger.committer import ShardCommitter
@@ -26,7 +25,7 @@
     Started,
     StartKey,
 )
-from benchmarks.points import save_points
+from benchmarks.points import report_sizes
 from tests.fakes import FakeClock, FakePlatform
 
 KEYS = (0, 100_000, 1_000_000, 2_800_000)
@@ -129,12 +128,7 @@
 
 def main(sizes: list[int]) -> None:
     """Print a table and keep the points."""
-    points = [measure(size) for size in sizes]
-    for point in points:
-        save_points(f"ledger-{point['keys']}", point)
-    header = list(points[0])
-    rows = [[f"{point[name]:.4g}" for name in header] for point in points]
-    print(format_table(header, rows))
+    report_sizes("ledger", "keys", [measure(size) for size in sizes])
 
 
 if __name__ == "__main__":
--- a/benchmarks/placement_cost.py
+++ b/benchmarks/placement_cost.py
@@ -9,7 +9,7 @@
 
 import sys
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from random import Random
 
 from banyansail.commands.table import format_table
@@ -20,9 +20,9 @@
     PlacementAction,
     Running,
     StartInstance,
-    StopInstance,
     plan_actions,
 )
+from benchmarks.rented import RentedInstances
 
 ZONES = ("glasgow", "edinburgh", "aberdeen", "inverness")
 STEPS = 14 * 24 * 12  # two weeks in steps of five minutes
@@ -33,18 +33,10 @@
 ON_DEMAND_PRICE = 3.0
 RISK_BY_ZONE = {"glasgow": 0.5, "edinburgh": 0.05, "aberdeen": 0.1, "inverness": 0.02}
 ZONE_LOSS_PER_STEP = 1 / (3 * 24 * 12)
-REFUSED_SHARE = 0.1
 
 Plan = Callable[[list[Offer], list[Running]], list[PlacementAction]]
 
 
-@dataclass(slots=True)
-class _Instance:
-    name: str
-    place: Place
-    serves_from: int
-
-
 @dataclass(slots=True)
 class Outcome:
     """What a plan cost.
@@ -63,7 +55,6 @@
     short: float = 0.0
     worst: int = 0
     starts: int = 0
-    instances: list[_Instance] = field(default_factory=list)
 
 
 def plan_ours(offers: list[Offer], running: list[Running]) -> list[PlacementAction]:
@@ -112,17 +103,18 @@
 def drive(plan: Plan, seed: int) -> Outcome:
     """Drive a plan through the history of a seed."""
     history = Random(f"history/{seed}")
-    random = Random(f"starts/{seed}")
+    rented = RentedInstances(START_STEPS, Random(f"starts/{seed}"))
     prices = {zone: history.uniform(0.6, 1.4) for zone in ZONES}
     outcome = Outcome()
     for step in range(STEPS):
         _move_prices(prices, history)
-        _take_back(outcome, history)
-        offers = _offers(prices)
-        running = [Running(item.name, item.place) for item in outcome.instances]
-        for action in plan(offers, running):
-            _act(outcome, action, step, random)
-        _account(outcome, prices, step)
+        _take_back(rented, history)
+        for action in plan(_offers(prices), rented.running()):
+            rented.act(action, step)
+        rented.pay(lambda place: _price(place, prices), STEP_H)
+        _account(outcome, rented.serving(step), step)
+    outcome.cost = rented.cost
+    outcome.starts = rented.starts
     return outcome
 
 
@@ -143,40 +135,18 @@
     return offers
 
 
-def _take_back(outcome: Outcome, history: Random) -> None:
+def _take_back(rented: RentedInstances, history: Random) -> None:
     lost_zones = {zone for zone in ZONES if history.random() < ZONE_LOSS_PER_STEP}
     draws = [history.random() for _ in range(4 * REPLICAS)]
-    kept = []
-    for item, draw in zip(outcome.instances, draws, strict=False):
-        is_safe = item.place.instance_class is InstanceClass.ON_DEMAND
-        risk = RISK_BY_ZONE[item.place.zone] * STEP_H
-        if is_safe or (item.place.zone not in lost_zones and draw >= risk):
-            kept.append(item)
-    outcome.instances = kept
-
-
-def _act(outcome: Outcome, action: PlacementAction, step: int, random: Random) -> None:
-    match action:
-        case StartInstance(place):
-            is_safe = place.instance_class is InstanceClass.ON_DEMAND
-            if not is_safe and random.random() < REFUSED_SHARE:
-                return
-            outcome.starts += 1
-            name = f"i{outcome.starts}"
-            serves_from = step + START_STEPS
-            outcome.instances.append(_Instance(name, place, serves_from))
-        case StopInstance(name):
-            outcome.instances = [
-                item for item in outcome.instances if item.name != name
-            ]
+    rented.take_back(lost_zones, draws, lambda zone: RISK_BY_ZONE[zone] * STEP_H)
+
+
+def _price(place: Place, prices: dict[str, float]) -> float:
+    is_safe = place.instance_class is InstanceClass.ON_DEMAND
+    return ON_DEMAND_PRICE if is_safe else prices[place.zone]
 
 
-def _account(outcome: Outcome, prices: dict[str, float], step: int) -> None:
-    for item in outcome.instances:
-        is_safe = item.place.instance_class is InstanceClass.ON_DEMAND
-        price = ON_DEMAND_PRICE if is_safe else prices[item.place.zone]
-        outcome.cost += price * STEP_H
-    serving = sum(item.serves_from <= step for item in outcome.instances)
+def _account(outcome: Outcome, serving: int, step: int) -> None:
     if step > START_STEPS:
         missing = max(0, REPLICAS - serving)
         outcome.short += missing * STEP_H
--- a/benchmarks/placement_load.py
+++ b/benchmarks/placement_load.py
@@ -10,7 +10,7 @@
 
 import math
 import sys
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from datetime import timedelta
 from random import Random
 
@@ -20,13 +20,11 @@
 from banyansail.placement.planner import (
     Offer,
     Place,
-    Running,
-    StartInstance,
-    StopInstance,
     plan_actions,
-    replicas_for_load,
+    replicas_needed,
 )
 from benchmarks.points import save_points
+from benchmarks.rented import RentedInstances
 
 DAYS = 3
 STEP = timedelta(minutes=1)
@@ -41,7 +39,6 @@
 PRICE_BY_ZONE = {"glasgow": 0.8, "edinburgh": 1.0, "aberdeen": 1.1, "inverness": 1.3}
 RISK_BY_ZONE = {"glasgow": 0.3, "edinburgh": 0.05, "aberdeen": 0.1, "inverness": 0.02}
 ZONE_LOSS_PER_STEP = 1 / (2 * 24 * 60)
-REFUSED_SHARE = 0.1
 OFFERS = [
     *(
         Offer(zone, InstanceClass.RECLAIMABLE, price, RISK_BY_ZONE[zone])
@@ -81,7 +78,7 @@
 
     def replicas(self, load: float, clock: StepClock) -> int:
         """Return the replicas for a load."""
-        return replicas_for_load(_rule(LEAST), load, ROOM)
+        return max(LEAST, replicas_needed(load, ROOM))
 
 
 class LoadOfLate:
@@ -96,13 +93,6 @@
         return self._demand.replicas(_rule(LEAST), load, ROOM)
 
 
-@dataclass(slots=True)
-class _Instance:
-    name: str
-    place: Place
-    serves_from: int
-
-
 @dataclass(slots=True)
 class Outcome:
     """What a policy cost and how many calls were late."""
@@ -111,7 +101,6 @@
     calls: float = 0.0
     late: float = 0.0
     starts: int = 0
-    instances: list[_Instance] = field(default_factory=list)
 
 
 def load_at(step: int, random: Random, burst: list[float]) -> float:
@@ -128,19 +117,22 @@
     """Drive a policy through the loads of a seed."""
     loads = Random(f"loads/{seed}")
     history = Random(f"history/{seed}")
-    starts = Random(f"starts/{seed}")
+    rented = RentedInstances(START_STEPS, Random(f"starts/{seed}"))
     clock = StepClock()
     outcome = Outcome()
     burst = [0.0]
     for step in range(STEPS):
         load = load_at(step, loads, burst)
-        _take_back(outcome, history)
+        _take_back(rented, history)
         replicas = policy.replicas(load, clock)
-        running = [Running(item.name, item.place) for item in outcome.instances]
-        for action in plan_actions(replicas, _rule(replicas), OFFERS, running):
-            _act(outcome, action, step, starts)
-        _account(outcome, load, step)
+        rule = _rule(replicas)
+        for action in plan_actions(replicas, rule, OFFERS, rented.running()):
+            rented.act(action, step)
+        rented.pay(_price, STEP_H)
+        _account(outcome, load, rented.serving(step), step)
         clock.elapsed += STEP
+    outcome.cost = rented.cost
+    outcome.starts = rented.starts
     return outcome
 
 
@@ -148,45 +140,21 @@
     return PlacementRule("s", replicas, FLOOR, ZONE_SHARE)
 
 
-def _take_back(outcome: Outcome, history: Random) -> None:
+def _take_back(rented: RentedInstances, history: Random) -> None:
     lost = {zone for zone in PRICE_BY_ZONE if history.random() < ZONE_LOSS_PER_STEP}
     draws = [history.random() for _ in range(100)]
-    kept = []
-    for item, draw in zip(outcome.instances, draws, strict=False):
-        is_safe = item.place.instance_class is InstanceClass.ON_DEMAND
-        is_reclaimed = draw < RISK_BY_ZONE[item.place.zone] * STEP_H
-        if is_safe or not (item.place.zone in lost or is_reclaimed):
-            kept.append(item)
-    outcome.instances = kept
-
-
-def _act(
-    outcome: Outcome, action: StartInstance | StopInstance, step: int, random: Random
-) -> None:
-    match action:
-        case StartInstance(place):
-            is_safe = place.instance_class is InstanceClass.ON_DEMAND
-            if not is_safe and random.random() < REFUSED_SHARE:
-                return
-            outcome.starts += 1
-            name = f"i{outcome.starts:05}"
-            outcome.instances.append(_Instance(name, place, step + START_STEPS))
-        case StopInstance(name):
-            outcome.instances = [
-                item for item in outcome.instances if item.name != name
-            ]
-
-
-def _account(outcome: Outcome, load: float, step: int) -> None:
-    for item in outcome.instances:
-        is_safe = item.place.instance_class is InstanceClass.ON_DEMAND
-        price = ON_DEMAND_PRICE if is_safe else PRICE_BY_ZONE[item.place.zone]
-        outcome.cost += price * STEP_H
-    if step <= START_STEPS:
-        return
-    serving = sum(item.serves_from <= step for item in outcome.instances)
-    outcome.calls += load
-    outcome.late += max(0.0, load - serving * ROOM)
+    rented.take_back(lost, draws, lambda zone: RISK_BY_ZONE[zone] * STEP_H)
+
+
+def _price(place: Place) -> float:
+    is_safe = place.instance_class is InstanceClass.ON_DEMAND
+    return ON_DEMAND_PRICE if is_safe else PRICE_BY_ZONE[place.zone]
+
+
+def _account(outcome: Outcome, load: float, serving: int, step: int) -> None:
+    if step > START_STEPS:
+        outcome.calls += load
+        outcome.late += max(0.0, load - serving * ROOM)
 
 
 POLICIES = {
--- a/benchmarks/points.py
+++ b/benchmarks/points.py
@@ -7,6 +7,8 @@
 from pathlib import Path
 from typing import Any
 
+from banyansail.commands.table import format_table
+
 POINTS_FILE = Path(__file__).with_name("points.json")
 
 
@@ -23,3 +25,18 @@
     held[name] = {"date": datetime.now(UTC).date().isoformat(), "points": points}
     text = json.dumps(held, indent=1, sort_keys=True)
     POINTS_FILE.write_text(text + "\n", encoding="utf-8")
+
+
+def report_sizes(measurement: str, size: str, points: list[dict[str, float]]) -> None:
+    """Keep the points of a measurement at several sizes and print them as a table.
+
+    Parameters
+    ----------
+    size : str
+        Name of the value that tells the sizes apart.
+    """
+    for point in points:
+        save_points(f"{measurement}-{point[size]}", point)
+    header = list(points[0])
+    rows = [[f"{point[name]:.4g}" for name in header] for point in points]
+    print(format_table(header, rows))
--- a/tests/ledger/test_committer.py
+++ b/tests/ledger/test_committer.py
@@ -134,12 +134,7 @@
 
 def test_segments_expire_as_a_whole():
     writers = Writers(1)
-    body = KeptAnswer(200, "text/plain", "x" * 2000)
-    for number in range(200):
-        writers.submit(0, StartKey(f"k{number}", "a", 1))
-        writers.submit(0, FinishKey(f"k{number}", "a", body))
-        writers.advance(0.05)
-    writers.advance(2)
+    fill(writers, "k", 200)
     assert writers.platform.stored["shard"][1]["segments"]
     writers.clock.advance(25 * 3600)
     writers.submit(0, StartKey("new", "a", 1))
@@ -149,10 +144,10 @@
     assert list(head["records"]) == ["new"]
 
 
-def fill(writers: Writers, name: str) -> None:
+def fill(writers: Writers, name: str, count: int = 40) -> None:
     """Start and finish keys until some of them are sealed."""
     body = KeptAnswer(200, "text/plain", "x" * 2000)
-    for number in range(40):
+    for number in range(count):
         writers.submit(0, StartKey(f"{name}{number}", "a", 1))
         writers.submit(0, FinishKey(f"{name}{number}", "a", body))
         writers.advance(0.05)
--- a/tests/placement/test_demand.py
+++ b/tests/placement/test_demand.py
@@ -9,7 +9,7 @@
 
 from banyansail.config.rules import PlacementRule
 from banyansail.placement.demand import MEMORY, Demand
-from banyansail.placement.planner import replicas_for_load
+from banyansail.placement.planner import replicas_needed
 from benchmarks.placement_load import (
     FixedReplicas,
     LoadOfLate,
@@ -41,7 +41,7 @@
         now = clock.monotonic()
         seen.append((now, load))
         recent = [item for at, item in seen if at > now - MEMORY]
-        needs = [replicas_for_load(rule(0), item, ROOM) for item in recent]
+        needs = [replicas_needed(item, ROOM) for item in recent]
         found = demand.replicas(rule(replicas), load, ROOM)
         assert found == max(replicas, *needs)
 
--- a/tests/placement/test_planner.py
+++ b/tests/placement/test_planner.py
@@ -10,6 +10,7 @@
 
 from banyansail.config.rules import InstanceClass, PlacementRule
 from banyansail.placement.backoff import RefusedPlaces
+from banyansail.placement.demand import Demand
 from banyansail.placement.planner import (
     Offer,
     Place,
@@ -18,7 +19,6 @@
     StopInstance,
     plan_actions,
     plan_places,
-    replicas_for_load,
 )
 from tests.fakes import FakeClock
 
@@ -115,8 +115,8 @@
 
 def test_load_asks_for_replicas_beyond_the_rule():
     rule = PlacementRule("s", 3)
-    assert replicas_for_load(rule, 0, 8) == 3
-    assert replicas_for_load(rule, 56, 8) == 9
+    assert Demand(FakeClock()).replicas(rule, 0, 8) == 3
+    assert Demand(FakeClock()).replicas(rule, 56, 8) == 9
 
 
 def test_refused_place_is_left_for_the_next_choice_and_tried_again():
--- a/tests/rollout/test_decisions.py
+++ b/tests/rollout/test_decisions.py
@@ -198,7 +198,7 @@
     zones.raise_to("east", evidence(cell(5, 1), cell(2, 0)))
     zones.raise_to("east", evidence(cell(4, 2), cell(2, 1)))
     zones.raise_to("west", evidence(cell(1, 0), cell(1, 0)))
-    assert zones.total() == evidence(cell(6, 2), cell(3, 1))
+    assert zones.of_move(0) == evidence(cell(6, 2), cell(3, 1))
 
 
 def test_totals_that_shrank_have_no_difference():
--- a/tests/router/evidence_network.py
+++ b/tests/router/evidence_network.py
@@ -62,7 +62,7 @@
     def totals(self) -> set[int]:
         """Return the numbers of calls that the routers know of."""
         return {
-            sum(cell.total for cell in exchange.total().values())
+            sum(cell.total for cell in exchange.of_move(MOVE).values())
             for name, exchange in self.exchange_by_name.items()
             if not self.network.node_by_name[name].is_frozen
         }
--- a/tests/router/test_evidence_exchange.py
+++ b/tests/router/test_evidence_exchange.py
@@ -5,7 +5,7 @@
 import pytest
 
 from banyansail.fleet.entries import Topic
-from tests.router.evidence_network import Routers
+from tests.router.evidence_network import MOVE, Routers
 
 
 @pytest.mark.parametrize("loss", [0.0, 0.2])
@@ -45,7 +45,7 @@
     routers.run(20)
     known = {name: routers.exchange_by_name[name] for name in routers.exchange_by_name}
     counts = {
-        name: sum(cell.total for cell in exchange.total().values())
+        name: sum(cell.total for cell in exchange.of_move(MOVE).values())
         for name, exchange in known.items()
     }
     assert max(counts.values()) <= 18 + 40
--- a/tests/router/test_moves.py
+++ b/tests/router/test_moves.py
@@ -84,11 +84,7 @@
 
 
 def shares(live: LiveSite) -> set[float | None]:
-    found = set()
-    for router in live.site.router_by_name.values():
-        held = router.dispatcher.dispatch_by_service["advisor-llm"].shares
-        found.add(held.new_share if held else None)
-    return found
+    return {share_of(router) for router in live.site.router_by_name.values()}
 
 
 def test_good_version_is_stated_done_once_all_have_moved(site):
