--- /dev/null
+++ b/banyansail/config/gateway_settings.py
@@ -0,0 +1,163 @@
+"""Settings of a gateway, read from a YAML file."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from datetime import timedelta
+from pathlib import Path
+from typing import Any
+
+import yaml
+
+from banyansail.config.fields import Address, parse_address
+from banyansail.config.findings import Finding
+from banyansail.exceptions import ConfigError
+
+
+@dataclass(slots=True, frozen=True)
+class GatewaySettings:
+    """Settings of one gateway.
+
+    Parameters
+    ----------
+    name : str
+        Identity of the instance.
+    listen, ready : Address
+        Where callers connect, and where the balancer asks.
+    peer : Address
+        Where other routers connect, over UDP and TCP alike.
+    seeds : tuple of str
+        IP numbers of routers to ask first; they may be stale.
+    store, cloud : Address
+        The platform's store and its API for duties.
+    grace : timedelta
+        From the signal to stop until the process is killed.
+    retry_ratio, retry_slack, retry_window
+        Bound of retries over the fleet.
+    usage_window : timedelta
+        Length of a window of usage.
+    lease : timedelta
+        How long a former holder of a duty may not act again.
+    expose_share, expose_slack
+        Most that a bad version may get.
+    """
+
+    name: str
+    zone: str
+    region: str
+    listen: Address
+    ready: Address
+    peer: Address
+    seeds: tuple[str, ...]
+    store: Address
+    cloud: Address
+    shared_key: str
+    grace: timedelta
+    drain: timedelta
+    contact: timedelta
+    retry_ratio: float
+    retry_slack: float
+    retry_window: timedelta
+    usage_window: timedelta
+    usage_late: timedelta
+    lease: timedelta
+    expose_share: float
+    expose_slack: float
+
+
+def _seconds(value: Any) -> timedelta:
+    return timedelta(seconds=float(value))
+
+
+def _milliseconds(value: Any) -> timedelta:
+    return timedelta(milliseconds=float(value))
+
+
+def _text(value: Any) -> str:
+    if not isinstance(value, str) or not value:
+        raise ValueError(f"{value!r} is no text")
+    return value
+
+
+def _hosts(value: Any) -> tuple[str, ...]:
+    if not isinstance(value, list):
+        raise ValueError(f"{value!r} is no list of addresses")
+    return tuple(parse_address(str(item)).host for item in value)
+
+
+def _address(value: Any) -> Address:
+    return parse_address(str(value))
+
+
+# Each setting of the file, how it is read, and the field that it fills.
+PARSER_BY_NAME: dict[str, tuple[str, Any]] = {
+    "name": ("name", _text),
+    "zone": ("zone", _text),
+    "region": ("region", _text),
+    "listen": ("listen", _address),
+    "ready": ("ready", _address),
+    "peer": ("peer", _address),
+    "seeds": ("seeds", _hosts),
+    "store": ("store", _address),
+    "cloud": ("cloud", _address),
+    "shared_key": ("shared_key", _text),
+    "grace_s": ("grace", _seconds),
+    "drain_ms": ("drain", _milliseconds),
+    "contact_ms": ("contact", _milliseconds),
+    "retry_ratio": ("retry_ratio", float),
+    "retry_slack": ("retry_slack", float),
+    "retry_window_s": ("retry_window", _seconds),
+    "usage_window_s": ("usage_window", _seconds),
+    "usage_late_s": ("usage_late", _seconds),
+    "lease_ms": ("lease", _milliseconds),
+    "expose_share": ("expose_share", float),
+    "expose_slack": ("expose_slack", float),
+}
+
+
+def parse_gateway_settings(text: str, file: str) -> GatewaySettings:
+    """Parse and check settings.
+
+    Raises
+    ------
+    ConfigError
+        With every finding of the file.
+    """
+    try:
+        root = yaml.compose(text, Loader=yaml.SafeLoader)
+        values = yaml.safe_load(text)
+    except yaml.YAMLError as error:
+        finding = Finding(file, 1, 1, f"not YAML: {error}")
+        raise ConfigError([finding]) from None
+    if not isinstance(root, yaml.MappingNode):
+        raise ConfigError([Finding(file, 1, 1, "the file must be a YAML mapping")])
+    findings: list[Finding] = []
+    fields: dict[str, Any] = {}
+    for key, _ in root.value:
+        name = str(key.value)
+        place = (file, key.start_mark.line + 1, key.start_mark.column + 1)
+        if name not in PARSER_BY_NAME:
+            findings.append(Finding(*place, f"unknown setting {name!r}"))
+            continue
+        field, parse = PARSER_BY_NAME[name]
+        try:
+            fields[field] = parse(values[name])
+        except (TypeError, ValueError) as error:
+            findings.append(Finding(*place, f"setting {name!r}: {error}"))
+    findings += [
+        Finding(file, 1, 1, f"setting {name!r} is missing")
+        for name, (field, _) in PARSER_BY_NAME.items()
+        if name not in values
+    ]
+    if findings:
+        raise ConfigError(findings)
+    return GatewaySettings(**fields)
+
+
+def load_gateway_settings(path: str) -> GatewaySettings:
+    """Read settings from a file; see `parse_gateway_settings`."""
+    try:
+        text = Path(path).read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        raise ConfigError([Finding(path, 1, 1, f"cannot be read: {error}")]) from None
+    return parse_gateway_settings(text, path)
--- a/banyansail/exceptions.py
+++ b/banyansail/exceptions.py
@@ -66,3 +66,27 @@
     """A frame or datagram of a peer is malformed or fails authentication."""
 
     code = "bad_frame"
+
+
+class CallError(BanyansailError):
+    """A request of a caller can't be read."""
+
+    code = "bad_request"
+
+
+class StoreConflictError(BanyansailError):
+    """A conditional update of the store found another revision."""
+
+    code = "store_conflict"
+
+
+class ConnectFailedError(BanyansailError):
+    """No connection could be opened, so that nothing was sent."""
+
+    code = "connect_failed"
+
+
+class HistoryLostError(BanyansailError):
+    """The store no longer has the changes that a watch asked for."""
+
+    code = "history_lost"
--- a/banyansail/fleet/entries.py
+++ b/banyansail/fleet/entries.py
@@ -21,6 +21,7 @@
     EVIDENCE = 4
     STATEMENTS = 5
     ZONE_EVIDENCE = 6
+    TRAFFIC = 7
 
 
 @dataclass(slots=True, frozen=True)
--- /dev/null
+++ b/banyansail/gateway/attempts.py
@@ -0,0 +1,150 @@
+"""What follows an attempt: the answer, another attempt or a truthful rejection."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from datetime import timedelta
+from typing import TYPE_CHECKING
+
+from banyansail.gateway.messages import Cause, Ran, Rejection, ReplyHead
+
+if TYPE_CHECKING:
+    from banyansail.gateway.site import Route
+
+LEAST_TIME = timedelta(milliseconds=20)  # an attempt with less can't succeed
+RETRY_AFTER_FAILURE = timedelta(milliseconds=250)
+
+
+@dataclass(slots=True, frozen=True)
+class NotSent:
+    """No byte reached the upstream."""
+
+    reason: str
+
+
+@dataclass(slots=True, frozen=True)
+class Answered:
+    """The upstream's whole answer.
+
+    Parameters
+    ----------
+    body : bytes
+        Empty for a stream, whose events went to the caller as they came.
+    """
+
+    head: ReplyHead
+    body: bytes = b""
+
+
+@dataclass(slots=True, frozen=True)
+class Broken:
+    """The answer did not come, or not whole; the request may have run.
+
+    Parameters
+    ----------
+    is_timeout : bool
+        Whether the time for the attempt was over.
+    """
+
+    reason: str
+    is_timeout: bool = False
+
+
+Outcome = NotSent | Answered | Broken
+
+
+@dataclass(slots=True)
+class Progress:
+    """What has become of a request so far.
+
+    Parameters
+    ----------
+    runs : int
+        Upstreams that may have run it.
+    sends : int
+        Upstreams that it was sent to.
+    is_begun : bool
+        Whether the caller has got a part of a stream.
+    """
+
+    runs: int = 0
+    sends: int = 0
+    is_begun: bool = False
+
+    @property
+    def may_have_run(self) -> bool:
+        """Whether "not run" would be a lie."""
+        return self.runs > 0
+
+
+@dataclass(slots=True, frozen=True)
+class Deliver:
+    """Give the upstream's answer to the caller."""
+
+    answer: Answered
+
+
+@dataclass(slots=True, frozen=True)
+class TryAgain:
+    """Send the request to another upstream, if the retry budget allows it.
+
+    Parameters
+    ----------
+    is_free : bool
+        Whether nothing reached the upstream, so that no budget is charged.
+    otherwise : Deliver or Rejection
+        What to do if the budget is spent.
+    """
+
+    is_free: bool
+    otherwise: Deliver | Rejection
+
+
+Step = Deliver | TryAgain | Rejection
+
+
+def next_step(
+    outcome: Outcome, route: Route, progress: Progress, remaining: timedelta
+) -> Step:
+    """Decide what follows an attempt.
+
+    Parameters
+    ----------
+    progress : Progress
+        With the attempt included.
+    remaining : timedelta
+        Until the caller's deadline or the route's timeout.
+    """
+    has_time = remaining > LEAST_TIME
+    match outcome:
+        case NotSent(reason):
+            rejection = reject(progress, reason)
+            return TryAgain(True, rejection) if has_time else rejection
+        case Answered(head) if head.ran is Ran.NOT_RUN:
+            rejection = reject(progress, f"upstream answered {head.status}")
+            return TryAgain(False, rejection) if has_time else rejection
+        case Answered(head):
+            deliver = Deliver(outcome)
+            if head.status >= 500 and has_time and _may_run_again(route, progress):
+                return TryAgain(False, deliver)
+            return deliver
+        case Broken(reason, is_timeout):
+            rejection = reject(progress, reason, is_timeout=is_timeout)
+            if has_time and _may_run_again(route, progress):
+                return TryAgain(False, rejection)
+            return rejection
+
+
+def _may_run_again(route: Route, progress: Progress) -> bool:
+    return route.is_repeatable and progress.runs < route.max_attempts
+
+
+def reject(progress: Progress, reason: str, *, is_timeout: bool = False) -> Rejection:
+    """Return the final answer to a request that no upstream answered."""
+    if is_timeout:
+        if progress.may_have_run:
+            return Rejection(504, Cause.TIMED_OUT, reason)
+        return Rejection(503, Cause.TIMED_OUT, reason)
+    if progress.may_have_run:
+        return Rejection(502, Cause.UPSTREAM_FAILED, reason)
+    return Rejection(503, Cause.UPSTREAM_FAILED, reason, RETRY_AFTER_FAILURE)
--- /dev/null
+++ b/banyansail/gateway/context.py
@@ -0,0 +1,110 @@
+"""What the exchanges of a gateway share."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+from banyansail.gateway.quota import cost_of
+from banyansail.gateway.retry_budget import WindowedBudget
+from banyansail.upstreams.pool import ConnectionPool
+
+if TYPE_CHECKING:
+    from random import Random
+
+    from banyansail.clock import Clock
+    from banyansail.config.fields import Address
+    from banyansail.config.gateway_settings import GatewaySettings
+    from banyansail.gateway.dispatch import Dispatcher
+    from banyansail.gateway.messages import CallerCall
+    from banyansail.gateway.peers import PeerTable
+    from banyansail.gateway.quota import QuotaBook
+    from banyansail.gateway.site import Workspace
+    from banyansail.gateway.usage import UsageCounter
+
+
+class GatewayContext:
+    """State that requests meet.
+
+    Parameters
+    ----------
+    reactor : object
+        Twisted's reactor.
+    clock : Clock
+        Source of time.
+    random : Random
+        Source of jitter.
+    settings : GatewaySettings
+        Bounds of retries.
+    dispatcher, quota, usage, peers : object
+        Parts of the gateway.
+    """
+
+    def __init__(
+        self,
+        reactor: Any,
+        clock: Clock,
+        random: Random,
+        settings: GatewaySettings,
+        dispatcher: Dispatcher,
+        quota: QuotaBook,
+        usage: UsageCounter,
+        peers: PeerTable,
+    ) -> None:
+        self.reactor = reactor
+        self.clock = clock
+        self.random = random
+        self.dispatcher = dispatcher
+        self.quota = quota
+        self.usage = usage
+        self.peers = peers
+        self._settings = settings
+        self._budget_by_service: dict[str, WindowedBudget] = {}
+        self._pool_by_address: dict[Address, ConnectionPool] = {}
+        self.served = 0
+
+    def budget(self, service: str) -> WindowedBudget:
+        """Return the retry budget of a service."""
+        budget = self._budget_by_service.get(service)
+        if budget is None:
+            settings = self._settings
+            budget = WindowedBudget(
+                self.clock,
+                settings.retry_ratio,
+                settings.retry_slack,
+                settings.retry_window,
+            )
+            self._budget_by_service[service] = budget
+        return budget
+
+    def withdraw_retry(self, service: str) -> bool:
+        """Take a retry out of a service's budget; return whether there was one."""
+        return self.budget(service).withdraw(self.peers.fleet_size())
+
+    def refund(self, workspace: Workspace | None, call: CallerCall) -> None:
+        """Give back the quota of a request that did not run."""
+        if workspace is not None:
+            self.quota.refund(workspace, quota_cost(workspace, call))
+
+    def pool_of(self, address: Address) -> ConnectionPool:
+        """Return the connections to an upstream."""
+        pool = self._pool_by_address.get(address)
+        if pool is None:
+            pool = ConnectionPool(self.reactor, self.clock, address)
+            self._pool_by_address[address] = pool
+        return pool
+
+    def keep_pools(self, addresses: set[Address]) -> None:
+        """Close the connections to addresses that no upstream has any more."""
+        for address in self._pool_by_address.keys() - addresses:
+            self._pool_by_address.pop(address).close()
+
+    def note_served(self) -> None:
+        """Count a request that was answered by an upstream."""
+        self.served += 1
+
+
+def quota_cost(workspace: Workspace, call: CallerCall) -> float:
+    """Return what a call counts against its workspace's quota."""
+    prompt = call.prompt
+    tokens = None if prompt is None else prompt.tokens + prompt.max_output
+    return cost_of(workspace, tokens)
--- /dev/null
+++ b/banyansail/gateway/router.py
@@ -0,0 +1,417 @@
+"""A gateway: the supervisor tree over its parts."""
+
+from __future__ import annotations
+
+import json
+from datetime import timedelta
+from random import Random
+from typing import TYPE_CHECKING, Any
+
+from twisted.internet import defer, task
+
+from banyansail.clock import Clock, SystemClock
+from banyansail.config.fields import Address
+from banyansail.exceptions import CallError, WireError
+from banyansail.fleet.datagrams import GossipProtocol
+from banyansail.fleet.entries import Entry, Member, Topic
+from banyansail.fleet.gossiper import Gossiper
+from banyansail.fleet.peer_calls import PeerCaller, PeerServerFactory
+from banyansail.fleet.view import FleetView
+from banyansail.gateway.context import GatewayContext, quota_cost
+from banyansail.gateway.dispatch import Dispatcher
+from banyansail.gateway.exchange import Exchange
+from banyansail.gateway.ingress import (
+    NOT_CONFIGURED,
+    GatewayFactory,
+    GatewayRequest,
+    HttpPort,
+    ReadyFactory,
+)
+from banyansail.gateway.messages import CallerCall, Cause, Rejection
+from banyansail.gateway.mirror import Mirror
+from banyansail.gateway.peers import PeerTable
+from banyansail.gateway.quota import QuotaBook
+from banyansail.gateway.site import Route, SiteConfig, Workspace
+from banyansail.gateway.usage import SteadyTime, UsageCounter
+from banyansail.gateway.usage_reporter import UsageReporter
+from banyansail.log import log_decision, log_event
+from banyansail.metrics import Metrics
+from banyansail.platform.calls import decode_call
+from banyansail.platform.cloud import Cloud
+from banyansail.platform.site import decode_config, decode_upstream
+from banyansail.platform.store import Store
+from banyansail.router.supervisor import Supervisor
+from banyansail.wire.call_codec import (
+    Document,
+    FetchDocument,
+    Nothing,
+    PeerCall,
+    PeerReply,
+)
+from banyansail.wire.gossip_codec import encode_member
+from banyansail.wire.seal import Seal
+from banyansail.wire.traffic_codec import Traffic, UpstreamWork, encode_traffic
+
+if TYPE_CHECKING:
+    from banyansail.config.gateway_settings import GatewaySettings
+
+PUSH_INTERVAL = timedelta(milliseconds=200)
+TRAFFIC_INTERVAL = timedelta(milliseconds=400)
+EXCHANGE_INTERVAL = timedelta(seconds=1)
+PUMP_INTERVAL = timedelta(milliseconds=50)
+FOLLOW_PAUSE = timedelta(milliseconds=20)
+CATCH_UP_INTERVAL = timedelta(milliseconds=200)
+LAPSE_INTERVAL = timedelta(milliseconds=200)
+DUTY_INTERVAL = timedelta(seconds=1)
+JOIN_INTERVAL = timedelta(seconds=5)
+STOP_CHECK = timedelta(milliseconds=50)
+STOP_MARGIN = timedelta(seconds=1)  # before the process is killed
+BALANCER_NOTICE = timedelta(seconds=2.6)  # until it sends no new connections
+BACKLOG = 512
+CONFIG_DOCUMENT = "config"
+UPSTREAMS_DOCUMENT = "upstreams"
+ROUTERS_KIND = "routers"
+
+
+class Gateway(Supervisor):
+    """One gateway; starting and stopping it starts and stops all its parts.
+
+    Parameters
+    ----------
+    settings : GatewaySettings
+        Addresses and bounds.
+    reactor : object
+        Twisted's reactor.
+    clock : Clock
+        Source of time.
+    random : Random
+        Source of jitter and of draws.
+    """
+
+    def __init__(
+        self,
+        settings: GatewaySettings,
+        reactor: Any,
+        clock: Clock | None = None,
+        random: Random | None = None,
+    ) -> None:
+        super().__init__(reactor, random or Random())
+        self.settings = settings
+        self.clock = clock or SystemClock()
+        self.site = SiteConfig()
+        self.is_leaving = False
+        self._exchanges: set[Exchange] = set()
+        self._ports: list[Any] = []
+        self._config_text = ""
+        self._build_fleet()
+        self._build_state()
+        self._build_platform()
+        self._add_tasks()
+
+    def _build_fleet(self) -> None:
+        settings = self.settings
+        incarnation = int(self.clock.now().timestamp() * 1000)
+        seal = Seal(settings.shared_key)
+        self.view = FleetView(settings.name, incarnation, self.clock)
+        seeds = [Address(host, settings.peer.port) for host in settings.seeds]
+        self.gossiper = Gossiper(
+            self.view, settings.zone, settings.peer, seeds, self._random
+        )
+        self.gossip = GossipProtocol(self.gossiper, seal, Metrics(None), self._on_news)
+        self.peer_calls = PeerCaller(self._reactor, seal)
+        self._peer_server = PeerServerFactory(seal, self._answer_peer)
+        self.peers = PeerTable(settings.name, self.clock)
+
+    def _build_state(self) -> None:
+        settings = self.settings
+        self.dispatcher = Dispatcher(settings.zone, self.clock, self._random)
+        self.quota = QuotaBook(self.clock)
+        self.time = SteadyTime(self.clock)
+        self.usage = UsageCounter(self.time, settings.usage_window)
+        self.context = GatewayContext(
+            self._reactor,
+            self.clock,
+            self._random,
+            settings,
+            self.dispatcher,
+            self.quota,
+            self.usage,
+            self.peers,
+        )
+        self._callers = GatewayFactory(self._reactor, self._handle)
+        self._balancer = ReadyFactory(self._reactor, lambda: self.is_ready)
+
+    def _build_platform(self) -> None:
+        settings = self.settings
+        self.store = Store(self._reactor, self.clock, settings.store)
+        self.cloud = Cloud(self._reactor, self.clock, settings.cloud, settings.name)
+        self.config_mirror = Mirror(
+            "config", self.store, self.clock, self._on_config_objects
+        )
+        self.upstream_mirror = Mirror(
+            "servers",
+            self.store,
+            self.clock,
+            self._on_upstream_objects,
+            keeps_lapsed=True,
+        )
+        self.reporter = UsageReporter(
+            settings, self.clock, self.store, self.cloud, self.usage, self.peers
+        )
+
+    def _add_tasks(self) -> None:
+        self.add_task("gossip.push", self._push, PUSH_INTERVAL)
+        self.add_task("gossip.traffic", self._publish_traffic, TRAFFIC_INTERVAL)
+        self.add_task("gossip.exchange", self._exchange_digests, EXCHANGE_INTERVAL)
+        self.add_task("config.follow", self.config_mirror.follow, FOLLOW_PAUSE)
+        self.add_task("config.catch_up", self._catch_up, CATCH_UP_INTERVAL)
+        self.add_task("upstreams.follow", self.upstream_mirror.follow, FOLLOW_PAUSE)
+        self.add_task("upstreams.lapse", self._drop_lapsed, LAPSE_INTERVAL)
+        self.add_task("pump", self._pump, PUMP_INTERVAL)
+        self.add_task("duties", self._do_duties, DUTY_INTERVAL)
+        self.add_task("join", self._join, JOIN_INTERVAL)
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether the balancer should send callers."""
+        return (
+            not self.is_leaving
+            and self.site.version > 0
+            and bool(self.dispatcher.service_by_name)
+        )
+
+    def startService(self) -> None:
+        """Listen and start all tasks."""
+        settings = self.settings
+        listen = self._reactor.listenTCP
+        self._publish_member()
+        self._ports = [
+            self._reactor.listenUDP(
+                settings.peer.port, self.gossip, interface=settings.peer.host
+            ),
+            listen(settings.peer.port, self._peer_server, interface=settings.peer.host),
+            listen(settings.listen.port, self._callers, BACKLOG, settings.listen.host),
+            listen(settings.ready.port, self._balancer, BACKLOG, settings.ready.host),
+        ]
+        super().startService()
+
+    async def stop_gracefully(self) -> None:
+        """Leave the balancer, finish what is in progress, then stop."""
+        self.is_leaving = True
+        self._publish_member()
+        began = self.clock.monotonic()
+        log_event("leaving", in_progress=len(self._exchanges))
+        await self.reporter.release()
+        await self._pause(BALANCER_NOTICE)
+        limit = self.settings.grace - STOP_MARGIN
+        while self._exchanges and self.clock.monotonic() - began < limit:
+            await self._pause(STOP_CHECK)
+        for port in self._ports:
+            port.stopListening()
+        log_event("stopped", in_progress=len(self._exchanges))
+
+    def _pause(self, duration: timedelta) -> defer.Deferred[None]:
+        return task.deferLater(self._reactor, duration.total_seconds())
+
+    # Requests
+
+    def _handle(self, request: GatewayRequest) -> None:
+        port = HttpPort(request, lambda: self.is_leaving)
+        gone = request.notifyFinish()
+        gone.addErrback(lambda failure: None)
+        headers = list(request.requestHeaders.getAllRawHeaders())
+        flat = [(name, value) for name, values in headers for value in values]
+        try:
+            call = decode_call(
+                request.method, request.uri, flat, request.content.getvalue()
+            )
+        except CallError as error:
+            port.reject(Rejection(400, Cause.BAD_REQUEST, error.message))
+            return
+        admitted = self._admit(call)
+        if isinstance(admitted, Rejection):
+            log_decision(
+                "reject",
+                admitted.detail,
+                request=call.attempt_id,
+                status=admitted.status,
+                cause=admitted.cause.value,
+                config=self.site.version,
+            )
+            port.reject(admitted)
+            return
+        route, workspace = admitted
+        service = self._draw_service(route)
+        exchange = Exchange(self.context, port, call, route, service, workspace)
+        self._exchanges.add(exchange)
+        gone.addCallbacks(lambda _: None, lambda _: None)
+        request.notifyFinish().addErrback(lambda failure: exchange.abandon())
+        exchange.start().addBoth(lambda _: self._exchanges.discard(exchange))
+
+    def _admit(self, call: CallerCall) -> tuple[Route, Workspace | None] | Rejection:
+        site = self.site
+        if site.version == 0:
+            return NOT_CONFIGURED
+        route = site.match(call.host, call.path)
+        if route is None:
+            text = f"no route for {call.host}{call.path}"
+            return Rejection(404, Cause.NO_ROUTE, text)
+        workspace = None
+        if site.has_workspaces and not route.is_open:
+            workspace = site.workspace_by_key.get(call.key)
+            if workspace is None:
+                return Rejection(401, Cause.UNKNOWN_KEY, "the key is not known")
+            wait = self.quota.charge(workspace, quota_cost(workspace, call))
+            if wait is not None:
+                text = f"workspace {workspace.name} is over its quota"
+                return Rejection(429, Cause.OVER_QUOTA, text, wait)
+        return route, workspace
+
+    def _draw_service(self, route: Route) -> str:
+        if len(route.targets) == 1:
+            return route.targets[0].service
+        weights = [target.weight for target in route.targets]
+        return self._random.choices(route.targets, weights)[0].service
+
+    # Configuration and upstreams
+
+    def _on_config_objects(self, mirror: Mirror) -> None:
+        stored = mirror.object_by_name.get("main")
+        if stored is not None:
+            self._take_config(stored.spec, "store")
+
+    def _take_config(self, body: Any, source: str) -> None:
+        try:
+            site = decode_config(body)
+        except WireError as error:
+            log_event("config_unreadable", error=error.message, source=source)
+            return
+        if site.version <= self.site.version:
+            return
+        self.site = site
+        self._config_text = json.dumps(body)
+        log_event("config_in_force", version=site.version, source=source)
+        self._callers.set_idle_time(site.limits.idle_time)
+        self._apply_upstreams()
+        self._publish_member()
+        self._push_now()
+
+    def _on_upstream_objects(self, mirror: Mirror) -> None:
+        self._apply_upstreams()
+
+    def _apply_upstreams(self) -> None:
+        upstreams = []
+        for stored in self.upstream_mirror.object_by_name.values():
+            try:
+                upstreams.append(decode_upstream(stored.name, stored.spec))
+            except WireError as error:
+                log_event("upstream_unreadable", error=error.message)
+        self.dispatcher.apply_upstreams(upstreams, self.site)
+        self.context.keep_pools({upstream.address for upstream in upstreams})
+
+    async def _drop_lapsed(self) -> None:
+        self.upstream_mirror.drop_lapsed()
+
+    async def _catch_up(self) -> None:
+        """Fetch a newer configuration from a router that has it in force."""
+        for name, member in self.gossiper.live_members().items():
+            if name == self.settings.name or (
+                member.rules_version <= self.site.version
+            ):
+                continue
+            call = FetchDocument(CONFIG_DOCUMENT, self.site.version)
+            try:
+                reply = await self.peer_calls.call(member.peer, call)
+            except WireError as error:
+                log_event("peer_lost", peer=name, error=error.message)
+                continue
+            if isinstance(reply, Document) and reply.version > self.site.version:
+                self._take_config(json.loads(reply.text), name)
+                return
+
+    async def _answer_peer(self, call: PeerCall) -> PeerReply:
+        match call:
+            case FetchDocument(name, version) if name == CONFIG_DOCUMENT:
+                if self.site.version > version:
+                    return Document(self.site.version, self._config_text)
+        return Nothing()
+
+    async def _join(self) -> None:
+        """Make this router known in the store, and learn of the others there."""
+        if self._is_joined:
+            return
+        found = {item.name: item for item in (await self.store.list(ROUTERS_KIND))[1]}
+        peer = str(self.settings.peer)
+        spec = {"peer": peer, "zone": self.settings.zone}
+        own = found.pop(self.settings.name, None)
+        if own is None:
+            await self.store.create(ROUTERS_KIND, self.settings.name, spec)
+        elif own.spec != spec:
+            await self.store.replace(
+                ROUTERS_KIND, self.settings.name, spec, own.revision
+            )
+        self._is_joined = True
+
+    _is_joined = False
+
+    # Gossip
+
+    async def _push(self) -> None:
+        self._push_now()
+
+    def _push_now(self) -> None:
+        self.gossip.send(self.gossiper.push())
+
+    async def _exchange_digests(self) -> None:
+        self.gossiper.forget_old()
+        self.gossip.send(self.gossiper.exchange())
+
+    async def _publish_traffic(self) -> None:
+        work = {
+            load.upstream.id: UpstreamWork(load.in_flight, max(0, load.reading))
+            for state in self.dispatcher.service_by_name.values()
+            for load in state.load_by_id.values()
+            if load.in_flight
+        }
+        newest = sorted(self.usage.own)[-3:]
+        traffic = Traffic(
+            dict(self.quota.used_by_workspace),
+            {window: self.usage.own[window] for window in newest},
+            work,
+        )
+        self.gossiper.publish(Topic.TRAFFIC, encode_traffic(traffic))
+
+    def _on_news(self, entries: list[Entry]) -> None:
+        for entry in entries:
+            traffic = self.peers.take(entry)
+            if traffic is None:
+                continue
+            origin = f"{entry.origin}.{entry.incarnation}"
+            self.quota.hear(origin, traffic.used_by_workspace)
+            self.usage.hear(origin, traffic.counts)
+        work = self.peers.work_by_upstream()
+        for state in self.dispatcher.service_by_name.values():
+            for load in state.load_by_id.values():
+                load.peer_in_flight, load.peer_reading = work.get(
+                    load.upstream.id, (0, 0)
+                )
+
+    def _publish_member(self) -> None:
+        settings = self.settings
+        member = Member(
+            settings.zone,
+            settings.region,
+            settings.peer,
+            self.site.version,
+            self.clock.now(),
+            self.is_ready,
+            self.is_leaving,
+        )
+        self.gossiper.publish(Topic.MEMBER, encode_member(member))
+
+    async def _pump(self) -> None:
+        self.dispatcher.pump()
+
+    async def _do_duties(self) -> None:
+        if not self.is_leaving:
+            await self.reporter.report(list(self.site.workspace_by_name))
--- /dev/null
+++ b/banyansail/gateway/usage.py
@@ -0,0 +1,90 @@
+"""Counts the requests that began to run, by window of wall time and workspace."""
+
+from __future__ import annotations
+
+from datetime import datetime, timedelta
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from banyansail.clock import Clock
+
+KEPT_WINDOWS = 12
+
+Counts = dict[int, dict[str, int]]
+
+
+class SteadyTime:
+    """Wall time that does not follow jumps of the machine's clock.
+
+    Parameters
+    ----------
+    clock : Clock
+        Source of time; its wall time is read once.
+    """
+
+    __slots__ = ("_clock", "_offset")
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._offset: datetime = clock.now() - clock.monotonic()
+
+    def now(self) -> datetime:
+        """Return the wall time."""
+        return self._offset + self._clock.monotonic()
+
+
+class UsageCounter:
+    """Counts of this router and of others, by window.
+
+    Parameters
+    ----------
+    time : SteadyTime
+        Source of wall time.
+    window : timedelta
+        Length of a window; windows are counted from the start of 1970.
+    """
+
+    __slots__ = ("_counts_by_origin", "_time", "_window", "own")
+
+    def __init__(self, time: SteadyTime, window: timedelta) -> None:
+        self._time = time
+        self._window = window
+        self.own: Counts = {}
+        self._counts_by_origin: dict[str, Counts] = {}
+
+    def current_window(self) -> int:
+        """Return the number of the window that runs now."""
+        return int(self._time.now().timestamp() // self._window.total_seconds())
+
+    def age_of(self, window: int) -> timedelta:
+        """Return the time since a window ended."""
+        ended = (window + 1) * self._window.total_seconds()
+        return timedelta(seconds=self._time.now().timestamp() - ended)
+
+    def count(self, workspace: str) -> None:
+        """Count a request that began to run now."""
+        counts = self.own.setdefault(self.current_window(), {})
+        counts[workspace] = counts.get(workspace, 0) + 1
+        _forget_old(self.own)
+
+    def hear(self, origin: str, counts: Mapping[int, Mapping[str, int]]) -> None:
+        """Take in the counts of another router's process."""
+        known = self._counts_by_origin.setdefault(origin, {})
+        for window, count_by_workspace in counts.items():
+            known[window] = dict(count_by_workspace)
+        _forget_old(known)
+
+    def total(self, window: int, workspaces: list[str]) -> dict[str, int]:
+        """Return the fleet's counts of a window, as far as they were heard of."""
+        total = dict.fromkeys(workspaces, 0)
+        for counts in (self.own, *self._counts_by_origin.values()):
+            for workspace, count in counts.get(window, {}).items():
+                total[workspace] = total.get(workspace, 0) + count
+        return total
+
+
+def _forget_old(counts: Counts) -> None:
+    while len(counts) > KEPT_WINDOWS:
+        del counts[min(counts)]
--- /dev/null
+++ b/banyansail/platform/site.py
@@ -0,0 +1,167 @@
+"""The operators' configuration and the upstreams' entries, decoded into our types."""
+
+from __future__ import annotations
+
+from datetime import timedelta
+from typing import Any
+
+from banyansail.config.fields import parse_address
+from banyansail.exceptions import WireError
+from banyansail.gateway.site import (
+    CallerLimits,
+    EngineSpec,
+    Route,
+    RouteKind,
+    ScalingSpec,
+    ServiceSpec,
+    SiteConfig,
+    Target,
+    Workspace,
+    build_site,
+)
+from banyansail.gateway.upstream import Upstream
+
+KIND_BY_WORD = {
+    "safe": RouteKind.IDEMPOTENT,
+    "unsafe": RouteKind.ONCE,
+    "streaming": RouteKind.STREAM,
+}
+UPSTREAM_STATES = ("ready", "draining")
+READ_ERRORS = (KeyError, TypeError, ValueError, AttributeError)
+
+
+def _ms(value: float) -> timedelta:
+    return timedelta(milliseconds=value)
+
+
+def decode_config(body: Any) -> SiteConfig:
+    """Decode a configuration.
+
+    Raises
+    ------
+    WireError
+        If it can't be read.
+    """
+    try:
+        tenants = body.get("tenants")
+        return build_site(
+            int(body["version"]),
+            [_decode_route(item) for item in body["routes"]],
+            [_decode_service(item) for item in body["services"]],
+            None if tenants is None else [_decode_workspace(item) for item in tenants],
+            _decode_limits(body.get("limits") or {}),
+        )
+    except READ_ERRORS as error:
+        raise WireError(f"the configuration can't be read: {error!r}") from None
+
+
+def _decode_route(item: dict[str, Any]) -> Route:
+    # A route names one service, or several with weights.
+    split = item.get("trafficSplit")
+    targets = (
+        tuple(Target(part["service"], float(part["weight"])) for part in split)
+        if split
+        else (Target(item["service"]),)
+    )
+    return Route(
+        name=item["name"],
+        host=item["host"].lower(),
+        prefix=item["pathPrefix"],
+        kind=KIND_BY_WORD[item["routeType"]],
+        targets=targets,
+        timeout=_ms(item["timeoutMs"]),
+        objective=_ms(item.get("sloMs") or item["timeoutMs"]),
+        priority=int(item.get("priority") or 0),
+        max_attempts=int(item.get("maxAttempts") or 1),
+        is_open=bool(item.get("noAuth")),
+        is_resumable=bool(item.get("streamResume")),
+        max_pause=_ms(item.get("gapTargetMs") or 0),
+    )
+
+
+def _decode_service(item: dict[str, Any]) -> ServiceSpec:
+    engine = item.get("engine")
+    scaling = item.get("scaling")
+    return ServiceSpec(
+        item["name"],
+        item.get("healthPath") or "/",
+        int(item.get("maxConns") or 0),
+        _decode_engine(engine) if engine else None,
+        _decode_scaling(scaling) if scaling else None,
+    )
+
+
+def _decode_engine(item: dict[str, Any]) -> EngineSpec:
+    return EngineSpec(
+        int(item["slots"]), int(item["kvTokens"]), int(item.get("stride") or 1)
+    )
+
+
+def _decode_scaling(item: dict[str, Any]) -> ScalingSpec:
+    return ScalingSpec(
+        int(item["min"]),
+        int(item["max"]),
+        timedelta(seconds=item.get("bootS") or 0),
+        float(item.get("spotPrice") or 1.0),
+        {zone: float(price) for zone, price in (item.get("zonePrices") or {}).items()},
+    )
+
+
+def _decode_workspace(item: dict[str, Any]) -> Workspace:
+    priority = item.get("priority")
+    return Workspace(
+        item["name"],
+        tuple(item.get("apiKeys") or ()),
+        None if priority is None else int(priority),
+        float(item.get("ratePerS") or 0),
+        float(item.get("burst") or 0),
+        item.get("unit") == "tokens",
+        float(item.get("plainTokens") or 1),
+    )
+
+
+def _decode_limits(item: dict[str, Any]) -> CallerLimits:
+    default = CallerLimits()
+    return CallerLimits(
+        int(item.get("maxHeaderBytes") or default.header_bytes),
+        int(item.get("maxBodyBytes") or default.body_bytes),
+        _ms(item["headerTimeoutMs"])
+        if item.get("headerTimeoutMs")
+        else default.header_time,
+        _ms(item["idleTimeoutMs"]) if item.get("idleTimeoutMs") else default.idle_time,
+    )
+
+
+def decode_upstream(upstream_id: str, item: Any) -> Upstream:
+    """Decode the entry of an upstream.
+
+    Raises
+    ------
+    WireError
+        If the entry can't be read; it names no upstream to use.
+    """
+    try:
+        if item["state"] not in UPSTREAM_STATES:
+            raise WireError(f"upstream {upstream_id}: state {item['state']!r}")
+        slots = item["slots"]
+        for name in ("service", "zone", "version", "address"):
+            if not isinstance(item[name], str):
+                raise WireError(f"upstream {upstream_id}: {name} is no text")
+        if not isinstance(slots, int) or isinstance(slots, bool) or slots < 1:
+            raise WireError(f"upstream {upstream_id}: slots {slots!r}")
+        left_ms = item.get("leaves_ms")
+        born = item.get("born", 0)  # wall time of the start
+        return Upstream(
+            upstream_id,
+            item["service"],
+            parse_address(item["address"]),
+            item["zone"],
+            item["version"],
+            slots,
+            item["state"] == "draining",
+            bool(item.get("spot")),  # reclaimable, in our words
+            born if isinstance(born, int) else 0,
+            None if left_ms is None else _ms(left_ms),
+        )
+    except READ_ERRORS as error:
+        raise WireError(f"upstream {upstream_id}: {error!r}") from None
--- /dev/null
+++ b/banyansail/upstreams/http_call.py
@@ -0,0 +1,154 @@
+"""Small whole calls over HTTP: the store, the cloud, reports of engines."""
+
+from __future__ import annotations
+
+import json
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Any
+
+from twisted.internet import defer
+
+from banyansail.exceptions import ConnectFailedError, PlatformUnavailableError
+from banyansail.upstreams.pool import ConnectionPool
+
+if TYPE_CHECKING:
+    from datetime import timedelta
+
+    from banyansail.clock import Clock
+    from banyansail.config.fields import Address
+    from banyansail.upstreams.connection import HttpConnection
+
+MAX_ANSWER_BYTES = 16 * 1024**2
+
+
+@dataclass(slots=True, frozen=True)
+class HttpAnswer:
+    """A whole answer."""
+
+    status: int
+    headers: list[tuple[bytes, bytes]]
+    body: bytes
+
+    def json(self) -> Any:
+        """Return the decoded body.
+
+        Raises
+        ------
+        PlatformUnavailableError
+            If it is no JSON.
+        """
+        try:
+            return json.loads(self.body or b"null")
+        except ValueError as error:
+            raise PlatformUnavailableError(f"the answer is no JSON: {error}") from None
+
+
+class _WholeAnswer:
+    """Collects the answer of one exchange."""
+
+    def __init__(self, done: defer.Deferred[HttpAnswer]) -> None:
+        self._done = done
+        self._status = 0
+        self._headers: list[tuple[bytes, bytes]] = []
+        self._body = bytearray()
+
+    def is_answer(self, status: int, headers: list[tuple[bytes, bytes]]) -> bool:
+        return True
+
+    def head_received(
+        self, status: int, reason: bytes, headers: list[tuple[bytes, bytes]]
+    ) -> None:
+        self._status = status
+        self._headers = headers
+
+    def body_received(self, data: bytes) -> None:
+        self._body += data
+
+    def answer_complete(self) -> None:
+        if not self._done.called:
+            answer = HttpAnswer(self._status, self._headers, bytes(self._body))
+            self._done.callback(answer)
+
+    def exchange_failed(self, reason: str) -> None:
+        if not self._done.called:
+            self._done.errback(PlatformUnavailableError(reason))
+
+
+class HttpCaller:
+    """Calls one server.
+
+    Parameters
+    ----------
+    reactor : object
+        Twisted's reactor.
+    clock : Clock
+        Source of time.
+    address : Address
+        The server.
+    """
+
+    def __init__(self, reactor: Any, clock: Clock, address: Address) -> None:
+        self._reactor = reactor
+        self._address = address
+        self._pool = ConnectionPool(reactor, clock, address)
+
+    def close(self) -> None:
+        """Close the idle connections."""
+        self._pool.close()
+
+    async def call(
+        self,
+        method: str,
+        target: str,
+        timeout: timedelta,
+        body: Any = None,
+        headers: list[tuple[bytes, bytes]] | None = None,
+    ) -> HttpAnswer:
+        """Call and wait for the whole answer.
+
+        Raises
+        ------
+        ConnectFailedError
+            If nothing was sent.
+        PlatformUnavailableError
+            If no answer came in time; the call may have taken effect.
+        """
+        running = defer.Deferred.fromCoroutine(
+            self._exchange(method, target, body, headers or [])
+        )
+        running.addTimeout(timeout.total_seconds(), self._reactor)
+        try:
+            return await running
+        except defer.TimeoutError:
+            text = f"{method} {target}: no answer within {timeout.total_seconds()} s"
+            raise PlatformUnavailableError(text) from None
+
+    async def _exchange(
+        self,
+        method: str,
+        target: str,
+        body: Any,
+        headers: list[tuple[bytes, bytes]],
+    ) -> HttpAnswer:
+        data = b"" if body is None else json.dumps(body).encode()
+        sent = [(b"host", str(self._address).encode()), *headers]
+        if body is not None:
+            sent += [
+                (b"content-type", b"application/json"),
+                (b"content-length", b"%d" % len(data)),
+            ]
+        connection: HttpConnection | None = self._pool.take_idle()
+        if connection is None:
+            connection = await self._pool.connect()
+        done: defer.Deferred[HttpAnswer] = defer.Deferred()
+        connection.start(
+            method.encode(), target.encode(), sent, data, _WholeAnswer(done)
+        )
+        try:
+            return await done
+        except defer.CancelledError:
+            connection.abort()
+            raise
+
+
+__all__ = ["ConnectFailedError", "HttpAnswer", "HttpCaller"]
--- a/banyansail/wire/schema.capnp
+++ b/banyansail/wire/schema.capnp
@@ -87,6 +87,29 @@
   move @8 :UInt32;
 }
 
+struct Traffic {
+  used @0 :List(WorkspaceUse);
+  windows @1 :List(WindowCount);
+  loads @2 :List(UpstreamWork);
+}
+
+struct WorkspaceUse {
+  workspace @0 :Text;
+  total @1 :Float64;  # of the quota's units, since the process began
+}
+
+struct WindowCount {
+  window @0 :UInt64;
+  workspace @1 :Text;
+  began @2 :UInt32;  # requests that began to run in the window
+}
+
+struct UpstreamWork {
+  upstream @0 :Text;
+  running @1 :UInt32;
+  reading @2 :UInt32;  # prompt tokens that have no first token yet
+}
+
 # Calls between routers, over TCP.
 
 struct Call {
--- /dev/null
+++ b/banyansail/wire/traffic_codec.py
@@ -0,0 +1,85 @@
+"""Codec of what a gateway tells others about its traffic."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from banyansail.wire.gossip_codec import unpack
+from banyansail.wire.schema import schema
+
+
+@dataclass(slots=True, frozen=True)
+class UpstreamWork:
+    """What one router has at an upstream.
+
+    Parameters
+    ----------
+    running : int
+        Requests in flight.
+    reading : int
+        Prompt tokens sent that have no first token yet.
+    """
+
+    running: int
+    reading: int
+
+
+@dataclass(slots=True, frozen=True)
+class Traffic:
+    """Traffic of one router's process.
+
+    Parameters
+    ----------
+    used_by_workspace : dict
+        Quota units used since the process began.
+    counts : dict
+        Requests that began to run, by window and workspace.
+    work_by_upstream : dict
+        What is in flight.
+    """
+
+    used_by_workspace: dict[str, float] = field(default_factory=dict)
+    counts: dict[int, dict[str, int]] = field(default_factory=dict)
+    work_by_upstream: dict[str, UpstreamWork] = field(default_factory=dict)
+
+
+def encode_traffic(traffic: Traffic) -> bytes:
+    """Encode a value of `Topic.TRAFFIC`."""
+    message = schema.Traffic.new_message(
+        used=[
+            {"workspace": name, "total": total}
+            for name, total in sorted(traffic.used_by_workspace.items())
+        ],
+        windows=[
+            {"window": window, "workspace": name, "began": count}
+            for window, count_by_name in sorted(traffic.counts.items())
+            for name, count in sorted(count_by_name.items())
+        ],
+        loads=[
+            {"upstream": name, "running": work.running, "reading": work.reading}
+            for name, work in sorted(traffic.work_by_upstream.items())
+        ],
+    )
+    return message.to_bytes_packed()
+
+
+def decode_traffic(data: bytes) -> Traffic:
+    """Decode a value of `Topic.TRAFFIC`.
+
+    Raises
+    ------
+    WireError
+        If the bytes are no such value.
+    """
+    message = unpack(schema.Traffic, data)
+    counts: dict[int, dict[str, int]] = {}
+    for item in message.windows:
+        counts.setdefault(item.window, {})[item.workspace] = item.began
+    return Traffic(
+        {item.workspace: item.total for item in message.used},
+        counts,
+        {
+            item.upstream: UpstreamWork(item.running, item.reading)
+            for item in message.loads
+        },
+    )
