--- a/banyansail/gateway/router.py
+++ b/banyansail/gateway/router.py
@@ -64,6 +64,7 @@
 EXCHANGE_INTERVAL = timedelta(seconds=1)
 PUMP_INTERVAL = timedelta(milliseconds=50)
 FOLLOW_PAUSE = timedelta(milliseconds=20)
+FOLLOW_BACKOFF = timedelta(milliseconds=500)  # news is owed soon after an outage
 CATCH_UP_INTERVAL = timedelta(milliseconds=200)
 LAPSE_INTERVAL = timedelta(milliseconds=200)
 DUTY_INTERVAL = timedelta(seconds=1)
@@ -173,9 +174,11 @@
         self.add_task("gossip.traffic", self._publish_traffic, TRAFFIC_INTERVAL)
         self.add_task("gossip.short", self._tell_short_use, SHORT_USE_INTERVAL)
         self.add_task("gossip.exchange", self._exchange_digests, EXCHANGE_INTERVAL)
-        self.add_task("config.follow", self.config_mirror.follow, FOLLOW_PAUSE)
+        for mirror in (self.config_mirror, self.upstream_mirror):
+            self.add_task(
+                f"{mirror.kind}.follow", mirror.follow, FOLLOW_PAUSE, FOLLOW_BACKOFF
+            )
         self.add_task("config.catch_up", self._catch_up, CATCH_UP_INTERVAL)
-        self.add_task("upstreams.follow", self.upstream_mirror.follow, FOLLOW_PAUSE)
         self.add_task("upstreams.lapse", self._drop_lapsed, LAPSE_INTERVAL)
         self.add_task("pump", self._pump, PUMP_INTERVAL)
         self.add_task("duties.usage", self._report_usage, DUTY_INTERVAL)
--- a/banyansail/router/supervisor.py
+++ b/banyansail/router/supervisor.py
@@ -36,6 +36,8 @@
         Coroutine function.
     pause : timedelta
         Time between runs.
+    longest_backoff : timedelta
+        Most that is waited besides after failures.
     """
 
     def __init__(
@@ -45,8 +47,10 @@
         name: str,
         run: Callable[[], Coroutine[Any, Any, None]],
         pause: timedelta,
+        longest_backoff: timedelta = RESTART_CAP,
     ) -> None:
         self.setName(name)
+        self._longest_backoff = longest_backoff
         self._reactor = reactor
         self._run = run
         self._pause = pause
@@ -67,7 +71,7 @@
             self._loop.cancel()
 
     async def _run_forever(self) -> None:
-        backoff = Backoff(RESTART_BASE, RESTART_CAP, self._random)
+        backoff = Backoff(RESTART_BASE, self._longest_backoff, self._random)
         while self.running:
             try:
                 await self._run()
@@ -106,7 +110,10 @@
         name: str,
         run: Callable[[], Coroutine[Any, Any, None]],
         pause: timedelta,
+        longest_backoff: timedelta = RESTART_CAP,
     ) -> None:
         """Add a child that runs a coroutine function again and again."""
-        child = RepeatedTask(self._reactor, self._random, name, run, pause)
+        child = RepeatedTask(
+            self._reactor, self._random, name, run, pause, longest_backoff
+        )
         child.setServiceParent(self)
