Test whole requests over loopback; share leaving marks; learn upstreams from peers

A router hears of leaving upstreams from others, and a fresh one learns the upstreams from them while the store is away. What a router thinks of an upstream fades in seconds, so that one that was avoided gets a chance again.

--- a/banyansail/gateway/choice.py
+++ b/banyansail/gateway/choice.py
@@ -106,7 +106,7 @@
 
 def _plain_time(load: UpstreamLoad, zone: str, now: timedelta) -> timedelta:
     queued = (load.in_flight + load.peer_in_flight) / load.upstream.slots
-    return load.latency * (1 + queued) + _penalty(load, zone, now)
+    return load.latency(now) * (1 + queued) + _penalty(load, zone, now)
 
 
 def _choose_engine(
@@ -137,10 +137,10 @@
 
 
 def _penalty(load: UpstreamLoad, zone: str, now: timedelta) -> timedelta:
-    cost = load.failure_share * FAILURE_COST
+    cost = load.failure_share(now) * FAILURE_COST
     if load.upstream.zone != zone:
         cost += OTHER_ZONE_COST
-    overdue = load.oldest_wait(now) - max(OVERDUE, load.latency * 3)
+    overdue = load.oldest_wait(now) - max(OVERDUE, load.latency(now) * 3)
     return cost + max(timedelta(0), overdue) * 2
 
 
--- a/banyansail/gateway/exchange.py
+++ b/banyansail/gateway/exchange.py
@@ -205,7 +205,7 @@
         )
         self._progress.sends += 1
         self._progress.runs += 1
-        watch = self._watch_attempt(attempt, slot)
+        watch = self._watch_attempt(attempt, slot, sent_at)
         try:
             outcome = await attempt.run(
                 self._call.method, self._call.target, headers, self._call.body
@@ -217,12 +217,14 @@
         self._judge(outcome, slot, context.clock.monotonic() - sent_at)
         return outcome
 
-    def _watch_attempt(self, attempt: Attempt, slot: Slot) -> Any:
+    def _watch_attempt(self, attempt: Attempt, slot: Slot, sent_at: timedelta) -> Any:
         """Give an attempt up that takes too long, if the request may run again."""
         route = self._route
         if not route.is_repeatable or self._progress.runs >= route.max_attempts:
             return None
-        usual = max(slot.load.latency, slot.chosen.expected) * ATTEMPT_LATENCIES
+        usual = (
+            max(slot.load.latency(sent_at), slot.chosen.expected) * ATTEMPT_LATENCIES
+        )
         limit = max(LEAST_ATTEMPT_TIME, usual)
         if route.kind is RouteKind.STREAM:
             limit = max(limit, route.objective)
@@ -245,16 +247,18 @@
             case NotSent():
                 self._progress.runs -= 1
                 load.suspect(now)
-                load.observe(ok=False)
+                load.observe(now, ok=False)
             case Answered(head) if head.ran is Ran.NOT_RUN:
                 self._progress.runs -= 1
                 if head.is_other_upstream:
                     load.suspect(now)
             case Answered(head):
                 latency = took if self._call.prompt is None else None
-                load.observe(ok=head.status < 500, latency=latency)
+                load.observe(now, ok=head.status < 500, latency=latency)
             case Broken():
-                load.observe(ok=False)
+                load.observe(now, ok=False)
+                if self._is_prepaid:  # it was given up for its silence
+                    load.suspect(now)
                 self._context.pool_of(load.upstream.address).drop_idle()
 
     def _count_run(self, head: ReplyHead) -> None:
--- a/banyansail/gateway/mirror.py
+++ b/banyansail/gateway/mirror.py
@@ -58,6 +58,13 @@
         """Whether the store answered the latest call."""
         return self.at is not None and self._failed_since is None
 
+    def seed(self, objects: list[StoredObject]) -> None:
+        """Take objects that another router knows, until the store is reached."""
+        if self.at is not None:
+            return
+        self.object_by_name = {item.name: item for item in objects}
+        self._on_change(self)
+
     async def follow(self) -> None:
         """List the objects, or wait for their next changes."""
         try:
--- a/banyansail/gateway/router.py
+++ b/banyansail/gateway/router.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+from dataclasses import replace
 from datetime import timedelta
 from random import Random
 from typing import TYPE_CHECKING, Any
@@ -34,6 +35,7 @@
 from banyansail.gateway.quota import QuotaBook
 from banyansail.gateway.scaler import Scaler
 from banyansail.gateway.site import Route, SiteConfig, Workspace
+from banyansail.gateway.upstream import Upstream
 from banyansail.gateway.usage import SteadyTime, UsageCounter
 from banyansail.gateway.usage_reporter import UsageReporter
 from banyansail.log import log_decision, log_event
@@ -41,7 +43,7 @@
 from banyansail.platform.calls import decode_call
 from banyansail.platform.cloud import Cloud
 from banyansail.platform.site import decode_config, decode_upstream
-from banyansail.platform.store import Store
+from banyansail.platform.store import Store, StoredObject
 from banyansail.router.supervisor import Supervisor
 from banyansail.wire.call_codec import (
     Document,
@@ -50,7 +52,11 @@
     PeerCall,
     PeerReply,
 )
-from banyansail.wire.gossip_codec import encode_member
+from banyansail.wire.gossip_codec import (
+    decode_leaving,
+    encode_leaving,
+    encode_member,
+)
 from banyansail.wire.seal import Seal
 from banyansail.wire.traffic_codec import Traffic, UpstreamWork, encode_traffic
 
@@ -109,6 +115,7 @@
         self._exchanges: set[Exchange] = set()
         self._ports: list[Any] = []
         self._config_text = ""
+        self._leaving_marks: set[str] = set()
         self._build_fleet()
         self._build_state()
         self._build_platform()
@@ -326,34 +333,82 @@
                 upstreams.append(decode_upstream(stored.name, stored.spec))
             except WireError as error:
                 log_event("upstream_unreadable", error=error.message)
+        upstreams = [self._with_marks(upstream) for upstream in upstreams]
+        self._tell_leaving(upstreams)
         self.dispatcher.apply_upstreams(upstreams, self.site)
         self.context.keep_pools({upstream.address for upstream in upstreams})
 
+    def _with_marks(self, upstream: Upstream) -> Upstream:
+        """Take an upstream for leaving once any router has heard that it is."""
+        if upstream.is_leaving or _mark_of(upstream) not in self._leaving_marks:
+            return upstream
+        return replace(upstream, is_leaving=True)
+
+    def _tell_leaving(self, upstreams: list[Upstream]) -> None:
+        marks = {
+            _mark_of(upstream): timedelta(0)
+            for upstream in upstreams
+            if upstream.is_leaving
+        }
+        self._leaving_marks |= marks.keys()
+        if self.gossiper.publish(Topic.LEAVING, encode_leaving(marks)):
+            self._push_now()
+
+    def _take_leaving(self, entry: Entry) -> None:
+        try:
+            marks = decode_leaving(entry.value).keys()
+        except WireError as error:
+            log_event("marks_unreadable", origin=entry.origin, error=error.message)
+            return
+        if marks - self._leaving_marks:
+            log_event("leaving_heard", origin=entry.origin, upstreams=sorted(marks))
+            self._leaving_marks |= marks
+            self._apply_upstreams()
+
     async def _drop_lapsed(self) -> None:
         self.upstream_mirror.drop_lapsed()
 
     async def _catch_up(self) -> None:
-        """Fetch a newer configuration from a router that has it in force."""
+        """Fetch from other routers what the store did not tell."""
         for name, member in self.gossiper.live_members().items():
-            if name == self.settings.name or (
-                member.rules_version <= self.site.version
-            ):
+            if name == self.settings.name:
                 continue
-            call = FetchDocument(CONFIG_DOCUMENT, self.site.version)
-            try:
-                reply = await self.peer_calls.call(member.peer, call)
-            except WireError as error:
-                log_event("peer_lost", peer=name, error=error.message)
-                continue
-            if isinstance(reply, Document) and reply.version > self.site.version:
-                self._take_config(json.loads(reply.text), name)
-                return
+            if member.rules_version > self.site.version:
+                reply = await self._fetch(member, CONFIG_DOCUMENT)
+                if reply is not None:
+                    self._take_config(json.loads(reply.text), name)
+            if self.upstream_mirror.at is None and member.is_ready:
+                reply = await self._fetch(member, UPSTREAMS_DOCUMENT)
+                if reply is not None:
+                    self._seed_upstreams(json.loads(reply.text), name)
+
+    async def _fetch(self, member: Member, document: str) -> Document | None:
+        call = FetchDocument(document, 0)
+        try:
+            reply = await self.peer_calls.call(member.peer, call)
+        except WireError as error:
+            log_event("peer_lost", peer=str(member.peer), error=error.message)
+            return None
+        return reply if isinstance(reply, Document) else None
+
+    def _seed_upstreams(self, specs: dict[str, Any], source: str) -> None:
+        objects = [StoredObject(name, 0, spec) for name, spec in specs.items()]
+        if not self.upstream_mirror.object_by_name:
+            log_event("upstreams_from_peer", peer=source, count=len(objects))
+            self.upstream_mirror.seed(objects)
 
     async def _answer_peer(self, call: PeerCall) -> PeerReply:
         match call:
-            case FetchDocument(name, version) if name == CONFIG_DOCUMENT:
-                if self.site.version > version:
-                    return Document(self.site.version, self._config_text)
+            case FetchDocument(name) if name == CONFIG_DOCUMENT and self._config_text:
+                return Document(self.site.version, self._config_text)
+            case FetchDocument(name) if name == UPSTREAMS_DOCUMENT:
+                mirror = self.upstream_mirror
+                if mirror.at is not None:
+                    specs = {
+                        stored.name: stored.spec
+                        for stored in mirror.object_by_name.values()
+                    }
+                    return Document(mirror.at, json.dumps(specs))
         return Nothing()
 
     async def _join(self) -> None:
@@ -422,6 +477,8 @@
 
     def _on_news(self, entries: list[Entry]) -> None:
         for entry in entries:
+            if entry.topic is Topic.LEAVING:
+                self._take_leaving(entry)
             traffic = self.peers.take(entry)
             if traffic is None:
                 continue
@@ -458,3 +515,8 @@
     async def _scale(self) -> None:
         if not self.is_leaving:
             await self.scaler.scale(self.site)
+
+
+def _mark_of(upstream: Upstream) -> str:
+    """Return the name of one start of an upstream in leaving marks."""
+    return f"{upstream.id}@{upstream.started_at}"
--- a/banyansail/gateway/upstream_load.py
+++ b/banyansail/gateway/upstream_load.py
@@ -14,6 +14,7 @@
 FAILURE_WEIGHT = 0.15  # of a new sample in the moving average
 LATENCY_WEIGHT = 0.15
 START_LATENCY = timedelta(milliseconds=40)
+OPINION_HALF_LIFE = timedelta(seconds=3)  # an upstream that is avoided gets a chance
 FIRST_SUSPICION = timedelta(milliseconds=500)
 LONGEST_SUSPICION = timedelta(seconds=4)
 START_READ_RATE = 60.0  # prompt tokens in a millisecond
@@ -64,11 +65,12 @@
     """
 
     __slots__ = (
+        "_failure_share",
+        "_latency",
+        "_observed_at",
         "_unanswered_since",
         "cache",
-        "failure_share",
         "in_flight",
-        "latency",
         "pace",
         "peer_in_flight",
         "peer_reading",
@@ -85,8 +87,9 @@
         self.reading = 0  # prompt tokens sent here without a first token yet
         self.peer_in_flight = 0
         self.peer_reading = 0
-        self.failure_share = 0.0
-        self.latency = START_LATENCY
+        self._failure_share = 0.0
+        self._latency = START_LATENCY
+        self._observed_at = timedelta(0)
         self.pace = pace
         self.suspect_until = timedelta(0)
         self.suspicions = 0
@@ -127,14 +130,30 @@
         self.suspicions = min(self.suspicions + 1, 8)
         self.suspect_until = now + pause
 
-    def observe(self, *, ok: bool, latency: timedelta | None = None) -> None:
+    def failure_share(self, now: timedelta) -> float:
+        """Return the share of late attempts that failed."""
+        return self._failure_share * self._memory(now)
+
+    def latency(self, now: timedelta) -> timedelta:
+        """Return the usual time to an answer."""
+        return START_LATENCY + (self._latency - START_LATENCY) * self._memory(now)
+
+    def observe(
+        self, now: timedelta, *, ok: bool, latency: timedelta | None = None
+    ) -> None:
         """Take in how an attempt went."""
+        failures, usual = self.failure_share(now), self.latency(now)
         sample = 0.0 if ok else 1.0
-        self.failure_share += (sample - self.failure_share) * FAILURE_WEIGHT
+        self._failure_share = failures + (sample - failures) * FAILURE_WEIGHT
+        self._latency = usual
+        if latency is not None:
+            self._latency = usual + (latency - usual) * LATENCY_WEIGHT
+        self._observed_at = now
         if ok:
             self.suspicions = 0
-        if latency is not None:
-            self.latency += (latency - self.latency) * LATENCY_WEIGHT
+
+    def _memory(self, now: timedelta) -> float:
+        return 0.5 ** ((now - self._observed_at) / OPINION_HALF_LIFE)
 
     def uncached(self, prompt: Prompt | None) -> int:
         """Return the tokens of a prompt that have to be read here."""
--- /dev/null
+++ b/banyansail/standins/replica.py
@@ -0,0 +1,134 @@
+"""Stand-in of an upstream in its published form: plain answers and streams."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from twisted.internet import reactor, task
+
+from banyansail.standins.web import StandinResource, is_open
+
+if TYPE_CHECKING:
+    from twisted.web.server import Request
+
+START_ID = 1
+
+
+@dataclass(slots=True)
+class ReplicaFaults:
+    """Switches of the stand-in.
+
+    Parameters
+    ----------
+    is_full : bool
+        Whether requests are turned away unrun.
+    fails : bool
+        Whether requests are answered 500.
+    cuts_before_answer : bool
+        Whether the connection is cut once the request has run.
+    cuts_at_event : int
+        Id of the event in which a stream is cut; 0 for none.
+    sends_stray_answer : bool
+        Whether an answer to another request comes first.
+    """
+
+    is_full: bool = False
+    fails: bool = False
+    cuts_before_answer: bool = False
+    cuts_at_event: int = 0
+    sends_stray_answer: bool = False
+
+
+@dataclass(slots=True)
+class ReplicaState:
+    """What a stand-in has seen.
+
+    Parameters
+    ----------
+    runs : list of str
+        Ids of the attempts that it ran.
+    """
+
+    id: str
+    events: int = 5
+    pause_s: float = 0.01
+    runs: list[str] = field(default_factory=list)
+    headers: list[dict[str, str]] = field(default_factory=list)
+    gone: int = 0
+
+
+class ReplicaStandin(StandinResource):
+    """Answers requests as an upstream does."""
+
+    def __init__(self, replica_id: str) -> None:
+        super().__init__()
+        self.state = ReplicaState(replica_id)
+        self.faults = ReplicaFaults()
+
+    async def handle(self, request: Request) -> None:
+        """Answer one request."""
+        attempt = request.getHeader("x-attempt-id") or ""
+        expected = request.getHeader("x-expect-replica")
+        request.setHeader("x-attempt-id", attempt)
+        if expected not in (None, self.state.id):
+            self._turn_away(request, 421)
+            return
+        if self.faults.is_full:
+            self._turn_away(request, 503)
+            return
+        self.state.runs.append(attempt)
+        fields = request.requestHeaders.getAllRawHeaders()
+        self.state.headers.append(
+            {name.decode().lower(): values[0].decode() for name, values in fields}
+        )
+        request.notifyFinish().addErrback(self._count_gone)
+        await task.deferLater(reactor, self.state.pause_s)
+        if self.faults.cuts_before_answer:
+            request.transport.abortConnection()
+            return
+        if self.faults.sends_stray_answer:
+            request.transport.write(
+                b"HTTP/1.1 200 OK\r\nX-Attempt-Id: other\r\nX-Replica-Stamp: s\r\n"
+                b"Content-Length: 5\r\n\r\nstray"
+            )
+        request.setHeader("x-replica-stamp", f"{self.state.id}.{attempt}")
+        if request.path.startswith(b"/draft/"):
+            await self._stream(request)
+            return
+        self._answer(request)
+
+    def _count_gone(self, failure: object) -> None:
+        self.state.gone += 1
+
+    def _turn_away(self, request: Request, status: int) -> None:
+        request.setResponseCode(status)
+        request.setHeader("x-not-executed", "1")
+        request.setHeader("content-length", "0")
+        request.finish()
+
+    def _answer(self, request: Request) -> None:
+        if not is_open(request):
+            return
+        body = request.method + b" " + request.uri + b" " + request.content.read()
+        request.setResponseCode(500 if self.faults.fails else 200)
+        request.setHeader("content-length", str(len(body)))
+        request.write(body)
+        request.finish()
+
+    async def _stream(self, request: Request) -> None:
+        request.setHeader("content-type", "text/event-stream")
+        done = int(request.getHeader("last-event-id") or START_ID - 1)
+        for number in range(done + 1, self.state.events + 1):
+            if not is_open(request):
+                return
+            event = f"id: {number}\ndata: part {number}\n\n".encode()
+            if number == self.faults.cuts_at_event:
+                request.write(event[:9])
+                await task.deferLater(reactor, self.state.pause_s)
+                request.transport.abortConnection()
+                return
+            request.write(event)
+            await task.deferLater(reactor, self.state.pause_s)
+        if is_open(request):
+            request.finish()
--- /dev/null
+++ b/tests/gateway/live_gateway.py
@@ -0,0 +1,187 @@
+"""A gateway with its store and upstreams in this process, on loopback."""
+
+from __future__ import annotations
+
+import http.client
+from datetime import timedelta
+
+from twisted.internet import reactor
+
+from banyansail.config.fields import Address
+from banyansail.config.gateway_settings import GatewaySettings
+from banyansail.gateway.router import Gateway
+from banyansail.standins.replica import ReplicaStandin
+from banyansail.standins.server import RunningStandin
+from banyansail.standins.store import StoreStandin
+from banyansail.standins.web import TrackingSite
+from tests.live import in_reactor, run_reactor
+from tests.processes import free_port, wait_until
+
+HOST = "shop.example"
+KEY = "key-of-clerks"
+
+
+def config_body(version=1, **options):
+    values = {
+        "version": version,
+        "routes": [
+            _route("stock", "/stock/", "safe", "depot", maxAttempts=2),
+            _route("orders", "/orders/", "unsafe", "depot"),
+            _route("draft", "/draft/", "streaming", "engines", timeoutMs=5000),
+            _route(
+                "resume",
+                "/draft/resumable/",
+                "streaming",
+                "engines",
+                timeoutMs=5000,
+                streamResume=True,
+                maxAttempts=2,
+            ),
+        ],
+        "services": [
+            {"name": "depot", "healthPath": "/health", "maxConns": 50},
+            {"name": "engines", "healthPath": "/health", "maxConns": 50},
+        ],
+        "limits": {"idleTimeoutMs": 5000},
+        "tenants": [{"name": "clerks", "apiKeys": [KEY], "ratePerS": 0}],
+    }
+    return {**values, **options}
+
+
+def _route(name, prefix, kind, service, **options):
+    values = {
+        "name": name,
+        "host": HOST,
+        "pathPrefix": prefix,
+        "routeType": kind,
+        "service": service,
+        "timeoutMs": 1000,
+        "sloMs": 200,
+        "priority": 1,
+        "maxAttempts": 1,
+    }
+    return {**values, **options}
+
+
+class LiveGateway:
+    """A store, upstreams and a gateway that the test calls over HTTP."""
+
+    def __init__(self, replicas=("d1", "d2", "e1", "e2")) -> None:
+        run_reactor()
+        self.replica_by_name = {name: ReplicaStandin(name) for name in replicas}
+        self.store = StoreStandin()
+        self._running: list[RunningStandin] = []
+        self.running_by_name: dict[str, RunningStandin] = {}
+        self.gateway: Gateway | None = None
+
+    def __enter__(self) -> LiveGateway:
+        in_reactor(self._start)
+        wait_until(lambda: self.gateway.is_ready)
+        wait_until(
+            lambda: all(
+                self.gateway.dispatcher.load_of(name) for name in self.replica_by_name
+            )
+        )
+        return self
+
+    def __exit__(self, *exc_info: object) -> None:
+        in_reactor(self._stop)
+
+    def _start(self) -> None:
+        store = self._listen(self.store)
+        for name, replica in self.replica_by_name.items():
+            running = self._listen(replica)
+            self.running_by_name[name] = running
+            self.announce(name, running.address)
+        self.store.state.put("config", "main", spec=config_body())
+        self.gateway = Gateway(self._settings(store.address), reactor)
+        self.gateway.startService()
+
+    def _listen(self, resource) -> RunningStandin:
+        running = RunningStandin(resource, TrackingSite(resource))
+        running.listen(Address("127.0.0.1", 0))
+        self._running.append(running)
+        return running
+
+    def announce(self, name, address, state="ready"):
+        """Write an upstream's entry, as the upstream would."""
+        spec = {
+            "service": "depot" if name.startswith("d") else "engines",
+            "address": str(address),
+            "zone": "glasgow",
+            "version": "v1",
+            "slots": 4,
+            "state": state,
+            "seq": 1,
+            "born": 1,
+        }
+        self.store.state.put("servers", name, spec=spec)
+
+    def _settings(self, store: Address) -> GatewaySettings:
+        def address() -> Address:
+            return Address("127.0.0.1", free_port())
+
+        return GatewaySettings(
+            name="front-1",
+            zone="glasgow",
+            region="scotland",
+            listen=address(),
+            ready=address(),
+            peer=address(),
+            seeds=(),
+            store=store,
+            cloud=store,
+            shared_key="0123456789abcdef",
+            grace=timedelta(seconds=8),
+            drain=timedelta(seconds=2),
+            contact=timedelta(seconds=3),
+            retry_ratio=0.2,
+            retry_slack=58,
+            retry_window=timedelta(seconds=10),
+            usage_window=timedelta(seconds=5),
+            usage_late=timedelta(seconds=10),
+            lease=timedelta(seconds=3),
+            expose_share=0.1,
+            expose_slack=50,
+        )
+
+    def _stop(self):
+        for port in self.gateway._ports:
+            port.stopListening()
+        done = self.gateway.stopService()
+        for running in self._running:
+            running.kill()
+        return done
+
+    def connect(self) -> http.client.HTTPConnection:
+        """Return a new connection to the gateway."""
+        listen = self.gateway.settings.listen
+        return http.client.HTTPConnection(listen.host, listen.port, timeout=10)
+
+    def call(self, method, path, body=None, *, connection=None, **headers):
+        """Call and return the status, the headers and the body."""
+        connection = connection or self.connect()
+        fields = {
+            "Host": HOST,
+            "Api-Key": KEY,
+            "X-Attempt-Id": f"a-{path.strip('/').replace('/', '-')}",
+            **{name.replace("_", "-"): value for name, value in headers.items()},
+        }
+        connection.request(method, path, body, fields)
+        answer = connection.getresponse()
+        return answer.status, dict(answer.getheaders()), answer.read()
+
+    def runs(self) -> list[str]:
+        """Return the attempts that any upstream ran."""
+        return [
+            attempt
+            for replica in self.replica_by_name.values()
+            for attempt in replica.state.runs
+        ]
+
+    def set_faults(self, prefix, **faults) -> None:
+        """Set switches of the upstreams whose names begin so."""
+        for name, replica in self.replica_by_name.items():
+            if name.startswith(prefix):
+                for fault, value in faults.items():
+                    setattr(replica.faults, fault, value)
--- /dev/null
+++ b/tests/gateway/test_live_requests.py
@@ -0,0 +1,177 @@
+from __future__ import annotations
+
+import http.client
+
+import pytest
+
+from tests.gateway.live_gateway import HOST, KEY, LiveGateway, config_body
+from tests.live import in_reactor
+from tests.processes import wait_until
+
+
+@pytest.fixture
+def live():
+    with LiveGateway() as gateway:
+        yield gateway
+
+
+def test_a_lookup_is_answered_as_the_upstream_did(live):
+    status, headers, body = live.call("GET", "/stock/blades?n=2", X_Deadline_Ms="900")
+    assert (status, body) == (200, b"GET /stock/blades?n=2 ")
+    assert headers["X-Replica-Stamp"].endswith("a-stock-blades?n=2")
+    seen = [
+        headers
+        for replica in live.replica_by_name.values()
+        for headers in replica.state.headers
+    ]
+    assert len(seen) == 1
+    assert seen[0]["x-tenant"] == "clerks"
+    assert "api-key" not in seen[0]
+    assert 0 < int(seen[0]["x-deadline-ms"]) <= 900
+
+
+def test_what_the_router_sets_itself_is_not_taken_from_the_caller(live):
+    forged = {
+        "X_Tenant": "others",
+        "X_Expect_Replica": "none",
+        "X_Hold": "1",
+        "Kv_From": "10.0.0.1:1/x",
+    }
+    status, _, _ = live.call("POST", "/orders/1", b"blades", **forged)
+    assert status == 200
+    (seen,) = [
+        headers
+        for replica in live.replica_by_name.values()
+        for headers in replica.state.headers
+    ]
+    assert seen["x-tenant"] == "clerks"
+    assert "x-hold" not in seen
+    assert "kv-from" not in seen
+
+
+def test_a_chunked_body_reaches_the_upstream_whole(live):
+    chunks = (b"a" * 1000 for _ in range(30))
+    status, _, body = live.call("POST", "/orders/2", chunks)
+    assert status == 200
+    assert body.endswith(b"a" * 30_000)
+
+
+def test_routes_and_keys_that_are_not_known_are_told(live):
+    assert live.call("GET", "/none/1")[0] == 404
+    assert live.call("GET", "/stock/1", Api_Key="other")[0] == 401
+    assert live.runs() == []
+
+
+def test_a_failed_lookup_runs_again_and_an_order_does_not(live):
+    live.set_faults("d", fails=True)
+    assert live.call("GET", "/stock/1")[0] == 500
+    assert live.runs() == ["a-stock-1"] * 2
+    assert live.call("POST", "/orders/1", b"x")[0] == 500
+    assert live.runs().count("a-orders-1") == 1
+
+
+def test_an_order_whose_answer_is_lost_is_not_said_not_to_have_run(live):
+    live.set_faults("d", cuts_before_answer=True)
+    status, headers, _ = live.call("POST", "/orders/1", b"x")
+    assert status == 502
+    assert "retry-after" not in {name.lower() for name in headers}
+    assert live.runs() == ["a-orders-1"]
+
+
+def test_an_order_that_no_upstream_takes_is_refused_unrun(live):
+    live.set_faults("d", is_full=True)
+    status, headers, _ = live.call("POST", "/orders/1", b"x")
+    assert status == 503
+    assert float(headers["Retry-After"]) > 0
+    assert live.runs() == []
+
+
+def test_an_order_goes_on_to_an_upstream_that_can_be_reached(live):
+    in_reactor(live.running_by_name["d1"].kill)
+    for number in range(6):
+        assert live.call("POST", f"/orders/{number}", b"x")[0] == 200
+
+
+def test_an_answer_to_another_request_is_skipped(live):
+    live.set_faults("d", sends_stray_answer=True)
+    status, _, body = live.call("POST", "/orders/1", b"x")
+    assert (status, body) == (200, b"POST /orders/1 x")
+
+
+def test_a_stream_comes_whole_and_in_order(live):
+    status, headers, body = live.call("POST", "/draft/1", b"notes")
+    assert status == 200
+    assert headers["Content-Type"] == "text/event-stream"
+    assert [line for line in body.split(b"\n") if line.startswith(b"id")] == [
+        b"id: %d" % number for number in range(1, 6)
+    ]
+
+
+def test_a_stream_that_breaks_does_not_look_complete(live):
+    live.set_faults("e", cuts_at_event=3)
+    with pytest.raises((http.client.IncompleteRead, ConnectionError)):
+        live.call("POST", "/draft/1", b"notes")
+    assert live.runs() == ["a-draft-1"]
+
+
+def test_a_stream_that_may_be_resumed_goes_on_at_another_upstream(live):
+    live.set_faults("e1", cuts_at_event=3)
+    live.set_faults("e2", cuts_at_event=0)
+    for number in range(4):
+        _, _, body = live.call("POST", f"/draft/resumable/{number}", b"notes")
+        ids = [line for line in body.split(b"\n") if line.startswith(b"id")]
+        assert ids == [b"id: %d" % item for item in range(1, 6)]
+    assert any(
+        headers.get("last-event-id") == "2"
+        for headers in live.replica_by_name["e2"].state.headers
+    )
+
+
+def test_a_caller_that_leaves_ends_the_work(live):
+    for replica in live.replica_by_name.values():
+        replica.state.events = 1000
+    connection = live.connect()
+    connection.request(
+        "POST", "/draft/1", b"n", {"Host": HOST, "Api-Key": KEY, "X-Attempt-Id": "x"}
+    )
+    connection.getresponse().read(20)
+    connection.sock.close()
+    wait_until(
+        lambda: any(item.state.gone for item in live.replica_by_name.values()),
+    )
+
+
+def test_a_route_that_moves_is_followed_and_a_version_never_goes_back(live):
+    routes = config_body()["routes"][1:]
+    in_reactor(
+        live.store.state.put, "config", "main", spec=config_body(3, routes=routes)
+    )
+    wait_until(lambda: live.gateway.site.version == 3)
+    assert live.call("GET", "/stock/1")[0] == 404
+    in_reactor(live.store.state.put, "config", "main", spec=config_body(2))
+    in_reactor(live.store.state.put, "config", "main", spec=config_body(4))
+    wait_until(lambda: live.gateway.site.version == 4)
+    assert live.call("GET", "/stock/1")[0] == 200
+
+
+def test_a_leaving_upstream_gets_no_new_work(live):
+    address = live.running_by_name["d1"].address
+    in_reactor(live.announce, "d1", address, "draining")
+    wait_until(lambda: live.gateway.dispatcher.load_of("d1").upstream.is_leaving)
+    for number in range(10):
+        live.call("GET", f"/stock/{number}")
+    assert live.replica_by_name["d1"].state.runs == []
+
+
+def test_requests_are_served_while_the_store_is_down(live):
+    live.store.faults.is_down = True
+    for number in range(5):
+        assert live.call("POST", f"/orders/{number}", b"x")[0] == 200
+
+
+def test_a_kept_connection_carries_many_requests(live):
+    connection = live.connect()
+    for number in range(5):
+        path = f"/orders/{number}"
+        status, _, body = live.call("POST", path, b"x", connection=connection)
+        assert (status, body) == (200, f"POST {path} x".encode())
