--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 	$(PYTHON) -m banyansail demo
 
 test: $(INSTALLED)
-	$(PYTHON) -m pytest
+	$(PYTHON) -m pytest -n auto --dist worksteal
 
 lint: $(INSTALLED)
 	$(VENV)/bin/ruff check .
