Order on-demand replicas for an urgent need only, in time while others are scarce

Change: while reclaimable replicas are refused, those of the largest data centre are not counted on and the whole need is urgent; otherwise 60% of it.

--- a/banyansail/gateway/scaling.py
+++ b/banyansail/gateway/scaling.py
@@ -16,8 +16,9 @@
 
     from banyansail.gateway.site import EngineSpec, ScalingSpec
 
-READING_SHARE = 0.4  # of an engine's time that may go into reading prompts
+READING_SHARE = 0.5  # of an engine's time that may go into reading prompts
 RUNNING_SHARE = 0.35  # of an engine's slots that may be taken
+URGENT_SHARE = 0.6  # of the need, below which reclaimable ones are not waited for
 
 
 @dataclass(slots=True, frozen=True)
@@ -86,9 +87,12 @@
         [zone for zone in zones if (zone, True) not in refused],
         spec.maximum,
     )
-    ready = sum(item.reclaimable for item in replicas_by_zone.values())
-    lacking = max(0, needed - ready)
-    on_demand = _fill(lacking, zones, spec, replicas_by_zone, refused)
+    is_scarce = any(is_reclaimable for _, is_reclaimable in refused)
+    ready = _lasting(replicas_by_zone, is_scarce)
+    on_demand = _keep(max(0, needed - ready), zones, spec, replicas_by_zone)
+    share = 1.0 if is_scarce else URGENT_SHARE
+    urgent = math.ceil(needed * share) - ready - sum(on_demand.values())
+    _add(urgent, on_demand, zones, spec, replicas_by_zone, refused)
     orders = []
     for zone in zones:
         has = replicas_by_zone.get(zone, ZoneReplicas())
@@ -111,6 +115,15 @@
     return per_zone * zones
 
 
+def _lasting(replicas_by_zone: Mapping[str, ZoneReplicas], is_scarce: bool) -> int:
+    """Return the reclaimable replicas that can be counted on.
+
+    While they are not to be had anywhere, those of a further data centre may go.
+    """
+    counts = [item.reclaimable for item in replicas_by_zone.values()]
+    return sum(counts) - (max(counts, default=0) if is_scarce else 0)
+
+
 def _spread(count: int, zones: list[str], most: int) -> dict[str, int]:
     """Spread replicas evenly; the cheapest data centres take the rest."""
     wanted = dict.fromkeys(zones, 0)
@@ -125,25 +138,35 @@
     return wanted
 
 
-def _fill(
+def _keep(
     lacking: int,
     zones: list[str],
     spec: ScalingSpec,
     replicas_by_zone: Mapping[str, ZoneReplicas],
-    refused: frozenset[tuple[str, bool]],
 ) -> dict[str, int]:
-    """Keep on-demand replicas that run, then add some in the cheapest places."""
+    """Return the on-demand replicas that stay, as others are lacking."""
     wanted: dict[str, int] = {}
     for zone in zones:
         has = replicas_by_zone.get(zone, ZoneReplicas())
         wanted[zone] = min(has.on_demand, lacking, spec.maximum)
         lacking -= wanted[zone]
+    return wanted
+
+
+def _add(
+    count: int,
+    wanted: dict[str, int],
+    zones: list[str],
+    spec: ScalingSpec,
+    replicas_by_zone: Mapping[str, ZoneReplicas],
+    refused: frozenset[tuple[str, bool]],
+) -> None:
+    """Add on-demand replicas in the cheapest data centres that have them."""
     for zone in zones:
-        if lacking <= 0 or (zone, False) in refused:
+        if count <= 0 or (zone, False) in refused:
             continue
         has = replicas_by_zone.get(zone, ZoneReplicas())
         room = max(0, spec.maximum - wanted[zone] - has.reclaimable)
-        added = min(lacking, room)
+        added = min(count, room)
         wanted[zone] += added
-        lacking -= added
-    return wanted
+        count -= added
--- a/tests/gateway/test_scaling.py
+++ b/tests/gateway/test_scaling.py
@@ -40,10 +40,19 @@
 
 def test_what_is_not_to_be_had_is_filled_on_demand_in_the_cheapest_place():
     refused = frozenset((zone, True) for zone in ZONES)
-    orders = plan_replicas(SCALING, {"a": ZoneReplicas(0, 1)}, 3, refused)
+    has = {"a": ZoneReplicas(0, 1), "c": ZoneReplicas(0, 1)}
+    orders = plan_replicas(SCALING, has, 3, refused)
+    # One of the two may be the next to go.
     assert wanted(orders, False) == {"b": 2, "d": 0, "a": 0, "c": 0}
 
 
+def test_a_need_that_is_nearly_met_waits_for_reclaimable_replicas():
+    has = {zone: ZoneReplicas(0, 1) for zone in ZONES}
+    orders = plan_replicas(SCALING, has, 6)
+    assert sum(wanted(orders, False).values()) == 0
+    assert sum(wanted(orders, True).values()) == 8
+
+
 def test_the_reserve_bears_the_loss_of_a_data_centre():
     for needed in range(1, 40):
         for zones in range(2, 7):
