Refuse requests that crash upstreams; log a line for each route decision

A request that was there at three deaths of upstreams is refused at every router, told by gossip; a caller's second try of an innocent one is not. Route lines are bounded to 40 a second and those left out are counted.

--- a/banyansail/gateway/context.py
+++ b/banyansail/gateway/context.py
@@ -4,22 +4,27 @@
 
 from typing import TYPE_CHECKING, Any
 
+from banyansail.exceptions import ConnectFailedError
+from banyansail.gateway.line_limit import LineLimit
 from banyansail.gateway.quota import cost_of
 from banyansail.gateway.retry_budget import WindowedBudget
 from banyansail.upstreams.pool import ConnectionPool
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from random import Random
 
     from banyansail.clock import Clock
     from banyansail.config.fields import Address
     from banyansail.config.gateway_settings import GatewaySettings
+    from banyansail.gateway.crash_guard import CrashGuard
     from banyansail.gateway.dispatch import Dispatcher
     from banyansail.gateway.messages import CallerCall
     from banyansail.gateway.move_keeper import MoveKeeper
     from banyansail.gateway.peers import PeerTable
     from banyansail.gateway.quota import QuotaBook
     from banyansail.gateway.site import Workspace
+    from banyansail.gateway.upstream import Upstream
     from banyansail.gateway.usage import UsageCounter
 
 
@@ -36,8 +41,10 @@
         Source of jitter.
     settings : GatewaySettings
         Bounds of retries.
-    dispatcher, quota, usage, peers, moves : object
+    dispatcher, quota, usage, peers, moves, crashes : object
         Parts of the gateway.
+    on_death : callable
+        Tells other routers of the deaths of upstreams.
     """
 
     def __init__(
@@ -51,6 +58,8 @@
         usage: UsageCounter,
         peers: PeerTable,
         moves: MoveKeeper,
+        crashes: CrashGuard,
+        on_death: Callable[[bytes], None],
     ) -> None:
         self.reactor = reactor
         self.clock = clock
@@ -60,9 +69,12 @@
         self.usage = usage
         self.peers = peers
         self.moves = moves
+        self.crashes = crashes
+        self._on_death = on_death
         self._settings = settings
         self._budget_by_service: dict[str, WindowedBudget] = {}
         self._pool_by_address: dict[Address, ConnectionPool] = {}
+        self.route_lines = LineLimit(clock)
         self.served = 0
 
     def budget(self, service: str) -> WindowedBudget:
@@ -101,6 +113,17 @@
         for address in self._pool_by_address.keys() - addresses:
             self._pool_by_address.pop(address).close()
 
+    async def examine(self, upstream: Upstream, fingerprint: int) -> None:
+        """Find out whether an upstream died under a request."""
+        try:
+            connection = await self.pool_of(upstream.address).connect()
+        except ConnectFailedError:
+            told = self.crashes.record_death(upstream, fingerprint)
+            if told is not None:
+                self._on_death(told)
+            return
+        connection.close()
+
     def note_served(self) -> None:
         """Count a request that was answered by an upstream."""
         self.served += 1
--- a/banyansail/gateway/exchange.py
+++ b/banyansail/gateway/exchange.py
@@ -30,6 +30,7 @@
     from banyansail.gateway.events import StreamEvent
     from banyansail.gateway.messages import CallerCall, ReplyHead
     from banyansail.gateway.site import Route, Workspace
+    from banyansail.gateway.upstream import Upstream
 
 ATTEMPT_LATENCIES = 4  # times the usual latency until another upstream is tried
 SLOW_OBJECTIVES = 2  # times the objective, after which an answer is a bad one
@@ -213,6 +214,8 @@
         )
         self._progress.sends += 1
         self._progress.runs += 1
+        self._log_route(slot)
+        context.crashes.start(upstream, self._call.fingerprint)
         watch = self._watch_attempt(attempt, slot, sent_at)
         try:
             outcome = await attempt.run(
@@ -222,6 +225,7 @@
             if watch is not None and watch.active():
                 watch.cancel()
             context.dispatcher.release(slot)
+            context.crashes.end(upstream, self._call.fingerprint, survived=False)
         self._judge(outcome, slot, context.clock.monotonic() - sent_at)
         return outcome
 
@@ -271,10 +275,19 @@
                 load.observe(now, ok=head.status < 500, latency=latency)
             case Broken():
                 load.observe(now, ok=False)
+                self._examine_death(load.upstream)
                 if self._is_prepaid:  # it was given up for its silence
                     load.suspect(now)
                 self._context.pool_of(load.upstream.address).drop_idle()
 
+    def _examine_death(self, upstream: Upstream) -> None:
+        if self._is_prepaid:
+            return  # this router closed the connection itself
+        done = defer.Deferred.fromCoroutine(
+            self._context.examine(upstream, self._call.fingerprint)
+        )
+        done.addErrback(lambda failure: self._log("examine_failed", str(failure)))
+
     def _count_run(self, head: ReplyHead) -> None:
         if head.ran is Ran.NOT_RUN or self._is_counted:
             return
@@ -332,6 +345,18 @@
         if self._deadline_timer is not None and self._deadline_timer.active():
             self._deadline_timer.cancel()
 
+    def _log_route(self, slot: Slot) -> None:
+        if self._context.route_lines.take():
+            self._log(
+                "route",
+                slot.chosen.reason,
+                upstream=slot.load.upstream.id,
+                expected_ms=int(slot.chosen.expected.total_seconds() * 1000),
+                in_flight=slot.load.in_flight,
+                peers_in_flight=slot.load.peer_in_flight,
+                left_out=self._context.route_lines.take_left_out(),
+            )
+
     def _log(self, decision: str, reason: str, **fields: Any) -> None:
         log_decision(
             decision,
--- a/banyansail/gateway/router.py
+++ b/banyansail/gateway/router.py
@@ -19,6 +19,7 @@
 from banyansail.fleet.peer_calls import PeerCaller, PeerServerFactory
 from banyansail.fleet.view import FleetView
 from banyansail.gateway.context import GatewayContext, quota_cost
+from banyansail.gateway.crash_guard import CrashGuard
 from banyansail.gateway.dispatch import Dispatcher
 from banyansail.gateway.exchange import Exchange
 from banyansail.gateway.ingress import (
@@ -143,6 +144,7 @@
         settings = self.settings
         self.dispatcher = Dispatcher(settings.zone, self.clock, self._random)
         self.quota = QuotaBook(self.clock)
+        self.crashes = CrashGuard(self.clock)
         self.usage = UsageCounter(SteadyTime(self.clock), settings.usage_window)
         self.reporter = UsageReporter(
             settings, self.clock, self.store, self.cloud, self.usage, self.peers
@@ -160,6 +162,8 @@
             self.usage,
             self.peers,
             self.moves,
+            self.crashes,
+            self._tell_deaths,
         )
         self._callers = GatewayFactory(self._reactor, self._handle)
         self._balancer = ReadyFactory(self._reactor, lambda: self.is_ready)
@@ -298,6 +302,10 @@
         if route is None:
             text = f"no route for {call.host}{call.path}"
             return Rejection(404, Cause.NO_ROUTE, text)
+        pause = self.crashes.refused_for(call.fingerprint)
+        if pause is not None:
+            text = "the request has crashed several upstreams"
+            return Rejection(500, Cause.CRASHES_UPSTREAMS, text)
         workspace = None
         if site.has_workspaces and not route.is_open:
             workspace = site.workspace_by_key.get(call.key)
@@ -369,6 +377,10 @@
         if self.gossiper.publish(Topic.LEAVING, encode_leaving(marks)):
             self._push_now()
 
+    def _tell_deaths(self, value: bytes) -> None:
+        self.gossiper.publish(Topic.DEATHS, value)
+        self._push_now()
+
     def _take_leaving(self, entry: Entry) -> None:
         try:
             marks = decode_leaving(entry.value).keys()
@@ -495,6 +507,8 @@
         for entry in entries:
             if entry.topic is Topic.LEAVING:
                 self._take_leaving(entry)
+            if entry.topic is Topic.DEATHS:
+                self.crashes.hear(entry.value)
             traffic = self.peers.take(entry)
             if traffic is None:
                 continue
--- a/banyansail/routing/quarantine.py
+++ b/banyansail/routing/quarantine.py
@@ -48,18 +48,22 @@
     ----------
     clock : Clock
         Source of time.
+    crashes : int
+        Deaths under one fingerprint after which it is quarantined.
     """
 
     __slots__ = (
         "_clock",
+        "_crashes",
         "_deaths",
         "_fingerprints_by_upstream",
         "_suspect_by_fingerprint",
         "_until",
     )
 
-    def __init__(self, clock: Clock) -> None:
+    def __init__(self, clock: Clock, crashes: int = CRASHES_TO_QUARANTINE) -> None:
         self._clock = clock
+        self._crashes = crashes
         self._deaths: deque[tuple[timedelta, str]] = deque()
         self._fingerprints_by_upstream: dict[str, frozenset[int]] = {}
         self._suspect_by_fingerprint: dict[int, _Suspect] = {}
@@ -121,7 +125,7 @@
             self._suspect_by_fingerprint[fingerprint] = suspect
         suspect.deaths += 1
         suspect.last = now
-        if suspect.deaths >= CRASHES_TO_QUARANTINE:
+        if suspect.deaths >= self._crashes:
             self._until[fingerprint] = now + QUARANTINE_TIME
 
     def _clear_wave(self) -> None:
@@ -131,7 +135,7 @@
             for fingerprint in fingerprints
         )
         for fingerprint, count in counts.items():
-            if count < CRASHES_TO_QUARANTINE:
+            if count < self._crashes:
                 self._suspect_by_fingerprint.pop(fingerprint, None)
                 self._until.pop(fingerprint, None)
 
