--- a/banyansail/gateway/scaler.py
+++ b/banyansail/gateway/scaler.py
@@ -99,12 +99,6 @@
         running = sum(load.in_flight + load.peer_in_flight for load in loads)
         read_rate = state.pace.tokens_per_ms * MS_PER_S
         demand = Demand(rate.update(total, now), running, read_rate)
-        log_event(
-            "demand",
-            reading=int(demand.reading),
-            running=running,
-            read_rate=int(read_rate),
-        )
         needs = self._needs_by_service.setdefault(service.name, [])
         needs.append((now, engines_needed(demand, service.engine)))
         needs[:] = [item for item in needs if now - item[0] <= HIGH_TIME]
--- a/banyansail/router/supervisor.py
+++ b/banyansail/router/supervisor.py
@@ -57,6 +57,7 @@
         self._random = random
         self._loop: defer.Deferred[None] | None = None
         self.failures = 0
+        self._failures_in_a_row = 0
 
     def startService(self) -> None:
         """Start the task."""
@@ -76,17 +77,28 @@
             try:
                 await self._run()
                 backoff.reset()
+                self._failures_in_a_row = 0
                 pause = self._pause
             except defer.CancelledError:
                 return
             except Exception as error:  # the supervisor keeps its tasks alive
                 self.failures += 1
+                self._failures_in_a_row += 1
                 pause = self._pause + backoff.next_delay()
                 self._log(error)
             await task.deferLater(self._reactor, pause.total_seconds())
 
     def _log(self, error: Exception) -> None:
-        log_event("task_failed", task=self.name, error=str(error) or repr(error))
+        """Log the first, second, fourth ... of failures in a row."""
+        count = self._failures_in_a_row
+        if count & (count - 1):
+            return
+        log_event(
+            "task_failed",
+            task=self.name,
+            error=str(error) or repr(error),
+            in_a_row=count,
+        )
 
 
 class Supervisor(MultiService):
