--- a/banyansail/gateway/scaling.py
+++ b/banyansail/gateway/scaling.py
@@ -16,6 +16,7 @@
 
     from banyansail.gateway.site import EngineSpec, ScalingSpec
 
+LOST_ZONES = 2  # whose replicas may be taken away together
 READING_SHARE = 0.5  # of an engine's time that may go into reading prompts
 RUNNING_SHARE = 0.35  # of an engine's slots that may be taken
 URGENT_SHARE = 0.6  # of the need, below which reclaimable ones are not waited for
@@ -108,10 +109,10 @@
 
 
 def with_reserve(needed: int, zones: int) -> int:
-    """Return how many replicas bear the loss of any one data centre."""
+    """Return how many replicas bear the loss of `LOST_ZONES` data centres."""
     if zones < 2:
         return needed
-    per_zone = math.ceil(needed / (zones - 1))
+    per_zone = math.ceil(needed / max(1, zones - LOST_ZONES))
     return per_zone * zones
 
 
