--- a/banyansail/config/gateway_settings.py
+++ b/banyansail/config/gateway_settings.py
@@ -38,6 +38,8 @@
         Length of a window of usage.
     lease : timedelta
         How long a former holder of a duty may not act again.
+    metrics : Address
+        Where counters and histograms are served.
     expose_share, expose_slack
         Most that a bad version may get.
     """
@@ -63,6 +65,7 @@
     lease: timedelta
     expose_share: float
     expose_slack: float
+    metrics: Address
 
 
 def _seconds(value: Any) -> timedelta:
@@ -112,6 +115,7 @@
     "lease_ms": ("lease", _milliseconds),
     "expose_share": ("expose_share", float),
     "expose_slack": ("expose_slack", float),
+    "metrics": ("metrics", _address),
 }
 
 
--- a/banyansail/gateway/context.py
+++ b/banyansail/gateway/context.py
@@ -6,6 +6,7 @@
 
 from banyansail.exceptions import ConnectFailedError
 from banyansail.gateway.line_limit import LineLimit
+from banyansail.gateway.metrics import GatewayMetrics
 from banyansail.gateway.quota import cost_of
 from banyansail.gateway.retry_budget import WindowedBudget
 from banyansail.upstreams.pool import ConnectionPool
@@ -75,7 +76,7 @@
         self._budget_by_service: dict[str, WindowedBudget] = {}
         self._pool_by_address: dict[Address, ConnectionPool] = {}
         self.route_lines = LineLimit(clock)
-        self.served = 0
+        self.metrics = GatewayMetrics()
 
     def budget(self, service: str) -> WindowedBudget:
         """Return the retry budget of a service."""
@@ -124,10 +125,6 @@
             return
         connection.close()
 
-    def note_served(self) -> None:
-        """Count a request that was answered by an upstream."""
-        self.served += 1
-
 
 def quota_cost(workspace: Workspace, call: CallerCall) -> float:
     """Return what a call counts against its workspace's quota."""
--- a/banyansail/gateway/exchange.py
+++ b/banyansail/gateway/exchange.py
@@ -165,6 +165,7 @@
                 self._fallback = step.otherwise
                 self._ticket.excluded.add(slot.load.upstream.id)
                 self._ticket.is_retry = True
+                self._context.metrics.count_retry(self._ticket.service)
                 self._log("retry", _describe(outcome), upstream=slot.load.upstream.id)
                 return True
             step = step.otherwise
@@ -195,6 +196,7 @@
             load.answered(slot.number, slot.chosen.work)
             self._count_run(head)
             latency = context.clock.monotonic() - sent_at
+            context.metrics.observe_first_byte(self._ticket.service, latency)
             if self._call.prompt is not None:
                 backlog = load.reading + load.peer_reading
                 load.pace.observe(slot.chosen.work + backlog, latency)
@@ -300,7 +302,9 @@
             self._reject(reject(self._progress, f"upstream: {answer.head.status}"))
             return
         self._is_over = True
-        self._context.note_served()
+        self._context.metrics.count_answer(
+            self._route.name, f"upstream_{answer.head.status}"
+        )
         if self._progress.is_begun:
             self._port.end_stream()
         else:
@@ -310,6 +314,7 @@
         if self._is_over:
             return
         self._is_over = True
+        self._context.metrics.count_answer(self._route.name, rejection.cause.value)
         self._log(
             "reject",
             rejection.detail,
--- /dev/null
+++ b/banyansail/gateway/metrics.py
@@ -0,0 +1,120 @@
+"""Counters and latency histograms, served as text on the metrics address."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+from prometheus_client import (
+    CollectorRegistry,
+    Counter,
+    Gauge,
+    Histogram,
+    generate_latest,
+)
+from prometheus_client.exposition import CONTENT_TYPE_LATEST
+from twisted.web import http
+
+if TYPE_CHECKING:
+    from datetime import timedelta
+
+PATH = b"/metrics"
+LATENCY_BUCKETS_S = (0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3.0, 6.0, 12.0)
+
+
+class GatewayMetrics:
+    """What a gateway counts; see docs/user-guide/metrics.md."""
+
+    def __init__(self) -> None:
+        self.registry = CollectorRegistry()
+        self._requests = Counter(
+            "banyansail_requests",
+            "Final answers by route and outcome",
+            ("route", "outcome"),
+            registry=self.registry,
+        )
+        self._retries = Counter(
+            "banyansail_retries",
+            "Further attempts by service",
+            ("service",),
+            registry=self.registry,
+        )
+        self._latency = Histogram(
+            "banyansail_first_byte_seconds",
+            "Time from an attempt to its first byte, by service",
+            ("service",),
+            buckets=LATENCY_BUCKETS_S,
+            registry=self.registry,
+        )
+        self._config = Gauge(
+            "banyansail_config_version",
+            "Version of the configuration in force",
+            registry=self.registry,
+        )
+        self._in_progress = Gauge(
+            "banyansail_requests_in_progress",
+            "Requests without a final answer",
+            registry=self.registry,
+        )
+
+    def count_answer(self, route: str, outcome: str) -> None:
+        """Count a final answer."""
+        self._requests.labels(route, outcome).inc()
+
+    def count_retry(self, service: str) -> None:
+        """Count a further attempt."""
+        self._retries.labels(service).inc()
+
+    def observe_first_byte(self, service: str, latency: timedelta) -> None:
+        """Record the time to a first byte."""
+        self._latency.labels(service).observe(latency.total_seconds())
+
+    def set_config(self, version: int) -> None:
+        """Record the configuration in force."""
+        self._config.set(version)
+
+    def set_in_progress(self, count: int) -> None:
+        """Record the requests in progress."""
+        self._in_progress.set(count)
+
+    def text(self) -> bytes:
+        """Return all values in the text format."""
+        return generate_latest(self.registry)
+
+
+class MetricsRequest(http.Request):
+    """Answers a reader of the metrics."""
+
+    def process(self) -> None:
+        """Answer with the text of all metrics."""
+        body = self.channel.factory.handle() if self.path == PATH else b""
+        self.setResponseCode(200 if self.path == PATH else 404)
+        self.setHeader(b"content-type", CONTENT_TYPE_LATEST.encode())
+        self.setHeader(b"content-length", b"%d" % len(body))
+        self.write(body)
+        self.finish()
+
+
+class MetricsChannel(http.HTTPChannel):
+    """A connection of a reader."""
+
+    requestFactory = MetricsRequest
+
+
+class MetricsFactory(http.HTTPFactory):
+    """Accepts readers of the metrics.
+
+    Parameters
+    ----------
+    handle : callable
+        Returns the text.
+    """
+
+    noisy = False
+    protocol = MetricsChannel
+
+    def __init__(self, reactor: Any, handle: Any) -> None:
+        super().__init__(reactor=reactor)
+        self.handle = handle
+
+    def log(self, request: http.Request) -> None:
+        """Write no access log."""
--- a/banyansail/gateway/router.py
+++ b/banyansail/gateway/router.py
@@ -31,6 +31,7 @@
     ReadyFactory,
 )
 from banyansail.gateway.messages import CallerCall, Cause, Rejection
+from banyansail.gateway.metrics import MetricsFactory
 from banyansail.gateway.mirror import Mirror
 from banyansail.gateway.move_keeper import MoveKeeper
 from banyansail.gateway.peers import PeerTable
@@ -166,6 +167,7 @@
             self._tell_deaths,
         )
         self._callers = GatewayFactory(self._reactor, self._handle)
+        self._readers = MetricsFactory(self._reactor, self._metrics_text)
         self._balancer = ReadyFactory(self._reactor, lambda: self.is_ready)
 
     def _build_platform(self) -> None:
@@ -232,6 +234,9 @@
             listen(settings.peer.port, self._peer_server, interface=settings.peer.host),
             listen(settings.listen.port, self._callers, BACKLOG, settings.listen.host),
             listen(settings.ready.port, self._balancer, BACKLOG, settings.ready.host),
+            listen(
+                settings.metrics.port, self._readers, BACKLOG, settings.metrics.host
+            ),
         ]
         super().startService()
 
@@ -254,6 +259,12 @@
             port.stopListening()
         log_event("stopped", in_progress=len(self._exchanges))
 
+    def _metrics_text(self) -> bytes:
+        metrics = self.context.metrics
+        metrics.set_config(self.site.version)
+        metrics.set_in_progress(len(self._exchanges))
+        return metrics.text()
+
     def _pause(self, duration: timedelta) -> defer.Deferred[None]:
         return task.deferLater(self._reactor, duration.total_seconds())
 
@@ -274,6 +285,7 @@
             return
         admitted = self._admit(call)
         if isinstance(admitted, Rejection):
+            self.context.metrics.count_answer("", admitted.cause.value)
             log_decision(
                 "reject",
                 admitted.detail,
--- a/tests/gateway/live_gateway.py
+++ b/tests/gateway/live_gateway.py
@@ -143,6 +143,7 @@
             lease=timedelta(seconds=3),
             expose_share=0.1,
             expose_slack=50,
+            metrics=address(),
         )
 
     def _stop(self):
--- a/tests/gateway/test_live_requests.py
+++ b/tests/gateway/test_live_requests.py
@@ -175,3 +175,16 @@
         path = f"/orders/{number}"
         status, _, body = live.call("POST", path, b"x", connection=connection)
         assert (status, body) == (200, f"POST {path} x".encode())
+
+
+def test_metrics_tell_what_was_answered(live):
+    live.call("GET", "/stock/1")
+    live.call("GET", "/none/1")
+    address = live.gateway.settings.metrics
+    connection = http.client.HTTPConnection(address.host, address.port, timeout=5)
+    connection.request("GET", "/metrics")
+    text = connection.getresponse().read().decode()
+    assert 'outcome="upstream_200",route="stock"} 1.0' in text
+    assert 'outcome="no_route",route=""} 1.0' in text
+    assert 'banyansail_first_byte_seconds_count{service="depot"} 1.0' in text
+    assert "banyansail_config_version 1.0" in text
