Keep the first replicas until the load is known; let engines read for 0.3 of their time

The logs showed one engine taking ten seconds for a short stream: while an engine reads prompts without a pause, each of its steps takes a chunk's time, and its streams crawl. Before traffic the need was taken for one engine, so that the five first replicas were given back for four cold ones. Ruled out: single upstreams that break streams; the rejections by upstream are even. Change: what the operators started counts as the need for 8 s of traffic; reading may take 0.3 of an engine's time (0.5 before); 60% of the need is urgent.

--- a/banyansail/gateway/scaler.py
+++ b/banyansail/gateway/scaler.py
@@ -26,6 +26,7 @@
 REFUSED_PAUSE = timedelta(seconds=4)
 REPEAT_AFTER = timedelta(seconds=10)  # an order that did not show is given again
 RATE_TIME = timedelta(seconds=4)
+LEARN_TIME = timedelta(seconds=8)  # of traffic, until its load is known
 HIGH_TIME = timedelta(seconds=15)  # the need of the last while is kept
 MS_PER_S = 1000
 REFUSED_STATUS = 409
@@ -68,6 +69,8 @@
         self._peers = peers
         self._rate_by_service: dict[str, _Rate] = {}
         self._needs_by_service: dict[str, list[tuple[timedelta, int]]] = {}
+        self._served_since: dict[str, timedelta] = {}
+        self._started_with: dict[str, int] = {}
         self._ordered: dict[Place, tuple[int, timedelta]] = {}
         self._refused_at: dict[Place, timedelta] = {}
 
@@ -100,7 +103,17 @@
         read_rate = state.pace.tokens_per_ms * MS_PER_S
         demand = Demand(rate.update(total, now), running, read_rate)
         needs = self._needs_by_service.setdefault(service.name, [])
-        needs.append((now, engines_needed(demand, service.engine)))
+        needed = engines_needed(demand, service.engine)
+        if total > 0:
+            self._served_since.setdefault(service.name, now)
+        first = self._served_since.get(service.name, now)
+        if now - first < LEARN_TIME:
+            # The load is not known yet: what the operators started has to do.
+            on_demand = sum(not load.upstream.is_reclaimable for load in loads)
+            most = max(on_demand, self._started_with.get(service.name, 0))
+            self._started_with[service.name] = most
+            needed = max(needed, most)
+        needs.append((now, needed))
         needs[:] = [item for item in needs if now - item[0] <= HIGH_TIME]
         return max(need for _, need in needs)
 
--- a/banyansail/gateway/scaling.py
+++ b/banyansail/gateway/scaling.py
@@ -17,7 +17,7 @@
     from banyansail.gateway.site import EngineSpec, ScalingSpec
 
 LOST_ZONES = 2  # whose replicas may be taken away together
-READING_SHARE = 0.5  # of an engine's time that may go into reading prompts
+READING_SHARE = 0.3  # of an engine's time; while it reads, its streams crawl
 RUNNING_SHARE = 0.35  # of an engine's slots that may be taken
 URGENT_SHARE = 0.6  # of the need, below which reclaimable ones are not waited for
 
@@ -91,8 +91,7 @@
     is_scarce = any(is_reclaimable for _, is_reclaimable in refused)
     ready = _lasting(replicas_by_zone, is_scarce)
     on_demand = _keep(max(0, needed - ready), zones, spec, replicas_by_zone)
-    share = 1.0 if is_scarce else URGENT_SHARE
-    urgent = math.ceil(needed * share) - ready - sum(on_demand.values())
+    urgent = math.ceil(needed * URGENT_SHARE) - ready - sum(on_demand.values())
     _add(urgent, on_demand, zones, spec, replicas_by_zone, refused)
     orders = []
     for zone in zones:
