--- /dev/null
+++ b/tests/gateway/test_scaler.py
@@ -0,0 +1,125 @@
+from __future__ import annotations
+
+from datetime import timedelta
+from random import Random
+
+from banyansail.config.fields import Address
+from banyansail.exceptions import PlatformUnavailableError
+from banyansail.gateway.dispatch import Dispatcher
+from banyansail.gateway.peers import PeerTable
+from banyansail.gateway.scaler import REFUSED_PAUSE, Scaler
+from tests.fakes import FakeClock, run_now
+from tests.gateway.builders import SCALING, site, upstream
+
+ZONES = list(SCALING.price_by_zone)
+
+
+class FakeCloud:
+    """Takes orders; `status` answers them, `is_down` fails them."""
+
+    def __init__(self) -> None:
+        self.orders: list[tuple[str, bool, int]] = []
+        self.status = 200
+        self.is_down = False
+
+    async def order_replicas(self, service, zone, wanted, fence, *, reclaimable):
+        if self.is_down:
+            raise PlatformUnavailableError("down")
+        self.orders.append((zone, reclaimable, wanted))
+        return self.status
+
+
+class FakeLease:
+    def __init__(self) -> None:
+        self.is_held = True
+
+    def fence(self):
+        return 1 if self.is_held else None
+
+
+class Fleet:
+    """A scaler over engines that the test announces."""
+
+    def __init__(self) -> None:
+        self.clock = FakeClock()
+        self.cloud = FakeCloud()
+        self.lease = FakeLease()
+        self.dispatcher = Dispatcher("a", self.clock, Random(1))
+        peers = PeerTable("r", self.clock)
+        self.scaler = Scaler(self.clock, self.cloud, self.lease, self.dispatcher, peers)
+        self.site = site()
+
+    def announce(self, on_demand=0, reclaimable=0):
+        engines = [
+            upstream(
+                f"{'s' if index < reclaimable else 'd'}{index}",
+                "engines",
+                zone=ZONES[index % len(ZONES)],
+                address=Address("10.0.0.1", 2000 + index),
+                is_reclaimable=index < reclaimable,
+            )
+            for index in range(reclaimable + on_demand)
+        ]
+        self.dispatcher.apply_upstreams(engines, self.site)
+
+    def scale(self, seconds=1):
+        for _ in range(seconds):
+            self.clock.advance(1)
+            run_now(self.scaler.scale(self.site))
+        orders, self.cloud.orders = self.cloud.orders, []
+        return orders
+
+
+def on_demand(orders):
+    return sum(wanted for _, reclaimable, wanted in orders if not reclaimable)
+
+
+def test_the_first_replicas_stay_while_the_load_is_not_known():
+    fleet = Fleet()
+    fleet.announce(on_demand=5)
+    first = fleet.scale(3)
+    assert [order for order in first if not order[1]] == []
+    room = SCALING.maximum * len(ZONES) - 5
+    assert sum(wanted for _, reclaimable, wanted in first if reclaimable) == room
+    # Fewer reclaimable engines than there were replicas do not end these.
+    fleet.announce(on_demand=4, reclaimable=4)
+    assert on_demand(fleet.scale(3)) <= 4
+    fleet.announce(on_demand=5, reclaimable=8)
+    assert {order for order in fleet.scale(3) if not order[1]} == {
+        (zone, False, 0) for zone in ZONES
+    }
+
+
+def test_an_order_is_given_once():
+    fleet = Fleet()
+    fleet.announce(on_demand=5)
+    assert fleet.scale()
+    assert fleet.scale() == []
+
+
+def test_a_refused_order_waits():
+    fleet = Fleet()
+    fleet.announce(on_demand=5)
+    fleet.cloud.status = 409
+    refused = len(fleet.scale())
+    assert refused
+    assert not [order for order in fleet.scale(2) if order[1]]
+    fleet.cloud.status = 200
+    seconds = int(REFUSED_PAUSE / timedelta(seconds=1)) + 1
+    assert [order for order in fleet.scale(seconds) if order[1]]
+
+
+def test_nobody_but_the_holder_orders():
+    fleet = Fleet()
+    fleet.announce(on_demand=5)
+    fleet.lease.is_held = False
+    assert fleet.scale(5) == []
+
+
+def test_an_order_that_was_not_sent_is_given_again():
+    fleet = Fleet()
+    fleet.announce(on_demand=5)
+    fleet.cloud.is_down = True
+    assert fleet.scale(2) == []
+    fleet.cloud.is_down = False
+    assert fleet.scale()
