Move what decides out of the adapter's folder

banyansail/platform/ held the lease, the budget of calls, the statements and the client of a guessed object API beside the adapter. They are banyansail/coordination/ now, so that the adapter's folder translates and nothing else. Moved by name only; tests of coordination, platform, gateway requests and proofs pass (141).

--- a/banyansail/commands/remote.py
+++ b/banyansail/commands/remote.py
@@ -12,9 +12,9 @@
 from banyansail.clock import SystemClock
 from banyansail.config.fields import parse_address
 from banyansail.config.findings import Finding
+from banyansail.coordination.budget import CallBudget
+from banyansail.coordination.client import PlatformClient
 from banyansail.exceptions import ConfigError, PlatformUnavailableError
-from banyansail.platform.budget import CallBudget
-from banyansail.platform.client import PlatformClient
 
 Outcome = TypeVar("Outcome")
 
--- a/banyansail/commands/rollout.py
+++ b/banyansail/commands/rollout.py
@@ -11,8 +11,8 @@
 from banyansail.commands.table import format_table
 from banyansail.config.rule_parser import parse_rules
 from banyansail.config.rule_store import read_rules
-from banyansail.platform.budget import CallKind
-from banyansail.platform.statements import settle_statement
+from banyansail.coordination.budget import CallKind
+from banyansail.coordination.statements import settle_statement
 from banyansail.rollout.status import (
     MoveState,
     MoveStatement,
@@ -23,7 +23,7 @@
 
 if TYPE_CHECKING:
     from banyansail.config.rules import RolloutRule
-    from banyansail.platform.client import PlatformClient
+    from banyansail.coordination.client import PlatformClient
 
 
 def run(arguments: dict[str, Any]) -> int:
--- a/banyansail/commands/rules.py
+++ b/banyansail/commands/rules.py
@@ -24,7 +24,7 @@
 from banyansail.exceptions import ConfigError
 
 if TYPE_CHECKING:
-    from banyansail.platform.client import PlatformClient
+    from banyansail.coordination.client import PlatformClient
 
 
 def run(arguments: dict[str, Any]) -> int:
--- a/banyansail/config/rule_store.py
+++ b/banyansail/config/rule_store.py
@@ -8,11 +8,11 @@
 from datetime import datetime
 from typing import TYPE_CHECKING, Any
 
+from banyansail.coordination.budget import CallKind
 from banyansail.exceptions import ConflictError, PlatformUnavailableError
-from banyansail.platform.budget import CallKind
 
 if TYPE_CHECKING:
-    from banyansail.platform.client import PlatformClient
+    from banyansail.coordination.client import PlatformClient
 
 RULES_KEY = "rules"
 MAX_HISTORY = 20
--- a/banyansail/platform/client.py
+++ b/banyansail/coordination/client.py
@@ -16,8 +16,8 @@
 from twisted.web.http_headers import Headers
 from twisted.web.iweb import IResponse
 
+from banyansail.coordination.budget import CallBudget, CallKind
 from banyansail.exceptions import ConflictError, PlatformUnavailableError
-from banyansail.platform.budget import CallBudget, CallKind
 from banyansail.upstreams.body import JsonBody
 from banyansail.upstreams.link import AttemptError, read_whole
 
--- a/banyansail/platform/lease.py
+++ b/banyansail/coordination/lease.py
@@ -15,8 +15,8 @@
 
 if TYPE_CHECKING:
     from banyansail.clock import Clock
-    from banyansail.platform.budget import CallKind
-    from banyansail.platform.client import PlatformClient
+    from banyansail.coordination.budget import CallKind
+    from banyansail.coordination.client import PlatformClient
 
 LEASE_TIME = timedelta(seconds=6)
 RENEW_TIME = timedelta(seconds=2)
--- a/banyansail/platform/statements.py
+++ b/banyansail/coordination/statements.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from banyansail.platform.budget import CallKind
+from banyansail.coordination.budget import CallKind
 from banyansail.rollout.status import (
     MoveStatement,
     decode_statement,
@@ -14,7 +14,7 @@
 )
 
 if TYPE_CHECKING:
-    from banyansail.platform.client import PlatformClient
+    from banyansail.coordination.client import PlatformClient
 
 
 async def settle_statement(
--- a/banyansail/demo/site.py
+++ b/banyansail/demo/site.py
@@ -12,8 +12,8 @@
 from banyansail.config.fields import Address
 from banyansail.config.rule_store import apply_rules
 from banyansail.config.settings import Settings
-from banyansail.platform.budget import CallBudget
-from banyansail.platform.client import PlatformClient
+from banyansail.coordination.budget import CallBudget
+from banyansail.coordination.client import PlatformClient
 from banyansail.router.router import Router
 from banyansail.standins.engine_state import EngineOptions
 from banyansail.standins.platform_state import PlatformState
--- a/banyansail/ledger/archive.py
+++ b/banyansail/ledger/archive.py
@@ -8,6 +8,7 @@
 from datetime import datetime
 from typing import TYPE_CHECKING
 
+from banyansail.coordination.budget import CallKind
 from banyansail.exceptions import ConflictError, PlatformUnavailableError
 from banyansail.ledger.codec import decode_segment, encode_segment
 from banyansail.ledger.key_index import (
@@ -19,13 +20,12 @@
     hash_key,
 )
 from banyansail.ledger.records import unexpired
-from banyansail.platform.budget import CallKind
 
 if TYPE_CHECKING:
     from typing import Any
 
+    from banyansail.coordination.client import PlatformClient
     from banyansail.ledger.records import Record, ShardRecords
-    from banyansail.platform.client import PlatformClient
 
 MAX_LISTED_SEGMENTS = 32  # more of them in a head are moved to a page
 MAX_PAGE_KEYS = 100_000
--- a/banyansail/ledger/client.py
+++ b/banyansail/ledger/client.py
@@ -14,7 +14,7 @@
 
 if TYPE_CHECKING:
     from banyansail.clock import Clock
-    from banyansail.platform.client import PlatformClient
+    from banyansail.coordination.client import PlatformClient
 
 SHARDS = 8
 # The second owner had the shard before the first one came, or reads it in now.
--- a/banyansail/ledger/committer.py
+++ b/banyansail/ledger/committer.py
@@ -8,6 +8,7 @@
 
 from twisted.internet import defer, task
 
+from banyansail.coordination.budget import CallKind
 from banyansail.exceptions import ConflictError, PlatformUnavailableError
 from banyansail.ledger.archive import ShardArchive
 from banyansail.ledger.codec import decode_records, encode_records
@@ -19,11 +20,10 @@
     ShardRecords,
     StartKey,
 )
-from banyansail.platform.budget import CallKind
 
 if TYPE_CHECKING:
     from banyansail.clock import Clock
-    from banyansail.platform.client import PlatformClient, StoredObject
+    from banyansail.coordination.client import PlatformClient, StoredObject
 
 GROUP_WINDOW = timedelta(milliseconds=25)  # least time between writes of a shard
 OUTCOME_DELAY = timedelta(milliseconds=500)  # outcomes wait for company this long
--- a/banyansail/platform/__init__.py
+++ b/banyansail/platform/__init__.py
@@ -1,1 +1,1 @@
-"""Client of the platform: object API, cloud API and list of instances."""
+"""Adapter to the users' platform: decodes its wire into our types, decides nothing."""
--- a/banyansail/router/catalog.py
+++ b/banyansail/router/catalog.py
@@ -16,10 +16,10 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from banyansail.coordination.client import PlatformClient
     from banyansail.fleet.duties import Duties
     from banyansail.fleet.gossiper import Gossiper
     from banyansail.fleet.peer_calls import PeerCaller
-    from banyansail.platform.client import PlatformClient
 
 INSTANCES_DOCUMENT = "instances"
 DEFAULT_NOTICE = timedelta(seconds=2)
--- a/banyansail/router/placements.py
+++ b/banyansail/router/placements.py
@@ -9,6 +9,8 @@
 from twisted.internet import defer
 
 from banyansail.config.rules import InstanceClass, PlacementRule, ServiceKind
+from banyansail.coordination.budget import CallKind
+from banyansail.coordination.lease import LEASE_TIME, Held, Lease
 from banyansail.log import log_decision, log_event
 from banyansail.placement.backoff import RefusedPlaces
 from banyansail.placement.demand import Demand
@@ -28,14 +30,12 @@
     StopInstance,
     plan_actions,
 )
-from banyansail.platform.budget import CallKind
-from banyansail.platform.lease import LEASE_TIME, Held, Lease
 
 if TYPE_CHECKING:
     from banyansail.clock import Clock
     from banyansail.config.rules import RuleSet
+    from banyansail.coordination.client import PlatformClient
     from banyansail.fleet.duties import Duties
-    from banyansail.platform.client import PlatformClient
     from banyansail.routing.dispatch import Dispatcher
     from banyansail.upstreams.links import LinkTable
 
--- a/banyansail/router/rollouts.py
+++ b/banyansail/router/rollouts.py
@@ -18,10 +18,10 @@
 if TYPE_CHECKING:
     from banyansail.clock import Clock
     from banyansail.config.rules import RuleSet
+    from banyansail.coordination.client import PlatformClient
     from banyansail.fleet.duties import Duties
     from banyansail.fleet.gossiper import Gossiper
     from banyansail.fleet.view import FleetView
-    from banyansail.platform.client import PlatformClient
     from banyansail.router.evidence_exchange import EvidenceExchange
     from banyansail.routing.dispatch import Dispatcher
 
--- a/banyansail/router/router.py
+++ b/banyansail/router/router.py
@@ -10,6 +10,8 @@
 from twisted.internet import defer
 
 from banyansail.clock import Clock, SystemClock
+from banyansail.coordination.budget import CallBudget
+from banyansail.coordination.client import PlatformClient
 from banyansail.exceptions import WireError
 from banyansail.fleet.datagrams import GossipProtocol
 from banyansail.fleet.duties import Duties
@@ -19,8 +21,6 @@
 from banyansail.fleet.view import FleetView
 from banyansail.ledger.client import LedgerClient
 from banyansail.metrics import Metrics
-from banyansail.platform.budget import CallBudget
-from banyansail.platform.client import PlatformClient
 from banyansail.rollout.evidence import EvidenceRecorder
 from banyansail.router.catalog import Catalog
 from banyansail.router.context import ExchangeContext
--- a/banyansail/router/rules_keeper.py
+++ b/banyansail/router/rules_keeper.py
@@ -9,19 +9,19 @@
 from banyansail.config.rule_parser import parse_rules
 from banyansail.config.rule_store import RULES_KEY
 from banyansail.config.rules import RuleSet
+from banyansail.coordination.budget import CallKind
 from banyansail.exceptions import WireError
 from banyansail.log import log_event
-from banyansail.platform.budget import CallKind
 from banyansail.wire.call_codec import Document, FetchDocument
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from banyansail.clock import Clock
+    from banyansail.coordination.client import PlatformClient, StoredObject
     from banyansail.fleet.duties import Duties
     from banyansail.fleet.gossiper import Gossiper
     from banyansail.fleet.peer_calls import PeerCaller
-    from banyansail.platform.client import PlatformClient, StoredObject
 
 RULES_DOCUMENT = "rules"
 
--- a/banyansail/router/statements.py
+++ b/banyansail/router/statements.py
@@ -4,9 +4,9 @@
 
 from typing import TYPE_CHECKING, Any
 
+from banyansail.coordination.budget import CallKind
+from banyansail.coordination.statements import settle_statement
 from banyansail.log import log_decision
-from banyansail.platform.budget import CallKind
-from banyansail.platform.statements import settle_statement
 from banyansail.rollout.planner import MovePlanner
 from banyansail.rollout.status import (
     MoveState,
@@ -20,7 +20,7 @@
 if TYPE_CHECKING:
     from banyansail.clock import Clock
     from banyansail.config.rules import RolloutRule
-    from banyansail.platform.client import PlatformClient
+    from banyansail.coordination.client import PlatformClient
     from banyansail.rollout.schedule import PlannedShare
 
 
--- a/banyansail/router/supervisor.py
+++ b/banyansail/router/supervisor.py
@@ -8,8 +8,8 @@
 from twisted.application.service import MultiService, Service
 from twisted.internet import defer, task
 
+from banyansail.coordination.budget import Backoff
 from banyansail.log import log_event
-from banyansail.platform.budget import Backoff
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Coroutine
--- a/tests/platform/test_lease.py
+++ b/tests/coordination/test_lease.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
-from banyansail.platform.budget import CallKind
-from banyansail.platform.lease import LEASE_TIME, Lease
+from banyansail.coordination.budget import CallKind
+from banyansail.coordination.lease import LEASE_TIME, Lease
 from tests.fakes import FakeClock, FakePlatform, run_now
 
 
--- a/tests/platform/test_recovery.py
+++ b/tests/coordination/test_recovery.py
@@ -6,7 +6,7 @@
 from datetime import timedelta
 from random import Random
 
-from banyansail.platform.budget import Backoff, CallBudget, CallKind
+from banyansail.coordination.budget import Backoff, CallBudget, CallKind
 from tests.fakes import FakeClock
 from tests.live import LiveSite
 from tests.processes import wait_until
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -4,8 +4,8 @@
 
 from datetime import UTC, datetime, timedelta
 
+from banyansail.coordination.client import StoredObject
 from banyansail.exceptions import ConflictError, PlatformUnavailableError
-from banyansail.platform.client import StoredObject
 
 START = datetime(2026, 12, 3, 12, tzinfo=UTC)
 
--- a/tests/ledger/test_committer.py
+++ b/tests/ledger/test_committer.py
@@ -6,6 +6,7 @@
 from hypothesis import strategies as st
 from twisted.internet.task import Clock as TwistedClock
 
+from banyansail.coordination.budget import CallBudget
 from banyansail.ledger.codec import decode_records
 from banyansail.ledger.committer import ShardCommitter
 from banyansail.ledger.records import (
@@ -16,7 +17,6 @@
     Started,
     StartKey,
 )
-from banyansail.platform.budget import CallBudget
 from tests.fakes import FakeClock, FakePlatform
 
 ANSWER = KeptAnswer(200, "text/plain", "done")
