--- /dev/null
+++ b/tests/config/test_gateway_settings.py
@@ -0,0 +1,79 @@
+from __future__ import annotations
+
+from pathlib import Path
+
+import pytest
+import yaml
+
+from banyansail.config.fields import Address
+from banyansail.config.gateway_settings import (
+    PARSER_BY_NAME,
+    load_gateway_settings,
+    parse_gateway_settings,
+)
+from banyansail.exceptions import ConfigError
+
+ROOT = Path(__file__).parents[2]
+GOOD = """\
+name: front-1
+zone: glasgow
+region: scotland
+listen: 10.0.0.1:80
+ready: 10.0.0.1:81
+peer: 10.0.0.1:82
+metrics: 10.0.0.1:83
+seeds: ["10.0.0.1:99", "10.0.0.2:99"]
+store: 10.0.1.1:80
+cloud: 10.0.1.2:80
+shared_key: banyansail-fleet
+grace_s: 8
+drain_ms: 2000
+contact_ms: 3000
+retry_ratio: 0.2
+retry_slack: 58
+retry_window_s: 10
+usage_window_s: 5
+usage_late_s: 10
+lease_ms: 3000
+expose_share: 0.1
+expose_slack: 50
+"""
+
+
+def test_good_settings_are_read_with_their_units():
+    settings = parse_gateway_settings(GOOD, "f")
+    assert settings.peer == Address("10.0.0.1", 82)
+    assert settings.seeds == ("10.0.0.1", "10.0.0.2")
+    assert settings.grace.total_seconds() == 8
+    assert settings.drain.total_seconds() == 2
+
+
+def test_all_findings_are_told_with_their_places():
+    text = GOOD.replace("ready: 10.0.0.1:81", "ready: nowhere")
+    text = text.replace("grace_s: 8", "grace: 8")
+    with pytest.raises(ConfigError) as caught:
+        parse_gateway_settings(text, "f")
+    places = {(item.line, item.message.split("'")[1]) for item in caught.value.findings}
+    assert places == {(5, "ready"), (12, "grace"), (1, "grace_s")}
+
+
+@pytest.mark.parametrize("text", ["[1, 2]", "a: [", ""])
+def test_what_is_no_mapping_is_a_finding(text):
+    with pytest.raises(ConfigError):
+        parse_gateway_settings(text, "f")
+
+
+def test_a_file_that_is_missing_is_a_finding(tmp_path):
+    with pytest.raises(ConfigError):
+        load_gateway_settings(str(tmp_path / "none"))
+
+
+def test_the_template_gives_every_setting():
+    template = (ROOT / "deploy" / "router.yaml").read_text(encoding="utf-8")
+    given = {line.partition(":")[0] for line in template.splitlines()}
+    assert given == PARSER_BY_NAME.keys() == yaml.safe_load(GOOD).keys()
+
+
+def test_the_guide_names_every_setting():
+    page = (ROOT / "docs" / "user-guide" / "gateway.md").read_text(encoding="utf-8")
+    assert not [name for name in PARSER_BY_NAME if f"`{name}`" not in page]
