Give no new work to one upstream that is gone after a cut of the router

Ruled out: the watch, which was back in time. Change: an entry that is gone while most of its service stay gets no new work; if most are gone they are used until they are back, as before. The new tests failed before.

--- a/banyansail/gateway/mirror.py
+++ b/banyansail/gateway/mirror.py
@@ -58,6 +58,11 @@
         """Whether the store answered the latest call."""
         return self.at is not None and self._failed_since is None
 
+    @property
+    def lapsed_names(self) -> set[str]:
+        """Names of entries that are gone and may come back after an outage."""
+        return set(self._lapsed_at)
+
     def seed(self, objects: list[StoredObject]) -> None:
         """Take objects that another router knows, until the store is reached."""
         if self.at is not None:
@@ -116,7 +121,7 @@
                 self.object_by_name[name] = change.stored
         self.at = max(at, self.at)
         if changes:
-            self._on_change(self)
+            self._on_change(self)  # also if an entry is held, as it is doubtful then
 
     def _remove(self, name: str) -> None:
         """Drop an entry, or hold it for a while if an outage may have ended it."""
--- a/banyansail/gateway/upstream_table.py
+++ b/banyansail/gateway/upstream_table.py
@@ -43,14 +43,15 @@
                 found.append(decode_upstream(stored.name, stored.spec))
             except WireError as error:
                 log_event("upstream_unreadable", error=error.message)
-        return [self._with_mark(upstream) for upstream in found]
+        doubtful = self._doubtful(found)
+        return [self._with_mark(upstream, doubtful) for upstream in found]
 
     def own_marks(self, upstreams: list[Upstream]) -> bytes:
         """Return the encoded marks of those that leave."""
         marks = {
             _mark_of(upstream): timedelta(0)
             for upstream in upstreams
-            if upstream.is_leaving
+            if upstream.is_leaving and upstream.id not in self.mirror.lapsed_names
         }
         self._leaving_marks |= marks.keys()
         return encode_leaving(marks)
@@ -84,9 +85,23 @@
         log_event("upstreams_from_peer", peer=source, count=len(specs))
         self.mirror.seed([StoredObject(name, 0, spec) for name, spec in specs.items()])
 
-    def _with_mark(self, upstream: Upstream) -> Upstream:
+    def _doubtful(self, upstreams: list[Upstream]) -> set[str]:
+        """Return those that are gone from the store while most of their service stay.
+
+        If most are gone, the store has lost them in an outage and they may come back.
+        """
+        gone = self.mirror.lapsed_names
+        doubtful = set()
+        for service in {item.service for item in upstreams if item.id in gone}:
+            names = {item.id for item in upstreams if item.service == service}
+            if len(names & gone) * 2 < len(names):
+                doubtful |= names & gone
+        return doubtful
+
+    def _with_mark(self, upstream: Upstream, doubtful: set[str]) -> Upstream:
         """Take an upstream for leaving once any router has heard that it is."""
-        if upstream.is_leaving or _mark_of(upstream) not in self._leaving_marks:
+        is_marked = _mark_of(upstream) in self._leaving_marks
+        if upstream.is_leaving or not (is_marked or upstream.id in doubtful):
             return upstream
         return replace(upstream, is_leaving=True)
 
