Remove counters and a property that nothing reads

Found by reading the change again: connections, pools and the store counted what no code reads, the mirror had a property without a caller, and http_call named its exports as no other module does. Behaviour is as it was; tests of gateway, platform and config pass, lint is clean.

--- a/banyansail/gateway/mirror.py
+++ b/banyansail/gateway/mirror.py
@@ -53,11 +53,6 @@
         self.at: int | None = None
         self.object_by_name: dict[str, StoredObject] = {}
 
-    @property
-    def is_reached(self) -> bool:
-        """Whether the store answered the latest call."""
-        return self.at is not None and self._failed_since is None
-
     @property
     def lapsed_names(self) -> set[str]:
         """Names of entries that are gone and may come back after an outage."""
--- a/banyansail/platform/store.py
+++ b/banyansail/platform/store.py
@@ -73,7 +73,6 @@
 
     def __init__(self, reactor: Any, clock: Clock, address: Address) -> None:
         self._caller = HttpCaller(reactor, clock, address)
-        self.calls = 0
         self._watches: set[defer.Deferred[HttpAnswer]] = set()
 
     def close(self) -> None:
@@ -206,7 +205,6 @@
         timeout: timedelta = CALL_TIMEOUT,
         **options: Any,
     ) -> HttpAnswer:
-        self.calls += 1
         try:
             return await self._caller.call(method, target, timeout, **options)
         except ConnectFailedError as error:
--- a/banyansail/upstreams/connection.py
+++ b/banyansail/upstreams/connection.py
@@ -76,7 +76,6 @@
         self._is_skipping = False
         self._must_close = False
         self.is_closed = False
-        self.exchanges = 0
         self.idle_since: timedelta = clock.monotonic()
         self.keep_alive_s: float | None = None
 
@@ -101,7 +100,6 @@
     ) -> None:
         """Send a request."""
         self._receiver = receiver
-        self.exchanges += 1
         self._request = h11.Request(method=method, target=target, headers=headers)
         data = self._parser.send(self._request)
         if body:
--- a/banyansail/upstreams/http_call.py
+++ b/banyansail/upstreams/http_call.py
@@ -8,7 +8,7 @@
 
 from twisted.internet import defer
 
-from banyansail.exceptions import ConnectFailedError, PlatformUnavailableError
+from banyansail.exceptions import PlatformUnavailableError
 from banyansail.upstreams.pool import ConnectionPool
 
 if TYPE_CHECKING:
@@ -149,6 +149,3 @@
         except defer.CancelledError:
             connection.abort()
             raise
-
-
-__all__ = ["ConnectFailedError", "HttpAnswer", "HttpCaller"]
--- a/banyansail/upstreams/pool.py
+++ b/banyansail/upstreams/pool.py
@@ -40,7 +40,6 @@
         self._idle: list[HttpConnection] = []
         self._open: set[HttpConnection] = set()
         self._is_closed = False
-        self.opened = 0
 
     def take_idle(self) -> HttpConnection | None:
         """Return an idle connection that the server still keeps, or ``None``."""
@@ -64,7 +63,6 @@
             lambda: HttpConnection(self._clock, self._keep, self._open.discard)
         )
         factory.noisy = False
-        self.opened += 1
         connected = connect_tcp(self._reactor, self._address, factory)
         try:
             connection = await connected
