End a daemon that cannot listen, and give tests ports of their own

Cause: two tests of processes missed their set-up's time. Tests took ports that the kernel had just given out and freed again; before the program listened there, another worker or the near end of an outgoing connection could have it. Change: one daemon runner for router and gateway (they were near twins) logs start_failed and ends with status 1; tests take ports from a locked segment below those of outgoing connections; a start that fails is said at once.

test_operators_race_and_one_wins: both won when one had finished before the other read. Without an expected version that is allowed, as the later operator has seen the earlier rules; a new test says so. The race is now between two who start from the same version, which holds in every order, and a unit test plays both reading before either writes.

test_zones_reclaimed_in_a_wave_lose_no_request: the order had its 3 s. The deadline was an assertion on wall time; orders have 60 s in this file now, and all must still be answered 200 and run once.

--- /dev/null
+++ b/banyansail/daemon.py
@@ -0,0 +1,91 @@
+"""Runs a service in the reactor until a signal stops it."""
+
+from __future__ import annotations
+
+import signal
+import sys
+from typing import TYPE_CHECKING, Any, Protocol
+
+from twisted.internet import defer, reactor
+
+from banyansail.log import log_event
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Coroutine
+
+START_FAILED_STATUS = 1
+
+
+class Daemon(Protocol):
+    """What a process runs."""
+
+    def startService(self) -> None:
+        """Open the sockets and start the tasks."""
+
+    def stop_gracefully(self) -> Coroutine[Any, Any, None]:
+        """Finish what is in progress, then close the sockets."""
+
+
+def run_daemon(daemon: Daemon, name: str, reload: Callable[[], None]) -> None:
+    """Run a daemon; SIGTERM and SIGINT stop it gracefully, SIGHUP reloads it.
+
+    A daemon that cannot start, as another process has its port, ends the process
+    with `START_FAILED_STATUS`.
+
+    Parameters
+    ----------
+    daemon : Daemon
+        What is run.
+    name : str
+        Name for the log.
+    reload : callable
+        Called in the reactor's thread for each SIGHUP.
+    """
+    runner = _Runner(daemon, name, reload)
+    reactor.callWhenRunning(runner.start)
+    reactor.run(installSignalHandlers=False)
+    sys.exit(runner.status)
+
+
+class _Runner:
+    """Start, signals and end of one daemon."""
+
+    __slots__ = ("_daemon", "_is_stopping", "_name", "_reload", "status")
+
+    def __init__(self, daemon: Daemon, name: str, reload: Callable[[], None]) -> None:
+        self._daemon = daemon
+        self._name = name
+        self._reload = reload
+        self._is_stopping = False
+        self.status = 0
+
+    def start(self) -> None:
+        """Install the handlers of signals and start the daemon."""
+        for number in (signal.SIGTERM, signal.SIGINT):
+            signal.signal(number, self._on_stop)
+        signal.signal(signal.SIGHUP, self._on_reload)
+        try:
+            self._daemon.startService()
+        except Exception as error:  # nothing else would end a process without sockets
+            log_event("start_failed", router=self._name, error=str(error))
+            print(f"{self._name} cannot start: {error}", file=sys.stderr)
+            self.status = START_FAILED_STATUS
+            reactor.stop()
+            return
+        log_event("started", router=self._name)
+
+    def _on_stop(self, number: int, frame: Any) -> None:
+        if not self._is_stopping:
+            self._is_stopping = True
+            reactor.callFromThread(self._stop)
+
+    def _on_reload(self, number: int, frame: Any) -> None:
+        reactor.callFromThread(self._reload)
+
+    def _stop(self) -> None:
+        done = defer.Deferred.fromCoroutine(self._daemon.stop_gracefully())
+        done.addErrback(self._log_failed_stop)
+        done.addBoth(lambda result: reactor.stop())
+
+    def _log_failed_stop(self, failure: Any) -> None:
+        log_event("stop_failed", router=self._name, error=str(failure))
--- a/banyansail/demo/site.py
+++ b/banyansail/demo/site.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import socket
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from datetime import timedelta
 from random import Random
@@ -33,6 +34,19 @@
 OPERATOR_CALLS_PER_S = 200.0
 
 
+def pick_port() -> int:
+    """Return a port of loopback on which nothing listens, for TCP and UDP."""
+    while True:
+        with socket.socket() as tcp, socket.socket(type=socket.SOCK_DGRAM) as udp:
+            tcp.bind((LOOPBACK, 0))
+            port = tcp.getsockname()[1]
+            try:
+                udp.bind((LOOPBACK, port))
+            except OSError:
+                continue
+            return port
+
+
 @dataclass(slots=True)
 class LocalUpstream:
     """An engine or service of the site.
@@ -87,10 +101,13 @@
         Twisted's reactor.
     clock : Clock
         Source of time of the routers.
+    next_port : callable
+        Returns a free port of loopback for a router.
     """
 
     reactor: Any
     clock: Clock = field(default_factory=SystemClock)
+    next_port: Callable[[], int] = pick_port
     platform_state: PlatformState = field(default_factory=PlatformState)
     upstream_by_name: dict[str, LocalUpstream] = field(default_factory=dict)
     router_by_name: dict[str, Router] = field(default_factory=dict)
@@ -167,8 +184,8 @@
             name=name,
             zone=zone,
             region=region,
-            listen=Address(LOOPBACK, pick_port()),
-            peer=Address(LOOPBACK, pick_port()),
+            listen=Address(LOOPBACK, self.next_port()),
+            peer=Address(LOOPBACK, self.next_port()),
             platform=self.platform.address,
             shared_key=SHARED_KEY,
             peers=tuple(item.settings.peer for item in self.router_by_name.values()),
@@ -179,8 +196,16 @@
         router.startService()
         return router
 
-    async def apply_rules(self, lines: list[str], by: str = "operator") -> int:
-        """Have rules accepted, those of the upstreams included."""
+    async def apply_rules(
+        self, lines: list[str], by: str = "operator", expected: int | None = None
+    ) -> int:
+        """Have rules accepted, those of the upstreams included.
+
+        Parameters
+        ----------
+        expected : int or None
+            Version that must be in force; ``None`` for the one that is read now.
+        """
         named = [item.rule() for item in self.upstream_by_name.values()]
         self.applied += 1
         accepted = await apply_rules(
@@ -189,18 +214,6 @@
             by=by,
             writer=f"{by}/{self.applied}",
             at=self.clock.now(),
+            expected=expected,
         )
         return accepted.version
-
-
-def pick_port() -> int:
-    """Return a port of loopback on which nothing listens, for TCP and UDP."""
-    while True:
-        with socket.socket() as tcp, socket.socket(type=socket.SOCK_DGRAM) as udp:
-            tcp.bind((LOOPBACK, 0))
-            port = tcp.getsockname()[1]
-            try:
-                udp.bind((LOOPBACK, port))
-            except OSError:
-                continue
-            return port
--- a/banyansail/gateway/__main__.py
+++ b/banyansail/gateway/__main__.py
@@ -10,14 +10,13 @@
 
 from __future__ import annotations
 
-import signal
 import sys
-from typing import Any
 
 from docopt import docopt
-from twisted.internet import defer, reactor
+from twisted.internet import reactor
 
 from banyansail.config.gateway_settings import GatewaySettings, load_gateway_settings
+from banyansail.daemon import run_daemon
 from banyansail.exceptions import BanyansailError
 from banyansail.gateway.router import Gateway
 from banyansail.log import log_event, open_log
@@ -37,36 +36,10 @@
 
 
 def run(settings: GatewaySettings) -> None:
-    """Run a gateway; SIGTERM stops it gracefully, SIGHUP changes nothing yet."""
+    """Run a gateway; a SIGHUP changes nothing yet."""
+    name = settings.name
     gateway = Gateway(settings, reactor)
-    stopping: list[Any] = []
-
-    def start() -> None:
-        gateway.startService()
-        log_event("started", router=settings.name)
-
-    def stop(signum: int, frame: Any) -> None:
-        if not stopping:
-            stopping.append(signum)
-            reactor.callFromThread(_stop, gateway)
-
-    def reload(signum: int, frame: Any) -> None:
-        reactor.callFromThread(log_event, "reload", router=settings.name)
-
-    for number, handler in (
-        (signal.SIGTERM, stop),
-        (signal.SIGINT, stop),
-        (signal.SIGHUP, reload),
-    ):
-        reactor.callWhenRunning(signal.signal, number, handler)
-    reactor.callWhenRunning(start)
-    reactor.run(installSignalHandlers=False)
-
-
-def _stop(gateway: Gateway) -> None:
-    done = defer.Deferred.fromCoroutine(gateway.stop_gracefully())
-    done.addErrback(lambda failure: log_event("stop_failed", error=str(failure)))
-    done.addBoth(lambda result: reactor.stop())
+    run_daemon(gateway, name, lambda: log_event("reload", router=name))
 
 
 if __name__ == "__main__":
--- a/banyansail/router/__main__.py
+++ b/banyansail/router/__main__.py
@@ -11,14 +11,13 @@
 
 from __future__ import annotations
 
-import signal
 import sys
-from typing import Any
 
 from docopt import docopt
-from twisted.internet import defer, reactor
+from twisted.internet import reactor
 
 from banyansail.config.settings import Settings, load_settings
+from banyansail.daemon import run_daemon
 from banyansail.exceptions import BanyansailError
 from banyansail.log import log_event, open_log
 from banyansail.router.router import Router
@@ -38,25 +37,9 @@
 
 
 def run(settings: Settings) -> None:
-    """Run a router; SIGTERM and SIGINT stop it gracefully."""
+    """Run a router; a SIGHUP changes nothing, as rules come from the platform."""
     router = Router(settings, reactor)
-
-    def start() -> None:
-        router.startService()
-        log_event("started", router=router.router_id)
-
-    def stop(signum: int, frame: Any) -> None:
-        reactor.callFromThread(_stop, router)
-
-    reactor.callWhenRunning(start)
-    reactor.callWhenRunning(signal.signal, signal.SIGTERM, stop)
-    reactor.callWhenRunning(signal.signal, signal.SIGINT, stop)
-    reactor.run(installSignalHandlers=False)
-
-
-def _stop(router: Router) -> None:
-    done = defer.Deferred.fromCoroutine(router.stop_gracefully())
-    done.addBoth(lambda result: reactor.stop())
+    run_daemon(router, router.router_id, lambda: log_event("reload"))
 
 
 if __name__ == "__main__":
--- a/tests/config/test_rule_store.py
+++ b/tests/config/test_rule_store.py
@@ -44,6 +44,26 @@
     assert current.text == "two"
 
 
+def test_both_read_before_either_writes_and_one_wins(platform):
+    apply(platform, "one")
+    real_put = platform.put
+
+    async def put_after_another(key, body, expected, kind=None):
+        platform.put = real_put
+        await apply_rules(platform, "theirs", by="ewan", writer="ewan/1", at=START)
+        return await real_put(key, body, expected)
+
+    platform.put = put_after_another
+    with pytest.raises(LostRaceError, match="ewan applied version 2"):
+        apply(platform, "mine")
+    assert run_now(read_rules(platform))[0].text == "theirs"
+
+
+def test_one_after_the_other_without_an_expected_version_both_win(platform):
+    assert apply(platform, "one").version == 1
+    assert apply(platform, "two", by="ewan").version == 2
+
+
 def test_answer_lost_after_the_write_is_recognised(platform):
     platform.losses = [True]
     assert apply(platform, "one").version == 1
--- a/tests/gateway/live_gateway.py
+++ b/tests/gateway/live_gateway.py
@@ -15,7 +15,8 @@
 from banyansail.standins.store import StoreStandin
 from banyansail.standins.web import TrackingSite
 from tests.live import in_reactor, run_reactor
-from tests.processes import free_port, wait_until
+from tests.ports import free_port
+from tests.processes import wait_until
 
 HOST = "shop.example"
 KEY = "key-of-clerks"
