Write the log to standard output without ever blocking on it

Change: LogOutput writes whole lines to a non-blocking descriptor with a bounded rest; lines without room are counted, and their number is written once there is room. Tests: a reader that stops, comes back, leaves.

--- a/banyansail/log.py
+++ b/banyansail/log.py
@@ -9,6 +9,8 @@
 import eliot
 from twisted.logger import LogLevel, globalLogBeginner
 
+from banyansail.log_output import LogOutput
+
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
@@ -17,17 +19,19 @@
 
 @contextmanager
 def open_log(path: str | None) -> Iterator[None]:
-    """Write eliot messages to a file, or to standard error, while the block runs.
+    """Write eliot messages to a file, or to standard output, while the block runs.
 
     Parameters
     ----------
     path : str or None
-        File to append to; ``None`` or ``"-"`` means standard error.
+        File to append to; ``None`` or ``"-"`` means standard output.
     """
     globalLogBeginner.beginLoggingTo([_pass_on_error], redirectStandardIO=False)
     if path in (None, "-"):
-        destination = eliot.FileDestination(file=sys.stderr)
-        with _added(destination):
+        with (
+            LogOutput(sys.stdout.fileno()) as output,
+            _added(eliot.FileDestination(file=output)),
+        ):
             yield
         return
     with open(path, "a", encoding="utf-8", buffering=1) as file:
