--- a/banyansail/config/gateway_settings.py
+++ b/banyansail/config/gateway_settings.py
@@ -34,14 +34,18 @@
         From the signal to stop until the process is killed.
     retry_ratio, retry_slack, retry_window
         Bound of retries over the fleet.
+    quota_slack : float
+        Use beyond a quota that is tolerated in some seconds, in the quota's unit.
     usage_window : timedelta
         Length of a window of usage.
+    usage_late : timedelta
+        From the end of a window until its report is due.
     lease : timedelta
         How long a former holder of a duty may not act again.
     metrics : Address
         Where counters and histograms are served.
-    expose_share, expose_slack
-        Most that a bad version may get.
+    expose_share : float
+        Most of a service's requests that a bad version may get.
     """
 
     name: str
@@ -55,16 +59,14 @@
     cloud: Address
     shared_key: str
     grace: timedelta
-    drain: timedelta
-    contact: timedelta
     retry_ratio: float
     retry_slack: float
     retry_window: timedelta
+    quota_slack: float
     usage_window: timedelta
     usage_late: timedelta
     lease: timedelta
     expose_share: float
-    expose_slack: float
     metrics: Address
 
 
@@ -105,16 +107,14 @@
     "cloud": ("cloud", _address),
     "shared_key": ("shared_key", _text),
     "grace_s": ("grace", _seconds),
-    "drain_ms": ("drain", _milliseconds),
-    "contact_ms": ("contact", _milliseconds),
     "retry_ratio": ("retry_ratio", float),
     "retry_slack": ("retry_slack", float),
     "retry_window_s": ("retry_window", _seconds),
+    "quota_slack": ("quota_slack", float),
     "usage_window_s": ("usage_window", _seconds),
     "usage_late_s": ("usage_late", _seconds),
     "lease_ms": ("lease", _milliseconds),
     "expose_share": ("expose_share", float),
-    "expose_slack": ("expose_slack", float),
     "metrics": ("metrics", _address),
 }
 
--- a/banyansail/gateway/move_keeper.py
+++ b/banyansail/gateway/move_keeper.py
@@ -43,11 +43,19 @@
         Says whether this router makes the statements.
     dispatcher : Dispatcher
         Is told the shares.
+    exposure : float
+        Most of a service's requests that a bad version may get.
     """
 
     def __init__(
-        self, clock: Clock, store: Store, lease: DutyLease, dispatcher: Dispatcher
+        self,
+        clock: Clock,
+        store: Store,
+        lease: DutyLease,
+        dispatcher: Dispatcher,
+        exposure: float,
     ) -> None:
+        self._exposure = exposure
         self._clock = clock
         self._store = store
         self._lease = lease
@@ -92,7 +100,7 @@
         """Set the share of each service's target."""
         for move in self._move_by_service.values():
             verdict = self._verdict(move)
-            share = share_of_target(move, verdict, self._elapsed(move))
+            share = self._share(move, verdict)
             self._dispatcher.set_share(move.service, move.target, share)
 
     async def settle(self) -> None:
@@ -104,7 +112,8 @@
             old = self._dispatcher.in_flight_beside(move.service, move.target)
             verdict = self._verdict(move)
             elapsed = self._elapsed(move)
-            state = state_to_write(move, verdict, elapsed, old_in_flight=old)
+            share = self._share(move, verdict)
+            state = state_to_write(move, verdict, elapsed, share, old_in_flight=old)
             if state is not None:
                 await self._state(move, state, verdict)
 
@@ -127,6 +136,9 @@
             state=state.value,
         )
 
+    def _share(self, move: Move, verdict: Verdict) -> float:
+        return share_of_target(move, verdict, self._elapsed(move), self._exposure)
+
     def _elapsed(self, move: Move) -> timedelta:
         heard_at = self._heard_at[move.service, move.target, move.number]
         return self._clock.monotonic() - heard_at
--- a/banyansail/gateway/moves.py
+++ b/banyansail/gateway/moves.py
@@ -11,8 +11,8 @@
 from datetime import timedelta
 from enum import Enum
 
-CANARY_SHARE = 0.05  # until there is some evidence
-PROVEN_SHARE = 0.08
+CANARY_SHARE = 0.5  # of the exposure, until there is some evidence
+PROVEN_SHARE = 0.8  # of the exposure
 LEAST_SAMPLES = 20
 LEAST_BAD = 4  # bad answers before a version may be judged bad
 BAD_RATIO = 2.0  # times the share of bad answers of the other versions
@@ -94,11 +94,15 @@
     return Verdict.OPEN
 
 
-def share_of_target(move: Move, verdict: Verdict, elapsed: timedelta) -> float:
+def share_of_target(
+    move: Move, verdict: Verdict, elapsed: timedelta, exposure: float
+) -> float:
     """Return the share of requests that the target gets.
 
     Parameters
     ----------
+    exposure : float
+        Most that a bad version may get.
     elapsed : timedelta
         Since the order was heard of.
     """
@@ -109,19 +113,26 @@
     ramp = _ramp(move)
     into_ramp = elapsed - (move.duration - ramp)
     if verdict is Verdict.OPEN:
-        return CANARY_SHARE
+        return exposure * CANARY_SHARE
     if into_ramp <= timedelta(0):
-        return PROVEN_SHARE
-    return min(1.0, PROVEN_SHARE + into_ramp / (ramp * FULL_SHARE))
+        return exposure * PROVEN_SHARE
+    return min(1.0, exposure * PROVEN_SHARE + into_ramp / (ramp * FULL_SHARE))
 
 
 def state_to_write(
-    move: Move, verdict: Verdict, elapsed: timedelta, *, old_in_flight: int
+    move: Move,
+    verdict: Verdict,
+    elapsed: timedelta,
+    share: float,
+    *,
+    old_in_flight: int,
 ) -> MoveState | None:
     """Return what should be stated now, or ``None`` if nothing new.
 
     Parameters
     ----------
+    share : float
+        What the target gets now; see `share_of_target`.
     old_in_flight : int
         Requests at other versions, which stop once the move is completed.
     """
@@ -129,9 +140,7 @@
         return None
     if verdict is Verdict.BAD:
         return MoveState.TAKEN_BACK
-    if share_of_target(move, verdict, elapsed) >= 1.0 and (
-        old_in_flight == 0 or elapsed >= move.duration - LAST_MOMENT
-    ):
+    if share >= 1.0 and (old_in_flight == 0 or elapsed >= move.duration - LAST_MOMENT):
         return MoveState.COMPLETED
     if move.state is None:
         return MoveState.RUNNING
--- a/banyansail/gateway/quota.py
+++ b/banyansail/gateway/quota.py
@@ -2,6 +2,9 @@
 
 Each router keeps the bucket of the whole fleet: its own use counts at once, that of
 others when it is heard of. Between two such news their usual use is assumed to go on.
+Operators tolerate some use beyond a quota; while all routers are heard of, a part of
+that is spent rather than to turn callers away for use that is only assumed, or that
+comes a moment too early.
 While some are silent, the others together use the part of the quota that their number
 gives them, so that parts of a divided fleet do not each spend the whole.
 """
@@ -22,11 +25,31 @@
 SILENT_AFTER = timedelta(seconds=1.5)
 FORGET_AFTER = timedelta(seconds=12)  # a router that is not heard of uses nothing
 RATE_TIMES = (timedelta(seconds=1.5), timedelta(seconds=8))  # of averages of use
+OVERDRAFT_SHARE = 0.5  # of what is tolerated; the rest is for what is not heard of
 SHORT_SHARE = 0.6  # of a burst; with less left, routers tell each other more often
 LONGEST_WAIT = timedelta(seconds=3)
 SHORTEST_WAIT = timedelta(milliseconds=50)
 
 
+@dataclass(slots=True, frozen=True)
+class OverQuota:
+    """Why a request is not admitted.
+
+    Parameters
+    ----------
+    wait : timedelta
+        Time after which the quota allows a request again.
+    level : float
+        What was left by what was heard of.
+    unheard : float
+        What others were believed to have used since.
+    """
+
+    wait: timedelta
+    level: float
+    unheard: float
+
+
 @dataclass(slots=True)
 class _PeerUse:
     """Use of one workspace by one process of another router."""
@@ -62,24 +85,35 @@
     ----------
     clock : Clock
         Source of time.
+    slack : float
+        Use beyond a quota that operators tolerate in some seconds, in its unit.
     """
 
-    __slots__ = ("_bucket_by_name", "_clock", "has_short_use", "used_by_workspace")
+    __slots__ = (
+        "_bucket_by_name",
+        "_clock",
+        "_overdraft",
+        "has_short_use",
+        "used_by_workspace",
+    )
 
-    def __init__(self, clock: Clock) -> None:
+    def __init__(self, clock: Clock, slack: float = 0.0) -> None:
         self._clock = clock
+        self._overdraft = slack * OVERDRAFT_SHARE
         self._bucket_by_name: dict[str, _Bucket] = {}
         self.used_by_workspace: dict[str, float] = {}
         self.has_short_use = False  # of a quota that is nearly used up, untold yet
 
-    def charge(self, workspace: Workspace, cost: float) -> timedelta | None:
-        """Take a request's cost out; return how long to wait if there is none."""
+    def charge(self, workspace: Workspace, cost: float) -> OverQuota | None:
+        """Take a request's cost out; return why it isn't admitted if it isn't."""
         if workspace.rate <= 0:
             return None
         bucket = self._refilled(workspace)
         level = bucket.level - bucket.unheard
+        if _share_of_heard(bucket, bucket.at) == 1.0:
+            level += self._overdraft
         if level <= 0:
-            return self._wait(workspace, level)
+            return OverQuota(self._wait(workspace, level), bucket.level, bucket.unheard)
         bucket.level -= cost
         if level - cost < workspace.burst * SHORT_SHARE:
             self.has_short_use = True
--- a/banyansail/gateway/request_handler.py
+++ b/banyansail/gateway/request_handler.py
@@ -90,10 +90,13 @@
         workspace = site.workspace_by_key.get(call.key)
         if workspace is None:
             return Rejection(401, Cause.UNKNOWN_KEY, "the key is not known")
-        wait = self._context.quota.charge(workspace, quota_cost(workspace, call))
-        if wait is not None:
-            text = f"workspace {workspace.name} is over its quota"
-            return Rejection(429, Cause.OVER_QUOTA, text, wait)
+        over = self._context.quota.charge(workspace, quota_cost(workspace, call))
+        if over is not None:
+            text = (
+                f"workspace {workspace.name} is over its quota: {over.level:.0f} left, "
+                f"{over.unheard:.0f} believed used by other routers since"
+            )
+            return Rejection(429, Cause.OVER_QUOTA, text, over.wait)
         return route, workspace
 
     def _reject(self, port: HttpPort, call: CallerCall, rejection: Rejection) -> None:
--- a/banyansail/gateway/router.py
+++ b/banyansail/gateway/router.py
@@ -136,13 +136,15 @@
         )
         self.peers = PeerTable(settings.name, clock)
         self.dispatcher = Dispatcher(settings.zone, clock, self._random)
-        self.quota = QuotaBook(clock)
+        self.quota = QuotaBook(clock, settings.quota_slack)
         usage = UsageCounter(SteadyTime(clock), settings.usage_window)
         self.reporter = UsageReporter(
             settings, clock, self.store, self.cloud, usage, self.peers
         )
         lease = self.reporter.lease
-        self.moves = MoveKeeper(clock, self.store, lease, self.dispatcher)
+        self.moves = MoveKeeper(
+            clock, self.store, lease, self.dispatcher, settings.expose_share
+        )
         self.scaler = Scaler(clock, self.cloud, lease, self.dispatcher, self.peers)
         self.context = GatewayContext(
             self._reactor,
--- a/banyansail/gateway/usage_reporter.py
+++ b/banyansail/gateway/usage_reporter.py
@@ -27,8 +27,8 @@
     from banyansail.platform.store import Store
 
 KIND = "usage"
-LEASE_TIME = timedelta(seconds=8)
-SETTLE_TIME = timedelta(seconds=2)  # until the counts of all routers were heard of
+LEASE_MARGIN = timedelta(seconds=5)  # over the time that holders keep apart
+SETTLE_SHARE = 0.2  # of the time until a report is due; counts travel meanwhile
 LOOK_BACK = 2  # windows that a new holder reports again
 
 
@@ -50,7 +50,9 @@
         self._usage = usage
         self._peers = peers
         holder = f"{settings.name}.{int(clock.now().timestamp() * 1000)}"
-        self.lease = DutyLease(store, clock, "duties", holder, LEASE_TIME)
+        lease_time = settings.lease + LEASE_MARGIN
+        self._settle_time = settings.usage_late * SETTLE_SHARE
+        self.lease = DutyLease(store, clock, "duties", holder, lease_time)
         self._reported: int | None = None
         self._has_begun = False
 
@@ -66,7 +68,7 @@
         if fence is None or not workspaces:
             return
         newest = self._usage.current_window() - 1
-        if self._usage.age_of(newest) < SETTLE_TIME:
+        if self._usage.age_of(newest) < self._settle_time:
             newest -= 1
         if self._reported is None:
             self._reported = newest - LOOK_BACK
