--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 	$(PYTHON) -m banyansail demo
 
 test: $(INSTALLED)
-	$(PYTHON) -m pytest -n 4 --dist loadfile
+	$(PYTHON) -m pytest -n 6 --dist loadfile
 
 lint: $(INSTALLED)
 	$(VENV)/bin/ruff check .
--- a/tests/router/test_moves.py
+++ b/tests/router/test_moves.py
@@ -225,6 +225,7 @@
     ]
     assert {answer.result()[0] for answer in answers} == {200}
     assert failures_of_new_version(site) <= 2  # one for each of the two
+    wait_until(lambda: stated(site) is not None)
     assert stated(site).state is MoveState.MOVING
 
 
