Gather changes of upstreams before reading on, and settle usage for longer

Windows were settled 2 s after their end, before all routers' counts were heard. Ruled out: the probe of the store (a tenth of a call a second); the lease (only its candidate reads it). Change: after news of upstreams a router waits 0.4 s before it watches on, so that changes come together; a window settles for half of the time until its report is due (5 s instead of 2 s). A profile of one router among 75 gave 420 counts of live routers in 16 s, 12% of its time; they are counted anew after 0.1 s now instead of at each use.

--- a/banyansail/fleet/gossiper.py
+++ b/banyansail/fleet/gossiper.py
@@ -105,7 +105,7 @@
 
     def live_members(self) -> dict[str, Member]:
         """Return the routers that were heard of lately, this one included."""
-        return self._topology.live_members()
+        return dict(self._topology.live_members())
 
     def is_live(self, name: str) -> bool:
         """Tell whether a router was heard of lately, by the measure of its zone."""
--- a/banyansail/fleet/topology.py
+++ b/banyansail/fleet/topology.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from datetime import timedelta
 from typing import TYPE_CHECKING
 
 from banyansail.fleet.duties import rank_names
@@ -13,6 +14,7 @@
     from banyansail.fleet.view import FleetView
 
 BRIDGES_PER_ZONE = 2
+RECOUNT_TIME = timedelta(milliseconds=100)  # much shorter than a router stays live
 
 
 class Topology:
@@ -29,34 +31,45 @@
         Zone of this router.
     """
 
-    __slots__ = ("_member_by_name", "_view", "_zone")
+    __slots__ = ("_counted_at", "_live", "_member_by_name", "_view", "_zone")
 
     def __init__(self, view: FleetView, zone: str) -> None:
         self._view = view
         self._zone = zone
         self._member_by_name: dict[str, Member] = {}
+        self._live: dict[str, Member] = {}
+        self._counted_at: timedelta | None = None
 
     def learn(self, name: str, member: Member) -> None:
         """Take in what a router says of itself."""
         self._member_by_name[name] = member
+        self._counted_at = None
 
     def forget_old(self) -> None:
         """Drop members whose routers the view has forgotten."""
         known = set(self._view.names)
         for name in self._member_by_name.keys() - known:
             del self._member_by_name[name]
+        self._counted_at = None
 
     def members(self) -> dict[str, Member]:
         """Return every router that was heard of, live or not."""
         return self._member_by_name
 
     def live_members(self) -> dict[str, Member]:
-        """Return the routers that were heard of lately, this one included."""
-        return {
-            name: member
-            for name, member in self._member_by_name.items()
-            if self.is_live(name)
-        }
+        """Return the routers that were heard of lately, this one included.
+
+        They are counted anew after `RECOUNT_TIME`, as it takes a look at each.
+        """
+        now = self._view.now()
+        if self._counted_at is None or now - self._counted_at >= RECOUNT_TIME:
+            self._counted_at = now
+            self._live = {
+                name: member
+                for name, member in self._member_by_name.items()
+                if self.is_live(name)
+            }
+        return self._live
 
     def is_live(self, name: str) -> bool:
         """Tell whether a router was heard of lately, by the measure of its zone."""
--- a/banyansail/fleet/view.py
+++ b/banyansail/fleet/view.py
@@ -67,6 +67,10 @@
         """Return every router that was heard of, live or not."""
         return list(self._origin_by_name)
 
+    def now(self) -> timedelta:
+        """Return the time by which ages are counted."""
+        return self._clock.monotonic()
+
     def beat(self) -> None:
         """Advance this router's heartbeat."""
         self._own.heartbeat += 1
--- a/banyansail/gateway/fleet_link.py
+++ b/banyansail/gateway/fleet_link.py
@@ -70,7 +70,7 @@
 
     def others(self) -> dict[str, Member]:
         """Return the other routers that were heard of lately."""
-        members = dict(self._gossiper.live_members())
+        members = self._gossiper.live_members()
         members.pop(self._settings.name, None)
         return members
 
--- a/banyansail/gateway/router.py
+++ b/banyansail/gateway/router.py
@@ -55,6 +55,7 @@
 PROBE_INTERVAL = timedelta(seconds=1)
 PUMP_INTERVAL = timedelta(milliseconds=50)
 FOLLOW_PAUSE = timedelta(milliseconds=20)
+UPSTREAMS_PAUSE = timedelta(milliseconds=400)  # gathers changes; each watch is a call
 FOLLOW_BACKOFF = timedelta(milliseconds=500)  # news is owed soon after an outage
 CATCH_UP_INTERVAL = timedelta(milliseconds=200)
 LAPSE_INTERVAL = timedelta(milliseconds=200)
@@ -171,11 +172,12 @@
         self.add_task("gossip.traffic", self._publish_traffic, TRAFFIC_INTERVAL)
         self.add_task("gossip.short", self._tell_short_use, SHORT_USE_INTERVAL)
         self.add_task("gossip.exchange", self._exchange_digests, EXCHANGE_INTERVAL)
-        mirrors = (self.config_mirror, self.upstream_table.mirror, self.move_mirror)
-        for mirror in mirrors:
-            self.add_task(
-                f"{mirror.kind}.follow", mirror.follow, FOLLOW_PAUSE, FOLLOW_BACKOFF
-            )
+        for mirror, pause in (
+            (self.config_mirror, FOLLOW_PAUSE),
+            (self.upstream_table.mirror, UPSTREAMS_PAUSE),
+            (self.move_mirror, FOLLOW_PAUSE),
+        ):
+            self.add_task(f"{mirror.kind}.follow", mirror.follow, pause, FOLLOW_BACKOFF)
         self.add_task("config.catch_up", self._catch_up, CATCH_UP_INTERVAL)
         self.add_task("upstreams.lapse", self._drop_lapsed, LAPSE_INTERVAL)
         self.add_task("pump", self._pump, PUMP_INTERVAL)
--- a/banyansail/gateway/usage_reporter.py
+++ b/banyansail/gateway/usage_reporter.py
@@ -28,7 +28,7 @@
 
 KIND = "usage"
 LEASE_MARGIN = timedelta(seconds=5)  # over the time that holders keep apart
-SETTLE_SHARE = 0.2  # of the time until a report is due; counts travel meanwhile
+SETTLE_SHARE = 0.5  # of the time until a report is due; counts travel meanwhile
 LOOK_BACK = 2  # windows that a new holder reports again
 
 
