Split the gateway's exchange and router by job

Change: OutcomeJudge (what an outcome says of an upstream), patience (pure, in attempts.py), ConfigKeeper (versions only go forward), CallerPort. No behaviour changes.

--- a/banyansail/gateway/attempts.py
+++ b/banyansail/gateway/attempts.py
@@ -7,11 +7,14 @@
 from typing import TYPE_CHECKING
 
 from banyansail.gateway.messages import Cause, Ran, Rejection, ReplyHead
+from banyansail.gateway.site import RouteKind
 
 if TYPE_CHECKING:
     from banyansail.gateway.site import Route
 
 LEAST_TIME = timedelta(milliseconds=20)  # an attempt with less can't succeed
+ATTEMPT_LATENCIES = 4  # times the usual latency until another upstream is tried
+LEAST_ATTEMPT_TIME = timedelta(milliseconds=200)
 RETRY_AFTER_FAILURE = timedelta(milliseconds=250)
 
 
@@ -148,3 +151,28 @@
     if progress.may_have_run:
         return Rejection(502, Cause.UPSTREAM_FAILED, reason)
     return Rejection(503, Cause.UPSTREAM_FAILED, reason, RETRY_AFTER_FAILURE)
+
+
+def patience(
+    route: Route, progress: Progress, usual: timedelta, remaining: timedelta
+) -> timedelta | None:
+    """Return how long to wait for an answer before another upstream is tried.
+
+    Parameters
+    ----------
+    usual : timedelta
+        Time that such a request usually takes there.
+    remaining : timedelta
+        Time until the request's deadline.
+
+    Returns
+    -------
+    timedelta or None
+        ``None`` if the request may not run again.
+    """
+    if not route.is_repeatable or progress.runs >= route.max_attempts:
+        return None
+    limit = max(LEAST_ATTEMPT_TIME, usual * ATTEMPT_LATENCIES)
+    if route.kind is RouteKind.STREAM:
+        limit = max(limit, route.objective)
+    return min(limit, remaining / 2)
--- a/banyansail/gateway/exchange.py
+++ b/banyansail/gateway/exchange.py
@@ -3,61 +3,39 @@
 from __future__ import annotations
 
 from datetime import timedelta
-from typing import TYPE_CHECKING, Any, Protocol
+from typing import TYPE_CHECKING, Any
 
 from twisted.internet import defer
 
 from banyansail.gateway.attempt import Attempt
 from banyansail.gateway.attempts import (
     Answered,
-    Broken,
     Deliver,
-    NotSent,
     Outcome,
     Progress,
     TryAgain,
     next_step,
+    patience,
     reject,
 )
 from banyansail.gateway.dispatch import Slot, Ticket
 from banyansail.gateway.messages import Cause, Ran, Rejection
+from banyansail.gateway.outcome_judge import (
+    FIRST_FAILURE_STATUS,
+    OutcomeJudge,
+    describe,
+    has_run,
+)
 from banyansail.gateway.site import RouteKind
 from banyansail.log import log_decision
 from banyansail.platform.calls import encode_attempt
 
 if TYPE_CHECKING:
+    from banyansail.gateway.caller_port import CallerPort
     from banyansail.gateway.context import GatewayContext
     from banyansail.gateway.events import StreamEvent
     from banyansail.gateway.messages import CallerCall, ReplyHead
     from banyansail.gateway.site import Route, Workspace
-    from banyansail.gateway.upstream import Upstream
-
-ATTEMPT_LATENCIES = 4  # times the usual latency until another upstream is tried
-SLOW_OBJECTIVES = 2  # times the objective, after which an answer is a bad one
-LEAST_ATTEMPT_TIME = timedelta(milliseconds=200)
-FIRST_FAILURE_STATUS = 500
-
-
-class CallerPort(Protocol):
-    """Writes the answer to one caller."""
-
-    def answer(self, head: ReplyHead, body: bytes) -> None:
-        """Give an upstream's whole answer."""
-
-    def begin_stream(self, head: ReplyHead) -> None:
-        """Begin a streamed answer."""
-
-    def write(self, data: bytes) -> None:
-        """Write a piece of a streamed answer."""
-
-    def end_stream(self) -> None:
-        """End a streamed answer."""
-
-    def break_off(self) -> None:
-        """Close the connection, so that the answer does not look complete."""
-
-    def reject(self, rejection: Rejection) -> None:
-        """Give the router's own final answer."""
 
 
 class Exchange:
@@ -107,6 +85,7 @@
             now + allowed,
             draw=context.random.random(),
         )
+        self._judge = OutcomeJudge(context, call, route)
         self._progress = Progress()
         self._last_event = call.last_event
         self._fallback: Deliver | Rejection | None = None
@@ -168,7 +147,7 @@
                 self._ticket.excluded.add(slot.load.upstream.id)
                 self._ticket.is_retry = True
                 self._context.metrics.count_retry(self._ticket.service)
-                self._log("retry", _describe(outcome), upstream=slot.load.upstream.id)
+                self._log("retry", describe(outcome), upstream=slot.load.upstream.id)
                 return True
             step = step.otherwise
         self._finish(step)
@@ -231,21 +210,17 @@
                 watch.cancel()
             context.dispatcher.release(slot)
             context.crashes.end(upstream, self._call.fingerprint, survived=False)
-        self._judge(outcome, slot, context.clock.monotonic() - sent_at)
+        self._progress.runs -= not has_run(outcome)
+        took = context.clock.monotonic() - sent_at
+        self._judge.learn(outcome, load, took, was_given_up=self._is_prepaid)
         return outcome
 
     def _watch_attempt(self, attempt: Attempt, slot: Slot, sent_at: timedelta) -> Any:
         """Give an attempt up that takes too long, if the request may run again."""
-        route = self._route
-        if not route.is_repeatable or self._progress.runs >= route.max_attempts:
+        usual = max(slot.load.latency(sent_at), slot.chosen.expected)
+        limit = patience(self._route, self._progress, usual, self._remaining())
+        if limit is None:
             return None
-        usual = (
-            max(slot.load.latency(sent_at), slot.chosen.expected) * ATTEMPT_LATENCIES
-        )
-        limit = max(LEAST_ATTEMPT_TIME, usual)
-        if route.kind is RouteKind.STREAM:
-            limit = max(limit, route.objective)
-        limit = min(limit, self._remaining() / 2)
 
         def overdue() -> None:
             if self._is_over or not slot.load.is_unanswered(slot.number):
@@ -256,43 +231,6 @@
 
         return self._context.reactor.callLater(limit.total_seconds(), overdue)
 
-    def _judge(self, outcome: Outcome, slot: Slot, took: timedelta) -> None:
-        """Learn from an outcome about the upstream."""
-        load = slot.load
-        is_good = isinstance(outcome, Answered) and outcome.head.status < 500
-        if is_good and self._call.prompt is None:
-            is_good = took <= self._route.objective * SLOW_OBJECTIVES
-        if not isinstance(outcome, NotSent):
-            service, version = load.upstream.service, load.upstream.version
-            self._context.moves.record(service, version, is_good=is_good)
-        now = self._context.clock.monotonic()
-        match outcome:
-            case NotSent():
-                self._progress.runs -= 1
-                load.suspect(now)
-                load.observe(now, ok=False)
-            case Answered(head) if head.ran is Ran.NOT_RUN:
-                self._progress.runs -= 1
-                if head.is_other_upstream:
-                    load.suspect(now)
-            case Answered(head):
-                latency = took if self._call.prompt is None else None
-                load.observe(now, ok=head.status < 500, latency=latency)
-            case Broken():
-                load.observe(now, ok=False)
-                self._examine_death(load.upstream)
-                if self._is_prepaid:  # it was given up for its silence
-                    load.suspect(now)
-                self._context.pool_of(load.upstream.address).drop_idle()
-
-    def _examine_death(self, upstream: Upstream) -> None:
-        if self._is_prepaid:
-            return  # this router closed the connection itself
-        done = defer.Deferred.fromCoroutine(
-            self._context.examine(upstream, self._call.fingerprint)
-        )
-        done.addErrback(lambda failure: self._log("examine_failed", str(failure)))
-
     def _count_run(self, head: ReplyHead) -> None:
         if head.ran is Ran.NOT_RUN or self._is_counted:
             return
@@ -383,11 +321,3 @@
             attempts=self._progress.sends,
             **fields,
         )
-
-
-def _describe(outcome: Outcome) -> str:
-    match outcome:
-        case NotSent(reason) | Broken(reason):
-            return reason
-        case Answered(head):
-            return f"upstream answered {head.status}"
--- a/banyansail/gateway/router.py
+++ b/banyansail/gateway/router.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import json
 from datetime import timedelta
 from random import Random
 from typing import TYPE_CHECKING, Any
@@ -10,8 +9,8 @@
 from twisted.internet import defer, task
 
 from banyansail.clock import Clock, SystemClock
-from banyansail.exceptions import WireError
 from banyansail.fleet.entries import Entry, Topic
+from banyansail.gateway.config_keeper import ConfigKeeper
 from banyansail.gateway.context import GatewayContext
 from banyansail.gateway.crash_guard import CrashGuard
 from banyansail.gateway.dispatch import Dispatcher
@@ -24,7 +23,6 @@
 from banyansail.gateway.quota import QuotaBook
 from banyansail.gateway.request_handler import RequestHandler
 from banyansail.gateway.scaler import Scaler
-from banyansail.gateway.site import SiteConfig
 from banyansail.gateway.store_probe import StoreProbe
 from banyansail.gateway.traffic import own_traffic, take_traffic
 from banyansail.gateway.upstream_table import DOCUMENT as UPSTREAMS_DOCUMENT
@@ -34,11 +32,9 @@
 from banyansail.log import log_event
 from banyansail.platform.cloud import Cloud
 from banyansail.platform.moves import KIND as MOVES_KIND
-from banyansail.platform.site import decode_config
 from banyansail.platform.store import Store
 from banyansail.router.supervisor import Supervisor
 from banyansail.wire.call_codec import (
-    Document,
     FetchDocument,
     Nothing,
     PeerCall,
@@ -47,6 +43,7 @@
 
 if TYPE_CHECKING:
     from banyansail.config.gateway_settings import GatewaySettings
+    from banyansail.gateway.site import SiteConfig
 
 PUSH_INTERVAL = timedelta(milliseconds=200)
 TRAFFIC_INTERVAL = timedelta(milliseconds=400)
@@ -94,9 +91,7 @@
         super().__init__(reactor, random or Random())
         self.settings = settings
         self.clock = clock or SystemClock()
-        self.site = SiteConfig()
-        self._config_text = ""
-        self._config_since = self.clock.now()
+        self.config = ConfigKeeper(self.clock, self._on_config)
         self._ports: list[Any] = []
         self._build_platform()
         self._build_state()
@@ -108,7 +103,9 @@
         self.store = Store(self._reactor, self.clock, settings.store)
         self.probe = StoreProbe(self.store, ROUTERS_KIND, settings.name)
         self.cloud = Cloud(self._reactor, self.clock, settings.cloud, settings.name)
-        self.config_mirror = Mirror("config", self.store, self.clock, self._on_config)
+        self.config_mirror = Mirror(
+            "config", self.store, self.clock, self.config.follow
+        )
         self.upstream_table = UpstreamTable(
             Mirror(
                 "servers",
@@ -187,6 +184,11 @@
         self.add_task("store.probe", self.probe.probe, PROBE_INTERVAL)
         self.add_task("join", self._join, JOIN_INTERVAL)
 
+    @property
+    def site(self) -> SiteConfig:
+        """Return the configuration in force."""
+        return self.config.site
+
     @property
     def is_ready(self) -> bool:
         """Whether the balancer should send callers."""
@@ -247,24 +249,8 @@
         metrics.set_in_progress(self.requests.in_progress)
         return metrics.text()
 
-    def _on_config(self, mirror: Mirror) -> None:
-        stored = mirror.object_by_name.get("main")
-        if stored is not None:
-            self._take_config(stored.spec, "store")
-
-    def _take_config(self, body: Any, source: str) -> None:
-        """Put a configuration in force if it is newer."""
-        try:
-            site = decode_config(body)
-        except WireError as error:
-            log_event("config_unreadable", error=error.message, source=source)
-            return
-        if site.version <= self.site.version:
-            return
-        self.site = self.requests.site = site
-        self._config_text = json.dumps(body)
-        self._config_since = self.clock.now()
-        log_event("config_in_force", version=site.version, source=source)
+    def _on_config(self, site: SiteConfig) -> None:
+        self.requests.site = site
         self._callers.set_idle_time(site.limits.idle_time)
         self._apply_upstreams()
 
@@ -286,7 +272,7 @@
             if member.rules_version > self.site.version:
                 found = await self.fleet.fetch(member, CONFIG_DOCUMENT)
                 if found is not None:
-                    self._take_config(json.loads(found.text), name)
+                    self.config.take_document(found, name)
             if self.upstream_table.mirror.at is None and member.is_ready:
                 found = await self.fleet.fetch(member, UPSTREAMS_DOCUMENT)
                 if found is not None:
@@ -294,8 +280,8 @@
 
     async def _answer_peer(self, call: PeerCall) -> PeerReply:
         match call:
-            case FetchDocument(name) if name == CONFIG_DOCUMENT and self._config_text:
-                return Document(self.site.version, self._config_text)
+            case FetchDocument(name) if name == CONFIG_DOCUMENT:
+                return self.config.document() or Nothing()
             case FetchDocument(name) if name == UPSTREAMS_DOCUMENT:
                 return self.upstream_table.document() or Nothing()
         return Nothing()
@@ -333,7 +319,7 @@
     def _publish_member(self) -> None:
         self.fleet.publish_member(
             self.site.version,
-            self._config_since,
+            self.config.since,
             is_ready=self.is_ready,
             is_leaving=self.requests.is_leaving,
         )
--- a/tests/gateway/test_attempts.py
+++ b/tests/gateway/test_attempts.py
@@ -11,6 +11,7 @@
     Progress,
     TryAgain,
     next_step,
+    patience,
 )
 from banyansail.gateway.messages import Ran, Rejection, ReplyHead
 from banyansail.gateway.site import RouteKind
@@ -88,3 +89,19 @@
     assert step.is_free
     assert step.otherwise.status == 503
     assert step.otherwise.retry_after is not None
+
+
+def test_only_a_request_that_may_run_again_is_given_up_for_its_silence():
+    safe = route(RouteKind.IDEMPOTENT, max_attempts=2)
+    assert patience(safe, Progress(runs=1), seconds(0.1), seconds(5)) == seconds(0.4)
+    assert patience(safe, Progress(runs=2), seconds(0.1), seconds(5)) is None
+    order = route(RouteKind.ONCE, max_attempts=2)
+    assert patience(order, Progress(runs=1), seconds(0.1), seconds(5)) is None
+
+
+def test_silence_is_borne_longer_where_it_is_usual_and_shorter_near_the_deadline():
+    safe = route(RouteKind.IDEMPOTENT, max_attempts=2)
+    progress = Progress(runs=1)
+    assert patience(safe, progress, seconds(0.001), seconds(5)) == seconds(0.2)
+    assert patience(safe, progress, seconds(1), seconds(20)) == seconds(4)
+    assert patience(safe, progress, seconds(1), seconds(2)) == seconds(1)
