Give duties to routers that reach the store, and watch the holder's lease

Change: routers tell whether they leave or miss the store, and only the others stand in line; the next in line reads the lease each 1.5 s (a stale read, a tenth of a call) and so need not begin to wait for its end only then; the lease lasts 2 s longer than holders must keep apart, not 5; a holder that lost it to another waits twice its time, so that two never act in turns. Tests: three routers, one refused by the store or killed at any second of a window: every window in time and with one set of counts.

--- a/banyansail/gateway/duty_lease.py
+++ b/banyansail/gateway/duty_lease.py
@@ -48,6 +48,7 @@
         self._holder = holder
         self._lease_time = lease_time
         self._renewed_at: timedelta | None = None
+        self._held_at: timedelta | None = None  # lately, by this process
         self._fence = 0
         self._renewals = 0
         self._seen_revision = 0
@@ -82,6 +83,12 @@
             log_event("lease_lost", lease=self._name)
         return self.fence()
 
+    async def observe(self) -> None:
+        """Note whether another holder renews the lease; a stale answer does."""
+        stored = await self._store.get(KIND, self._name, serializable=True)
+        if stored is not None:
+            self._note(stored)
+
     async def release(self) -> None:
         """Give the lease back, so that the next holder need not wait."""
         if self.fence() is None:
@@ -106,16 +113,30 @@
         await self._write(int(stored.spec["fence"]) + 1, stored.revision)
         log_event("lease_taken", lease=self._name, fence=self._fence)
 
+    def _note(self, stored: StoredObject) -> None:
+        if stored.revision > self._seen_revision:
+            self._seen_revision = stored.revision
+            self._seen_at = self._clock.monotonic()
+
     def _is_taken(self, stored: StoredObject) -> bool:
+        self._note(stored)
         now = self._clock.monotonic()
-        if stored.revision != self._seen_revision:
-            self._seen_revision = stored.revision
-            self._seen_at = now
+        if self._has_just_lost_it(stored, now):
+            return True
         holder = stored.spec["holder"]
         if not holder or holder == self._holder:
             return False
         return now - self._seen_at < self._lease_time
 
+    def _has_just_lost_it(self, stored: StoredObject, now: timedelta) -> bool:
+        """Tell whether another process acted after this one a moment ago."""
+        was_taken = int(stored.spec["fence"]) > self._fence
+        return (
+            was_taken
+            and self._held_at is not None
+            and now - self._held_at < self._lease_time * 2
+        )
+
     async def _write(self, fence: int, expected: int | None) -> None:
         # The lease runs from before the call: the answer may come late.
         began = self._clock.monotonic()
@@ -127,6 +148,6 @@
         else:
             stored = await self._store.replace(KIND, self._name, spec, expected)
         self._fence = fence
-        self._renewed_at = began
+        self._renewed_at = self._held_at = began
         self._seen_revision = stored.revision
         self._seen_at = began
--- a/banyansail/gateway/peers.py
+++ b/banyansail/gateway/peers.py
@@ -68,6 +68,15 @@
             if now - peer.heard_at <= LIVE_TIME
         ]
 
+    def names_fit_for_duties(self) -> list[str]:
+        """Return the live routers that may hold a duty, this one included."""
+        return [
+            name
+            for name in self.live_names()
+            if name == self._name
+            or not self._peer_by_name[name].traffic.is_unfit_for_duties
+        ]
+
     def fleet_size(self) -> int:
         """Return how many routers may spend from what all share."""
         now = self._clock.monotonic()
--- a/banyansail/gateway/router.py
+++ b/banyansail/gateway/router.py
@@ -222,6 +222,7 @@
         self.requests.is_leaving = True
         self._publish_member()
         log_event("leaving", in_progress=self.requests.in_progress)
+        await self._publish_traffic()  # others need not wait for its duties
         await self.reporter.release()
         await self._pause(BALANCER_NOTICE)
         self.requests.takes_requests = False
@@ -297,14 +298,18 @@
 
     async def _publish_traffic(self) -> None:
         self._publish_member()
-        self.fleet.publish(Topic.TRAFFIC, own_traffic(self.context))
+        self.fleet.publish(Topic.TRAFFIC, self._own_traffic())
 
     async def _tell_short_use(self) -> None:
         """Tell others at once how a quota is used that is nearly used up."""
         if self.quota.has_short_use:
             self.quota.has_short_use = False
             names = self.peers.live_names()
-            self.fleet.tell(names, Topic.TRAFFIC, own_traffic(self.context))
+            self.fleet.tell(names, Topic.TRAFFIC, self._own_traffic())
+
+    def _own_traffic(self) -> bytes:
+        is_unfit = self.requests.is_leaving or self.probe.is_lost
+        return own_traffic(self.context, is_unfit_for_duties=is_unfit)
 
     def _on_news(self, entries: list[Entry]) -> None:
         for entry in entries:
@@ -328,7 +333,7 @@
         self.dispatcher.pump()
 
     async def _report_usage(self) -> None:
-        if not self.requests.is_leaving:
+        if not (self.requests.is_leaving or self.probe.is_lost):
             await self.reporter.report(list(self.site.workspace_by_name))
 
     async def _scale(self) -> None:
--- a/banyansail/gateway/store_probe.py
+++ b/banyansail/gateway/store_probe.py
@@ -32,6 +32,11 @@
         self._name = name
         self._is_lost = False
 
+    @property
+    def is_lost(self) -> bool:
+        """Whether the store did not serve this router when it was last asked."""
+        return self._is_lost
+
     async def probe(self) -> None:
         """Read the object; drop the watches on failure, and once more after it."""
         try:
--- a/banyansail/gateway/traffic.py
+++ b/banyansail/gateway/traffic.py
@@ -13,7 +13,7 @@
 TOLD_WINDOWS = 3  # the newest windows of usage that are told
 
 
-def own_traffic(context: GatewayContext) -> bytes:
+def own_traffic(context: GatewayContext, *, is_unfit_for_duties: bool) -> bytes:
     """Return this router's traffic, encoded."""
     services = context.dispatcher.service_by_name
     work = {
@@ -29,6 +29,7 @@
         work,
         {name: state.read_total for name, state in services.items()},
         dict(context.moves.own),
+        is_unfit_for_duties,
     )
     return encode_traffic(traffic)
 
--- a/banyansail/gateway/usage_reporter.py
+++ b/banyansail/gateway/usage_reporter.py
@@ -27,7 +27,8 @@
     from banyansail.platform.store import Store
 
 KIND = "usage"
-LEASE_MARGIN = timedelta(seconds=5)  # over the time that holders keep apart
+LEASE_MARGIN = timedelta(seconds=2)  # over the time that holders keep apart
+OBSERVE_INTERVAL = timedelta(seconds=1.5)  # of the lease, by the next in line
 SETTLE_SHARE = 0.5  # of the time until a report is due; counts travel meanwhile
 LOOK_BACK = 2  # windows that a new holder reports again
 
@@ -53,16 +54,27 @@
         lease_time = settings.lease + LEASE_MARGIN
         self._settle_time = settings.usage_late * SETTLE_SHARE
         self.lease = DutyLease(store, clock, "duties", holder, lease_time)
+        self._clock = clock
+        self._observed_at: timedelta | None = None
         self._reported: int | None = None
         self._has_begun = False
 
     def is_candidate(self) -> bool:
         """Tell whether this router is the one to hold the lease."""
-        return rank_names("duties", self._peers.live_names())[0] == self._name
+        return self._place_in_line() == 0
+
+    def _place_in_line(self) -> int:
+        names = rank_names("duties", self._peers.names_fit_for_duties())
+        return names.index(self._name)
 
     async def report(self, workspaces: list[str]) -> None:
-        """Report the windows that ended a while ago."""
+        """Report the windows that ended a while ago.
+
+        The next in line observes the lease meanwhile, so that it need not begin to
+        wait for its end only once the holder is lost.
+        """
         if self.lease.fence() is None and not self.is_candidate():
+            await self._observe()
             return
         fence = await self.lease.acquire()
         if fence is None or not workspaces:
@@ -77,6 +89,14 @@
                 return
             self._reported = window
 
+    async def _observe(self) -> None:
+        now = self._clock.monotonic()
+        before = self._observed_at
+        is_due = before is None or now - before >= OBSERVE_INTERVAL
+        if is_due and self._place_in_line() == 1:
+            self._observed_at = now
+            await self.lease.observe()
+
     async def release(self) -> None:
         """Give the lease back before a planned stop."""
         try:
--- a/banyansail/wire/schema.capnp
+++ b/banyansail/wire/schema.capnp
@@ -93,6 +93,7 @@
   loads @2 :List(UpstreamWork);
   read @3 :List(ServiceRead);
   tallies @4 :List(VersionTally);
+  isUnfitForDuties @5 :Bool;  # it leaves, or does not reach the store
 }
 
 struct VersionTally {
--- a/banyansail/wire/traffic_codec.py
+++ b/banyansail/wire/traffic_codec.py
@@ -41,6 +41,8 @@
         Prompt tokens given to engines to read since the process began.
     tallies : dict
         Answers by service, move and whether the version is the move's target.
+    is_unfit_for_duties : bool
+        Whether it leaves or does not reach the store.
     """
 
     used_by_workspace: dict[str, float] = field(default_factory=dict)
@@ -48,6 +50,7 @@
     work_by_upstream: dict[str, UpstreamWork] = field(default_factory=dict)
     read_by_service: dict[str, float] = field(default_factory=dict)
     tallies: dict[tuple[str, int, bool], Tally] = field(default_factory=dict)
+    is_unfit_for_duties: bool = False
 
 
 def encode_traffic(traffic: Traffic) -> bytes:
@@ -80,6 +83,7 @@
             }
             for (service, move, is_target), tally in sorted(traffic.tallies.items())
         ],
+        isUnfitForDuties=traffic.is_unfit_for_duties,
     )
     return message.to_bytes_packed()
 
@@ -108,4 +112,5 @@
             (item.service, item.move, item.isTarget): Tally(item.good, item.bad)
             for item in message.tallies
         },
+        message.isUnfitForDuties,
     )
--- a/tests/gateway/test_duty_lease.py
+++ b/tests/gateway/test_duty_lease.py
@@ -82,3 +82,26 @@
     holder_by_fence = {}
     for _, fence, index in acts:
         assert holder_by_fence.setdefault(fence, index) == index
+
+
+def test_a_former_holder_waits_before_it_acts_again_after_another():
+    """Else both act in turns within the time that holders keep apart."""
+    store, clock = FakeStore(), FakeClock()
+    first, second = lease_of(store, clock, "a"), lease_of(store, clock, "b")
+    run_now(first.acquire())
+    run_now(second.observe())
+    clock.advance(LEASE.total_seconds())
+    assert run_now(second.acquire()) == 2
+    run_now(second.release())
+    assert run_now(first.acquire()) is None
+    clock.advance(LEASE.total_seconds())
+    assert run_now(first.acquire()) == 3
+
+
+def test_an_observed_lease_is_taken_over_as_soon_as_it_lapses():
+    store, clock = FakeStore(), FakeClock()
+    first, second = lease_of(store, clock, "a"), lease_of(store, clock, "b")
+    run_now(first.acquire())
+    run_now(second.observe())
+    clock.advance(LEASE.total_seconds())
+    assert run_now(second.acquire()) == 2
--- /dev/null
+++ b/tests/gateway/test_usage_reporter.py
@@ -0,0 +1,166 @@
+"""Which router reports usage, and when another takes the duty over."""
+
+from __future__ import annotations
+
+import dataclasses
+from datetime import timedelta
+
+import pytest
+
+from banyansail.exceptions import PlatformUnavailableError
+from banyansail.fleet.duties import rank_names
+from banyansail.fleet.entries import Entry, Topic
+from banyansail.gateway.peers import PeerTable
+from banyansail.gateway.usage import SteadyTime, UsageCounter
+from banyansail.gateway.usage_reporter import UsageReporter
+from banyansail.wire.traffic_codec import Traffic, encode_traffic
+from tests.fakes import FakeClock, run_now
+from tests.gateway.fake_store import FakeStore
+
+NAMES = rank_names("duties", ["a", "b", "c"])
+WINDOW_S, DUE_S = 5, 10
+
+
+@dataclasses.dataclass
+class ReporterSettings:
+    name: str
+    lease: timedelta = timedelta(seconds=3)
+    usage_late: timedelta = timedelta(seconds=DUE_S)
+
+
+class FakeCloud:
+    """Notes reports as the platform does."""
+
+    def __init__(self, clock):
+        self.clock = clock
+        self.reports: list[tuple[float, int, dict[str, int], int]] = []
+
+    async def report_usage(self, window, counts, fence):
+        at = self.clock.now().timestamp()
+        self.reports.append((at, window, dict(counts), fence))
+        return True
+
+
+class StoreOf:
+    """The store as one router sees it; it may be refused alone."""
+
+    def __init__(self, store):
+        self._store = store
+        self.is_refused = False
+
+    def __getattr__(self, name):
+        if self.is_refused:
+            raise PlatformUnavailableError("the store answered 429")
+        return getattr(self._store, name)
+
+
+class Fleet:
+    """Three routers that hear of each other each second."""
+
+    def __init__(self):
+        self.clock = FakeClock()
+        self.store = FakeStore()
+        self.cloud = FakeCloud(self.clock)
+        self.view_by_name = {name: StoreOf(self.store) for name in NAMES}
+        self.peers_by_name = {name: PeerTable(name, self.clock) for name in NAMES}
+        self.usage_by_name = {
+            name: UsageCounter(SteadyTime(self.clock), timedelta(seconds=WINDOW_S))
+            for name in NAMES
+        }
+        self.reporter_by_name = {
+            name: UsageReporter(
+                ReporterSettings(name),
+                self.clock,
+                self.view_by_name[name],
+                self.cloud,
+                self.usage_by_name[name],
+                self.peers_by_name[name],
+            )
+            for name in NAMES
+        }
+        self.stopped: set[str] = set()
+        self.sequence = 0
+
+    def run(self, seconds, refused=()):
+        for _ in range(seconds):
+            self.clock.advance(1)
+            self._gossip(refused)
+            for name in NAMES:
+                self.usage_by_name[name].count("w")
+                self.view_by_name[name].is_refused = name in refused
+                if name not in self.stopped and name not in refused:
+                    run_now(self.reporter_by_name[name].report(["w"]))
+
+    def _gossip(self, refused):
+        self.sequence += 1
+        for name in NAMES:
+            if name in self.stopped:
+                continue
+            counts = {
+                window: dict(count)
+                for window, count in self.usage_by_name[name].own.items()
+            }
+            traffic = Traffic(counts=counts, is_unfit_for_duties=name in refused)
+            value = encode_traffic(traffic)
+            entry = Entry(name, 1, Topic.TRAFFIC, self.sequence, value)
+            for other in NAMES:
+                if other != name:
+                    heard = self.peers_by_name[other].take(entry)
+                    self.usage_by_name[other].hear(f"{name}.1", heard.counts)
+
+    def lateness(self):
+        """Return how long after its end each window was first reported."""
+        first = {}
+        for at, window, _, _ in self.cloud.reports:
+            first.setdefault(window, at - (window + 1) * WINDOW_S)
+        return first
+
+
+@pytest.fixture
+def fleet():
+    return Fleet()
+
+
+def check_all_in_time(fleet, seconds):
+    lateness = fleet.lateness()
+    windows = sorted(lateness)
+    assert windows == list(range(windows[0], windows[-1] + 1))
+    assert max(lateness.values()) <= DUE_S
+    assert len(windows) >= (seconds - DUE_S) // WINDOW_S
+    counts_by_window = {}
+    for _, window, counts, _ in fleet.cloud.reports:
+        assert counts_by_window.setdefault(window, counts) == counts
+
+
+def test_each_window_is_reported_in_time_and_once(fleet):
+    fleet.run(60)
+    check_all_in_time(fleet, 60)
+    assert len(fleet.cloud.reports) == len(fleet.lateness())
+
+
+@pytest.mark.parametrize("begin", range(5))
+def test_a_holder_that_the_store_refuses_is_replaced_in_time(fleet, begin):
+    """It goes on talking to the others, who must not take it for the holder."""
+    fleet.run(20 + begin)
+    fleet.run(20, refused=NAMES[:1])
+    fleet.run(20)
+    check_all_in_time(fleet, 60 + begin)
+    fences = [fence for _, _, _, fence in fleet.cloud.reports]
+    assert fences == sorted(fences)
+
+
+@pytest.mark.parametrize("begin", range(5))
+def test_a_holder_that_is_killed_is_replaced_in_time(fleet, begin):
+    fleet.run(20 + begin)
+    fleet.stopped.add(NAMES[0])
+    fleet.run(30)
+    check_all_in_time(fleet, 50 + begin)
+
+
+def test_the_last_in_line_does_not_ask_the_store_at_all(fleet):
+    fleet.run(20)
+    last = fleet.reporter_by_name[NAMES[-1]]
+    before = fleet.store.calls
+    for _ in range(10):
+        run_now(last.report(["w"]))
+    assert fleet.store.calls == before
