--- /dev/null
+++ b/tests/gateway/test_prefix_cache.py
@@ -0,0 +1,66 @@
+from __future__ import annotations
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from banyansail.gateway.messages import Prompt, PromptPart
+from banyansail.gateway.prefix_cache import USABLE_SHARE, PrefixCache
+
+CAPACITY = 1000
+
+
+class NaiveCache:
+    """Parts in a list, the one used last at its end."""
+
+    def __init__(self):
+        self.parts = []
+
+    def uncached_tokens(self, prompt):
+        cached = 0
+        for part in prompt.parts:
+            if part.id not in [held.id for held in self.parts]:
+                break
+            cached += part.tokens
+        return max(0, prompt.tokens - cached)
+
+    def record(self, prompt):
+        for part in reversed(prompt.parts):
+            self.parts = [held for held in self.parts if held.id != part.id]
+            self.parts.append(part)
+        while sum(part.tokens for part in self.parts) > int(CAPACITY * USABLE_SHARE):
+            self.parts.pop(0)
+
+
+def prompt_of(names) -> Prompt:
+    parts = tuple(PromptPart(name, 40 + 30 * ord(name) % 200) for name in names)
+    return Prompt("m", sum(part.tokens for part in parts) + 10, 5, parts)
+
+
+prompts = st.lists(
+    st.sampled_from("abcdefghij"), min_size=1, max_size=4, unique=True
+).map(prompt_of)
+
+
+@settings(derandomize=True, max_examples=300)
+@given(st.lists(prompts, max_size=40))
+def test_it_holds_what_the_naive_cache_holds(sequence):
+    cache, naive = PrefixCache(CAPACITY), NaiveCache()
+    for prompt in sequence:
+        assert cache.uncached_tokens(prompt) == naive.uncached_tokens(prompt)
+        cache.record(prompt)
+        naive.record(prompt)
+
+
+def test_a_part_behind_one_that_is_not_held_does_not_count():
+    cache = PrefixCache(CAPACITY)
+    cache.record(prompt_of("b"))
+    both = prompt_of("ab")
+    assert cache.uncached_tokens(both) == both.tokens
+
+
+def test_nothing_is_held_after_a_restart():
+    cache = PrefixCache(CAPACITY)
+    prompt = prompt_of("ab")
+    cache.record(prompt)
+    cache.clear()
+    assert cache.uncached_tokens(prompt) == prompt.tokens
