--- a/tests/gateway/test_dispatch.py
+++ b/tests/gateway/test_dispatch.py
@@ -14,7 +14,6 @@
 from tests.fakes import FakeClock
 from tests.gateway.builders import seconds, site, upstream
 
-
 STEP_S = 0.005  # of the loads that are played
 
 
