Let a large fleet gather changes of upstreams for longer

Change: 13 ms for each live router, at least the 0.4 s that nine had, at most 1 s, half of what a leaving upstream is owed at the least; marks of leaving travel by gossip meanwhile.

--- a/banyansail/gateway/router.py
+++ b/banyansail/gateway/router.py
@@ -52,7 +52,9 @@
 PROBE_INTERVAL = timedelta(seconds=1)
 PUMP_INTERVAL = timedelta(milliseconds=50)
 FOLLOW_PAUSE = timedelta(milliseconds=20)
-UPSTREAMS_PAUSE = timedelta(milliseconds=400)  # gathers changes; each watch is a call
+GATHER_TIME = timedelta(milliseconds=400)  # in which changes of upstreams come together
+GATHER_TIME_PER_ROUTER = timedelta(milliseconds=13)  # each router's watch is a call
+LONGEST_GATHER_TIME = timedelta(seconds=1)  # half of what a leaving upstream is owed
 FOLLOW_BACKOFF = timedelta(milliseconds=500)  # news is owed soon after an outage
 CATCH_UP_INTERVAL = timedelta(milliseconds=200)
 LAPSE_INTERVAL = timedelta(milliseconds=200)
@@ -169,12 +171,12 @@
         self.add_task("gossip.traffic", self._publish_traffic, TRAFFIC_INTERVAL)
         self.add_task("gossip.short", self._tell_short_use, SHORT_USE_INTERVAL)
         self.add_task("gossip.exchange", self._exchange_digests, EXCHANGE_INTERVAL)
-        for mirror, pause in (
-            (self.config_mirror, FOLLOW_PAUSE),
-            (self.upstream_table.mirror, UPSTREAMS_PAUSE),
-            (self.move_mirror, FOLLOW_PAUSE),
+        for kind, follow in (
+            (self.config_mirror.kind, self.config_mirror.follow),
+            (self.upstream_table.mirror.kind, self._follow_upstreams),
+            (self.move_mirror.kind, self.move_mirror.follow),
         ):
-            self.add_task(f"{mirror.kind}.follow", mirror.follow, pause, FOLLOW_BACKOFF)
+            self.add_task(f"{kind}.follow", follow, FOLLOW_PAUSE, FOLLOW_BACKOFF)
         self.add_task("config.catch_up", self._catch_up, CATCH_UP_INTERVAL)
         self.add_task("upstreams.lapse", self._drop_lapsed, LAPSE_INTERVAL)
         self.add_task("pump", self._pump, PUMP_INTERVAL)
@@ -264,6 +266,10 @@
         self.context.keep_pools({upstream.address for upstream in upstreams})
         self._publish_member()
 
+    async def _follow_upstreams(self) -> None:
+        await self.upstream_table.mirror.follow()
+        await self._pause(gather_time(len(self.peers.live_names())))
+
     async def _drop_lapsed(self) -> None:
         self.upstream_table.mirror.drop_lapsed()
 
@@ -339,3 +345,14 @@
     async def _scale(self) -> None:
         if not self.requests.is_leaving:
             await self.scaler.scale(self.site)
+
+
+def gather_time(routers: int) -> timedelta:
+    """Return how long to let changes of upstreams come together.
+
+    Parameters
+    ----------
+    routers : int
+        Live routers, which all pay a call for each time that they are told.
+    """
+    return min(LONGEST_GATHER_TIME, max(GATHER_TIME, GATHER_TIME_PER_ROUTER * routers))
--- a/tests/gateway/test_follow.py
+++ b/tests/gateway/test_follow.py
@@ -7,7 +7,7 @@
 from twisted.internet.task import Clock as ReactorClock
 
 from banyansail.exceptions import PlatformUnavailableError
-from banyansail.gateway.router import FOLLOW_BACKOFF, FOLLOW_PAUSE
+from banyansail.gateway.router import FOLLOW_BACKOFF, FOLLOW_PAUSE, gather_time
 from banyansail.router.supervisor import RepeatedTask
 
 # Within this time after a lost store is back, its news must be in force.
@@ -31,3 +31,11 @@
     gaps = [after - before for before, after in pairwise(asked)]
     assert max(gaps) < NEWS_OWED.total_seconds() / 2
     task.stopService()
+
+
+def test_a_large_fleet_asks_less_often_and_still_hears_of_a_leaving_upstream_in_time():
+    leaving_is_owed = timedelta(seconds=2)
+    times = [gather_time(routers) for routers in (1, 9, 75, 320)]
+    assert times == sorted(times)
+    assert times[0] == times[1]
+    assert max(times) <= leaving_is_owed / 2
