Let a router that begins have no more of a quota than is refilled

Ruled out: a cut fleet (no router was silent), a lapse of gossip (the others refused with levels around nothing throughout). Change: a bucket begins with nothing at the start of the process and is refilled at the rate; the tolerated use is spent only 8 s after the start; what a process that began anew has used before it is heard of is charged by the others.

--- a/banyansail/gateway/quota.py
+++ b/banyansail/gateway/quota.py
@@ -5,13 +5,13 @@
 Operators tolerate some use beyond a quota; while all routers are heard of, a part of
 that is spent rather than to turn callers away for use that is only assumed, or that
 comes a moment too early.
+A router that begins knows nothing of what was used, so it begins with nothing left.
 While some are silent, the others together use the part of the quota that their number
 gives them, so that parts of a divided fleet do not each spend the whole.
 """
 
 from __future__ import annotations
 
-import math
 from dataclasses import dataclass, field
 from datetime import timedelta
 from typing import TYPE_CHECKING
@@ -26,6 +26,7 @@
 FORGET_AFTER = timedelta(seconds=12)  # a router that is not heard of uses nothing
 RATE_TIMES = (timedelta(seconds=1.5), timedelta(seconds=8))  # of averages of use
 OVERDRAFT_SHARE = 0.5  # of what is tolerated; the rest is for what is not heard of
+SETTLED_AFTER = timedelta(seconds=8)  # of a start, all use of others was heard of
 SHORT_SHARE = 0.6  # of a burst; with less left, routers tell each other more often
 LONGEST_WAIT = timedelta(seconds=3)
 SHORTEST_WAIT = timedelta(milliseconds=50)
@@ -90,6 +91,7 @@
     """
 
     __slots__ = (
+        "_began_at",
         "_bucket_by_name",
         "_clock",
         "_overdraft",
@@ -99,6 +101,7 @@
 
     def __init__(self, clock: Clock, slack: float = 0.0) -> None:
         self._clock = clock
+        self._began_at = clock.monotonic()
         self._overdraft = slack * OVERDRAFT_SHARE
         self._bucket_by_name: dict[str, _Bucket] = {}
         self.used_by_workspace: dict[str, float] = {}
@@ -110,7 +113,7 @@
             return None
         bucket = self._refilled(workspace)
         level = bucket.level - bucket.unheard
-        if _share_of_heard(bucket, bucket.at) == 1.0:
+        if self._knows_all_use(bucket):
             level += self._overdraft
         if level <= 0:
             return OverQuota(self._wait(workspace, level), bucket.level, bucket.unheard)
@@ -135,12 +138,12 @@
         """Take in what another router's process has used since its start."""
         now = self._clock.monotonic()
         for name, total in total_by_workspace.items():
-            bucket = self._bucket_by_name.get(name)
-            if bucket is None:
-                bucket = self._bucket_by_name[name] = _Bucket(math.inf, now)
+            bucket = self._bucket(name)
             use = bucket.use_by_peer.get(peer)
             if use is None or use.incarnation != incarnation:
-                # What it used before this router heard of it is past.
+                # What it used before this router heard of it is past, but for that
+                # of a process that began a moment ago.
+                bucket.level -= 0.0 if use is None else total
                 bucket.use_by_peer[peer] = _PeerUse(incarnation, total, now)
                 continue
             spent = total - use.total
@@ -151,10 +154,7 @@
 
     def _refilled(self, workspace: Workspace) -> _Bucket:
         now = self._clock.monotonic()
-        bucket = self._bucket_by_name.get(workspace.name)
-        if bucket is None:
-            bucket = _Bucket(workspace.burst, now)
-            self._bucket_by_name[workspace.name] = bucket
+        bucket = self._bucket(workspace.name)
         share = _share_of_heard(bucket, now)
         gained = workspace.rate * share * ((now - bucket.at) / _SECOND)
         bucket.unheard = self._unheard_use(bucket, now)
@@ -163,6 +163,16 @@
         bucket.at = now
         return bucket
 
+    def _bucket(self, name: str) -> _Bucket:
+        bucket = self._bucket_by_name.get(name)
+        if bucket is None:
+            bucket = self._bucket_by_name[name] = _Bucket(0.0, self._began_at)
+        return bucket
+
+    def _knows_all_use(self, bucket: _Bucket) -> bool:
+        is_settled = bucket.at - self._began_at >= SETTLED_AFTER
+        return is_settled and _share_of_heard(bucket, bucket.at) == 1.0
+
     def _unheard_use(self, bucket: _Bucket, now: timedelta) -> float:
         """Return what others are believed to have used since they were heard of."""
         unheard = 0.0
