--- a/tests/gateway/test_quota.py
+++ b/tests/gateway/test_quota.py
@@ -70,7 +70,7 @@
     owner = workspace(rate=1000, burst=1000)
     refusals = {}
     for slack in (0, TOLERATED):
-        book = QuotaBook(clock, slack)
+        book = settled_book(clock, slack)
         for number in range(3):
             book.hear("r1", 1, {"w": 1000 * number})
             clock.advance(1)
