--- a/tests/gateway/test_quota.py
+++ b/tests/gateway/test_quota.py
@@ -74,7 +74,7 @@
         for number in range(3):
             book.hear("r1", 1, {"w": 1000 * number})
             clock.advance(1)
-        book.charge(owner, 700)
+        book.charge(owner, 1000)
         refusals[slack] = book.charge(owner, 10)
     assert refusals[0].level > 0
     assert refusals[TOLERATED] is None
