--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -5,6 +5,11 @@
 from pathlib import Path
 
 import pytest
+from hypothesis import settings
+
+# A verdict must not depend on how long an example takes on a busy machine.
+settings.register_profile("no deadline", deadline=None)
+settings.load_profile("no deadline")
 
 KNOWN_RED_FILE = Path(__file__).parent.parent / "KNOWN-RED.txt"
 
