Say once what the gateway said several times; move its tasks to a module

Cause: read once more as a whole, the change held its own twins: the two daemons' command lines and a reload that both passed the same way; "failed" as status >= 500 in four places and "has run" beside next_step's knowledge of it; patience with its own copy of _may_run_again; the dispatcher with a copy of has_room; the condition that keeps a router from duties twice; the place in line worked out twice a second by the next in line; and a branch of _deliver that nothing reaches, as next_step delivers no answer of a request that has not run. No behaviour, bound or assertion changes.

--- a/banyansail/daemon.py
+++ b/banyansail/daemon.py
@@ -7,8 +7,10 @@
 from typing import TYPE_CHECKING, Any, Protocol
 
 import eliot
+from docopt import docopt
 from twisted.internet import defer, reactor
 
+from banyansail.exceptions import BanyansailError
 from banyansail.log import log_event
 
 if TYPE_CHECKING:
@@ -27,8 +29,34 @@
         """Finish what is in progress, then close the sockets."""
 
 
-def run_daemon(daemon: Daemon, name: str, reload: Callable[[], None]) -> None:
-    """Run a daemon; SIGTERM and SIGINT stop it gracefully, SIGHUP reloads it.
+def run_command(
+    usage: str,
+    argv: list[str] | None,
+    load: Callable[[str], Any],
+    run: Callable[[Any], None],
+) -> None:
+    """Run a daemon's command line, or only check its settings.
+
+    Parameters
+    ----------
+    usage : str
+        Usage with ``--settings`` and ``--check``.
+    load : callable
+        Reads settings from a path; see `ConfigError`.
+    run : callable
+        Takes the settings and runs until it is told to stop.
+    """
+    arguments = docopt(usage, argv)
+    try:
+        settings = load(arguments["--settings"])
+    except BanyansailError as error:
+        sys.exit(error.message)
+    if not arguments["--check"]:
+        run(settings)
+
+
+def run_daemon(daemon: Daemon, name: str) -> None:
+    """Run a daemon; SIGTERM and SIGINT stop it gracefully, SIGHUP is logged.
 
     A daemon that cannot start, as another process has its port, ends the process
     with `START_FAILED_STATUS`.
@@ -39,10 +67,8 @@
         What is run.
     name : str
         Name for the log.
-    reload : callable
-        Called in the reactor's thread for each SIGHUP.
     """
-    runner = _Runner(daemon, name, reload)
+    runner = _Runner(daemon, name)
     reactor.callWhenRunning(runner.start)
     reactor.run(installSignalHandlers=False)
     sys.exit(runner.status)
@@ -51,12 +77,11 @@
 class _Runner:
     """Start, signals and end of one daemon."""
 
-    __slots__ = ("_daemon", "_is_stopping", "_name", "_reload", "status")
+    __slots__ = ("_daemon", "_is_stopping", "_name", "status")
 
-    def __init__(self, daemon: Daemon, name: str, reload: Callable[[], None]) -> None:
+    def __init__(self, daemon: Daemon, name: str) -> None:
         self._daemon = daemon
         self._name = name
-        self._reload = reload
         self._is_stopping = False
         self.status = 0
 
@@ -82,7 +107,7 @@
             reactor.callFromThread(self._stop)
 
     def _on_reload(self, number: int, frame: Any) -> None:
-        reactor.callFromThread(self._reload)
+        reactor.callFromThread(log_event, "reload")
 
     def _stop(self) -> None:
         done = defer.Deferred.fromCoroutine(self._daemon.stop_gracefully())
--- a/banyansail/gateway/__main__.py
+++ b/banyansail/gateway/__main__.py
@@ -10,36 +10,23 @@
 
 from __future__ import annotations
 
-import sys
-
-from docopt import docopt
 from twisted.internet import reactor
 
 from banyansail.config.gateway_settings import GatewaySettings, load_gateway_settings
-from banyansail.daemon import run_daemon
-from banyansail.exceptions import BanyansailError
+from banyansail.daemon import run_command, run_daemon
 from banyansail.gateway.router import Gateway
-from banyansail.log import log_event, open_log
+from banyansail.log import open_log
 
 
 def main(argv: list[str] | None = None) -> None:
     """Run a gateway until it is told to stop."""
-    arguments = docopt(__doc__, argv)
-    try:
-        settings = load_gateway_settings(arguments["--settings"])
-    except BanyansailError as error:
-        sys.exit(error.message)
-    if arguments["--check"]:
-        return
-    with open_log(None):
-        run(settings)
+    run_command(__doc__, argv, load_gateway_settings, run)
 
 
 def run(settings: GatewaySettings) -> None:
     """Run a gateway; a SIGHUP changes nothing yet."""
-    name = settings.name
-    gateway = Gateway(settings, reactor)
-    run_daemon(gateway, name, lambda: log_event("reload"))
+    with open_log(None):
+        run_daemon(Gateway(settings, reactor), settings.name)
 
 
 if __name__ == "__main__":
--- a/banyansail/gateway/attempts.py
+++ b/banyansail/gateway/attempts.py
@@ -56,6 +56,25 @@
 Outcome = NotSent | Answered | Broken
 
 
+def has_run(outcome: Outcome) -> bool:
+    """Tell whether a request may have run at the upstream."""
+    match outcome:
+        case NotSent():
+            return False
+        case Answered(head):
+            return head.ran is not Ran.NOT_RUN
+    return True
+
+
+def describe(outcome: Outcome) -> str:
+    """Return an outcome as a reason for the log and for the caller."""
+    match outcome:
+        case NotSent(reason) | Broken(reason):
+            return reason
+        case Answered(head):
+            return f"upstream answered {head.status}"
+
+
 @dataclass(slots=True)
 class Progress:
     """What has become of a request so far.
@@ -124,11 +143,11 @@
             rejection = reject(progress, reason)
             return TryAgain(True, rejection) if has_time else rejection
         case Answered(head) if head.ran is Ran.NOT_RUN:
-            rejection = reject(progress, f"upstream answered {head.status}")
+            rejection = reject(progress, describe(outcome))
             return TryAgain(False, rejection) if has_time else rejection
         case Answered(head):
             deliver = Deliver(outcome)
-            if head.status >= 500 and has_time and _may_run_again(route, progress):
+            if head.is_failure and has_time and _may_run_again(route, progress):
                 return TryAgain(False, deliver)
             return deliver
         case Broken(reason, is_timeout):
@@ -170,7 +189,7 @@
     timedelta or None
         ``None`` if the request may not run again.
     """
-    if not route.is_repeatable or progress.runs >= route.max_attempts:
+    if not _may_run_again(route, progress):
         return None
     limit = max(LEAST_ATTEMPT_TIME, usual * ATTEMPT_LATENCIES)
     if route.kind is RouteKind.STREAM:
--- a/banyansail/gateway/dispatch.py
+++ b/banyansail/gateway/dispatch.py
@@ -10,7 +10,7 @@
 from datetime import timedelta
 from typing import TYPE_CHECKING
 
-from banyansail.gateway.choice import Chosen, choose
+from banyansail.gateway.choice import Chosen, choose, has_room
 from banyansail.gateway.messages import Cause, Rejection
 from banyansail.gateway.upstream_load import ReadPace, UpstreamLoad
 
@@ -245,10 +245,7 @@
             return Rejection(
                 503, Cause.NO_UPSTREAM, "no upstream is left", NO_UPSTREAM_RETRY
             )
-        if ticket.is_retry or any(
-            load.in_flight + load.peer_in_flight < load.upstream.slots
-            for load in usable
-        ):
+        if ticket.is_retry or any(has_room(load) for load in usable):
             return None
         wait = state.expected_wait(ticket)
         remaining = ticket.deadline - now
--- a/banyansail/gateway/duty_lease.py
+++ b/banyansail/gateway/duty_lease.py
@@ -19,6 +19,7 @@
 
 KIND = "leases"
 RENEW_SHARE = 0.5  # of the lease time, after which it is renewed
+RETURN_LEASES = 2  # lease times that a holder waits after it lost it to another
 
 
 class DutyLease:
@@ -134,7 +135,7 @@
         return (
             was_taken
             and self._held_at is not None
-            and now - self._held_at < self._lease_time * 2
+            and now - self._held_at < self._lease_time * RETURN_LEASES
         )
 
     async def _write(self, fence: int, expected: int | None) -> None:
--- a/banyansail/gateway/exchange.py
+++ b/banyansail/gateway/exchange.py
@@ -14,18 +14,15 @@
     Outcome,
     Progress,
     TryAgain,
+    describe,
+    has_run,
     next_step,
     patience,
     reject,
 )
 from banyansail.gateway.dispatch import Slot, Ticket
 from banyansail.gateway.messages import Cause, Ran, Rejection
-from banyansail.gateway.outcome_judge import (
-    FIRST_FAILURE_STATUS,
-    OutcomeJudge,
-    describe,
-    has_run,
-)
+from banyansail.gateway.outcome_judge import OutcomeJudge
 from banyansail.gateway.site import RouteKind
 from banyansail.log import log_decision
 from banyansail.platform.calls import encode_attempt
@@ -210,7 +207,8 @@
                 watch.cancel()
             context.dispatcher.release(slot)
             context.crashes.end(upstream, self._call.fingerprint, survived=False)
-        self._progress.runs -= not has_run(outcome)
+        if not has_run(outcome):
+            self._progress.runs -= 1
         took = context.clock.monotonic() - sent_at
         self._judge.learn(outcome, load, took, was_given_up=self._is_prepaid)
         return outcome
@@ -239,14 +237,11 @@
             self._context.usage.count(self._workspace.name)
 
     def _deliver(self, answer: Answered) -> None:
-        if answer.head.ran is Ran.NOT_RUN:
-            self._reject(reject(self._progress, f"upstream: {answer.head.status}"))
-            return
         self._is_over = True
         self._context.metrics.count_answer(
             self._route.name, f"upstream_{answer.head.status}"
         )
-        if answer.head.status >= FIRST_FAILURE_STATUS:
+        if answer.head.is_failure:
             self._log(
                 "pass_failure_on",
                 "the upstream failed and no attempt is left",
--- a/banyansail/gateway/messages.py
+++ b/banyansail/gateway/messages.py
@@ -70,6 +70,9 @@
     fingerprint: int
 
 
+FIRST_FAILURE_STATUS = 500
+
+
 class Ran(Enum):
     """What an answer of an upstream says about the run."""
 
@@ -101,6 +104,11 @@
     ran: Ran
     is_other_upstream: bool = False
 
+    @property
+    def is_failure(self) -> bool:
+        """Whether the upstream says that it failed."""
+        return self.status >= FIRST_FAILURE_STATUS
+
 
 class Cause(Enum):
     """Why a request gets no answer of an upstream."""
--- a/banyansail/gateway/outcome_judge.py
+++ b/banyansail/gateway/outcome_judge.py
@@ -19,7 +19,6 @@
     from banyansail.gateway.upstream_load import UpstreamLoad
 
 SLOW_OBJECTIVES = 2  # times the objective, after which an answer is a bad one
-FIRST_FAILURE_STATUS = 500
 
 
 class OutcomeJudge:
@@ -74,8 +73,7 @@
                     load.suspect(now)
             case Answered(head):
                 latency = took if self._call.prompt is None else None
-                is_ok = head.status < FIRST_FAILURE_STATUS
-                load.observe(now, ok=is_ok, latency=latency)
+                load.observe(now, ok=not head.is_failure, latency=latency)
             case Broken():
                 load.observe(now, ok=False)
                 if was_given_up:
@@ -85,9 +83,7 @@
                 self._context.pool_of(load.upstream.address).drop_idle()
 
     def _is_good(self, outcome: Outcome, took: timedelta) -> bool:
-        if not isinstance(outcome, Answered):
-            return False
-        if outcome.head.status >= FIRST_FAILURE_STATUS:
+        if not isinstance(outcome, Answered) or outcome.head.is_failure:
             return False
         is_plain = self._call.prompt is None
         return not is_plain or took <= self._route.objective * SLOW_OBJECTIVES
@@ -104,22 +100,3 @@
                 error=str(failure.value),
             )
         )
-
-
-def has_run(outcome: Outcome) -> bool:
-    """Tell whether a request may have run at the upstream."""
-    match outcome:
-        case NotSent():
-            return False
-        case Answered(head):
-            return head.ran is not Ran.NOT_RUN
-    return True
-
-
-def describe(outcome: Outcome) -> str:
-    """Return an outcome as a reason in the log."""
-    match outcome:
-        case NotSent(reason) | Broken(reason):
-            return reason
-        case Answered(head):
-            return f"upstream answered {head.status}"
--- a/banyansail/gateway/router.py
+++ b/banyansail/gateway/router.py
@@ -24,6 +24,7 @@
 from banyansail.gateway.request_handler import RequestHandler
 from banyansail.gateway.scaler import Scaler
 from banyansail.gateway.store_probe import StoreProbe
+from banyansail.gateway.tasks import add_tasks
 from banyansail.gateway.traffic import own_traffic, take_traffic
 from banyansail.gateway.upstream_table import DOCUMENT as UPSTREAMS_DOCUMENT
 from banyansail.gateway.upstream_table import UpstreamTable
@@ -45,22 +46,9 @@
     from banyansail.config.gateway_settings import GatewaySettings
     from banyansail.gateway.site import SiteConfig
 
-PUSH_INTERVAL = timedelta(milliseconds=200)
-TRAFFIC_INTERVAL = timedelta(milliseconds=400)
-SHORT_USE_INTERVAL = timedelta(milliseconds=100)
-EXCHANGE_INTERVAL = timedelta(seconds=1)
-PROBE_INTERVAL = timedelta(seconds=1)
-PUMP_INTERVAL = timedelta(milliseconds=50)
-FOLLOW_PAUSE = timedelta(milliseconds=20)
 GATHER_TIME = timedelta(milliseconds=400)  # in which changes of upstreams come together
 GATHER_TIME_PER_ROUTER = timedelta(milliseconds=13)  # each router's watch is a call
 LONGEST_GATHER_TIME = timedelta(seconds=1)  # half of what a leaving upstream is owed
-FOLLOW_BACKOFF = timedelta(milliseconds=500)  # news is owed soon after an outage
-CATCH_UP_INTERVAL = timedelta(milliseconds=200)
-LAPSE_INTERVAL = timedelta(milliseconds=200)
-DUTY_INTERVAL = timedelta(seconds=1)
-MOVE_INTERVAL = timedelta(milliseconds=300)
-JOIN_INTERVAL = timedelta(seconds=5)
 STOP_CHECK = timedelta(milliseconds=50)
 STOP_MARGIN = timedelta(milliseconds=400)  # before the process is killed
 BALANCER_NOTICE = timedelta(seconds=2.6)  # until it sends no new connections
@@ -98,7 +86,7 @@
         self._build_platform()
         self._build_state()
         self._build_servers()
-        self._add_tasks()
+        add_tasks(self)
 
     def _build_platform(self) -> None:
         settings = self.settings
@@ -166,26 +154,6 @@
         self._readers = MetricsFactory(self._reactor, self._metrics_text)
         self._balancer = ReadyFactory(self._reactor, lambda: self.is_ready)
 
-    def _add_tasks(self) -> None:
-        self.add_task("gossip.push", self._push, PUSH_INTERVAL)
-        self.add_task("gossip.traffic", self._publish_traffic, TRAFFIC_INTERVAL)
-        self.add_task("gossip.short", self._tell_short_use, SHORT_USE_INTERVAL)
-        self.add_task("gossip.exchange", self._exchange_digests, EXCHANGE_INTERVAL)
-        for kind, follow in (
-            (self.config_mirror.kind, self.config_mirror.follow),
-            (self.upstream_table.mirror.kind, self._follow_upstreams),
-            (self.move_mirror.kind, self.move_mirror.follow),
-        ):
-            self.add_task(f"{kind}.follow", follow, FOLLOW_PAUSE, FOLLOW_BACKOFF)
-        self.add_task("config.catch_up", self._catch_up, CATCH_UP_INTERVAL)
-        self.add_task("upstreams.lapse", self._drop_lapsed, LAPSE_INTERVAL)
-        self.add_task("pump", self._pump, PUMP_INTERVAL)
-        self.add_task("duties.usage", self._report_usage, DUTY_INTERVAL)
-        self.add_task("duties.replicas", self._scale, DUTY_INTERVAL)
-        self.add_task("moves", self.moves.settle, MOVE_INTERVAL)
-        self.add_task("store.probe", self.probe.probe, PROBE_INTERVAL)
-        self.add_task("join", self._join, JOIN_INTERVAL)
-
     @property
     def site(self) -> SiteConfig:
         """Return the configuration in force."""
@@ -200,6 +168,11 @@
             and bool(self.dispatcher.service_by_name)
         )
 
+    @property
+    def is_unfit_for_duties(self) -> bool:
+        """Whether this router leaves or does not reach the store."""
+        return self.requests.is_leaving or self.probe.is_lost
+
     def startService(self) -> None:
         """Listen and start all tasks."""
         settings = self.settings
@@ -224,7 +197,7 @@
         self.requests.is_leaving = True
         self._publish_member()
         log_event("leaving", in_progress=self.requests.in_progress)
-        await self._publish_traffic()  # others need not wait for its duties
+        await self.publish_traffic()  # others need not wait for its duties
         await self.reporter.release()
         await self._pause(BALANCER_NOTICE)
         self.requests.takes_requests = False
@@ -266,14 +239,16 @@
         self.context.keep_pools({upstream.address for upstream in upstreams})
         self._publish_member()
 
-    async def _follow_upstreams(self) -> None:
+    async def follow_upstreams(self) -> None:
+        """Wait for changes of upstreams, and let more of them come together."""
         await self.upstream_table.mirror.follow()
         await self._pause(gather_time(len(self.peers.live_names())))
 
-    async def _drop_lapsed(self) -> None:
+    async def drop_lapsed(self) -> None:
+        """Drop upstreams that did not come back after an outage."""
         self.upstream_table.mirror.drop_lapsed()
 
-    async def _catch_up(self) -> None:
+    async def catch_up(self) -> None:
         """Fetch from other routers what the store did not tell."""
         for name, member in self.fleet.others().items():
             if member.rules_version > self.site.version:
@@ -293,20 +268,24 @@
                 return self.upstream_table.document() or Nothing()
         return Nothing()
 
-    async def _join(self) -> None:
+    async def join(self) -> None:
+        """Make this router known in the store."""
         await self.fleet.join(self.store)
 
-    async def _push(self) -> None:
+    async def push(self) -> None:
+        """Pass news on."""
         self.fleet.push()
 
-    async def _exchange_digests(self) -> None:
+    async def exchange_digests(self) -> None:
+        """Compare with other routers what was heard."""
         self.fleet.exchange()
 
-    async def _publish_traffic(self) -> None:
+    async def publish_traffic(self) -> None:
+        """Tell others of this router and its traffic."""
         self._publish_member()
         self.fleet.publish(Topic.TRAFFIC, self._own_traffic())
 
-    async def _tell_short_use(self) -> None:
+    async def tell_short_use(self) -> None:
         """Tell others at once how a quota is used that is nearly used up."""
         if self.quota.has_short_use:
             self.quota.has_short_use = False
@@ -314,7 +293,7 @@
             self.fleet.tell(names, Topic.TRAFFIC, self._own_traffic())
 
     def _own_traffic(self) -> bytes:
-        is_unfit = self.requests.is_leaving or self.probe.is_lost
+        is_unfit = self.is_unfit_for_duties
         return own_traffic(self.context, is_unfit_for_duties=is_unfit)
 
     def _on_news(self, entries: list[Entry]) -> None:
@@ -335,14 +314,17 @@
             is_leaving=self.requests.is_leaving,
         )
 
-    async def _pump(self) -> None:
+    async def pump(self) -> None:
+        """Give free places to waiting requests."""
         self.dispatcher.pump()
 
-    async def _report_usage(self) -> None:
-        if not (self.requests.is_leaving or self.probe.is_lost):
+    async def report_usage(self) -> None:
+        """Report usage, if this router may hold the duty."""
+        if not self.is_unfit_for_duties:
             await self.reporter.report(list(self.site.workspace_by_name))
 
-    async def _scale(self) -> None:
+    async def scale(self) -> None:
+        """Order replicas, unless this router leaves."""
         if not self.requests.is_leaving:
             await self.scaler.scale(self.site)
 
--- a/banyansail/gateway/usage_reporter.py
+++ b/banyansail/gateway/usage_reporter.py
@@ -59,11 +59,8 @@
         self._reported: int | None = None
         self._has_begun = False
 
-    def is_candidate(self) -> bool:
-        """Tell whether this router is the one to hold the lease."""
-        return self._place_in_line() == 0
-
     def _place_in_line(self) -> int:
+        """Return 0 for the router that is to hold the lease, 1 for the next."""
         names = rank_names("duties", self._peers.names_fit_for_duties())
         return names.index(self._name)
 
@@ -73,8 +70,10 @@
         The next in line observes the lease meanwhile, so that it need not begin to
         wait for its end only once the holder is lost.
         """
-        if self.lease.fence() is None and not self.is_candidate():
-            await self._observe()
+        place = 0 if self.lease.fence() is not None else self._place_in_line()
+        if place > 0:
+            if place == 1:
+                await self._observe()
             return
         fence = await self.lease.acquire()
         if fence is None or not workspaces:
@@ -92,8 +91,7 @@
     async def _observe(self) -> None:
         now = self._clock.monotonic()
         before = self._observed_at
-        is_due = before is None or now - before >= OBSERVE_INTERVAL
-        if is_due and self._place_in_line() == 1:
+        if before is None or now - before >= OBSERVE_INTERVAL:
             self._observed_at = now
             await self.lease.observe()
 
--- a/banyansail/router/__main__.py
+++ b/banyansail/router/__main__.py
@@ -11,35 +11,24 @@
 
 from __future__ import annotations
 
-import sys
-
-from docopt import docopt
 from twisted.internet import reactor
 
 from banyansail.config.settings import Settings, load_settings
-from banyansail.daemon import run_daemon
-from banyansail.exceptions import BanyansailError
-from banyansail.log import log_event, open_log
+from banyansail.daemon import run_command, run_daemon
+from banyansail.log import open_log
 from banyansail.router.router import Router
 
 
 def main(argv: list[str] | None = None) -> None:
     """Run a router until it is told to stop."""
-    arguments = docopt(__doc__, argv)
-    try:
-        settings = load_settings(arguments["--settings"])
-    except BanyansailError as error:
-        sys.exit(error.message)
-    if arguments["--check"]:
-        return
-    with open_log(settings.log):
-        run(settings)
+    run_command(__doc__, argv, load_settings, run)
 
 
 def run(settings: Settings) -> None:
     """Run a router; a SIGHUP changes nothing, as rules come from the platform."""
-    router = Router(settings, reactor)
-    run_daemon(router, router.router_id, lambda: log_event("reload"))
+    with open_log(settings.log):
+        router = Router(settings, reactor)
+        run_daemon(router, router.router_id)
 
 
 if __name__ == "__main__":
--- a/tests/gateway/test_follow.py
+++ b/tests/gateway/test_follow.py
@@ -7,7 +7,8 @@
 from twisted.internet.task import Clock as ReactorClock
 
 from banyansail.exceptions import PlatformUnavailableError
-from banyansail.gateway.router import FOLLOW_BACKOFF, FOLLOW_PAUSE, gather_time
+from banyansail.gateway.router import gather_time
+from banyansail.gateway.tasks import FOLLOW_BACKOFF, FOLLOW_PAUSE
 from banyansail.router.supervisor import RepeatedTask
 
 # Within this time after a lost store is back, its news must be in force.
