--- a/banyansail/fleet/datagrams.py
+++ b/banyansail/fleet/datagrams.py
@@ -70,8 +70,11 @@
         """Send datagrams; count and skip those that are too large or fail."""
         if self.transport is None:
             return
+        gossip, data = None, b""
         for item in outgoing:
-            data = self._authenticator.sign(encode_gossip(item.gossip))
+            if item.gossip is not gossip:  # consecutive datagrams often have the same
+                gossip = item.gossip
+                data = self._authenticator.sign(encode_gossip(gossip))
             if len(data) > MAX_DATAGRAM_BYTES:
                 self._metrics.count("gossip.too_large")
                 continue
--- a/banyansail/fleet/entries.py
+++ b/banyansail/fleet/entries.py
@@ -22,6 +22,19 @@
     STATEMENTS = 5
     ZONE_EVIDENCE = 6
     TRAFFIC = 7
+    ZONE_TRAFFIC = 8
+    FLEET_TRAFFIC = 9
+    USAGE = 10
+
+
+# Sent directly to some routers, never pushed and not part of digests.
+DIRECT_TOPICS = (
+    Topic.EVIDENCE,
+    Topic.TRAFFIC,
+    Topic.ZONE_TRAFFIC,
+    Topic.FLEET_TRAFFIC,
+    Topic.USAGE,
+)
 
 
 @dataclass(slots=True, frozen=True)
--- a/banyansail/fleet/gossiper.py
+++ b/banyansail/fleet/gossiper.py
@@ -133,14 +133,29 @@
         The datagrams are part of the next `push`, even if the value did not change.
         """
         self._view.publish(topic, value)
-        entry = self._view.own_entry(topic)
+        self.relay(names, self._view.own_entry(topic))
+
+    def send_value(self, names: Iterable[str], topic: Topic, value: bytes) -> Entry:
+        """Send a value to some routers only, as a new entry even if it is unchanged."""
+        entry = self._view.renew(topic, value)
+        self.relay(names, entry)
+        return entry
+
+    def relay(self, names: Iterable[str], entry: Entry) -> None:
+        """Send an entry, possibly of another router, to some routers only."""
+        gossip = Gossip(self._view.name, self._zone, (entry,), (), LAST_STEP)
         members = self.members()
         self._direct_datagrams += [
-            self._make_datagram(members[name].peer, [entry], (), LAST_STEP)
+            OutgoingDatagram(members[name].peer, gossip)
             for name in names
             if name in members
         ]
 
+    def direct_datagrams(self) -> list[OutgoingDatagram]:
+        """Return the datagrams with direct values that were not returned before."""
+        datagrams, self._direct_datagrams = self._direct_datagrams, []
+        return datagrams
+
     def expire_members(self) -> None:
         """Remove routers without a heartbeat for `EXPIRY_TIME`, see `FleetView`."""
         self._view.expire()
@@ -148,8 +163,7 @@
 
     def push(self) -> list[OutgoingDatagram]:
         """Return the datagrams with direct values and with queued entries."""
-        direct_datagrams, self._direct_datagrams = self._direct_datagrams, []
-        return direct_datagrams + self._push_entries()
+        return self.direct_datagrams() + self._push_entries()
 
     def _push_entries(self) -> list[OutgoingDatagram]:
         entries = self._push_queue.next_batch()
--- a/banyansail/fleet/push_queue.py
+++ b/banyansail/fleet/push_queue.py
@@ -4,7 +4,7 @@
 
 import math
 
-from banyansail.fleet.entries import Entry, Topic
+from banyansail.fleet.entries import DIRECT_TOPICS, Entry, Topic
 
 PUSH_FANOUT = 2  # receivers of each push
 MAX_ENTRY_BYTES_PER_DATAGRAM = 6 * 1024
@@ -47,11 +47,10 @@
     Urgent entries get enough pushes to reach all routers by pushes alone. For others,
     the digest exchanges repair what the pushes missed.
     """
-    match topic:
-        case Topic.EVIDENCE:
-            return 0  # sent directly to its receivers, never relayed
-        case Topic.ZONE_EVIDENCE:
-            return 1
+    if topic is Topic.ZONE_EVIDENCE:
+        return 1
+    if topic in DIRECT_TOPICS:
+        return 0
     if topic not in URGENT_TOPICS:
         return DEFAULT_PUSHES
     return math.ceil(math.log2(max(2, fleet_size)) / PUSH_FANOUT) + DEFAULT_PUSHES
--- a/banyansail/fleet/view.py
+++ b/banyansail/fleet/view.py
@@ -11,7 +11,7 @@
 from datetime import timedelta
 from typing import TYPE_CHECKING
 
-from banyansail.fleet.entries import Digest, Entry, Topic
+from banyansail.fleet.entries import DIRECT_TOPICS, Digest, Entry, Topic
 
 if TYPE_CHECKING:
     from banyansail.clock import Clock
@@ -19,8 +19,10 @@
 LIVENESS_TIMEOUT = timedelta(seconds=15)  # within a zone
 LIVENESS_TIMEOUT_PER_ROUTER = timedelta(milliseconds=150)  # added for other zones
 EXPIRY_TIME = timedelta(hours=1)  # without a heartbeat; then a router is removed
-ZONE_TOPICS = (Topic.LOADS, Topic.EVIDENCE)  # pushed within a zone, not in digests
-COMPARED_TOPICS = tuple(topic for topic in Topic if topic not in ZONE_TOPICS)
+# Of digests; the loads of upstreams are pushed within a zone only.
+COMPARED_TOPICS = tuple(
+    topic for topic in Topic if topic not in (*DIRECT_TOPICS, Topic.LOADS)
+)
 
 
 @dataclass(slots=True)
@@ -87,6 +89,11 @@
         previous = self._own.entry_by_topic.get(topic)
         if previous is not None and previous.value == value:
             return None
+        return self.renew(topic, value)
+
+    def renew(self, topic: Topic, value: bytes) -> Entry:
+        """Set this router's value, as a new entry even if it is unchanged."""
+        previous = self._own.entry_by_topic.get(topic)
         sequence = previous.sequence + 1 if previous else 1
         entry = Entry(self.name, self._own.incarnation, topic, sequence, value)
         self._own.entry_by_topic[topic] = entry
--- a/banyansail/gateway/attempt.py
+++ b/banyansail/gateway/attempt.py
@@ -39,6 +39,8 @@
         Id that the answer repeats; an answer with another id is skipped.
     sink : StreamSink or None
         Receiver of a successful stream's events; with ``None``, the body is buffered.
+    on_head : callable
+        Called with the answer's head on its arrival.
     on_first_byte : callable
         Called once with the answer's head; for a stream, at its first event.
     """
@@ -48,11 +50,13 @@
         pool: ConnectionPool,
         attempt_id: str,
         sink: StreamSink | None,
+        on_head: Callable[[ReplyHead], None],
         on_first_byte: Callable[[ReplyHead], None],
     ) -> None:
         self._pool = pool
         self._attempt_id = attempt_id
         self._sink = sink
+        self._on_head = on_head
         self._on_first_byte = on_first_byte
         self._connection: HttpConnection | None = None
         self._done: defer.Deferred[Outcome] | None = None
@@ -97,6 +101,7 @@
     ) -> None:
         """Process the head of the answer."""
         self._head = decode_reply(status, reason, headers)
+        self._on_head(self._head)
         if self._sink is None or status >= 300:  # only a success has events
             self._sink = None
             self._on_first_byte(self._head)
--- a/banyansail/gateway/choice.py
+++ b/banyansail/gateway/choice.py
@@ -77,7 +77,11 @@
         Ids of upstreams that already failed the request.
     """
     available = [
-        load for load in loads if load.upstream.id not in excluded and has_room(load)
+        load
+        for load in loads
+        if load.upstream.id not in excluded
+        and has_room(load)
+        and not load.pause_left(now)
     ]
     candidates = [load for load in available if not load.is_suspect(now)] or available
     if not candidates:
--- a/banyansail/gateway/context.py
+++ b/banyansail/gateway/context.py
@@ -10,6 +10,7 @@
 from banyansail.gateway.metrics import GatewayMetrics
 from banyansail.gateway.quota import cost_of
 from banyansail.gateway.retry_budget import WindowedRetryBudget
+from banyansail.log import log_event
 from banyansail.upstreams.pool import ConnectionPool
 
 if TYPE_CHECKING:
@@ -22,12 +23,13 @@
     from banyansail.gateway.crash_guard import CrashGuard
     from banyansail.gateway.dispatch import Dispatcher
     from banyansail.gateway.move_controller import MoveController
-    from banyansail.gateway.peers import PeerTable
     from banyansail.gateway.quota import QuotaLimiter
-    from banyansail.gateway.request_types import CallerCall
+    from banyansail.gateway.request_types import CallerCall, ReplyHead
     from banyansail.gateway.site import Workspace
     from banyansail.gateway.upstream import Upstream
+    from banyansail.gateway.upstream_load import UpstreamLoad
     from banyansail.gateway.usage import UsageCounter
+    from banyansail.traffic.fleet_traffic import FleetTraffic
 
 
 @dataclass(slots=True, kw_only=True)
@@ -46,6 +48,8 @@
         Settings, such as those of the retry budget.
     publish_crashes : callable
         Publishes the encoded crashes of upstreams to other routers.
+    mark_leaving : callable
+        Called with an upstream that said in an answer that it is draining.
     """
 
     reactor: Any
@@ -55,10 +59,11 @@
     dispatcher: Dispatcher
     quota: QuotaLimiter
     usage: UsageCounter
-    peers: PeerTable
+    fleet: FleetTraffic
     moves: MoveController
     crash_guard: CrashGuard
     publish_crashes: Callable[[bytes], None]
+    mark_leaving: Callable[[Upstream], None]
     route_log_limit: LogRateLimit = field(init=False)
     metrics: GatewayMetrics = field(default_factory=GatewayMetrics)
     _retry_budget_by_service: dict[str, WindowedRetryBudget] = field(
@@ -85,7 +90,7 @@
 
     def withdraw_retry(self, service: str) -> bool:
         """Withdraw a retry from a service's budget; return whether it was available."""
-        return self.retry_budget(service).withdraw(self.peers.fleet_size())
+        return self.retry_budget(service).withdraw(self.fleet.fleet_size())
 
     def refund_quota(self, workspace: Workspace | None, call: CallerCall) -> None:
         """Refund the quota of a request that did not run."""
@@ -105,6 +110,18 @@
         for address in self._pool_by_address.keys() - used_addresses:
             self._pool_by_address.pop(address).close()
 
+    def apply_reply_head(self, load: UpstreamLoad, head: ReplyHead) -> None:
+        """Apply what an upstream says about itself in the head of an answer."""
+        if head.is_leaving:
+            self.mark_leaving(load.upstream)
+        if head.pause is not None:
+            load.pause(head.pause, self.clock.monotonic())
+            log_event(
+                "upstream_pauses",
+                upstream=load.upstream.id,
+                seconds=head.pause.total_seconds(),
+            )
+
     async def check_liveness(self, upstream: Upstream, fingerprint: int) -> None:
         """Connect to an upstream after a failure; record its crash if that fails."""
         try:
--- a/banyansail/gateway/dispatch.py
+++ b/banyansail/gateway/dispatch.py
@@ -31,6 +31,11 @@
 MAX_QUEUE_LENGTH = 500  # requests of one service
 
 
+NO_UPSTREAM_LEFT = Rejection(
+    503, Cause.NO_UPSTREAM, "no usable upstream is left", NO_UPSTREAM_RETRY_DELAY
+)
+
+
 @dataclass(slots=True, eq=False)
 class Ticket:
     """Request for a slot at an upstream.
@@ -99,6 +104,10 @@
     prefill_rate: PrefillRate = field(default_factory=PrefillRate)
     version_share: VersionShare | None = None
     prefill_tokens_total: float = 0.0  # expected, of all requests assigned so far
+    # Removed upstreams that asked for a pause; their entries may return.
+    paused_by_incarnation: dict[tuple[str, int], UpstreamLoad] = field(
+        default_factory=dict
+    )
 
     def usable(self) -> list[UpstreamLoad]:
         """Return the upstreams that are not draining."""
@@ -106,6 +115,12 @@
             load for load in self.load_by_id.values() if not load.upstream.is_leaving
         ]
 
+    def usable_by(self, ticket: Ticket) -> list[UpstreamLoad]:
+        """Return the usable upstreams that did not fail a request yet."""
+        return [
+            load for load in self.usable() if load.upstream.id not in ticket.excluded
+        ]
+
     def usable_for(self, ticket: Ticket) -> list[UpstreamLoad]:
         """Return the usable upstreams of the version that a request is routed to.
 
@@ -248,30 +263,27 @@
         slot = self._assign_slot(state, ticket, now)
         if slot is not None:
             return slot
-        waited_share = (now - ticket.arrived_at) / max(
-            ticket.deadline - ticket.arrived_at, timedelta(microseconds=1)
-        )
-        if not state.usable() or waited_share >= MAX_WAIT_SHARE:
+        usable = state.usable_by(ticket)
+        if not usable:
+            return NO_UPSTREAM_LEFT
+        wait_end = ticket.arrived_at + _max_wait(ticket)
+        if now >= wait_end:
             return self._overload_rejection(state, ticket)
-        return None
+        return _check_pauses(usable, wait_end - now, now)
 
     def _check_admission(
         self, state: ServiceState, ticket: Ticket, now: timedelta
     ) -> Rejection | None:
-        usable = [
-            load for load in state.usable() if load.upstream.id not in ticket.excluded
-        ]
+        usable = state.usable_by(ticket)
         if not usable:
-            return Rejection(
-                503,
-                Cause.NO_UPSTREAM,
-                "no usable upstream is left",
-                NO_UPSTREAM_RETRY_DELAY,
-            )
+            return NO_UPSTREAM_LEFT
+        remaining = ticket.deadline - now
+        paused = _check_pauses(usable, remaining * MAX_WAIT_SHARE, now)
+        if paused is not None:
+            return paused
         if ticket.is_retry or any(has_room(load) for load in usable):
             return None
         wait = state.expected_wait(ticket)
-        remaining = ticket.deadline - now
         if wait > remaining * MAX_WAIT_SHARE or len(state.waiting) >= MAX_QUEUE_LENGTH:
             return self._overload_rejection(state, ticket)
         return None
@@ -309,18 +321,42 @@
     def _apply_to_service(
         self, state: ServiceState, upstream_by_id: dict[str, Upstream], kv_tokens: int
     ) -> None:
+        now = self._clock.monotonic()
         for upstream_id in state.load_by_id.keys() - upstream_by_id.keys():
-            del state.load_by_id[upstream_id]
+            load = state.load_by_id.pop(upstream_id)
+            if load.pause_left(now):
+                state.paused_by_incarnation[load.upstream.incarnation] = load
         for upstream_id, upstream in upstream_by_id.items():
             load = state.load_by_id.get(upstream_id)
             if load is None or load.upstream.incarnation != upstream.incarnation:
-                state.load_by_id[upstream_id] = UpstreamLoad(
-                    upstream, kv_tokens, state.prefill_rate
-                )
+                load = UpstreamLoad(upstream, kv_tokens, state.prefill_rate)
+                state.load_by_id[upstream_id] = load
+                removed = state.paused_by_incarnation.pop(upstream.incarnation, None)
+                if removed is not None:
+                    load.pause(removed.pause_left(now), now)
             else:
                 load.upstream = upstream
 
 
+def _max_wait(ticket: Ticket) -> timedelta:
+    return (ticket.deadline - ticket.arrived_at) * MAX_WAIT_SHARE
+
+
+def _check_pauses(
+    usable: list[UpstreamLoad], max_wait: timedelta, now: timedelta
+) -> Rejection | None:
+    """Return a rejection if all upstreams want nothing for longer than a request waits.
+
+    It tells the caller when the first of them takes requests again.
+    """
+    shortest = min(load.pause_left(now) for load in usable)
+    if shortest <= max_wait:
+        return None
+    return Rejection(
+        503, Cause.PAUSED, "all usable upstreams asked for a pause", shortest
+    )
+
+
 def _remove_entry(entries: list[_QueueEntry], entry: _QueueEntry) -> None:
     if entry in entries:
         entries.remove(entry)
--- a/banyansail/gateway/exchange.py
+++ b/banyansail/gateway/exchange.py
@@ -190,6 +190,7 @@
             context.pool_of(upstream.address),
             self._call.attempt_id,
             sink,
+            lambda head: context.apply_reply_head(load, head),
             on_first_byte,
         )
         headers = encode_attempt(
--- a/banyansail/gateway/fleet_link.py
+++ b/banyansail/gateway/fleet_link.py
@@ -29,7 +29,6 @@
     from banyansail.wire.call_codec import PeerCall, PeerReply
 
 ROUTERS_KIND = "routers"
-MAX_DIRECT_RECIPIENTS = 24  # recipients of one direct send, sampled if there are more
 
 
 class FleetLink:
@@ -57,7 +56,6 @@
         handle_call: Callable[[PeerCall], Coroutine[Any, Any, PeerReply]],
     ) -> None:
         self._settings = settings
-        self._random = random
         incarnation = int(clock.now().timestamp() * 1000)
         authenticator = MessageAuthenticator(settings.shared_key)
         view = FleetView(settings.name, incarnation, clock)
@@ -70,12 +68,24 @@
         self._caller = PeerCaller(reactor, authenticator)
         self._is_joined = False
 
+    def live_members(self) -> dict[str, Member]:
+        """Return the live routers by name, this one included."""
+        return self._gossiper.live_members()
+
     def live_peers(self) -> dict[str, Member]:
         """Return the other live routers by name."""
         members = self._gossiper.live_members()
         members.pop(self._settings.name, None)
         return members
 
+    def zone_members(self) -> list[str]:
+        """Return the live routers of this data centre, this one included."""
+        return [
+            name
+            for name, member in self._gossiper.live_members().items()
+            if member.zone == self._settings.zone
+        ]
+
     def publish(self, topic: Topic, value: bytes, *, urgent: bool = False) -> None:
         """Replace this router's value of a topic; push it at once if urgent."""
         if self._gossiper.publish(topic, value) and urgent:
@@ -100,13 +110,16 @@
         )
         self.publish(Topic.MEMBER, encode_member(member), urgent=True)
 
-    def send_to(self, names: Iterable[str], topic: Topic, value: bytes) -> None:
-        """Send a value directly to some routers, at most `MAX_DIRECT_RECIPIENTS`."""
-        others = [name for name in names if name != self._settings.name]
-        if len(others) > MAX_DIRECT_RECIPIENTS:
-            others = self._random.sample(others, MAX_DIRECT_RECIPIENTS)
-        self._gossiper.send_to(others, topic, value)
-        self.push()
+    def send_value(self, names: Iterable[str], topic: Topic, value: bytes) -> Entry:
+        """Send a value to some routers only; return its entry."""
+        entry = self._gossiper.send_value(names, topic, value)
+        self.protocol.send(self._gossiper.direct_datagrams())
+        return entry
+
+    def relay(self, names: Iterable[str], entry: Entry) -> None:
+        """Send the entry of another router to some routers."""
+        self._gossiper.relay(names, entry)
+        self.protocol.send(self._gossiper.direct_datagrams())
 
     def push(self) -> None:
         """Push new entries to other routers."""
--- a/banyansail/gateway/move_controller.py
+++ b/banyansail/gateway/move_controller.py
@@ -26,8 +26,7 @@
     from banyansail.gateway.duty_lease import DutyLease
     from banyansail.gateway.mirror import Mirror
     from banyansail.platform.store import StoreClient
-
-TallyKey = tuple[str, int, bool]  # service, number of the move, is_target
+    from banyansail.traffic.report import TallyKey
 
 
 class MoveController:
@@ -65,7 +64,8 @@
         self._received_at: dict[tuple[str, str, int], timedelta] = {}
         self._bad_moves: set[tuple[str, int]] = set()
         self.own_tallies: dict[TallyKey, Tally] = {}
-        self._tallies_by_process: dict[str, dict[TallyKey, Tally]] = {}
+        # Of the whole fleet, this router included, as of a moment ago.
+        self._fleet_tallies: Mapping[TallyKey, Tally] = {}
 
     def apply_orders(self, mirror: Mirror) -> None:
         """Replace the known moves by the orders in the store's mirror."""
@@ -82,17 +82,9 @@
             self._received_at.setdefault(key, self._clock.monotonic())
         self.update_shares()
 
-    def merge_peer_tallies(
-        self, process: str, tallies: Mapping[TallyKey, Tally]
-    ) -> None:
-        """Replace the tallies of another router's process.
-
-        Parameters
-        ----------
-        process : str
-            Name and incarnation of the router; a restarted one counts from zero.
-        """
-        self._tallies_by_process[process] = dict(tallies)
+    def set_fleet_tallies(self, tallies: Mapping[TallyKey, Tally]) -> None:
+        """Replace the tallies of the whole fleet, which include this router's."""
+        self._fleet_tallies = tallies
 
     def record(self, service: str, version: str, *, is_good: bool) -> None:
         """Count an answer of an upstream."""
@@ -170,9 +162,8 @@
         return verdict
 
     def _total_tally(self, move: Move, is_target: bool) -> Tally:
-        total = Tally()
+        """Return the larger of two tallies: the fleet's lags behind this router's."""
         key = (move.service, move.number, is_target)
-        for tallies in (self.own_tallies, *self._tallies_by_process.values()):
-            if key in tallies:
-                total.add(tallies[key])
-        return total
+        own = self.own_tallies.get(key, Tally())
+        fleet = self._fleet_tallies.get(key, Tally())
+        return Tally(max(own.good, fleet.good), max(own.bad, fleet.bad))
--- a/banyansail/gateway/quota.py
+++ b/banyansail/gateway/quota.py
@@ -1,8 +1,9 @@
 """Rate limits of workspaces, shared by all routers.
 
 Each router keeps a token bucket per workspace for the whole fleet. Its own use is
-charged immediately, use by other routers when their reports arrive. Between two
-reports of a peer, its recent rate of use is assumed to continue.
+charged immediately, use by other routers when reports of it arrive: a peer is another
+router, or all the others if their use is reported as a sum. Between two reports of a
+peer, its recent rate of use is assumed to continue.
 
 Operators tolerate some use beyond a quota. While reports from all routers are recent,
 part of that tolerance is spent so that no request is rejected because of use that is
@@ -57,11 +58,13 @@
 
 @dataclass(slots=True)
 class _PeerUse:
-    """Use of one workspace by one process of another router."""
+    """Use of one workspace by another router's process, or by several routers."""
 
     incarnation: int
     total: float
     received_at: timedelta
+    routers: int
+    silent_routers: int
     rates: tuple[float, ...] = (0.0,) * len(RATE_TIME_CONSTANTS)
 
 
@@ -143,7 +146,13 @@
         self.used_by_workspace[workspace.name] -= cost
 
     def merge_peer_use(
-        self, peer: str, incarnation: int, total_by_workspace: Mapping[str, float]
+        self,
+        peer: str,
+        incarnation: int,
+        total_by_workspace: Mapping[str, float],
+        *,
+        routers: int = 1,
+        silent_routers: int = 0,
     ) -> None:
         """Charge the use that a peer reported since its last report.
 
@@ -151,6 +160,8 @@
         ----------
         total_by_workspace : mapping
             Use by the peer's process since its start.
+        routers, silent_routers : int
+            Routers for which the peer reports, and how many of them are silent.
         """
         now = self._clock.monotonic()
         for name, total in total_by_workspace.items():
@@ -160,13 +171,17 @@
                 # Use before the first report of a peer is in the past and not charged,
                 # except if the peer is a process that has just been restarted.
                 bucket.level -= 0.0 if use is None else total
-                bucket.use_by_peer[peer] = _PeerUse(incarnation, total, now)
+                bucket.use_by_peer[peer] = _PeerUse(
+                    incarnation, total, now, routers, silent_routers
+                )
                 continue
             spent = total - use.total
             bucket.level -= spent
             use.rates = _update_rates(use.rates, spent, now - use.received_at)
             use.total = total
             use.received_at = now
+            use.routers = routers
+            use.silent_routers = silent_routers
 
     def _refill(self, workspace: Workspace) -> _Bucket:
         now = self._clock.monotonic()
@@ -215,10 +230,12 @@
 
 def _responsive_share(bucket: _Bucket, now: timedelta) -> float:
     """Return the share of the routers, this one included, that are not suspect."""
-    suspects = sum(
-        now - use.received_at > SUSPECT_AFTER for use in bucket.use_by_peer.values()
-    )
-    routers = len(bucket.use_by_peer) + 1
+    routers = 1
+    suspects = 0
+    for use in bucket.use_by_peer.values():
+        is_recent = now - use.received_at <= SUSPECT_AFTER
+        routers += use.routers
+        suspects += use.silent_routers if is_recent else use.routers
     return (routers - suspects) / routers
 
 
--- a/banyansail/gateway/request_types.py
+++ b/banyansail/gateway/request_types.py
@@ -96,6 +96,10 @@
         Whether the answer names the upstream that wrote it.
     is_misdirected : bool
         Whether the address now belongs to another upstream than the wanted one.
+    is_leaving : bool
+        Whether the upstream is draining.
+    pause : timedelta or None
+        Time for which the upstream wants no further requests of this router.
     """
 
     status: int
@@ -105,6 +109,8 @@
     is_stamped: bool
     run_status: RunStatus
     is_misdirected: bool = False
+    is_leaving: bool = False
+    pause: timedelta | None = None
 
     @property
     def is_failure(self) -> bool:
@@ -121,6 +127,7 @@
     OVER_QUOTA = "over_quota"
     NO_UPSTREAM = "no_upstream"
     OVERLOADED = "overloaded"
+    PAUSED = "paused"
     TOO_LATE = "too_late"
     CRASHES_UPSTREAMS = "crashes_upstreams"
     UPSTREAM_FAILED = "upstream_failed"
--- a/banyansail/gateway/router.py
+++ b/banyansail/gateway/router.py
@@ -19,21 +19,27 @@
 from banyansail.gateway.metrics import MetricsFactory
 from banyansail.gateway.mirror import Mirror
 from banyansail.gateway.move_controller import MoveController
-from banyansail.gateway.peers import PeerTable
 from banyansail.gateway.quota import QuotaLimiter
 from banyansail.gateway.request_handler import RequestHandler
 from banyansail.gateway.scaler import Scaler
 from banyansail.gateway.store_probe import StoreProbe
 from banyansail.gateway.tasks import add_tasks
-from banyansail.gateway.traffic import encode_own_traffic, merge_traffic
+from banyansail.gateway.traffic_report import (
+    apply_fleet_traffic,
+    apply_fleet_work,
+    make_report,
+)
 from banyansail.gateway.upstream_table import UPSTREAMS_DOCUMENT, UpstreamTable
 from banyansail.gateway.usage import SteadyTime, UsageCounter
+from banyansail.gateway.usage_exchange import UsageExchange
 from banyansail.gateway.usage_reporter import UsageReporter
 from banyansail.log import log_event
 from banyansail.platform.cloud import CloudClient
 from banyansail.platform.moves import MOVES_KIND
 from banyansail.platform.store import StoreClient
 from banyansail.router.supervisor import Supervisor
+from banyansail.traffic.exchange import TrafficExchange
+from banyansail.traffic.fleet_traffic import FleetTraffic
 from banyansail.wire.call_codec import (
     EmptyReply,
     FetchDocument,
@@ -44,6 +50,8 @@
 if TYPE_CHECKING:
     from banyansail.config.gateway_settings import GatewaySettings
     from banyansail.gateway.site import SiteConfig
+    from banyansail.gateway.upstream import Upstream
+    from banyansail.traffic.report import TrafficReport
 
 MIN_COALESCE_TIME = timedelta(milliseconds=400)  # of consecutive upstream changes
 # Each change costs the store one call per router, as every router watches.
@@ -118,7 +126,7 @@
 
     def _build_state(self) -> None:
         settings, clock = self.settings, self.clock
-        self.fleet = FleetLink(
+        self.link = FleetLink(
             settings,
             self._reactor,
             clock,
@@ -126,18 +134,18 @@
             self._apply_entries,
             self._handle_peer_call,
         )
-        self.peers = PeerTable(settings.name, clock)
+        self.fleet = FleetTraffic(settings.name, clock)
         self.dispatcher = Dispatcher(settings.zone, clock, self._random)
         self.quota = QuotaLimiter(clock, settings.quota_slack)
         usage = UsageCounter(SteadyTime(clock), settings.usage_window)
         self.reporter = UsageReporter(
-            settings, clock, self.store, self.cloud, usage, self.peers
+            settings, clock, self.store, self.cloud, usage, self.fleet
         )
         lease = self.reporter.lease
         self.moves = MoveController(
             clock, self.store, lease, self.dispatcher, settings.expose_share
         )
-        self.scaler = Scaler(clock, self.cloud, lease, self.dispatcher, self.peers)
+        self.scaler = Scaler(clock, self.cloud, lease, self.dispatcher, self.fleet)
         self.context = GatewayContext(
             reactor=self._reactor,
             clock=clock,
@@ -146,12 +154,25 @@
             dispatcher=self.dispatcher,
             quota=self.quota,
             usage=usage,
-            peers=self.peers,
+            fleet=self.fleet,
             moves=self.moves,
             crash_guard=CrashGuard(clock),
-            publish_crashes=lambda value: self.fleet.publish(
+            publish_crashes=lambda value: self.link.publish(
                 Topic.DEATHS, value, urgent=True
             ),
+            mark_leaving=self._mark_leaving,
+        )
+        self.usage_exchange = UsageExchange(
+            settings.name, clock, self.link, usage, self.fleet, self.reporter
+        )
+        self.traffic_exchange = TrafficExchange(
+            settings.name,
+            settings.zone,
+            clock,
+            self.link,
+            self.fleet,
+            self._make_report,
+            lambda: apply_fleet_traffic(self.context),
         )
 
     def _build_servers(self) -> None:
@@ -187,10 +208,10 @@
         self._publish_member()
         peer = settings.peer
         self._ports = [
-            self._reactor.listenUDP(peer.port, self.fleet.protocol, peer.host)
+            self._reactor.listenUDP(peer.port, self.link.protocol, peer.host)
         ]
         for address, factory in (
-            (peer, self.fleet.server),
+            (peer, self.link.server),
             (settings.listen, self._caller_factory),
             (settings.ready, self._readiness_factory),
             (settings.metrics, self._metrics_factory),
@@ -207,7 +228,8 @@
         self.request_handler.is_leaving = True
         self._publish_member()
         log_event("leaving", in_progress=self.request_handler.in_progress)
-        await self.publish_traffic()  # lets other routers take over its duties at once
+        # Lets other routers take over its duties at once.
+        self.traffic_exchange.send_report(is_urgent=True)
         await self.reporter.release()
         await self._sleep(BALANCER_REMOVAL_TIME)
         self.request_handler.is_accepting = False
@@ -246,16 +268,21 @@
     def _apply_upstreams(self) -> None:
         upstreams = self.upstream_table.upstreams()
         leaving_marks = self.upstream_table.encode_leaving_marks(upstreams)
-        self.fleet.publish(Topic.LEAVING, leaving_marks, urgent=True)
+        self.link.publish(Topic.LEAVING, leaving_marks, urgent=True)
         self.upstream_table.log_changes(upstreams)
         self.dispatcher.apply_upstreams(upstreams, self.site)
         self.context.close_unused_pools({upstream.address for upstream in upstreams})
         self._publish_member()
 
+    def _mark_leaving(self, upstream: Upstream) -> None:
+        if self.upstream_table.mark_leaving(upstream):
+            log_event("leaving_answered", upstream=upstream.id)
+            self._apply_upstreams()
+
     async def follow_upstreams(self) -> None:
         """Wait for upstream changes, then pause so that further changes coalesce."""
         await self.upstream_table.mirror.follow()
-        await self._sleep(coalesce_time(len(self.peers.live_names())))
+        await self._sleep(coalesce_time(self.fleet.fleet_size()))
 
     async def expire_upstreams(self) -> None:
         """Remove lapsed upstreams that did not reappear in the store in time."""
@@ -263,13 +290,13 @@
 
     async def catch_up(self) -> None:
         """Fetch newer configurations and missing upstreams from other routers."""
-        for name, member in self.fleet.live_peers().items():
+        for name, member in self.link.live_peers().items():
             if member.rules_version > self.site.version:
-                document = await self.fleet.fetch(member, CONFIG_DOCUMENT)
+                document = await self.link.fetch(member, CONFIG_DOCUMENT)
                 if document is not None:
                     self.config.apply_document(document, name)
             if self.upstream_table.mirror.revision is None and member.is_ready:
-                document = await self.fleet.fetch(member, UPSTREAMS_DOCUMENT)
+                document = await self.link.fetch(member, UPSTREAMS_DOCUMENT)
                 if document is not None:
                     self.upstream_table.seed(document, name)
 
@@ -283,31 +310,36 @@
 
     async def join(self) -> None:
         """Register this router in the store, once, so that others can find it."""
-        await self.fleet.join(self.store)
+        await self.link.join(self.store)
 
     async def push_gossip(self) -> None:
         """Push new gossip entries to other routers."""
-        self.fleet.push()
+        self.link.push()
 
     async def exchange_digests(self) -> None:
         """Exchange digests with other routers to repair missed entries."""
-        self.fleet.exchange_digests()
+        self.link.exchange_digests()
 
-    async def publish_traffic(self) -> None:
-        """Publish this router's membership entry and its traffic report."""
+    async def publish_member(self) -> None:
+        """Publish this router's state to the others if it changed."""
         self._publish_member()
-        self.fleet.publish(Topic.TRAFFIC, self._encode_own_traffic())
 
-    async def send_urgent_quota_use(self) -> None:
-        """Send this router's quota use at once if a quota is nearly used up."""
-        if self.quota.has_urgent_use:
+    async def exchange_traffic(self) -> None:
+        """Send this router's traffic report, sums and usage counts that are due."""
+        is_urgent = self.quota.has_urgent_use
+        if self.traffic_exchange.send_report(is_urgent=is_urgent):
             self.quota.has_urgent_use = False
-            names = self.peers.live_names()
-            self.fleet.send_to(names, Topic.TRAFFIC, self._encode_own_traffic())
-
-    def _encode_own_traffic(self) -> bytes:
-        is_unfit = self.is_unfit_for_duties
-        return encode_own_traffic(self.context, is_unfit_for_duties=is_unfit)
+        self.traffic_exchange.send_sums()
+        if self.fleet.is_silent:
+            apply_fleet_work(self.context)
+        self.usage_exchange.send()
+
+    def _make_report(self) -> TrafficReport:
+        return make_report(
+            self.context,
+            is_unfit_for_duties=self.is_unfit_for_duties,
+            holds_duties=self.reporter.lease.fencing_token() is not None,
+        )
 
     def _apply_entries(self, entries: list[Entry]) -> None:
         for entry in entries:
@@ -317,10 +349,13 @@
                         self._apply_upstreams()
                 case Topic.DEATHS:
                     self.context.crash_guard.merge_peer_crashes(entry.value)
-        merge_traffic(self.context, entries)
+                case Topic.USAGE:
+                    self.usage_exchange.apply_entry(entry)
+                case Topic.TRAFFIC | Topic.ZONE_TRAFFIC | Topic.FLEET_TRAFFIC:
+                    self.traffic_exchange.apply_entry(entry)
 
     def _publish_member(self) -> None:
-        self.fleet.publish_member(
+        self.link.publish_member(
             self.site.version,
             self.config.active_since,
             is_ready=self.is_ready,
--- a/banyansail/gateway/scaler.py
+++ b/banyansail/gateway/scaler.py
@@ -19,9 +19,9 @@
     from banyansail.clock import Clock
     from banyansail.gateway.dispatch import Dispatcher
     from banyansail.gateway.duty_lease import DutyLease
-    from banyansail.gateway.peers import PeerTable
     from banyansail.gateway.site import ServiceSpec, SiteConfig
     from banyansail.platform.cloud import CloudClient
+    from banyansail.traffic.fleet_traffic import FleetTraffic
 
 REFUSAL_BACKOFF = timedelta(seconds=4)  # until a refused order is sent again
 REORDER_AFTER = timedelta(seconds=10)  # then an order without effect is sent again
@@ -60,13 +60,13 @@
         cloud: CloudClient,
         lease: DutyLease,
         dispatcher: Dispatcher,
-        peers: PeerTable,
+        fleet: FleetTraffic,
     ) -> None:
         self._clock = clock
         self._cloud = cloud
         self._lease = lease
         self._dispatcher = dispatcher
-        self._peers = peers
+        self._fleet = fleet
         self._rate_by_service: dict[str, _MovingRate] = {}
         self._recent_needs_by_service: dict[str, list[tuple[timedelta, int]]] = {}
         self._traffic_since_by_service: dict[str, timedelta] = {}
@@ -100,7 +100,7 @@
     def _count_engines_needed(self, service: ServiceSpec) -> int:
         now = self._clock.monotonic()
         state = self._dispatcher.state(service.name)
-        prefill_total = state.prefill_tokens_total + self._peers.prefill_tokens_total(
+        prefill_total = state.prefill_tokens_total + self._fleet.prefill_tokens_total(
             service.name
         )
         rate = self._rate_by_service.setdefault(service.name, _MovingRate())
--- a/banyansail/gateway/upstream_load.py
+++ b/banyansail/gateway/upstream_load.py
@@ -69,6 +69,7 @@
     __slots__ = (
         "_failure_rate",
         "_mean_latency",
+        "_paused_until",
         "_recorded_at",
         "_sent_at_by_slot",
         "cache",
@@ -98,6 +99,7 @@
         self.suspect_until = timedelta(0)
         self.suspicions = 0  # consecutive ones, without a success in between
         self._sent_at_by_slot: dict[int, timedelta] = {}  # until the first byte
+        self._paused_until = timedelta(0)
 
     def start_attempt(
         self, slot_number: int, prefill_tokens: int, now: timedelta
@@ -136,6 +138,14 @@
         self.suspicions = min(self.suspicions + 1, 8)
         self.suspect_until = now + duration
 
+    def pause(self, duration: timedelta, now: timedelta) -> None:
+        """Send nothing for a time, as the upstream asked; a longer pause stays."""
+        self._paused_until = max(self._paused_until, now + duration)
+
+    def pause_left(self, now: timedelta) -> timedelta:
+        """Return how long the upstream wants no more requests."""
+        return max(timedelta(0), self._paused_until - now)
+
     def failure_rate(self, now: timedelta) -> float:
         """Return the fraction of recent attempts that failed; it decays to 0."""
         return self._failure_rate * self._decay(now)
--- a/banyansail/gateway/upstream_table.py
+++ b/banyansail/gateway/upstream_table.py
@@ -78,6 +78,17 @@
         self._leaving_marks |= marks.keys()
         return encode_leaving(marks)
 
+    def mark_leaving(self, upstream: Upstream) -> bool:
+        """Mark an upstream that said itself that it is draining; return if it is new.
+
+        The mark holds for this incarnation, whatever its entry in the store says.
+        """
+        mark = _leaving_mark(upstream)
+        if mark in self._leaving_marks:
+            return False
+        self._leaving_marks.add(mark)
+        return True
+
     def merge_leaving_marks(self, entry: Entry) -> bool:
         """Merge another router's leaving marks; return whether any was new."""
         try:
--- a/banyansail/gateway/usage_reporter.py
+++ b/banyansail/gateway/usage_reporter.py
@@ -17,14 +17,15 @@
 from banyansail.fleet.duties import rank_names
 from banyansail.gateway.duty_lease import DutyLease
 from banyansail.log import log_decision, log_event
+from banyansail.traffic.aggregator import DUTY
 
 if TYPE_CHECKING:
     from banyansail.clock import Clock
     from banyansail.config.gateway_settings import GatewaySettings
-    from banyansail.gateway.peers import PeerTable
     from banyansail.gateway.usage import UsageCounter
     from banyansail.platform.cloud import CloudClient
     from banyansail.platform.store import StoreClient
+    from banyansail.traffic.fleet_traffic import FleetTraffic
 
 KIND = "usage"
 LEASE_MARGIN = timedelta(seconds=2)  # above the minimum time between two holders
@@ -44,13 +45,13 @@
         store: StoreClient,
         cloud: CloudClient,
         usage: UsageCounter,
-        peers: PeerTable,
+        fleet: FleetTraffic,
     ) -> None:
         self._name = settings.name
         self._store = store
         self._cloud = cloud
         self._usage = usage
-        self._peers = peers
+        self._fleet = fleet
         holder = f"{settings.name}.{int(clock.now().timestamp() * 1000)}"
         lease_time = settings.lease + LEASE_MARGIN
         self._report_delay = settings.usage_late * REPORT_DELAY_SHARE
@@ -60,10 +61,9 @@
         self._last_reported_window: int | None = None
         self._has_seen_traffic = False
 
-    def _rank(self) -> int:
-        """Return this router's rank among the candidates; 0 should hold the lease."""
-        names = rank_names("duties", self._peers.duty_candidates())
-        return names.index(self._name)
+    def candidates(self) -> list[str]:
+        """Return the candidates by rank; the first one should hold the lease."""
+        return rank_names(DUTY, self._fleet.duty_candidates())
 
     async def report(self, workspaces: list[str]) -> None:
         """Report the windows whose report delay has passed.
@@ -71,7 +71,11 @@
         The candidate that ranks next observes the lease, so that it can acquire it as
         soon as the holder has not renewed it for the lease time.
         """
-        rank = 0 if self.lease.fencing_token() is not None else self._rank()
+        rank = (
+            0
+            if self.lease.fencing_token() is not None
+            else self.candidates().index(self._name)
+        )
         if rank > 0:
             if rank == 1:
                 await self._observe_lease()
--- a/banyansail/platform/calls.py
+++ b/banyansail/platform/calls.py
@@ -32,7 +32,7 @@
     }
 )
 MAX_DEADLINE_MS = 3_600_000  # 1 hour
-NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})  # the upstream ran nothing
+MAX_PAUSE = timedelta(days=1)  # that an upstream may ask for
 
 
 def decode_call(
@@ -119,9 +119,28 @@
         header_names.REPLICA_STAMP in first_value_by_name,
         RunStatus.NOT_RUN if has_not_run else RunStatus.RAN,
         is_misdirected=status == 421,
+        is_leaving=first_value_by_name.get(header_names.UPSTREAM_LEAVING) == b"1",
+        pause=_decode_pause(status, first_value_by_name.get(header_names.RETRY_AFTER)),
     )
 
 
+def _decode_pause(status: int, value: bytes | None) -> timedelta | None:
+    """Return the pause that a 503 asks for.
+
+    The protocol gives it in seconds, with fractions. A date, a negative value or an
+    unreadable one asks for nothing; a longer pause is treated as `MAX_PAUSE`.
+    """
+    if status != 503 or value is None:
+        return None
+    try:
+        seconds = float(value)
+    except ValueError:
+        return None
+    if not seconds > 0:  # also false for a number that is not one
+        return None
+    return timedelta(seconds=min(seconds, MAX_PAUSE.total_seconds()))
+
+
 def _decode_connection_options(first_value_by_name: dict[bytes, bytes]) -> set[bytes]:
     # The attempt id and the host are forwarded even if a caller lists them here.
     options = first_value_by_name.get(b"connection", b"").split(b",")
--- a/banyansail/platform/header_names.py
+++ b/banyansail/platform/header_names.py
@@ -18,6 +18,8 @@
 DUTY_HOLDER = b"x-duty-holder"
 FENCING_TOKEN = b"x-fence-token"
 UPSTREAM_ID = b"x-replica-id"
+UPSTREAM_LEAVING = b"server-leaving"
+STORE_ERA = b"store-era"  # rises when the store is restored from a copy
 
 # Headers of callers that are not forwarded: the router reads them or sets its own.
 RESERVED_HEADERS = frozenset(
--- a/banyansail/standins/replica.py
+++ b/banyansail/standins/replica.py
@@ -31,6 +31,10 @@
         Id of the event in which a stream is cut; 0 for none.
     sends_stray_answer : bool
         Whether an answer to another request is sent first.
+    is_leaving : bool
+        Whether all answers say that the upstream is draining.
+    retry_after : str
+        Pause that rejections ask for, as sent; empty for none.
     """
 
     is_full: bool = False
@@ -38,6 +42,8 @@
     cuts_before_answer: bool = False
     cuts_at_event: int = 0
     sends_stray_answer: bool = False
+    is_leaving: bool = False
+    retry_after: str = ""
 
 
 @dataclass(slots=True)
@@ -46,6 +52,8 @@
 
     Parameters
     ----------
+    arrivals : list of str
+        Ids of the attempts that reached it.
     runs : list of str
         Ids of the attempts that it ran.
     headers : list of dict
@@ -57,6 +65,7 @@
     id: str
     events: int = 5
     pause_s: float = 0.01
+    arrivals: list[str] = field(default_factory=list)
     runs: list[str] = field(default_factory=list)
     headers: list[dict[str, str]] = field(default_factory=list)
     disconnect_count: int = 0
@@ -74,7 +83,10 @@
         """Answer one request."""
         attempt = request.getHeader("x-attempt-id") or ""
         expected = request.getHeader("x-expect-replica")
+        self.state.arrivals.append(attempt)
         request.setHeader("x-attempt-id", attempt)
+        if self.faults.is_leaving:
+            request.setHeader("server-leaving", "1")
         if expected not in (None, self.state.id):
             self._reject(request, 421)
             return
@@ -108,6 +120,8 @@
     def _reject(self, request: Request, status: int) -> None:
         request.setResponseCode(status)
         request.setHeader("x-not-executed", "1")
+        if self.faults.retry_after:
+            request.setHeader("retry-after", self.faults.retry_after)
         request.setHeader("content-length", "0")
         request.finish()
 
--- a/banyansail/wire/schema.capnp
+++ b/banyansail/wire/schema.capnp
@@ -87,13 +87,42 @@
   move @8 :UInt32;
 }
 
-struct Traffic {
-  used @0 :List(WorkspaceUse);
-  windows @1 :List(WindowCount);
-  loads @2 :List(UpstreamWork);
-  read @3 :List(ServiceRead);
-  tallies @4 :List(VersionTally);
-  isUnfitForDuties @5 :Bool;  # the router is draining or can't reach the store
+struct TrafficReport {
+  used @0 :List(Counter);  # quota units by workspace since the process started
+  prefill @1 :List(Counter);  # prompt tokens by service since the process started
+  work @2 :List(UpstreamWork);
+  tallies @3 :List(VersionTally);
+  isUnfitForDuties @4 :Bool;  # the router is draining or can't reach the store
+  isUrgent @5 :Bool;  # a quota is nearly used up
+  holdsDuties @6 :Bool;  # the router holds the lease on the duties
+}
+
+struct TrafficSum {
+  used @0 :List(Counter);
+  prefill @1 :List(Counter);
+  work @2 :List(UpstreamWork);
+  tallies @3 :List(VersionTally);
+  zone @4 :Text;  # of the routers in the sum; empty for the fleet
+  routers @5 :UInt32;
+  silentRouters @6 :UInt32;
+  dutyCandidates @7 :List(Text);
+  included @8 :List(IncludedReport);  # in the order in which the sum is relayed
+  isUrgent @9 :Bool;
+  dutyHolders @10 :List(Text);
+}
+
+struct Counter {
+  name @0 :Text;
+  total @1 :Float64;
+}
+
+struct IncludedReport {
+  router @0 :UInt64;
+  sequence @1 :UInt32;
+}
+
+struct Usage {
+  windows @0 :List(WindowCount);
 }
 
 struct VersionTally {
@@ -104,16 +133,6 @@
   bad @4 :UInt32;
 }
 
-struct ServiceRead {
-  service @0 :Text;
-  total @1 :Float64;  # prompt tokens since the process started
-}
-
-struct WorkspaceUse {
-  workspace @0 :Text;
-  total @1 :Float64;  # quota units since the process started
-}
-
 struct WindowCount {
   window @0 :UInt64;
   workspace @1 :Text;
@@ -123,7 +142,7 @@
 struct UpstreamWork {
   upstream @0 :Text;
   running @1 :UInt32;
-  reading @2 :UInt32;  # prompt tokens of requests that have no first token yet
+  prefill @2 :UInt32;  # prompt tokens of requests that have no first token yet
 }
 
 # Calls between routers, over TCP.
--- a/banyansail/wire/traffic_codec.py
+++ b/banyansail/wire/traffic_codec.py
@@ -1,124 +1,169 @@
-"""Codec of the traffic counters that gateways gossip."""
+"""Codec of traffic reports, of their sums and of usage counts."""
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
+from typing import Any
 
 from banyansail.gateway.moves import Tally
+from banyansail.traffic.report import (
+    TallyKey,
+    TrafficReport,
+    TrafficSum,
+    UpstreamWork,
+)
 from banyansail.wire.gossip_codec import unpack
 from banyansail.wire.schema import schema
 
+UsageCounts = dict[int, dict[str, int]]  # requests by window and workspace
 
-@dataclass(slots=True, frozen=True)
-class UpstreamWork:
-    """Load that one router has at an upstream.
 
-    Parameters
-    ----------
-    running : int
-        Requests in flight.
-    pending_prefill_tokens : int
-        Prompt tokens of requests that have no first token yet.
-    """
+def encode_report(report: TrafficReport) -> bytes:
+    """Encode a value of `Topic.TRAFFIC`."""
+    message = schema.TrafficReport.new_message(
+        used=_counters(report.used_by_workspace),
+        prefill=_counters(report.prefill_tokens_by_service),
+        work=_work(report.work_by_upstream),
+        tallies=_tallies(report.tallies),
+        isUnfitForDuties=report.is_unfit_for_duties,
+        isUrgent=report.is_urgent,
+        holdsDuties=report.holds_duties,
+    )
+    return message.to_bytes_packed()
 
-    running: int
-    pending_prefill_tokens: int
-
-
-@dataclass(slots=True, frozen=True)
-class Traffic:
-    """Traffic counters of one router process.
-
-    Parameters
-    ----------
-    used_by_workspace : dict
-        Quota units used since the process started.
-    request_counts_by_window : dict
-        Requests that started to run, by window and workspace.
-    work_by_upstream : dict
-        Load in flight.
-    prefill_tokens_by_service : dict
-        Prompt tokens sent to engines for prefill since the process started.
-    tallies : dict
-        Answers by service, move and whether the version is the move's target.
-    is_unfit_for_duties : bool
-        Whether the router is draining or can't reach the store.
-    """
 
-    used_by_workspace: dict[str, float] = field(default_factory=dict)
-    request_counts_by_window: dict[int, dict[str, int]] = field(default_factory=dict)
-    work_by_upstream: dict[str, UpstreamWork] = field(default_factory=dict)
-    prefill_tokens_by_service: dict[str, float] = field(default_factory=dict)
-    tallies: dict[tuple[str, int, bool], Tally] = field(default_factory=dict)
-    is_unfit_for_duties: bool = False
+def decode_report(data: bytes) -> TrafficReport:
+    """Decode a value of `Topic.TRAFFIC`.
+
+    Raises
+    ------
+    WireError
+        If the bytes are not such a value.
+    """
+    message = unpack(schema.TrafficReport, data)
+    return TrafficReport(
+        _decode_counters(message.used),
+        _decode_counters(message.prefill),
+        _decode_work(message.work),
+        _decode_tallies(message.tallies),
+        message.isUnfitForDuties,
+        message.isUrgent,
+        message.holdsDuties,
+    )
 
 
-def encode_traffic(traffic: Traffic) -> bytes:
-    """Encode a value of `Topic.TRAFFIC`."""
-    message = schema.Traffic.new_message(
-        used=[
-            {"workspace": name, "total": total}
-            for name, total in sorted(traffic.used_by_workspace.items())
-        ],
-        windows=[
-            {"window": window, "workspace": name, "began": count}
-            for window, count_by_name in sorted(
-                traffic.request_counts_by_window.items()
-            )
-            for name, count in sorted(count_by_name.items())
-        ],
-        loads=[
-            {
-                "upstream": name,
-                "running": work.running,
-                "reading": work.pending_prefill_tokens,
-            }
-            for name, work in sorted(traffic.work_by_upstream.items())
+def encode_sum(traffic_sum: TrafficSum, zone: str = "") -> bytes:
+    """Encode a value of `Topic.FLEET_TRAFFIC`, or of `Topic.ZONE_TRAFFIC`."""
+    message = schema.TrafficSum.new_message(
+        used=_counters(traffic_sum.used_by_workspace),
+        prefill=_counters(traffic_sum.prefill_tokens_by_service),
+        work=_work(traffic_sum.work_by_upstream),
+        tallies=_tallies(traffic_sum.tallies),
+        zone=zone,
+        routers=traffic_sum.routers,
+        silentRouters=traffic_sum.silent_routers,
+        dutyCandidates=list(traffic_sum.duty_candidates),
+        dutyHolders=list(traffic_sum.duty_holders),
+        included=[
+            {"router": key, "sequence": sequence}
+            for key, sequence in traffic_sum.sequence_by_router.items()
         ],
-        read=[
-            {"service": name, "total": total}
-            for name, total in sorted(traffic.prefill_tokens_by_service.items())
-        ],
-        tallies=[
-            {
-                "service": service,
-                "move": move,
-                "isTarget": is_target,
-                "good": tally.good,
-                "bad": tally.bad,
-            }
-            for (service, move, is_target), tally in sorted(traffic.tallies.items())
-        ],
-        isUnfitForDuties=traffic.is_unfit_for_duties,
+        isUrgent=traffic_sum.is_urgent,
     )
     return message.to_bytes_packed()
 
 
-def decode_traffic(data: bytes) -> Traffic:
-    """Decode a value of `Topic.TRAFFIC`.
+def decode_sum(data: bytes) -> tuple[str, TrafficSum]:
+    """Decode a value of `Topic.FLEET_TRAFFIC` or `Topic.ZONE_TRAFFIC`.
+
+    Returns
+    -------
+    zone : str
+        Data centre of the routers in the sum; empty for the fleet.
+    traffic_sum : TrafficSum
+        The sum.
+
+    Raises
+    ------
+    WireError
+        If the bytes are not such a value.
+    """
+    message = unpack(schema.TrafficSum, data)
+    return message.zone, TrafficSum(
+        _decode_counters(message.used),
+        _decode_counters(message.prefill),
+        _decode_work(message.work),
+        _decode_tallies(message.tallies),
+        message.routers,
+        message.silentRouters,
+        tuple(message.dutyCandidates),
+        tuple(message.dutyHolders),
+        {item.router: item.sequence for item in message.included},
+        message.isUrgent,
+    )
+
+
+def encode_usage(counts: UsageCounts) -> bytes:
+    """Encode a value of `Topic.USAGE`."""
+    windows = [
+        {"window": window, "workspace": name, "began": count}
+        for window, count_by_name in sorted(counts.items())
+        for name, count in sorted(count_by_name.items())
+    ]
+    return schema.Usage.new_message(windows=windows).to_bytes_packed()
+
+
+def decode_usage(data: bytes) -> UsageCounts:
+    """Decode a value of `Topic.USAGE`.
 
     Raises
     ------
     WireError
         If the bytes are not such a value.
     """
-    message = unpack(schema.Traffic, data)
-    request_counts_by_window: dict[int, dict[str, int]] = {}
-    for item in message.windows:
-        request_counts_by_window.setdefault(item.window, {})[item.workspace] = (
-            item.began
-        )
-    return Traffic(
-        {item.workspace: item.total for item in message.used},
-        request_counts_by_window,
+    counts: UsageCounts = {}
+    for item in unpack(schema.Usage, data).windows:
+        counts.setdefault(item.window, {})[item.workspace] = item.began
+    return counts
+
+
+def _counters(total_by_name: dict[str, float]) -> list[dict[str, Any]]:
+    return [{"name": name, "total": total} for name, total in total_by_name.items()]
+
+
+def _decode_counters(items: Any) -> dict[str, float]:
+    return {item.name: item.total for item in items}
+
+
+def _work(work_by_upstream: dict[str, UpstreamWork]) -> list[dict[str, Any]]:
+    return [
         {
-            item.upstream: UpstreamWork(item.running, item.reading)
-            for item in message.loads
-        },
-        {item.service: item.total for item in message.read},
+            "upstream": name,
+            "running": work.running,
+            "prefill": work.pending_prefill_tokens,
+        }
+        for name, work in work_by_upstream.items()
+    ]
+
+
+def _decode_work(items: Any) -> dict[str, UpstreamWork]:
+    return {item.upstream: UpstreamWork(item.running, item.prefill) for item in items}
+
+
+def _tallies(tallies: dict[TallyKey, Tally]) -> list[dict[str, Any]]:
+    return [
         {
-            (item.service, item.move, item.isTarget): Tally(item.good, item.bad)
-            for item in message.tallies
-        },
-        message.isUnfitForDuties,
-    )
+            "service": service,
+            "move": move,
+            "isTarget": is_target,
+            "good": tally.good,
+            "bad": tally.bad,
+        }
+        for (service, move, is_target), tally in tallies.items()
+    ]
+
+
+def _decode_tallies(items: Any) -> dict[TallyKey, Tally]:
+    return {
+        (item.service, item.move, item.isTarget): Tally(item.good, item.bad)
+        for item in items
+    }
--- a/tests/gateway/live_gateway.py
+++ b/tests/gateway/live_gateway.py
@@ -104,7 +104,7 @@
         self._running.append(running)
         return running
 
-    def announce(self, name, address, state="ready"):
+    def announce(self, name, address, state="ready", born=1):
         """Write an upstream's entry to the store, as the upstream itself would."""
         spec = {
             "service": "depot" if name.startswith("d") else "engines",
@@ -114,7 +114,7 @@
             "slots": 4,
             "state": state,
             "seq": 1,
-            "born": 1,
+            "born": born,
         }
         self.store.state.put("servers", name, spec=spec)
 
--- a/tests/gateway/test_dispatch.py
+++ b/tests/gateway/test_dispatch.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import heapq
+from dataclasses import replace
 from itertools import count
 from random import Random
 
@@ -186,3 +187,120 @@
     shares, longest = simulate_overload(requests_per_s=1066)
     assert shares[0] >= 0.95
     assert longest <= 0.75 + STEP_S
+
+
+def pause(harness, name, duration_s):
+    load = harness.dispatcher.load_of(name)
+    load.pause(seconds(duration_s), harness.clock.monotonic())
+
+
+def test_a_paused_upstream_gets_nothing_until_the_pause_ends():
+    harness = DispatcherHarness(slots=20)
+    pause(harness, "u0", 5)
+    for number in range(10):
+        harness.request(number)
+    assert {slot.load.upstream.id for _, slot in harness.slots()} == {"u1"}
+    harness.clock.advance(5)
+    for number in range(10, 30):
+        harness.request(number)
+    assert "u0" in {slot.load.upstream.id for _, slot in harness.slots()}
+
+
+def test_a_request_is_rejected_at_once_if_all_upstreams_pause_for_too_long():
+    harness = DispatcherHarness()
+    pause(harness, "u0", 5)
+    pause(harness, "u1", 3)
+    harness.request(1, time_s=1.0)
+    rejection = harness.rejections()[1]
+    assert (rejection.status, rejection.cause) == (503, Cause.PAUSED)
+    assert rejection.retry_after == seconds(3)
+
+
+def test_a_request_waits_for_a_pause_that_ends_in_time():
+    harness = DispatcherHarness(upstreams=1)
+    pause(harness, "u0", 0.3)
+    harness.request(1, time_s=1.0)
+    assert harness.results == []
+    harness.clock.advance(0.31)
+    harness.dispatcher.assign_waiting()
+    assert len(harness.slots()) == 1
+
+
+def test_a_waiting_request_is_rejected_when_its_last_upstream_pauses_or_leaves():
+    harness = DispatcherHarness(upstreams=1)
+    for number in range(3):
+        harness.request(number, time_s=2.0)
+    pause(harness, "u0", 30)
+    harness.dispatcher.assign_waiting()
+    assert set(harness.rejections()) == {1, 2}
+    assert {item.cause for item in harness.rejections().values()} == {Cause.PAUSED}
+
+    harness = DispatcherHarness(upstreams=1)
+    for number in range(3):
+        harness.request(number, time_s=2.0)
+    harness.apply([replace(harness.upstreams[0], is_leaving=True)])
+    assert set(harness.rejections()) == {1, 2}
+
+
+def test_a_pause_outlives_an_entry_that_goes_and_returns():
+    harness = DispatcherHarness(upstreams=1)
+    pause(harness, "u0", 30)
+    harness.apply([])
+    harness.apply(harness.upstreams)
+    harness.request(1)
+    assert harness.rejections()[1].cause is Cause.PAUSED
+    harness.apply([replace(harness.upstreams[0], started_at=7)])
+    harness.request(2)
+    assert [number for number, _ in harness.slots()] == [2]
+
+
+class PausingUpstream:
+    """Rejects what arrives while it is full, and records arrivals in its pauses."""
+
+    def __init__(self, random):
+        self.random = random
+        self.paused_from = self.paused_until = -1.0
+        self.arrivals_in_pause = 0
+
+    def arrive(self, at):
+        """Take a request; return the pause that it asks for, or ``None``."""
+        if self.paused_from + 0.5 <= at < self.paused_until:
+            self.arrivals_in_pause += 1
+        if self.random.random() > 0.1:
+            return None
+        duration = self.random.choice([0.2, 1.0, 4.0])
+        self.paused_from = at
+        self.paused_until = max(self.paused_until, at + duration)
+        return duration
+
+
+@given(st.integers(0, 2**16))
+@settings(max_examples=20, derandomize=True)
+def test_no_request_reaches_an_upstream_in_a_pause_and_none_starves(seed):
+    """Upstreams ask for pauses, also all at once, while entries come and go."""
+    random = Random(seed)
+    harness = DispatcherHarness(upstreams=3, slots=4)
+    upstreams = {item.id: PausingUpstream(random) for item in harness.upstreams}
+    answered = 0
+    for step in range(1500):
+        harness.clock.advance(0.02)
+        at = harness.clock.monotonic().total_seconds()
+        if step % 100 == 50:
+            kept = random.sample(harness.upstreams, 2)
+            harness.apply(kept)
+            harness.apply(harness.upstreams)
+        harness.request(step)
+        harness.dispatcher.assign_waiting()
+        results, harness.results = harness.results, []
+        for _, result in results:
+            if isinstance(result, Rejection):
+                assert result.status == 503
+                continue
+            duration = upstreams[result.load.upstream.id].arrive(at)
+            if duration is not None:
+                result.load.pause(seconds(duration), harness.clock.monotonic())
+            else:
+                answered += 1
+            harness.dispatcher.release(result)
+    assert all(item.arrivals_in_pause <= 2 for item in upstreams.values())
+    assert answered >= 300
--- a/tests/gateway/test_live_requests.py
+++ b/tests/gateway/test_live_requests.py
@@ -201,3 +201,51 @@
     live.store.faults.is_silent = False
     # Changes are due within 2 s of the platform, plus 3 s after an outage.
     wait_until(lambda: live.gateway.site.version == 5, timeout=5)
+
+
+def arrivals(live, name):
+    return len(live.replica_by_name[name].state.arrivals)
+
+
+def test_an_upstream_that_says_it_leaves_gets_no_more_requests(live):
+    """The store still lists it as ready."""
+    live.set_faults("d1", is_leaving=True)
+    for number in range(30):
+        live.call("GET", f"/stock/{number}")
+    assert arrivals(live, "d1") == 1
+    assert arrivals(live, "d2") >= 29
+
+
+def test_the_running_stream_of_an_upstream_that_leaves_is_not_cut(live):
+    live.set_faults("e", is_leaving=True)
+    status, _, body = live.call("POST", "/draft/1", b"x")
+    assert status == 200
+    assert b"part 5" in body
+
+
+def test_a_mark_of_leaving_holds_for_one_incarnation(live):
+    live.set_faults("d", is_leaving=True)
+    statuses = [live.call("GET", f"/stock/{number}")[0] for number in range(3)]
+    assert statuses == [200, 200, 503]
+    live.set_faults("d", is_leaving=False)
+    address = live.running_by_name["d1"].address
+    in_reactor(live.announce, "d1", address, "ready", 2)
+    wait_until(lambda: live.call("GET", "/stock/4")[0] == 200)
+    assert (arrivals(live, "d1"), arrivals(live, "d2")) == (2, 1)
+
+
+def test_an_upstream_that_asks_for_a_pause_gets_no_more_requests(live):
+    live.set_faults("d1", is_full=True, retry_after="60")
+    for number in range(30):
+        assert live.call("GET", f"/stock/{number}")[0] == 200
+    assert arrivals(live, "d1") == 1
+
+
+def test_a_request_is_rejected_as_not_run_while_all_upstreams_pause(live):
+    live.set_faults("d", is_full=True, retry_after="60")
+    live.call("POST", "/orders/0", b"x")
+    live.call("POST", "/orders/1", b"x")
+    status, headers, _ = live.call("POST", "/orders/2", b"x")
+    assert status == 503
+    assert 50 < float(headers["Retry-After"]) <= 60
+    assert arrivals(live, "d1") == arrivals(live, "d2") == 1
--- a/tests/gateway/test_moves.py
+++ b/tests/gateway/test_moves.py
@@ -146,7 +146,7 @@
     controller, dispatcher = controller_of(store, clock, FakeLease())
     number = order(store).created_revision
     follow(store, clock, controller)
-    controller.merge_peer_tallies("b.1", {("engines", number, True): Tally(0, 6)})
+    controller.set_fleet_tallies({("engines", number, True): Tally(0, 6)})
     controller.update_shares()
     assert dispatcher.state("engines").version_share.share == 0.0
 
--- a/tests/gateway/test_scaler.py
+++ b/tests/gateway/test_scaler.py
@@ -6,8 +6,8 @@
 from banyansail.config.fields import Address
 from banyansail.exceptions import PlatformUnavailableError
 from banyansail.gateway.dispatch import Dispatcher
-from banyansail.gateway.peers import PeerTable
 from banyansail.gateway.scaler import REFUSAL_BACKOFF, Scaler
+from banyansail.traffic.fleet_traffic import FleetTraffic
 from tests.fakes import FakeClock, run_now
 from tests.gateway.builders import SCALING, site, upstream
 
@@ -47,8 +47,8 @@
         self.cloud = FakeCloud()
         self.lease = FakeLease()
         self.dispatcher = Dispatcher("a", self.clock, Random(1))
-        peers = PeerTable("r", self.clock)
-        self.scaler = Scaler(self.clock, self.cloud, self.lease, self.dispatcher, peers)
+        fleet = FleetTraffic("r", self.clock)
+        self.scaler = Scaler(self.clock, self.cloud, self.lease, self.dispatcher, fleet)
         self.site = site()
 
     def announce(self, on_demand=0, reclaimable=0):
--- a/tests/gateway/test_usage_reporter.py
+++ b/tests/gateway/test_usage_reporter.py
@@ -9,11 +9,11 @@
 
 from banyansail.exceptions import PlatformUnavailableError
 from banyansail.fleet.duties import rank_names
-from banyansail.fleet.entries import Entry, Topic
-from banyansail.gateway.peers import PeerTable
 from banyansail.gateway.usage import SteadyTime, UsageCounter
 from banyansail.gateway.usage_reporter import UsageReporter
-from banyansail.wire.traffic_codec import Traffic, encode_traffic
+from banyansail.traffic.aggregator import TrafficAggregator
+from banyansail.traffic.fleet_traffic import FleetTraffic
+from banyansail.traffic.report import TrafficReport
 from tests.fakes import FakeClock, run_now
 from tests.gateway.fake_store import FakeStore
 
@@ -62,7 +62,8 @@
         self.store = FakeStore()
         self.cloud = FakeCloud(self.clock)
         self.store_by_name = {name: RouterStore(self.store) for name in NAMES}
-        self.peers_by_name = {name: PeerTable(name, self.clock) for name in NAMES}
+        self.fleet_by_name = {name: FleetTraffic(name, self.clock) for name in NAMES}
+        self.aggregator = TrafficAggregator(NAMES[0], self.clock)
         self.usage_by_name = {
             name: UsageCounter(SteadyTime(self.clock), timedelta(seconds=WINDOW_S))
             for name in NAMES
@@ -74,7 +75,7 @@
                 self.store_by_name[name],
                 self.cloud,
                 self.usage_by_name[name],
-                self.peers_by_name[name],
+                self.fleet_by_name[name],
             )
             for name in NAMES
         }
@@ -93,23 +94,18 @@
 
     def _gossip(self, refused):
         self.sequence += 1
-        for name in NAMES:
-            if name in self.stopped:
-                continue
-            counts = {
-                window: dict(count)
-                for window, count in self.usage_by_name[name].own_counts.items()
-            }
-            traffic = Traffic(
-                request_counts_by_window=counts, is_unfit_for_duties=name in refused
-            )
-            value = encode_traffic(traffic)
-            entry = Entry(name, 1, Topic.TRAFFIC, self.sequence, value)
-            for other in NAMES:
+        running = [name for name in NAMES if name not in self.stopped]
+        for name in running:
+            report = TrafficReport(is_unfit_for_duties=name in refused)
+            self.fleet_by_name[name].record_own(self.sequence, report)
+            self.aggregator.merge_report(name, 1, self.sequence, report)
+        fleet_sum = self.aggregator.fleet_sum(self.aggregator.zone_sum())
+        for name in running:
+            self.fleet_by_name[name].merge(NAMES[0], 1, fleet_sum)
+            for other in running:
                 if other != name:
-                    received = self.peers_by_name[other].merge(entry)
                     self.usage_by_name[other].merge_peer_counts(
-                        f"{name}.1", received.request_counts_by_window
+                        f"{name}.1", self.usage_by_name[name].own_counts
                     )
 
     def lateness(self):
--- /dev/null
+++ b/tests/platform/test_calls.py
@@ -0,0 +1,45 @@
+from __future__ import annotations
+
+from datetime import timedelta
+
+import pytest
+
+from banyansail.platform.calls import MAX_PAUSE, decode_reply
+
+
+def pause(value, status=503):
+    headers = [] if value is None else [(b"Retry-After", value)]
+    return decode_reply(status, b"", headers).pause
+
+
+def test_a_rejection_asks_for_a_pause_in_seconds_with_fractions():
+    assert pause(b"2") == timedelta(seconds=2)
+    assert pause(b" 0.25 ") == timedelta(milliseconds=250)
+
+
+@pytest.mark.parametrize(
+    "value",
+    [None, b"", b"0", b"-3", b"soon", b"nan", b"Fri, 04 Dec 2026 10:00:00 GMT"],
+)
+def test_zero_negative_dates_and_unreadable_values_ask_for_nothing(value):
+    assert pause(value) is None
+
+
+@pytest.mark.parametrize("value", [b"1e300", b"inf", b"9" * 400])
+def test_a_huge_pause_is_bounded(value):
+    assert pause(value) == MAX_PAUSE
+
+
+def test_only_a_rejection_asks_for_a_pause():
+    assert pause(b"2", status=200) is None
+    assert pause(b"2", status=429) is None
+
+
+def test_an_upstream_says_in_any_answer_that_it_leaves():
+    def is_leaving(status, value):
+        return decode_reply(status, b"", [(b"Server-Leaving", value)]).is_leaving
+
+    assert is_leaving(200, b"1")
+    assert is_leaving(503, b"1")
+    assert not is_leaving(200, b"0")
+    assert not decode_reply(200, b"", []).is_leaving
