Order revisions of the store by era, and survive a store restored from a copy

Cause: a restored store gives out its revisions again. A mirror went on watching a history that never happened, a lease and its token could repeat, counts of a window be sent twice. Change: the store's client reads the era of every answer, drops those of an earlier era and orders revisions by (era, number); mirrors list again; the holder of the lease stops at once and others wait for a lease time; tokens start anew above those of all earlier eras; counts that were sent are sent again or left out; final states of moves are published again; the era spreads by gossip. The store's stand-in can be restored. Ruled out: the highest token known by gossip (a successor that heard none could repeat one). Not done: the own interface's ledger and coordination client read no era yet.

--- a/banyansail/fleet/entries.py
+++ b/banyansail/fleet/entries.py
@@ -53,6 +53,8 @@
         Whether the router accepts requests of callers.
     is_leaving : bool
         Whether the router is draining before it stops.
+    store_era : int
+        Highest era of the platform's store that the router knows; 0 for none.
     """
 
     zone: str
@@ -62,6 +64,7 @@
     rules_since: datetime
     is_ready: bool
     is_leaving: bool
+    store_era: int = 0
 
 
 @dataclass(slots=True, frozen=True)
--- a/banyansail/gateway/duty_lease.py
+++ b/banyansail/gateway/duty_lease.py
@@ -16,13 +16,24 @@
 
 if TYPE_CHECKING:
     from banyansail.clock import Clock
-    from banyansail.platform.store import StoreClient, StoredObject
+    from banyansail.platform.store import Revision, StoreClient, StoredObject
 
 KIND = "leases"
 RENEW_SHARE = 0.5  # of the lease time, after which the lease is renewed
 REACQUIRE_DELAY_LEASES = 2  # lease times to wait after another process held it
 
 
+TOKENS_PER_ERA = 1_000_000  # more than the changes of the holder in an era
+
+
+def first_fencing_token(era: int) -> int:
+    """Return the first token of an era, higher than all of the eras before it.
+
+    A restored store may have forgotten the highest token; the era alone is enough.
+    """
+    return era * TOKENS_PER_ERA + 1
+
+
 class DutyLease:
     """One lease, as one process observes it.
 
@@ -53,8 +64,20 @@
         self._last_held_at: timedelta | None = None  # kept when the lease is lost
         self._fencing_token = 0
         self._renewals = 0
-        self._last_revision = 0
+        self._last_revision: Revision | None = None
         self._revision_seen_at = clock.monotonic()
+        # An earlier holder may act until a lease time after the start, or after the
+        # store lost the record of its lease.
+        self._record_lost_at = clock.monotonic()
+        self._was_holder = False  # when the record was lost
+        self._was_restored = False
+
+    def invalidate(self) -> None:
+        """Stop holding the lease, as the store was restored and may have lost it."""
+        self._was_holder = self.fencing_token() is not None
+        self._renewed_at = None
+        self._was_restored = True
+        self._record_lost_at = self._clock.monotonic()
 
     def fencing_token(self) -> int | None:
         """Return the fencing token while the lease is held, else ``None``."""
@@ -108,16 +131,28 @@
             await self._write(fencing_token, self._last_revision)
             return
         stored = await self._store.get(KIND, self._name)
+        if self._may_be_held_without_record(stored):
+            return
         if stored is None:
-            await self._write(1, None)
+            await self._write(first_fencing_token(self._store.era), None)
             return
         if self._is_unavailable(stored):
             return
-        await self._write(int(stored.spec["fence"]) + 1, stored.revision)
+        next_token = max(
+            int(stored.spec["fence"]) + 1, first_fencing_token(self._store.era)
+        )
+        await self._write(next_token, stored.revision)
         log_event("lease_taken", lease=self._name, fence=self._fencing_token)
 
+    def _may_be_held_without_record(self, stored: StoredObject | None) -> bool:
+        """Return whether another holder may act whose lease the store does not show."""
+        is_recent = self._clock.monotonic() - self._record_lost_at < self._lease_time
+        if self._was_holder or not is_recent:
+            return False
+        return stored is None or self._was_restored
+
     def _record_revision(self, stored: StoredObject) -> None:
-        if stored.revision > self._last_revision:
+        if self._last_revision is None or stored.revision > self._last_revision:
             self._last_revision = stored.revision
             self._revision_seen_at = self._clock.monotonic()
 
@@ -140,7 +175,10 @@
             and now - self._last_held_at < self._lease_time * REACQUIRE_DELAY_LEASES
         )
 
-    async def _write(self, fencing_token: int, expected_revision: int | None) -> None:
+    async def _write(
+        self, fencing_token: int, expected_revision: Revision | None
+    ) -> None:
+        era = self._store.era
         # The lease time starts before the call, as the answer may arrive late.
         sent_at = self._clock.monotonic()
         self._renewals += 1
@@ -156,6 +194,9 @@
             stored = await self._store.replace(
                 KIND, self._name, spec, expected_revision
             )
+        if stored.revision.era != era:
+            raise StoreConflictError(f"the store was restored from era {era} on")
+        self._was_holder = False
         self._fencing_token = fencing_token
         self._renewed_at = self._last_held_at = sent_at
         self._last_revision = stored.revision
--- a/banyansail/gateway/fleet_link.py
+++ b/banyansail/gateway/fleet_link.py
@@ -92,7 +92,13 @@
             self.push()
 
     def publish_member(
-        self, version: int, active_since: datetime, *, is_ready: bool, is_leaving: bool
+        self,
+        version: int,
+        active_since: datetime,
+        *,
+        is_ready: bool,
+        is_leaving: bool,
+        store_era: int,
     ) -> None:
         """Publish this router's address and state.
 
@@ -107,6 +113,7 @@
             active_since,
             is_ready,
             is_leaving,
+            store_era,
         )
         self.publish(Topic.MEMBER, encode_member(member), urgent=True)
 
@@ -139,6 +146,10 @@
             return None
         return reply if isinstance(reply, Document) else None
 
+    def forget_registration(self) -> None:
+        """Register again with the next `join`, as the store may have lost the entry."""
+        self._is_joined = False
+
     async def join(self, store: StoreClient) -> None:
         """Register this router in the store, once; add the others as gossip seeds."""
         if self._is_joined:
--- a/banyansail/gateway/move_controller.py
+++ b/banyansail/gateway/move_controller.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from datetime import timedelta
 from typing import TYPE_CHECKING
 
@@ -25,10 +26,15 @@
     from banyansail.gateway.dispatch import Dispatcher
     from banyansail.gateway.duty_lease import DutyLease
     from banyansail.gateway.mirror import Mirror
-    from banyansail.platform.store import StoreClient
+    from banyansail.platform.store import Revision, StoreClient
     from banyansail.traffic.report import TallyKey
 
 
+FINAL_STATES = (MoveState.COMPLETED, MoveState.REVERTED)
+# After a restore of the store; by then operators have written their orders again.
+REWRITE_TIME = timedelta(seconds=30)
+
+
 class MoveController:
     """Applies the orders to move traffic at this router and publishes their states.
 
@@ -60,28 +66,65 @@
         self._lease = lease
         self._dispatcher = dispatcher
         self._move_by_service: dict[str, Move] = {}
-        self._revision_by_service: dict[str, int] = {}
+        self._revision_by_service: dict[str, Revision] = {}
+        # Final states outlive a store that was restored from an earlier copy.
+        self._final_state_by_key: dict[tuple[str, str, int], MoveState] = {}
+        self._moves_before_restore: dict[str, Move] = {}
+        self._restored_at: timedelta | None = None
+        self._to_publish_again: set[str] = set()
         self._received_at: dict[tuple[str, str, int], timedelta] = {}
         self._bad_moves: set[tuple[str, int]] = set()
         self.own_tallies: dict[TallyKey, Tally] = {}
         # Of the whole fleet, this router included, as of a moment ago.
         self._fleet_tallies: Mapping[TallyKey, Tally] = {}
 
+    def record_restore(self) -> None:
+        """Remember the present moves, as the store was restored from a copy."""
+        self._moves_before_restore.update(self._move_by_service)
+        self._restored_at = self._clock.monotonic()
+
     def apply_orders(self, mirror: Mirror) -> None:
         """Replace the known moves by the orders in the store's mirror."""
         self._move_by_service.clear()
+        self._to_publish_again.clear()
         for stored in mirror.object_by_name.values():
             try:
                 move = decode_move(stored)
             except WireError as error:
                 log_event("move_unreadable", error=error.message)
                 continue
+            move = self._retain_final_state(self._retain_number(move))
             self._move_by_service[move.service] = move
             self._revision_by_service[move.service] = stored.revision
             key = (move.service, move.target, move.number)
             self._received_at.setdefault(key, self._clock.monotonic())
         self.update_shares()
 
+    def _retain_number(self, move: Move) -> Move:
+        """Return an order that was written again with the number that it had.
+
+        In a restored store, the same order appears as a new one.
+        """
+        known = self._moves_before_restore.get(move.service)
+        if known is None or self._restored_at is None:
+            return move
+        is_recent = self._clock.monotonic() - self._restored_at < REWRITE_TIME
+        is_same = (known.target, known.duration) == (move.target, move.duration)
+        if not is_recent:
+            del self._moves_before_restore[move.service]
+        return replace(move, number=known.number) if is_recent and is_same else move
+
+    def _retain_final_state(self, move: Move) -> Move:
+        """Return a move with the final state that it had, which it never loses."""
+        key = (move.service, move.target, move.number)
+        if move.state in FINAL_STATES:
+            self._final_state_by_key[key] = move.state
+        final_state = self._final_state_by_key.get(key)
+        if final_state is None or final_state is move.state:
+            return move
+        self._to_publish_again.add(move.service)
+        return replace(move, state=final_state)
+
     def set_fleet_tallies(self, tallies: Mapping[TallyKey, Tally]) -> None:
         """Replace the tallies of the whole fleet, which include this router's."""
         self._fleet_tallies = tallies
@@ -118,6 +161,8 @@
             state = state_to_publish(
                 move, verdict, elapsed, share, old_in_flight=old_in_flight
             )
+            if move.service in self._to_publish_again:
+                state = move.state
             if state is not None:
                 await self._publish_state(move, state, verdict)
 
@@ -134,6 +179,9 @@
         except StoreConflictError as error:
             log_event("move_changed", service=move.service, error=error.message)
             return
+        self._to_publish_again.discard(move.service)
+        if state in FINAL_STATES:
+            self._final_state_by_key[move.service, move.target, move.number] = state
         log_decision(
             "move",
             f"the verdict is {verdict.value}",
--- a/banyansail/gateway/router.py
+++ b/banyansail/gateway/router.py
@@ -175,6 +175,8 @@
             lambda: apply_fleet_traffic(self.context),
         )
 
+        self.store.add_restore_listener(self._apply_restore)
+
     def _build_servers(self) -> None:
         self.request_handler = RequestHandler(self.context)
         self._caller_factory = GatewayFactory(
@@ -279,6 +281,19 @@
             log_event("leaving_answered", upstream=upstream.id)
             self._apply_upstreams()
 
+    def _apply_restore(self) -> None:
+        """Take into account that the store was restored from a copy."""
+        self.reporter.record_restore()
+        self.moves.record_restore()
+        self.link.forget_registration()
+        for mirror in (
+            self.config_mirror,
+            self.upstream_table.mirror,
+            self.move_mirror,
+        ):
+            mirror.reset()
+        self._publish_member()
+
     async def follow_upstreams(self) -> None:
         """Wait for upstream changes, then pause so that further changes coalesce."""
         await self.upstream_table.mirror.follow()
@@ -291,6 +306,7 @@
     async def catch_up(self) -> None:
         """Fetch newer configurations and missing upstreams from other routers."""
         for name, member in self.link.live_peers().items():
+            self.store.observe_era(member.store_era)
             if member.rules_version > self.site.version:
                 document = await self.link.fetch(member, CONFIG_DOCUMENT)
                 if document is not None:
@@ -360,6 +376,7 @@
             self.config.active_since,
             is_ready=self.is_ready,
             is_leaving=self.request_handler.is_leaving,
+            store_era=self.store.era,
         )
 
     async def assign_waiting(self) -> None:
--- a/banyansail/gateway/upstream_table.py
+++ b/banyansail/gateway/upstream_table.py
@@ -10,7 +10,7 @@
 from banyansail.exceptions import WireError
 from banyansail.log import log_event
 from banyansail.platform.site import decode_upstream
-from banyansail.platform.store import StoredObject
+from banyansail.platform.store import Revision, StoredObject
 from banyansail.wire.call_codec import Document
 from banyansail.wire.gossip_codec import decode_leaving, encode_leaving
 
@@ -108,7 +108,7 @@
             return None
         objects = self.mirror.object_by_name.values()
         specs = {stored.name: stored.spec for stored in objects}
-        return Document(self.mirror.revision, json.dumps(specs))
+        return Document(self.mirror.revision.number, json.dumps(specs))
 
     def seed(self, document: Document, source: str) -> None:
         """Use another router's entries until the store can be reached."""
@@ -116,7 +116,10 @@
             return
         specs = json.loads(document.text)
         log_event("upstreams_from_peer", peer=source, count=len(specs))
-        self.mirror.seed([StoredObject(name, 0, spec) for name, spec in specs.items()])
+        unknown = Revision(0, 0)
+        self.mirror.seed(
+            [StoredObject(name, unknown, spec) for name, spec in specs.items()]
+        )
 
     def _presumed_stopped_ids(self, upstreams: list[Upstream]) -> set[str]:
         """Return the ids of lapsed upstreams that have probably stopped.
@@ -125,7 +128,7 @@
         a service lapsed, the store probably lost the entries in an outage and they may
         reappear, so the upstreams stay in use.
         """
-        lapsed_ids = self.mirror.lapsed_names
+        lapsed_ids = self.mirror.lapsed_names - self.mirror.missing_names
         presumed_stopped_ids = set()
         for service in {item.service for item in upstreams if item.id in lapsed_ids}:
             service_ids = {item.id for item in upstreams if item.service == service}
--- a/banyansail/gateway/usage_reporter.py
+++ b/banyansail/gateway/usage_reporter.py
@@ -33,6 +33,7 @@
 # Of the time until a report is due; the counts of all routers should arrive by then.
 REPORT_DELAY_SHARE = 0.5
 LOOKBACK_WINDOWS = 2  # that a new holder of the lease reports again
+KEPT_WINDOWS = 6  # whose stored counts are remembered
 
 
 class UsageReporter:
@@ -60,6 +61,15 @@
         self._observed_at: timedelta | None = None
         self._last_reported_window: int | None = None
         self._has_seen_traffic = False
+        self._counts_by_window: dict[int, dict[str, int]] = {}  # that were stored
+        # Windows up to this one may have been reported by others, with counts that a
+        # restored store has forgotten.
+        self._last_forgotten_window: int | None = None
+
+    def record_restore(self) -> None:
+        """Take into account that the store was restored from a copy."""
+        self.lease.invalidate()
+        self._last_forgotten_window = self._usage.current_window() - 1
 
     def candidates(self) -> list[str]:
         """Return the candidates by rank; the first one should hold the lease."""
@@ -116,6 +126,9 @@
             return True  # no traffic so far
         self._has_seen_traffic = True
         counts = await self._store_counts(window, workspaces)
+        if counts is None:
+            log_event("usage_forgotten", window=window)
+            return True
         # The lease may have expired if the store answered late.
         fencing_token = self.lease.fencing_token()
         if fencing_token is None:
@@ -128,12 +141,30 @@
         log_decision("usage", "the window is over", window=window, taken=is_accepted)
         return is_accepted
 
-    async def _store_counts(self, window: int, workspaces: list[str]) -> dict[str, int]:
-        """Store the counts of a window; return those that are stored in the end."""
-        counts = self._usage.total(window, workspaces)
+    async def _store_counts(
+        self, window: int, workspaces: list[str]
+    ) -> dict[str, int] | None:
+        """Store the counts of a window; return those that are stored in the end.
+
+        Counts that this router stored before are stored again if the store lost them.
+        ``None`` is returned if another router may have stored others and they are lost.
+        """
+        known = self._counts_by_window.get(window)
+        if known is None and self._may_be_forgotten(window):
+            stored = await self._store.get(KIND, str(window))
+            return None if stored is None else dict(stored.spec["counts"])
+        counts = known or self._usage.total(window, workspaces)
         try:
             await self._store.create(KIND, str(window), {"counts": counts})
         except StoreConflictError:
             stored = await self._store.get(KIND, str(window))
-            return counts if stored is None else dict(stored.spec["counts"])
+            if stored is not None and known is None:
+                counts = dict(stored.spec["counts"])
+        self._counts_by_window[window] = counts
+        for old in sorted(self._counts_by_window)[:-KEPT_WINDOWS]:
+            del self._counts_by_window[old]
         return counts
+
+    def _may_be_forgotten(self, window: int) -> bool:
+        last = self._last_forgotten_window
+        return last is not None and window <= last
--- a/banyansail/platform/store.py
+++ b/banyansail/platform/store.py
@@ -15,9 +15,13 @@
     PlatformUnavailableError,
     StoreConflictError,
 )
+from banyansail.log import log_event
+from banyansail.platform import header_names
 from banyansail.upstreams.http_call import HttpAnswer, HttpCaller
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from banyansail.clock import Clock
     from banyansail.config.fields import Address
 
@@ -27,13 +31,24 @@
 MAX_PAGES = 100
 
 
+@dataclass(slots=True, frozen=True, order=True)
+class Revision:
+    """Revision of the store.
+
+    A store that is restored from a copy gives out the same numbers again, in a new era.
+    """
+
+    era: int
+    number: int
+
+
 @dataclass(slots=True, frozen=True)
 class StoredObject:
     """An object of the store.
 
     Parameters
     ----------
-    revision : int
+    revision : Revision
         Store revision of the last change of the object; updates are conditional on it.
     spec : object
         Content as its writer set it.
@@ -44,7 +59,7 @@
     """
 
     name: str
-    revision: int
+    revision: Revision
     spec: Any
     status: Any = None
     created_revision: int = 0
@@ -58,6 +73,23 @@
     is_deleted: bool
 
 
+@dataclass(slots=True, frozen=True)
+class StoreAnswer:
+    """Answer of the store, with the era in which it was given."""
+
+    answer: HttpAnswer
+    era: int
+
+    @property
+    def status(self) -> int:
+        """HTTP status."""
+        return self.answer.status
+
+    def json(self) -> Any:
+        """Return the decoded body, see `HttpAnswer.json`."""
+        return self.answer.json()
+
+
 class StoreClient:
     """HTTP client of the store.
 
@@ -72,16 +104,36 @@
     """
 
     def __init__(self, reactor: Any, clock: Clock, address: Address) -> None:
+        self._reactor = reactor
         self._caller = HttpCaller(reactor, clock, address)
-        self._pending_watches: set[defer.Deferred[HttpAnswer]] = set()
+        self._pending_watches: set[defer.Deferred[StoreAnswer]] = set()
+        self._restore_listeners: list[Callable[[], None]] = []
+        self.era = 0  # the highest one known; 0 before the first answer
 
     def close(self) -> None:
         """Close the connections."""
         self._caller.close()
 
+    def add_restore_listener(self, listener: Callable[[], None]) -> None:
+        """Call a function each time the store turns out to have been restored."""
+        self._restore_listeners.append(listener)
+
+    def observe_era(self, era: int) -> None:
+        """Take note of the store's era, from an answer or from another router."""
+        if era <= self.era:
+            return
+        previous, self.era = self.era, era
+        if not previous:
+            return
+        log_event("store_restored", era=era, previous=previous)
+        for listener in self._restore_listeners:
+            listener()
+        # Not at once, as the answer to one of the watches may be in processing.
+        self._reactor.callLater(0, self.cancel_watches)
+
     async def list(
         self, kind: str, *, serializable: bool = False
-    ) -> tuple[int, list[StoredObject]]:
+    ) -> tuple[Revision, list[StoredObject]]:
         """Return the store's revision and all objects of a kind.
 
         The revision is that of the first page, so that a watch from it misses no
@@ -95,16 +147,19 @@
         stored_objects: list[StoredObject] = []
         query = "serializable=1" if serializable else ""
         last_name = ""
-        first_page_revision = 0
+        first_page_revision: Revision | None = None
         for _ in range(MAX_PAGES):
             page_query = query + (f"&afterRev={quote(last_name)}" if last_name else "")
             answer = await self._call(
                 "GET", f"/v1/objects/{kind}?{page_query.lstrip('&')}"
             )
             body = _read_body(answer, 200)
-            items = [_decode_object(item) for item in body["items"]]
+            items = [_decode_object(item, answer.era) for item in body["items"]]
             stored_objects += items
-            first_page_revision = first_page_revision or int(body["at"])
+            revision = Revision(answer.era, int(body["at"]))
+            first_page_revision = first_page_revision or revision
+            if first_page_revision.era != answer.era:
+                raise HistoryLostError("the store was restored between two pages")
             if not body.get("hasMore") or not items:
                 return first_page_revision, stored_objects
             last_name = items[-1].name
@@ -120,9 +175,9 @@
         answer = await self._call("GET", f"{_path(kind, name)}{query}")
         if answer.status == 404:
             return None
-        return _decode_object(_read_body(answer, 200))
+        return _decode_object(_read_body(answer, 200), answer.era)
 
-    async def watch(self, kind: str, since: int) -> tuple[int, list[Change]]:
+    async def watch(self, kind: str, since: Revision) -> tuple[Revision, list[Change]]:
         """Wait for changes after a revision; return the next revision and the changes.
 
         Raises
@@ -131,25 +186,27 @@
             If changes after the revision are no longer available; list the kind again.
         """
         wait_ms = int(WATCH_TIMEOUT.total_seconds() * 1000)
-        target = f"/v1/objects/{kind}?watch={since}&waitMs={wait_ms}"
+        target = f"/v1/objects/{kind}?watch={since.number}&waitMs={wait_ms}"
         answer = await self._call_cancellable(target)
-        if answer.status == 410:
+        if answer.status == 410 or answer.era != since.era:
             raise HistoryLostError(
                 f"changes of {kind} since revision {since} were compacted"
             )
         body = _read_body(answer, 200)
         changes = [
-            Change(_decode_object(item["object"]), bool(item.get("deleted")))
+            Change(
+                _decode_object(item["object"], answer.era), bool(item.get("deleted"))
+            )
             for item in body["events"]
         ]
-        return int(body["at"]), changes
+        return Revision(answer.era, int(body["at"])), changes
 
     def cancel_watches(self) -> None:
         """Cancel pending watches; a store that hangs would never answer them."""
         for watch in list(self._pending_watches):
             watch.cancel()
 
-    async def _call_cancellable(self, target: str) -> HttpAnswer:
+    async def _call_cancellable(self, target: str) -> StoreAnswer:
         watch = defer.Deferred.fromCoroutine(
             self._call("GET", target, WATCH_TIMEOUT + WATCH_MARGIN)
         )
@@ -173,10 +230,10 @@
         answer = await self._call("POST", f"/v1/objects/{kind}", body=body)
         if answer.status == 409:
             raise StoreConflictError(f"{kind}/{name} already exists")
-        return _decode_object(_read_body(answer, 200, 201), name)
+        return _decode_object(_read_body(answer, 200, 201), answer.era, name)
 
     async def replace(
-        self, kind: str, name: str, spec: Any, expected_revision: int
+        self, kind: str, name: str, spec: Any, expected_revision: Revision
     ) -> StoredObject:
         """Replace an object if it is at the expected revision.
 
@@ -185,28 +242,35 @@
         StoreConflictError
             If it is at another revision or does not exist.
         """
-        body = {"metadata": {"name": name, "revision": expected_revision}, "spec": spec}
-        answer = await self._call("PUT", _path(kind, name), body=body)
-        if answer.status in (404, 409):
-            raise StoreConflictError(
-                f"{kind}/{name} is not at revision {expected_revision}"
-            )
-        return _decode_object(_read_body(answer, 200), name)
+        return await self._update(
+            _path(kind, name), name, "spec", spec, expected_revision
+        )
 
     async def set_status(
-        self, kind: str, name: str, status: Any, expected_revision: int
+        self, kind: str, name: str, status: Any, expected_revision: Revision
     ) -> StoredObject:
-        """Replace the status of an object if it is at the expected revision."""
-        body = {
-            "metadata": {"name": name, "revision": expected_revision},
-            "status": status,
-        }
-        answer = await self._call("PUT", f"{_path(kind, name)}/status", body=body)
-        if answer.status in (404, 409):
-            raise StoreConflictError(
-                f"{kind}/{name} is not at revision {expected_revision}"
-            )
-        return _decode_object(_read_body(answer, 200), name)
+        """Replace the status of an object if it is at the expected revision.
+
+        Raises
+        ------
+        StoreConflictError
+            If it is at another revision or does not exist.
+        """
+        path = f"{_path(kind, name)}/status"
+        return await self._update(path, name, "status", status, expected_revision)
+
+    async def _update(
+        self, path: str, name: str, part: str, value: Any, expected: Revision
+    ) -> StoredObject:
+        conflict = StoreConflictError(f"{path} is not at revision {expected}")
+        if expected.era != self.era:
+            raise conflict
+        metadata = {"name": name, "revision": expected.number}
+        answer = await self._call("PUT", path, body={"metadata": metadata, part: value})
+        # In another era, the number may belong to another change.
+        if answer.status in (404, 409) or answer.era != expected.era:
+            raise conflict
+        return _decode_object(_read_body(answer, 200), answer.era, name)
 
     async def delete(self, kind: str, name: str) -> None:
         """Delete an object; a missing object is not an error."""
@@ -220,18 +284,32 @@
         target: str,
         timeout: timedelta = CALL_TIMEOUT,
         **options: Any,
-    ) -> HttpAnswer:
+    ) -> StoreAnswer:
         try:
-            return await self._caller.call(method, target, timeout, **options)
+            answer = await self._caller.call(method, target, timeout, **options)
         except ConnectFailedError as error:
             raise PlatformUnavailableError(error.message) from error
+        era = _decode_era(answer, self.era)
+        if era < self.era:
+            raise PlatformUnavailableError(
+                f"the answer is from era {era}, before the store was restored"
+            )
+        self.observe_era(era)
+        return StoreAnswer(answer, era)
+
+
+def _decode_era(answer: HttpAnswer, default: int) -> int:
+    for name, value in answer.headers:
+        if name.lower() == header_names.STORE_ERA and value.strip().isdigit():
+            return int(value)
+    return default
 
 
 def _path(kind: str, name: str) -> str:
     return f"/v1/objects/{kind}/{quote(name, safe='')}"
 
 
-def _read_body(answer: HttpAnswer, *statuses: int) -> Any:
+def _read_body(answer: StoreAnswer, *statuses: int) -> Any:
     if answer.status not in statuses:
         raise PlatformUnavailableError(
             f"the store answered with status {answer.status}"
@@ -239,12 +317,12 @@
     return answer.json()
 
 
-def _decode_object(item: Any, name: str = "") -> StoredObject:
+def _decode_object(item: Any, era: int, name: str = "") -> StoredObject:
     try:
         metadata = item["metadata"]
         return StoredObject(
             metadata.get("name", name),
-            int(metadata["revision"]),
+            Revision(era, int(metadata["revision"])),
             item.get("spec"),
             item.get("status"),
             int(metadata.get("created") or 0),
--- a/banyansail/standins/store.py
+++ b/banyansail/standins/store.py
@@ -37,17 +37,46 @@
     has_no_history: bool = False
 
 
+@dataclass(slots=True, frozen=True)
+class StoreCopy:
+    """Content of a store at some moment, to restore it from."""
+
+    revision: int
+    objects: dict[tuple[str, str], dict[str, Any]]
+
+
 @dataclass(slots=True)
 class StoreState:
     """Objects by kind and name, and the changes that led to them."""
 
     revision: int = 1
+    era: int = 1
+    first_revision: int = 0  # of the history that is kept
     objects: dict[tuple[str, str], dict[str, Any]] = field(default_factory=dict)
     events: list[tuple[int, str, dict[str, Any], bool]] = field(default_factory=list)
     waiters: list[defer.Deferred[None]] = field(default_factory=list)
     usage: list[dict[str, Any]] = field(default_factory=list)
     orders: list[dict[str, Any]] = field(default_factory=list)
 
+    def copy(self) -> StoreCopy:
+        """Return a copy of the present content."""
+        return StoreCopy(self.revision, dict(self.objects))
+
+    def restore(self, copy: StoreCopy) -> None:
+        """Return to a copy, in a new era; its history is gone and watches end."""
+        self.era += 1
+        self.revision = copy.revision
+        self.objects = dict(copy.objects)
+        self.events = []
+        self.first_revision = copy.revision
+        waiters, self.waiters = self.waiters, []
+        for waiter in waiters:
+            waiter.callback(None)
+
+    def has_history_since(self, revision: int) -> bool:
+        """Return whether all changes after a revision are known."""
+        return self.first_revision <= revision <= self.revision
+
     def put(self, kind: str, name: str, **parts: Any) -> dict[str, Any]:
         """Write parts of an object; a write that changes nothing has no effect."""
         current = self.objects.get((kind, name))
@@ -108,6 +137,7 @@
         """Answer one call."""
         path = request.path.decode()
         method = request.method.decode()
+        request.setHeader("store-era", str(self.state.era))
         if self.faults.is_silent:
             await defer.Deferred()
         if self.faults.is_down:
@@ -139,11 +169,15 @@
             answer_json(request, {"error": "history"}, 410)
             return
         since = int(request.args[b"watch"][0])
+        if not state.has_history_since(since):
+            answer_json(request, {"error": "unknown revision"}, 410)
+            return
         wait_s = int(request.args.get(b"waitMs", [b"0"])[0]) / 1000
         if not state.changes(kind, since):
             await self._wait(wait_s)
         if self.faults.is_silent:
             await defer.Deferred()
+        request.setHeader("store-era", str(state.era))
         events = state.changes(kind, since)
         answer_json(request, {"events": events, "at": state.revision})
 
--- a/banyansail/wire/gossip_codec.py
+++ b/banyansail/wire/gossip_codec.py
@@ -118,6 +118,7 @@
         rulesSinceMs=int(member.rules_since.timestamp() * 1000),
         isReady=member.is_ready,
         isLeaving=member.is_leaving,
+        storeEra=member.store_era,
     )
     return message.to_bytes_packed()
 
@@ -133,6 +134,7 @@
         datetime.fromtimestamp(message.rulesSinceMs / 1000, UTC),
         message.isReady,
         message.isLeaving,
+        message.storeEra,
     )
 
 
--- a/banyansail/wire/schema.capnp
+++ b/banyansail/wire/schema.capnp
@@ -36,6 +36,7 @@
   rulesSinceMs @5 :UInt64;  # Unix time
   isReady @6 :Bool;
   isLeaving @7 :Bool;
+  storeEra @8 :UInt32;
 }
 
 struct Names {
--- a/tests/gateway/fake_store.py
+++ b/tests/gateway/fake_store.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 from banyansail.exceptions import PlatformUnavailableError, StoreConflictError
-from banyansail.platform.store import StoredObject
+from banyansail.platform.store import Revision, StoredObject
 
 
 class FakeStore:
@@ -11,10 +13,24 @@
 
     def __init__(self) -> None:
         self.revision = 0
+        self.era = 0
         self.object_by_key: dict[tuple[str, str], StoredObject] = {}
         self.is_down = False
         self.calls = 0
 
+    def copy(self) -> tuple[int, dict]:
+        """Return a copy of the store's content to restore it from."""
+        return self.revision, dict(self.object_by_key)
+
+    def restore(self, copy: tuple[int, dict]) -> None:
+        """Return to an earlier copy; revisions after it are given out again."""
+        self.era += 1
+        self.revision, objects = copy
+        self.object_by_key = {
+            key: replace(item, revision=Revision(self.era, item.revision.number))
+            for key, item in objects.items()
+        }
+
     def _check_reachable(self) -> None:
         self.calls += 1
         if self.is_down:
@@ -25,7 +41,8 @@
         if current is not None and (current.spec, current.status) == (spec, status):
             return current  # without a change, the revision stays the same
         self.revision += 1
-        stored = StoredObject(name, self.revision, spec, status)
+        revision = Revision(self.era, self.revision)
+        stored = StoredObject(name, revision, spec, status)
         self.object_by_key[kind, name] = stored
         return stored
 
@@ -36,7 +53,7 @@
             for (stored_kind, _), stored in self.object_by_key.items()
             if stored_kind == kind
         ]
-        return self.revision, found
+        return Revision(self.era, self.revision), found
 
     async def get(self, kind, name, *, serializable=False):
         self._check_reachable()
--- a/tests/gateway/test_duty_lease.py
+++ b/tests/gateway/test_duty_lease.py
@@ -15,7 +15,10 @@
 
 
 def lease_of(store, clock, holder):
-    return DutyLease(store, clock, "duties", holder, LEASE)
+    """Return a lease of a process that has run for a lease time."""
+    lease = DutyLease(store, clock, "duties", holder, LEASE)
+    clock.advance(LEASE.total_seconds())
+    return lease
 
 
 def test_a_renewed_lease_is_not_taken_over():
@@ -105,3 +108,97 @@
     run_now(second.observe())
     clock.advance(LEASE.total_seconds())
     assert run_now(second.acquire()) == 2
+
+
+def test_a_holder_of_a_restored_store_stops_at_once_and_renews_with_a_larger_token():
+    store, clock = FakeStore(), FakeClock()
+    holder = lease_of(store, clock, "a")
+    empty = store.copy()
+    old_token = run_now(holder.acquire())
+    store.restore(empty)
+    holder.invalidate()
+    assert holder.fencing_token() is None
+    assert run_now(holder.acquire()) > old_token
+
+
+def test_others_wait_until_a_holder_that_does_not_know_of_the_restore_has_stopped():
+    store, clock = FakeStore(), FakeClock()
+    first, second = lease_of(store, clock, "a"), lease_of(store, clock, "b")
+    empty = store.copy()
+    old_token = run_now(first.acquire())
+    store.restore(empty)
+    second.invalidate()
+    while run_now(second.acquire()) is None:
+        clock.advance(0.5)
+    assert first.fencing_token() is None
+    assert second.fencing_token() > old_token
+
+
+def test_a_process_that_starts_waits_until_a_holder_without_a_record_has_stopped():
+    """The store was restored just before, so that it shows no lease."""
+    store, clock = FakeStore(), FakeClock()
+    holder = lease_of(store, clock, "a")
+    empty = store.copy()
+    run_now(holder.acquire())
+    store.restore(empty)
+    started = DutyLease(store, clock, "duties", "c", LEASE)
+    while run_now(started.acquire()) is None:
+        clock.advance(0.5)
+    assert holder.fencing_token() is None
+
+
+def test_a_lease_written_while_the_store_was_restored_is_not_held():
+    store, clock = FakeStore(), FakeClock()
+    lease = lease_of(store, clock, "a")
+    create = store.create
+
+    async def create_after_restore(*args):
+        store.restore(store.copy())
+        return await create(*args)
+
+    store.create = create_after_restore
+    assert run_now(lease.acquire()) is None
+
+
+@given(st.lists(st.sampled_from(["copy", "restore", "a", "b", "wait"]), max_size=40))
+@settings(derandomize=True, max_examples=150)
+def test_tokens_never_go_down_or_repeat_over_restores(steps):
+    """Two holders act with their tokens whenever they hold the lease."""
+    assert not has_wrong_token(steps, knows_eras=True)
+
+
+def has_wrong_token(steps, *, knows_eras):
+    store, clock = FakeStore(), FakeClock()
+    leases = {name: lease_of(store, clock, name) for name in "ab"}
+    copy = store.copy()
+    used: list[tuple[int, str]] = []
+    era_of = dict.fromkeys("ab", store.era)
+    for step in steps:
+        if step == "copy":
+            copy = store.copy()
+        elif step == "restore":
+            store.restore(copy)
+            if not knows_eras:
+                store.era = 0
+        elif step == "wait":
+            clock.advance(3)
+        else:
+            lease = leases[step]
+            # The first answer of the store in a new era.
+            if knows_eras and era_of[step] != store.era:
+                era_of[step] = store.era
+                lease.invalidate()
+            run_now(lease.acquire())
+        for name, lease in leases.items():
+            token = lease.fencing_token()
+            if token is not None:
+                used.append((token, name))
+    tokens = [token for token, _ in used]
+    is_shared = len(set(used)) > len(set(tokens))
+    return tokens != sorted(tokens) or is_shared
+
+
+def test_tokens_repeat_over_a_restore_if_eras_are_ignored():
+    """The check above is one that a lease without eras fails."""
+    steps = ["a", "copy", "b", "wait", "wait", "wait", "b", "restore", "a"]
+    assert has_wrong_token(steps, knows_eras=False)
--- a/tests/gateway/test_mirror.py
+++ b/tests/gateway/test_mirror.py
@@ -7,7 +7,7 @@
 
 from banyansail.exceptions import HistoryLostError, PlatformUnavailableError
 from banyansail.gateway.mirror import RETURN_GRACE, Mirror
-from banyansail.platform.store import Change, StoredObject
+from banyansail.platform.store import Change, Revision, StoredObject
 from tests.fakes import FakeClock, run_now
 
 
@@ -16,6 +16,7 @@
 
     def __init__(self):
         self.revision = 0
+        self.era = 0
         self.object_by_name: dict[str, StoredObject] = {}
         self.history: list[tuple[int, Change]] = []
         self.compacted_at = 0
@@ -23,7 +24,8 @@
 
     def put(self, name):
         self.revision += 1
-        stored = StoredObject(name, self.revision, {"n": self.revision})
+        revision = Revision(self.era, self.revision)
+        stored = StoredObject(name, revision, {"n": self.revision})
         self.object_by_name[name] = stored
         self.history.append((self.revision, Change(stored, False)))
 
@@ -38,13 +40,14 @@
 
     async def list(self, kind):
         self._check_reachable()
-        return self.revision, list(self.object_by_name.values())
+        return Revision(self.era, self.revision), list(self.object_by_name.values())
 
     async def watch(self, kind, since):
         self._check_reachable()
-        if since < self.compacted_at:
+        if since.number < self.compacted_at or since.era != self.era:
             raise HistoryLostError("compacted")
-        return self.revision, [item for at, item in self.history if at > since]
+        changes = [item for at, item in self.history if at > since.number]
+        return Revision(self.era, self.revision), changes
 
     def _check_reachable(self):
         if self.is_down:
@@ -125,3 +128,86 @@
     store.delete("a")
     follow(mirror)
     assert mirror.object_by_name == {}
+
+
+class RestorableStore(ChangingStore):
+    """A changing store that may return to a copy of itself."""
+
+    def copy(self):
+        return self.revision, dict(self.object_by_name)
+
+    def restore(self, copy):
+        self.era += 1
+        self.revision, self.object_by_name = copy[0], dict(copy[1])
+        self.history = []
+
+
+def test_a_revision_that_is_given_out_again_is_not_watched_on():
+    store, clock = RestorableStore(), FakeClock()
+    copy = store.copy()
+    store.put("a")
+    mirror = mirror_of(store, clock)
+    follow(mirror)
+    store.restore(copy)
+    store.put("b")  # has the revision that "a" had
+    mirror.reset()
+    follow(mirror)
+    assert set(mirror.object_by_name) == {"b"}
+    store.put("c")
+    follow(mirror)
+    assert set(mirror.object_by_name) == {"b", "c"}
+
+
+def test_an_entry_that_the_copy_lacks_stays_until_written_again_or_shown_gone():
+    store, clock = RestorableStore(), FakeClock()
+    store.put("old")
+    copy = store.copy()
+    for name in ("new", "gone"):
+        store.put(name)
+    mirror = mirror_of(store, clock, keeps_lapsed=True)
+    follow(mirror)
+    store.restore(copy)
+    mirror.reset()
+    follow(mirror)
+    assert set(mirror.object_by_name) == {"old", "new", "gone"}
+    assert mirror.missing_names == {"new", "gone"}
+    store.put("new")
+    follow(mirror)
+    clock.advance(RETURN_GRACE.total_seconds())
+    mirror.expire_lapsed()
+    assert set(mirror.object_by_name) == {"old", "new"}
+    assert mirror.missing_names == set()
+
+
+def test_an_entry_that_left_stays_gone_though_the_copy_has_it():
+    store, clock = RestorableStore(), FakeClock()
+    store.put("a")
+    store.put("b")
+    copy = store.copy()
+    mirror = mirror_of(store, clock, keeps_lapsed=True)
+    follow(mirror)
+    store.delete("a")
+    store.delete("b")
+    follow(mirror)
+    store.restore(copy)
+    mirror.reset()
+    follow(mirror)
+    assert set(mirror.object_by_name) == set()
+    store.compact()
+    store.put("b")  # it lives after all
+    mirror.revision = None
+    follow(mirror)
+    assert set(mirror.object_by_name) == {"b"}
+
+
+def test_two_restores_in_a_row_end_with_the_entries_of_the_second():
+    store, clock = RestorableStore(), FakeClock()
+    copy = store.copy()
+    store.put("a")
+    mirror = mirror_of(store, clock)
+    for _ in range(2):
+        store.restore(copy)
+        store.put("b")
+        mirror.reset()
+    follow(mirror)
+    assert set(mirror.object_by_name) == {"b"}
--- a/tests/gateway/test_moves.py
+++ b/tests/gateway/test_moves.py
@@ -165,3 +165,53 @@
     except StoreConflictError:
         return
     raise AssertionError("an old revision was accepted")
+
+
+def completed_move(store, clock):
+    controller, dispatcher = controller_of(store, clock, FakeLease())
+    stored = order(store)
+    follow(store, clock, controller)
+    completed = {"state": "completed", "target": "v2"}
+    run_now(store.set_status("rollouts", "engines", completed, stored.revision))
+    follow(store, clock, controller)
+    return controller, dispatcher
+
+
+def test_a_final_state_that_a_restored_store_has_lost_is_published_again():
+    store, clock = FakeStore(), FakeClock()
+    order(store)
+    copy = store.copy()
+    controller, dispatcher = completed_move(store, clock)
+    store.restore(copy)
+    controller.record_restore()
+    follow(store, clock, controller)
+    assert dispatcher.state("engines").version_share.share == 1.0
+    run_now(controller.publish_states())
+    stored = store.object_by_key["rollouts", "engines"]
+    assert stored.status == {"state": "completed", "target": "v2"}
+
+
+def test_an_order_that_is_written_again_after_a_restore_is_the_same_move():
+    store, clock = FakeStore(), FakeClock()
+    copy = store.copy()
+    controller, dispatcher = completed_move(store, clock)
+    store.restore(copy)
+    controller.record_restore()
+    follow(store, clock, controller)
+    clock.advance(2)
+    store.revision += 5
+    order(store)
+    follow(store, clock, controller)
+    assert dispatcher.state("engines").version_share.share == 1.0
+
+
+def test_another_order_after_a_restore_is_a_new_move():
+    store, clock = FakeStore(), FakeClock()
+    copy = store.copy()
+    controller, dispatcher = completed_move(store, clock)
+    store.restore(copy)
+    controller.record_restore()
+    store.revision += 5
+    order(store, target="v3")
+    follow(store, clock, controller)
+    assert dispatcher.state("engines").version_share.share < 1.0
--- a/tests/gateway/test_upstream_table.py
+++ b/tests/gateway/test_upstream_table.py
@@ -3,7 +3,7 @@
 from banyansail.exceptions import PlatformUnavailableError
 from banyansail.gateway.mirror import Mirror
 from banyansail.gateway.upstream_table import UpstreamTable
-from banyansail.platform.store import Change
+from banyansail.platform.store import Change, Revision
 from tests.fakes import FakeClock, run_now
 from tests.gateway.fake_store import FakeStore
 
@@ -25,7 +25,7 @@
 
     async def watch(self, kind, since):
         self._check_reachable()
-        return self.revision, list(self.changes)
+        return Revision(self.era, self.revision), list(self.changes)
 
 
 def table_after_partition(deleted_names):
--- a/tests/gateway/test_usage_reporter.py
+++ b/tests/gateway/test_usage_reporter.py
@@ -164,3 +164,32 @@
     for _ in range(10):
         run_now(last.report(["w"]))
     assert fleet.store.calls == before
+
+
+def reported_counts(fleet):
+    """Return the different counts reported for each window."""
+    counts_by_window = {}
+    for _, window, counts, _ in fleet.cloud.reports:
+        found = counts_by_window.setdefault(window, [])
+        if counts not in found:
+            found.append(counts)
+    return counts_by_window
+
+
+@pytest.mark.parametrize("stops_holder", [False, True])
+def test_no_window_is_reported_with_other_counts_after_a_restore(fleet, stops_holder):
+    """The store forgets the counts that were sent; a count may have risen since."""
+    empty = fleet.store.copy()
+    fleet.run(40)
+    fleet.store.restore(empty)
+    if stops_holder:
+        fleet.stopped.add(NAMES[0])
+    for name in NAMES:
+        for window in fleet.usage_by_name[name].own_counts:
+            fleet.usage_by_name[name].own_counts[window]["w"] += 1
+        fleet.reporter_by_name[name].record_restore()
+    fleet.run(40)
+    counts_by_window = reported_counts(fleet)
+    assert all(len(found) == 1 for found in counts_by_window.values())
+    newest = max(counts_by_window)
+    assert set(range(newest - 3, newest + 1)) <= counts_by_window.keys()
