Publish each leaving mark once, list live addresses once a digest exchange

Change: the set is made once; a mark heard from another router is not published again, and publishing waits a random part of the coalescing time; datagrams list 40 digests, not 80.

--- a/banyansail/fleet/gossiper.py
+++ b/banyansail/fleet/gossiper.py
@@ -37,7 +37,7 @@
 
 DIGEST_FANOUT = 1  # zone peers per exchange, and as many bridges
 UNREACHABLE_PROBES_PER_S = 2  # by all routers of a zone, or by all bridges, together
-MAX_DIGESTS_PER_DATAGRAM = 80
+MAX_DIGESTS_PER_DATAGRAM = 40
 
 
 @dataclass(slots=True, frozen=True)
@@ -191,9 +191,8 @@
         """Advance the heartbeat; return the datagrams that start digest exchanges."""
         self._view.advance_heartbeat()
         targets = self._sample_addresses(self._topology.zone_peers(), DIGEST_FANOUT)
-        seeds_not_live = [
-            seed for seed in self._seeds if seed not in self._topology.live_addresses()
-        ]
+        live_addresses = self._topology.live_addresses()
+        seeds_not_live = [seed for seed in self._seeds if seed not in live_addresses]
         targets += self._sample_addresses(seeds_not_live, 1)
         targets += self._sample_unreachable_peer()
         digests = self._digests(self._sample_names_across_zones())
--- a/banyansail/gateway/router.py
+++ b/banyansail/gateway/router.py
@@ -93,6 +93,7 @@
         self.clock = clock or SystemClock()
         self.config = ConfigKeeper(self.clock, self._apply_config)
         self._ports: list[Any] = []
+        self._marks_due_at: timedelta | None = None
         self._build_platform()
         self._build_state()
         self._build_servers()
@@ -269,8 +270,9 @@
 
     def _apply_upstreams(self) -> None:
         upstreams = self.upstream_table.upstreams()
-        leaving_marks = self.upstream_table.encode_leaving_marks(upstreams)
-        self.link.publish(Topic.LEAVING, leaving_marks, urgent=True)
+        if self._marks_due_at is None:
+            jitter = self._random.random() * coalesce_time(self.fleet.fleet_size())
+            self._marks_due_at = self.clock.monotonic() + jitter
         self.upstream_table.log_changes(upstreams)
         self.dispatcher.apply_upstreams(upstreams, self.site)
         self.context.close_unused_pools({upstream.address for upstream in upstreams})
@@ -280,6 +282,14 @@
         if self.upstream_table.mark_leaving(upstream):
             log_event("leaving_answered", upstream=upstream.id)
             self._apply_upstreams()
+            self._publish_leaving_marks()
+
+    def _publish_leaving_marks(self) -> None:
+        self._marks_due_at = None
+        marks = self.upstream_table.encode_leaving_marks(
+            self.upstream_table.upstreams()
+        )
+        self.link.publish(Topic.LEAVING, marks, urgent=True)
 
     def _apply_restore(self) -> None:
         """Take into account that the store was restored from a copy."""
@@ -336,9 +346,12 @@
         """Exchange digests with other routers to repair missed entries."""
         self.link.exchange_digests()
 
-    async def publish_member(self) -> None:
-        """Publish this router's state to the others if it changed."""
+    async def publish_state(self) -> None:
+        """Publish this router's state, and leaving marks that no other published."""
         self._publish_member()
+        due_at = self._marks_due_at
+        if due_at is not None and self.clock.monotonic() >= due_at:
+            self._publish_leaving_marks()
 
     async def exchange_traffic(self) -> None:
         """Send this router's traffic report, sums and usage counts that are due."""
--- a/banyansail/gateway/tasks.py
+++ b/banyansail/gateway/tasks.py
@@ -10,7 +10,7 @@
 
 PUSH_INTERVAL = timedelta(milliseconds=200)
 TRAFFIC_INTERVAL = timedelta(milliseconds=100)  # of checks what is due
-MEMBER_INTERVAL = timedelta(milliseconds=400)
+STATE_INTERVAL = timedelta(milliseconds=200)
 DIGEST_INTERVAL = timedelta(seconds=1)
 PROBE_INTERVAL = timedelta(seconds=1)
 ASSIGN_INTERVAL = timedelta(milliseconds=50)
@@ -26,7 +26,7 @@
 def add_tasks(gateway: Gateway) -> None:
     """Add a gateway's tasks to its supervisor tree."""
     gateway.add_task("gossip.push", gateway.push_gossip, PUSH_INTERVAL)
-    gateway.add_task("gossip.member", gateway.publish_member, MEMBER_INTERVAL)
+    gateway.add_task("gossip.state", gateway.publish_state, STATE_INTERVAL)
     gateway.add_task("gossip.traffic", gateway.exchange_traffic, TRAFFIC_INTERVAL)
     gateway.add_task("gossip.exchange", gateway.exchange_digests, DIGEST_INTERVAL)
     for kind, follow in (
--- a/banyansail/gateway/upstream_table.py
+++ b/banyansail/gateway/upstream_table.py
@@ -34,6 +34,8 @@
     def __init__(self, mirror: Mirror) -> None:
         self.mirror = mirror
         self._leaving_marks: set[str] = set()
+        self._heard_marks: set[str] = set()  # from other routers
+        self._published_marks: set[str] = set()
         self._logged_is_leaving_by_id: dict[str, bool] = {}  # at the last log line
 
     def upstreams(self) -> list[Upstream]:
@@ -45,10 +47,12 @@
             except WireError as error:
                 log_event("upstream_unreadable", error=error.message)
         presumed_stopped_ids = self._presumed_stopped_ids(upstreams)
-        return [
+        found = [
             self._with_leaving_state(upstream, presumed_stopped_ids)
             for upstream in upstreams
         ]
+        self._record_leaving(found)
+        return found
 
     def log_changes(self, upstreams: list[Upstream]) -> None:
         """Log the upstreams added, draining or removed since the last call."""
@@ -69,14 +73,28 @@
         )
 
     def encode_leaving_marks(self, upstreams: list[Upstream]) -> bytes:
-        """Return the encoded leaving marks of the draining upstreams."""
+        """Return the encoded leaving marks that this router publishes.
+
+        A mark that was heard from another router before is left to that one, as all
+        routers of a large fleet learn of it from the store at the same time.
+        """
+        marks = {
+            mark: timedelta(0)
+            for mark in self._record_leaving(upstreams)
+            if mark in self._published_marks or mark not in self._heard_marks
+        }
+        self._published_marks = set(marks)
+        return encode_leaving(marks)
+
+    def _record_leaving(self, upstreams: list[Upstream]) -> set[str]:
+        """Keep the marks of the draining upstreams, and return them."""
         marks = {
-            _leaving_mark(upstream): timedelta(0)
+            _leaving_mark(upstream)
             for upstream in upstreams
             if upstream.is_leaving and upstream.id not in self.mirror.lapsed_names
         }
-        self._leaving_marks |= marks.keys()
-        return encode_leaving(marks)
+        self._leaving_marks |= marks
+        return marks
 
     def mark_leaving(self, upstream: Upstream) -> bool:
         """Mark an upstream that said itself that it is draining; return if it is new.
@@ -96,6 +114,7 @@
         except WireError as error:
             log_event("marks_unreadable", origin=entry.origin, error=error.message)
             return False
+        self._heard_marks |= marks
         if not marks - self._leaving_marks:
             return False
         log_event("leaving_heard", origin=entry.origin, upstreams=sorted(marks))
--- a/tests/gateway/test_upstream_table.py
+++ b/tests/gateway/test_upstream_table.py
@@ -1,9 +1,11 @@
 from __future__ import annotations
 
 from banyansail.exceptions import PlatformUnavailableError
+from banyansail.fleet.entries import Entry, Topic
 from banyansail.gateway.mirror import Mirror
 from banyansail.gateway.upstream_table import UpstreamTable
 from banyansail.platform.store import Change, Revision
+from banyansail.wire.gossip_codec import decode_leaving
 from tests.fakes import FakeClock, run_now
 from tests.gateway.fake_store import FakeStore
 
@@ -70,3 +72,28 @@
     table, _ = table_after_partition(["u1"])
     before = table.encode_leaving_marks([])
     assert table.encode_leaving_marks(table.upstreams()) == before
+
+
+def draining_table():
+    store, clock = FakeStore(), FakeClock()
+    run_now(store.create("servers", "u1", {**SPEC, "state": "draining"}))
+    mirror = Mirror("servers", store, clock, lambda mirror: None)
+    run_now(mirror.follow())
+    return UpstreamTable(mirror)
+
+
+def test_a_mark_that_another_router_published_is_not_published_again():
+    """All routers of a large fleet learn from the store at once that one is leaving."""
+    first, second = draining_table(), draining_table()
+    published = first.encode_leaving_marks(first.upstreams())
+    assert decode_leaving(published)
+    second.merge_leaving_marks(Entry("a", 1, Topic.LEAVING, 1, published))
+    assert not decode_leaving(second.encode_leaving_marks(second.upstreams()))
+
+
+def test_a_mark_stays_published_though_others_publish_it_too():
+    first, second = draining_table(), draining_table()
+    published = first.encode_leaving_marks(first.upstreams())
+    second.encode_leaving_marks(second.upstreams())
+    second.merge_leaving_marks(Entry("a", 1, Topic.LEAVING, 1, published))
+    assert decode_leaving(second.encode_leaving_marks(second.upstreams()))
