End an attempt that timed out as a timeout, clear suspects that were answered, log peer errors

Cause: an attempt's timeout ended as a broken-off answer, 502 where 504 is meant; a request that was only in flight when an upstream crashed stayed suspect after it had been answered; an unexpected error in a call of another router was dropped without a log line. Change: Attempt.abort says whether it is a timeout; an answer clears the fingerprint; the error is logged.

--- a/banyansail/fleet/peer_calls.py
+++ b/banyansail/fleet/peer_calls.py
@@ -11,6 +11,7 @@
 from twisted.protocols.basic import Int32StringReceiver
 
 from banyansail.exceptions import BanyansailError, WireError
+from banyansail.log import log_event
 from banyansail.wire.call_codec import (
     MAX_CALL_BYTES,
     PeerCall,
@@ -107,7 +108,9 @@
         """Handle a call and send its reply."""
         call_id, call = decode_call(payload)
         handling = defer.Deferred.fromCoroutine(self._handle_call(call_id, call))
-        handling.addErrback(lambda failure: None)
+        handling.addErrback(
+            lambda failure: log_event("peer_call_failed", error=failure.getTraceback())
+        )
 
     async def _handle_call(self, call_id: int, call: PeerCall) -> None:
         try:
--- a/banyansail/gateway/attempt.py
+++ b/banyansail/gateway/attempt.py
@@ -85,11 +85,11 @@
             connection.abort()
             raise
 
-    def abort(self, reason: str) -> None:
+    def abort(self, reason: str, *, is_timeout: bool = False) -> None:
         """End the attempt; close its connection, so that the upstream stops working."""
         if self._connection is not None:
             self._connection.abort()
-        self._finish(Incomplete(reason))
+        self._finish(Incomplete(reason, is_timeout))
 
     def is_own_answer(self, status: int, headers: list[tuple[bytes, bytes]]) -> bool:
         """Return whether an answer belongs to this attempt."""
--- a/banyansail/gateway/crash_guard.py
+++ b/banyansail/gateway/crash_guard.py
@@ -43,18 +43,18 @@
         running = self._running_by_incarnation.setdefault(upstream.incarnation, {})
         running[fingerprint] = running.get(fingerprint, 0) + 1
 
-    def end_attempt(
-        self, upstream: Upstream, fingerprint: int, *, survived: bool
-    ) -> None:
-        """Record the end of an attempt; clear the request if it ran without a crash."""
+    def end_attempt(self, upstream: Upstream, fingerprint: int) -> None:
+        """Record the end of an attempt."""
         running = self._running_by_incarnation.get(upstream.incarnation, {})
         running[fingerprint] = running.get(fingerprint, 1) - 1
         if running[fingerprint] <= 0:
             del running[fingerprint]
         if not running:
             self._running_by_incarnation.pop(upstream.incarnation, None)
-        if survived:
-            self._quarantine.record_success(fingerprint)
+
+    def record_success(self, fingerprint: int) -> None:
+        """Clear a request that an upstream answered."""
+        self._quarantine.record_success(fingerprint)
 
     def record_crash(self, upstream: Upstream, fingerprint: int) -> bytes | None:
         """Record the crash of an upstream; return the value to publish if it is new."""
--- a/banyansail/gateway/exchange.py
+++ b/banyansail/gateway/exchange.py
@@ -214,9 +214,7 @@
             if timer is not None and timer.active():
                 timer.cancel()
             context.dispatcher.release(slot)
-            context.crash_guard.end_attempt(
-                upstream, self._call.fingerprint, survived=False
-            )
+            context.crash_guard.end_attempt(upstream, self._call.fingerprint)
         if not may_have_run(outcome):
             self._progress.possible_runs -= 1
         duration = context.clock.monotonic() - sent_at
@@ -243,7 +241,10 @@
                 return
             if self._context.withdraw_retry(self._ticket.service):
                 self._is_retry_charged = True
-                attempt.abort(f"no answer within {timeout.total_seconds():.2f} s")
+                attempt.abort(
+                    f"no answer within {timeout.total_seconds():.2f} s",
+                    is_timeout=True,
+                )
 
         return self._context.reactor.callLater(timeout.total_seconds(), on_timeout)
 
--- a/banyansail/gateway/outcome_recorder.py
+++ b/banyansail/gateway/outcome_recorder.py
@@ -74,6 +74,8 @@
                 if head.is_misdirected:
                     load.mark_suspect(now)
             case Answered(head):
+                if not head.is_failure:
+                    self._context.crash_guard.record_success(self._call.fingerprint)
                 latency = duration if self._call.prompt is None else None
                 load.record_outcome(now, ok=not head.is_failure, latency=latency)
             case Incomplete():
--- a/tests/fleet/test_datagrams.py
+++ b/tests/fleet/test_datagrams.py
@@ -12,9 +12,15 @@
 from banyansail.exceptions import WireError
 from banyansail.fleet.datagrams import GossipProtocol
 from banyansail.fleet.gossiper import Gossiper
+from banyansail.fleet.peer_calls import PeerServerProtocol
 from banyansail.fleet.view import FleetView
 from banyansail.metrics import Metrics
-from banyansail.wire.call_codec import decode_call, decode_reply
+from banyansail.wire.call_codec import (
+    FetchDocument,
+    decode_call,
+    decode_reply,
+    encode_call,
+)
 from banyansail.wire.gossip_codec import decode_gossip, encode_gossip
 from banyansail.wire.message_auth import MessageAuthenticator
 from tests.fakes import FakeClock
@@ -85,3 +91,20 @@
             decode(data)
         except WireError:
             pass
+
+
+def test_an_unexpected_error_in_a_peer_call_is_logged(monkeypatch):
+    logged = []
+    monkeypatch.setattr(
+        "banyansail.fleet.peer_calls.log_event",
+        lambda event, **fields: logged.append((event, fields["error"])),
+    )
+
+    async def handle(call):
+        raise KeyError("unexpected")
+
+    server = PeerServerProtocol(MessageAuthenticator("0123456789abcdef"), handle)
+    server.frame_received(encode_call(1, FetchDocument("config", 0)))
+    ((event, error),) = logged
+    assert event == "peer_call_failed"
+    assert "KeyError" in error
