Split the gateway's decisions and duties into folders of their own

Cause: gateway/ had 39 modules in one folder, so that a newcomer did not see what decides, what sends and what a fleet-wide duty does. No behaviour changes.

--- a/banyansail/gateway/attempt.py
+++ b/banyansail/gateway/attempt.py
@@ -7,8 +7,13 @@
 from twisted.internet import defer
 
 from banyansail.exceptions import ConnectFailedError
+from banyansail.gateway.decisions.retry_policy import (
+    Answered,
+    Incomplete,
+    NotSent,
+    Outcome,
+)
 from banyansail.gateway.events import EventParser, StreamEvent
-from banyansail.gateway.retry_policy import Answered, Incomplete, NotSent, Outcome
 from banyansail.platform.calls import decode_reply
 
 if TYPE_CHECKING:
--- a/banyansail/gateway/context.py
+++ b/banyansail/gateway/context.py
@@ -6,10 +6,10 @@
 from typing import TYPE_CHECKING, Any
 
 from banyansail.exceptions import ConnectFailedError
+from banyansail.gateway.decisions.quota import cost_of
+from banyansail.gateway.decisions.retry_budget import WindowedRetryBudget
 from banyansail.gateway.log_rate_limit import LogRateLimit
 from banyansail.gateway.metrics import GatewayMetrics
-from banyansail.gateway.quota import cost_of
-from banyansail.gateway.retry_budget import WindowedRetryBudget
 from banyansail.log import log_event
 from banyansail.upstreams.pool import ConnectionPool
 
@@ -20,15 +20,15 @@
     from banyansail.clock import Clock
     from banyansail.config.fields import Address
     from banyansail.config.gateway_settings import GatewaySettings
-    from banyansail.gateway.crash_guard import CrashGuard
-    from banyansail.gateway.dispatch import Dispatcher
-    from banyansail.gateway.move_controller import MoveController
-    from banyansail.gateway.quota import QuotaLimiter
+    from banyansail.gateway.decisions.crash_guard import CrashGuard
+    from banyansail.gateway.decisions.dispatch import Dispatcher
+    from banyansail.gateway.decisions.quota import QuotaLimiter
+    from banyansail.gateway.decisions.upstream_load import UpstreamLoad
+    from banyansail.gateway.duties.move_controller import MoveController
+    from banyansail.gateway.duties.usage import UsageCounter
     from banyansail.gateway.request_types import CallerCall, ReplyHead
     from banyansail.gateway.site import Workspace
     from banyansail.gateway.upstream import Upstream
-    from banyansail.gateway.upstream_load import UpstreamLoad
-    from banyansail.gateway.usage import UsageCounter
     from banyansail.traffic.fleet_traffic import FleetTraffic
 
 
--- /dev/null
+++ b/banyansail/gateway/decisions/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions about requests, without I/O: quota, queue, choice of upstream, retry."""
--- a/banyansail/gateway/choice.py
+++ b/banyansail/gateway/decisions/choice.py
@@ -11,15 +11,15 @@
 from datetime import timedelta
 from typing import TYPE_CHECKING
 
-from banyansail.gateway.upstream_load import ENGINE_BASE_LATENCY
+from banyansail.gateway.decisions.upstream_load import ENGINE_BASE_LATENCY
 from banyansail.utils import hash64
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
     from random import Random
 
+    from banyansail.gateway.decisions.upstream_load import UpstreamLoad
     from banyansail.gateway.request_types import Prompt
-    from banyansail.gateway.upstream_load import UpstreamLoad
 
 MS = timedelta(milliseconds=1)
 OTHER_ZONE_PENALTY = timedelta(milliseconds=4)  # two hops, and traffic that is billed
--- a/banyansail/gateway/dispatch.py
+++ b/banyansail/gateway/decisions/dispatch.py
@@ -10,9 +10,9 @@
 from datetime import timedelta
 from typing import TYPE_CHECKING
 
-from banyansail.gateway.choice import Chosen, choose, has_room
+from banyansail.gateway.decisions.choice import Chosen, choose, has_room
+from banyansail.gateway.decisions.upstream_load import PrefillRate, UpstreamLoad
 from banyansail.gateway.request_types import Cause, Rejection
-from banyansail.gateway.upstream_load import PrefillRate, UpstreamLoad
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
--- a/banyansail/gateway/upstream_load.py
+++ b/banyansail/gateway/decisions/upstream_load.py
@@ -5,7 +5,7 @@
 from datetime import timedelta
 from typing import TYPE_CHECKING
 
-from banyansail.gateway.prefix_cache import PrefixCache
+from banyansail.gateway.decisions.prefix_cache import PrefixCache
 
 if TYPE_CHECKING:
     from banyansail.gateway.request_types import Prompt
--- a/banyansail/gateway/move_controller.py
+++ b/banyansail/gateway/duties/move_controller.py
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING
 
 from banyansail.exceptions import StoreConflictError, WireError
-from banyansail.gateway.moves import (
+from banyansail.gateway.duties.moves import (
     Move,
     MoveState,
     Tally,
@@ -23,8 +23,8 @@
     from collections.abc import Mapping
 
     from banyansail.clock import Clock
-    from banyansail.gateway.dispatch import Dispatcher
-    from banyansail.gateway.duty_lease import DutyLease
+    from banyansail.gateway.decisions.dispatch import Dispatcher
+    from banyansail.gateway.duties.duty_lease import DutyLease
     from banyansail.gateway.mirror import Mirror
     from banyansail.platform.store import Revision, StoreClient
     from banyansail.traffic.report import TallyKey
--- a/banyansail/gateway/scaler.py
+++ b/banyansail/gateway/duties/scaler.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 from banyansail.exceptions import BanyansailError
-from banyansail.gateway.scaling import (
+from banyansail.gateway.duties.scaling import (
     Demand,
     ReplicaOrder,
     ZoneReplicas,
@@ -17,8 +17,8 @@
 
 if TYPE_CHECKING:
     from banyansail.clock import Clock
-    from banyansail.gateway.dispatch import Dispatcher
-    from banyansail.gateway.duty_lease import DutyLease
+    from banyansail.gateway.decisions.dispatch import Dispatcher
+    from banyansail.gateway.duties.duty_lease import DutyLease
     from banyansail.gateway.site import ServiceSpec, SiteConfig
     from banyansail.platform.cloud import CloudClient
     from banyansail.traffic.fleet_traffic import FleetTraffic
--- a/banyansail/gateway/usage_exchange.py
+++ b/banyansail/gateway/duties/usage_exchange.py
@@ -12,9 +12,9 @@
 
 if TYPE_CHECKING:
     from banyansail.clock import Clock
+    from banyansail.gateway.duties.usage import UsageCounter
+    from banyansail.gateway.duties.usage_reporter import UsageReporter
     from banyansail.gateway.fleet_link import FleetLink
-    from banyansail.gateway.usage import UsageCounter
-    from banyansail.gateway.usage_reporter import UsageReporter
     from banyansail.traffic.fleet_traffic import FleetTraffic
 
 MIN_INTERVAL = timedelta(milliseconds=400)
--- a/banyansail/gateway/usage_reporter.py
+++ b/banyansail/gateway/duties/usage_reporter.py
@@ -15,14 +15,14 @@
     StoreConflictError,
 )
 from banyansail.fleet.duties import rank_names
-from banyansail.gateway.duty_lease import DutyLease
+from banyansail.gateway.duties.duty_lease import DutyLease
 from banyansail.log import log_decision, log_event
 from banyansail.traffic.aggregator import DUTY
 
 if TYPE_CHECKING:
     from banyansail.clock import Clock
     from banyansail.config.gateway_settings import GatewaySettings
-    from banyansail.gateway.usage import UsageCounter
+    from banyansail.gateway.duties.usage import UsageCounter
     from banyansail.platform.cloud import CloudClient
     from banyansail.platform.store import StoreClient
     from banyansail.traffic.fleet_traffic import FleetTraffic
--- a/banyansail/gateway/exchange.py
+++ b/banyansail/gateway/exchange.py
@@ -8,10 +8,8 @@
 from twisted.internet import defer
 
 from banyansail.gateway.attempt import Attempt
-from banyansail.gateway.dispatch import Slot, Ticket
-from banyansail.gateway.outcome_recorder import OutcomeRecorder
-from banyansail.gateway.request_types import Cause, Rejection, RunStatus
-from banyansail.gateway.retry_policy import (
+from banyansail.gateway.decisions.dispatch import Slot, Ticket
+from banyansail.gateway.decisions.retry_policy import (
     Answered,
     Deliver,
     Outcome,
@@ -23,6 +21,8 @@
     may_have_run,
     next_step,
 )
+from banyansail.gateway.outcome_recorder import OutcomeRecorder
+from banyansail.gateway.request_types import Cause, Rejection, RunStatus
 from banyansail.gateway.site import RouteKind
 from banyansail.log import log_decision
 from banyansail.platform.calls import encode_attempt
--- a/banyansail/gateway/outcome_recorder.py
+++ b/banyansail/gateway/outcome_recorder.py
@@ -7,16 +7,21 @@
 
 from twisted.internet import defer
 
+from banyansail.gateway.decisions.retry_policy import (
+    Answered,
+    Incomplete,
+    NotSent,
+    Outcome,
+)
 from banyansail.gateway.request_types import RunStatus
-from banyansail.gateway.retry_policy import Answered, Incomplete, NotSent, Outcome
 from banyansail.log import log_event
 
 if TYPE_CHECKING:
     from banyansail.gateway.context import GatewayContext
+    from banyansail.gateway.decisions.upstream_load import UpstreamLoad
     from banyansail.gateway.request_types import CallerCall
     from banyansail.gateway.site import Route
     from banyansail.gateway.upstream import Upstream
-    from banyansail.gateway.upstream_load import UpstreamLoad
 
 SLOW_ANSWER_FACTOR = 2  # times the latency objective; a slower answer counts as bad
 
--- a/banyansail/gateway/router.py
+++ b/banyansail/gateway/router.py
@@ -12,16 +12,19 @@
 from banyansail.fleet.entries import Entry, Topic
 from banyansail.gateway.config_keeper import ConfigKeeper
 from banyansail.gateway.context import GatewayContext
-from banyansail.gateway.crash_guard import CrashGuard
-from banyansail.gateway.dispatch import Dispatcher
+from banyansail.gateway.decisions.crash_guard import CrashGuard
+from banyansail.gateway.decisions.dispatch import Dispatcher
+from banyansail.gateway.decisions.quota import QuotaLimiter
+from banyansail.gateway.duties.move_controller import MoveController
+from banyansail.gateway.duties.scaler import Scaler
+from banyansail.gateway.duties.usage import SteadyTime, UsageCounter
+from banyansail.gateway.duties.usage_exchange import UsageExchange
+from banyansail.gateway.duties.usage_reporter import UsageReporter
 from banyansail.gateway.fleet_link import ROUTERS_KIND, FleetLink
 from banyansail.gateway.ingress import GatewayFactory, ReadyFactory
 from banyansail.gateway.metrics import MetricsFactory
 from banyansail.gateway.mirror import Mirror
-from banyansail.gateway.move_controller import MoveController
-from banyansail.gateway.quota import QuotaLimiter
 from banyansail.gateway.request_handler import RequestHandler
-from banyansail.gateway.scaler import Scaler
 from banyansail.gateway.store_probe import StoreProbe
 from banyansail.gateway.tasks import add_tasks
 from banyansail.gateway.traffic_report import (
@@ -30,9 +33,6 @@
     make_report,
 )
 from banyansail.gateway.upstream_table import UPSTREAMS_DOCUMENT, UpstreamTable
-from banyansail.gateway.usage import SteadyTime, UsageCounter
-from banyansail.gateway.usage_exchange import UsageExchange
-from banyansail.gateway.usage_reporter import UsageReporter
 from banyansail.log import log_event
 from banyansail.platform.cloud import CloudClient
 from banyansail.platform.moves import MOVES_KIND
--- a/banyansail/platform/moves.py
+++ b/banyansail/platform/moves.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING, Any
 
 from banyansail.exceptions import WireError
-from banyansail.gateway.moves import Move, MoveState
+from banyansail.gateway.duties.moves import Move, MoveState
 
 if TYPE_CHECKING:
     from banyansail.platform.store import StoredObject
--- a/banyansail/traffic/aggregator.py
+++ b/banyansail/traffic/aggregator.py
@@ -20,7 +20,7 @@
 
 if TYPE_CHECKING:
     from banyansail.clock import Clock
-    from banyansail.gateway.moves import Tally
+    from banyansail.gateway.duties.moves import Tally
     from banyansail.traffic.report import TallyKey
 
 WORK_TIMEOUT = timedelta(seconds=2.5)  # after which reported work does not count
--- a/banyansail/traffic/fleet_traffic.py
+++ b/banyansail/traffic/fleet_traffic.py
@@ -20,7 +20,7 @@
 
 if TYPE_CHECKING:
     from banyansail.clock import Clock
-    from banyansail.gateway.moves import Tally
+    from banyansail.gateway.duties.moves import Tally
     from banyansail.traffic.report import TallyKey
 
 # Own reports that are kept to be subtracted from sums that include them; more than are
--- a/banyansail/wire/traffic_codec.py
+++ b/banyansail/wire/traffic_codec.py
@@ -4,7 +4,7 @@
 
 from typing import Any
 
-from banyansail.gateway.moves import Tally
+from banyansail.gateway.duties.moves import Tally
 from banyansail.traffic.report import (
     TallyKey,
     TrafficReport,
--- a/tests/gateway/test_crash_guard.py
+++ b/tests/gateway/decisions/test_crash_guard.py
@@ -1,6 +1,6 @@
 from __future__ import annotations
 
-from banyansail.gateway.crash_guard import CrashGuard
+from banyansail.gateway.decisions.crash_guard import CrashGuard
 from tests.fakes import FakeClock
 from tests.gateway.builders import upstream
 
--- a/tests/gateway/test_retry_policy.py
+++ b/tests/gateway/decisions/test_retry_policy.py
@@ -3,8 +3,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from banyansail.gateway.request_types import Rejection, ReplyHead, RunStatus
-from banyansail.gateway.retry_policy import (
+from banyansail.gateway.decisions.retry_policy import (
     Answered,
     Deliver,
     Incomplete,
@@ -14,6 +13,7 @@
     attempt_timeout,
     next_step,
 )
+from banyansail.gateway.request_types import Rejection, ReplyHead, RunStatus
 from banyansail.gateway.site import RouteKind
 from tests.gateway.builders import route, seconds
 
--- a/tests/gateway/test_duty_lease.py
+++ b/tests/gateway/duties/test_duty_lease.py
@@ -7,7 +7,7 @@
 from hypothesis import strategies as st
 
 from banyansail.exceptions import PlatformUnavailableError
-from banyansail.gateway.duty_lease import DutyLease
+from banyansail.gateway.duties.duty_lease import DutyLease
 from tests.fakes import FakeClock, run_now
 from tests.gateway.fake_store import FakeStore
 
--- a/tests/gateway/test_moves.py
+++ b/tests/gateway/duties/test_moves.py
@@ -7,10 +7,9 @@
 from hypothesis import strategies as st
 
 from banyansail.exceptions import StoreConflictError
-from banyansail.gateway.dispatch import Dispatcher
-from banyansail.gateway.mirror import Mirror
-from banyansail.gateway.move_controller import MoveController
-from banyansail.gateway.moves import (
+from banyansail.gateway.decisions.dispatch import Dispatcher
+from banyansail.gateway.duties.move_controller import MoveController
+from banyansail.gateway.duties.moves import (
     CANARY_SHARE,
     MAX_RAMP_TIME,
     PROVEN_SHARE,
@@ -22,6 +21,7 @@
     state_to_publish,
     target_share,
 )
+from banyansail.gateway.mirror import Mirror
 from tests.fakes import FakeClock, run_now
 from tests.gateway.builders import seconds
 from tests.gateway.fake_store import FakeStore
--- a/tests/gateway/test_scaling.py
+++ b/tests/gateway/duties/test_scaling.py
@@ -3,7 +3,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from banyansail.gateway.scaling import (
+from banyansail.gateway.duties.scaling import (
     Demand,
     ZoneReplicas,
     engines_needed,
--- a/tests/gateway/test_usage_reporter.py
+++ b/tests/gateway/duties/test_usage_reporter.py
@@ -9,8 +9,8 @@
 
 from banyansail.exceptions import PlatformUnavailableError
 from banyansail.fleet.duties import rank_names
-from banyansail.gateway.usage import SteadyTime, UsageCounter
-from banyansail.gateway.usage_reporter import UsageReporter
+from banyansail.gateway.duties.usage import SteadyTime, UsageCounter
+from banyansail.gateway.duties.usage_reporter import UsageReporter
 from banyansail.traffic.aggregator import TrafficAggregator
 from banyansail.traffic.fleet_traffic import FleetTraffic
 from banyansail.traffic.report import TrafficReport
--- a/tests/gateway/test_attempt.py
+++ b/tests/gateway/test_attempt.py
@@ -7,7 +7,12 @@
 from twisted.internet import defer
 
 from banyansail.gateway.attempt import Attempt
-from banyansail.gateway.retry_policy import Incomplete, Progress, Rejection, next_step
+from banyansail.gateway.decisions.retry_policy import (
+    Incomplete,
+    Progress,
+    Rejection,
+    next_step,
+)
 from tests.gateway.builders import route
 
 
--- a/tests/traffic/simulated_fleet.py
+++ b/tests/traffic/simulated_fleet.py
@@ -8,7 +8,7 @@
 
 from banyansail.config.fields import Address
 from banyansail.fleet.entries import Entry, Member
-from banyansail.gateway.moves import Tally
+from banyansail.gateway.duties.moves import Tally
 from banyansail.traffic.exchange import TrafficExchange
 from banyansail.traffic.fleet_traffic import FleetTraffic
 from banyansail.traffic.report import TrafficReport, UpstreamWork
