Apply the operators' limits of header time and body size

Cause: both were decoded from the configuration and not applied; headers of which a byte came now and then never ended, as every byte restarted the idle timeout. Change: headers must be complete within the configured time from their first byte, else 408 (the request was not read, so not run); a body above the configured size gets 413. Left: the limit of header bytes stays 64 KB.

--- a/banyansail/gateway/ingress.py
+++ b/banyansail/gateway/ingress.py
@@ -10,6 +10,8 @@
 from twisted.web import http
 
 from banyansail.gateway.request_types import Cause, Rejection
+from banyansail.gateway.site import CallerLimits
+from banyansail.log import log_event
 from banyansail.upstreams.connection import set_socket_timeouts
 
 if TYPE_CHECKING:
@@ -18,9 +20,7 @@
     from banyansail.gateway.request_types import ReplyHead
 
 MAX_HEADER_BYTES = 64 * 1024
-MAX_BUFFERED_BODY_BYTES = (
-    8 * 1024**2
-)  # larger ones get 413, whatever limit is configured
+MAX_BUFFERED_BODY_BYTES = 8 * 1024**2  # whatever limit is configured
 IDLE_TIMEOUT_MARGIN_S = 2.0  # connections stay open beyond the published timeout
 # Until a configuration is applied: the default timeout of 15 s plus the margin.
 INITIAL_IDLE_TIMEOUT_S = 17.0
@@ -32,12 +32,12 @@
     def gotLength(self, length: int | None) -> None:
         """Prepare the body buffer; Twisted's version may use a temporary file."""
         self.content = io.BytesIO()
-        if length is not None and length > MAX_BUFFERED_BODY_BYTES:
+        if length is not None and length > self._max_body_bytes:
             self._reject_oversized_body()
 
     def handleContentChunk(self, data: bytes) -> None:
         """Append a chunk of the body."""
-        if self.content.tell() + len(data) > MAX_BUFFERED_BODY_BYTES:
+        if self.content.tell() + len(data) > self._max_body_bytes:
             self._reject_oversized_body()
             return
         super().handleContentChunk(data)
@@ -46,13 +46,15 @@
         """Pass the complete request to the factory's handler."""
         self.channel.factory.handle(self)
 
+    @property
+    def _max_body_bytes(self) -> int:
+        if self.channel is None:
+            return MAX_BUFFERED_BODY_BYTES
+        return min(self.channel.factory.limits.max_body_bytes, MAX_BUFFERED_BODY_BYTES)
+
     def _reject_oversized_body(self) -> None:
         if self.channel is not None:
-            self.channel.transport.write(
-                b"HTTP/1.1 413 Payload Too Large\r\n"
-                b"connection: close\r\ncontent-length: 0\r\n\r\n"
-            )
-            self.channel.transport.loseConnection()
+            self.channel.reject_and_close(b"413 Payload Too Large")
 
 
 class HttpResponseWriter:
@@ -152,6 +154,11 @@
     requestFactory = GatewayRequest
     totalHeadersSize = MAX_HEADER_BYTES
 
+    def __init__(self) -> None:
+        super().__init__()
+        self._header_timer: Any = None
+        self._awaits_headers = True
+
     def connectionMade(self) -> None:
         """Set TCP options that detect dead connections."""
         super().connectionMade()
@@ -163,8 +170,48 @@
     def connectionLost(self, reason: Any) -> None:
         """Remove the connection from the open ones of its factory."""
         self.factory.channels.discard(self)
+        self._stop_header_timer()
         super().connectionLost(reason)
 
+    def dataReceived(self, data: bytes) -> None:
+        """Process data; headers must be complete some time after their first byte."""
+        if self._awaits_headers and self._header_timer is None:
+            self._header_timer = self.factory.reactor.callLater(
+                self.factory.limits.header_timeout.total_seconds(),
+                self._on_header_timeout,
+            )
+        super().dataReceived(data)
+
+    def allHeadersReceived(self) -> None:
+        """Stop the timer of the headers."""
+        self._awaits_headers = False
+        self._stop_header_timer()
+        super().allHeadersReceived()
+
+    def requestDone(self, request: http.Request) -> None:
+        """Wait for the headers of the next request."""
+        self._awaits_headers = True
+        super().requestDone(request)
+
+    def reject_and_close(self, status: bytes) -> None:
+        """Answer a request that was not read completely, and close the connection."""
+        self.transport.write(
+            b"HTTP/1.1 "
+            + status
+            + b"\r\nconnection: close\r\ncontent-length: 0\r\n\r\n"
+        )
+        self.transport.loseConnection()
+
+    def _on_header_timeout(self) -> None:
+        self._header_timer = None
+        log_event("headers_incomplete")
+        self.reject_and_close(b"408 Request Timeout")
+
+    def _stop_header_timer(self) -> None:
+        timer, self._header_timer = self._header_timer, None
+        if timer is not None and timer.active():
+            timer.cancel()
+
     @property
     def is_idle(self) -> bool:
         """Whether no request is in progress."""
@@ -187,6 +234,7 @@
         super().__init__(timeout=INITIAL_IDLE_TIMEOUT_S, reactor=reactor)
         self.handle = handle
         self.channels: set[GatewayChannel] = set()
+        self.limits = CallerLimits()
 
     def close_idle_connections(self) -> None:
         """Close the connections without a request in progress."""
@@ -194,9 +242,10 @@
             if channel.is_idle:
                 channel.loseConnection()
 
-    def set_idle_timeout(self, idle_timeout: timedelta) -> None:
-        """Set the idle timeout of new connections."""
-        self.timeOut = idle_timeout.total_seconds() + IDLE_TIMEOUT_MARGIN_S
+    def set_limits(self, limits: CallerLimits) -> None:
+        """Set the limits of requests, and the idle timeout of new connections."""
+        self.limits = limits
+        self.timeOut = limits.idle_timeout.total_seconds() + IDLE_TIMEOUT_MARGIN_S
 
     def startFactory(self) -> None:
         """Start without an access log; routing decisions are logged instead."""
--- a/banyansail/gateway/router.py
+++ b/banyansail/gateway/router.py
@@ -265,7 +265,7 @@
 
     def _apply_config(self, site: SiteConfig) -> None:
         self.request_handler.site = site
-        self._caller_factory.set_idle_timeout(site.limits.idle_timeout)
+        self._caller_factory.set_limits(site.limits)
         self._apply_upstreams()
 
     def _apply_upstreams(self) -> None:
--- a/tests/gateway/test_live_requests.py
+++ b/tests/gateway/test_live_requests.py
@@ -1,6 +1,8 @@
 from __future__ import annotations
 
 import http.client
+import socket
+import time
 
 import pytest
 
@@ -273,3 +275,52 @@
         status, headers, _ = live.call("GET", "/stock/1")
         assert status == 504
         assert "Retry-After" not in headers
+
+
+def raw_connection(live):
+    listen = live.gateway.settings.listen
+    connection = socket.create_connection((listen.host, listen.port), timeout=10)
+    connection.settimeout(10)
+    return connection
+
+
+def set_limits(live, **limits):
+    body = config_body(version=2, limits={"idleTimeoutMs": 5000, **limits})
+    in_reactor(lambda: live.store.state.put("config", "main", spec=body))
+    wait_until(lambda: live.gateway.site.version == 2)
+
+
+def test_headers_that_never_end_are_rejected_though_bytes_keep_coming(live):
+    set_limits(live, headerTimeoutMs=600)
+    with raw_connection(live) as connection:
+        connection.sendall(b"GET /stock/1 HTTP/1.1\r\n")
+        connection.settimeout(0.1)
+        received = b""
+        for number in range(100):
+            try:
+                connection.sendall(b"X-%d: 1\r\n" % number)
+                received = connection.recv(1000)
+                break
+            except TimeoutError:
+                continue
+        assert received.startswith(b"HTTP/1.1 408 ")
+    assert live.runs() == []
+
+
+def test_a_kept_connection_may_be_idle_for_longer_than_headers_may_take(live):
+    set_limits(live, headerTimeoutMs=200)
+    connection = live.connect()
+    assert live.call("GET", "/stock/1", connection=connection)[0] == 200
+    time.sleep(0.5)
+    assert live.call("GET", "/stock/2", connection=connection)[0] == 200
+
+
+def test_a_body_above_the_configured_limit_is_rejected_without_being_run(live):
+    set_limits(live, maxBodyBytes=1000)
+    assert live.call("POST", "/orders/1", b"x" * 1000)[0] == 200
+    with raw_connection(live) as connection:
+        connection.sendall(
+            b"POST /orders/2 HTTP/1.1\r\nHost: a\r\nContent-Length: 1001\r\n\r\n"
+        )
+        assert connection.recv(1000).startswith(b"HTTP/1.1 413 ")
+    assert live.runs() == ["a-orders-1"]
--- a/tests/platform/test_names.py
+++ b/tests/platform/test_names.py
@@ -10,6 +10,8 @@
 NAMES = (
     "x-attempt-id",
     "x-replica-stamp",
+    "server-leaving",
+    "store-era",
     "x-prompt-prefix",
     "x-deadline-ms",
     "x-tenant",
