Split the queue's state from the dispatcher; ask peers for entries only while none is known

Change: entries are asked for only while none is known; decisions/service_state.py holds the queue's state; Tally is in traffic/. Result: the new test fails before (a router with entries asked again); tests of decisions, duties, traffic and the table pass.

--- /dev/null
+++ b/banyansail/gateway/decisions/service_state.py
@@ -0,0 +1,138 @@
+"""Upstreams and waiting requests of one service at one router."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from datetime import timedelta
+from typing import TYPE_CHECKING
+
+from banyansail.gateway.decisions.upstream_load import PrefillRate, UpstreamLoad
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from banyansail.gateway.decisions.choice import Chosen
+    from banyansail.gateway.request_types import Prompt, Rejection
+
+INITIAL_SLOT_TIME = timedelta(milliseconds=60)
+
+
+@dataclass(slots=True, eq=False)
+class Ticket:
+    """Request for a slot at an upstream.
+
+    Parameters
+    ----------
+    priority : int
+        0 is served first.
+    arrived_at : timedelta
+        Monotonic time of the request's arrival.
+    deadline : timedelta
+        Monotonic time by which the final answer is due.
+    excluded : set of str
+        Ids of upstreams that already failed the request.
+    version_draw : float
+        Random number from 0 to 1; below a version's share, that version is chosen.
+    is_retry : bool
+        Whether an attempt failed before; a retry is always admitted to the queue.
+    """
+
+    service: str
+    prompt: Prompt | None
+    priority: int
+    arrived_at: timedelta
+    deadline: timedelta
+    excluded: set[str] = field(default_factory=set)
+    version_draw: float = 0.0
+    is_retry: bool = False
+
+
+@dataclass(slots=True, eq=False)
+class Slot:
+    """Slot at an upstream that is assigned to a request."""
+
+    number: int
+    chosen: Chosen
+    assigned_at: timedelta
+
+    @property
+    def load(self) -> UpstreamLoad:
+        """Load of the upstream."""
+        return self.chosen.load
+
+
+@dataclass(slots=True, eq=False)
+class QueueEntry:
+    """A waiting request and the receiver of its slot or rejection."""
+
+    ticket: Ticket
+    on_result: Callable[[Slot | Rejection], None]
+
+
+@dataclass(slots=True, frozen=True)
+class VersionShare:
+    """Share of a service's requests that one version receives."""
+
+    version: str
+    share: float
+
+
+@dataclass(slots=True)
+class ServiceState:
+    """Upstreams and waiting requests of one service."""
+
+    load_by_id: dict[str, UpstreamLoad] = field(default_factory=dict)
+    waiting: list[QueueEntry] = field(default_factory=list)
+    mean_slot_time: timedelta = INITIAL_SLOT_TIME
+    prefill_rate: PrefillRate = field(default_factory=PrefillRate)
+    version_share: VersionShare | None = None
+    prefill_tokens_total: float = 0.0  # expected, of all requests assigned so far
+    # Removed upstreams that asked for a pause; their entries may return.
+    paused_by_incarnation: dict[tuple[str, int], UpstreamLoad] = field(
+        default_factory=dict
+    )
+
+    def usable(self) -> list[UpstreamLoad]:
+        """Return the upstreams that are not draining."""
+        return [
+            load for load in self.load_by_id.values() if not load.upstream.is_leaving
+        ]
+
+    def usable_by(self, ticket: Ticket) -> list[UpstreamLoad]:
+        """Return the usable upstreams that did not fail a request yet."""
+        return [
+            load for load in self.usable() if load.upstream.id not in ticket.excluded
+        ]
+
+    def usable_for(self, ticket: Ticket) -> list[UpstreamLoad]:
+        """Return the usable upstreams of the version that a request is routed to.
+
+        If that version has none, return those of the others; only a version whose share
+        is 0 gets no requests even then.
+        """
+        usable = self.usable()
+        if self.version_share is None:
+            return usable
+        target = [
+            load
+            for load in usable
+            if load.upstream.version == self.version_share.version
+        ]
+        others = [
+            load
+            for load in usable
+            if load.upstream.version != self.version_share.version
+        ]
+        if ticket.version_draw < self.version_share.share:
+            return target or others
+        if self.version_share.share > 0:
+            return others or target
+        return others
+
+    def expected_wait(self, ticket: Ticket) -> timedelta:
+        """Return the expected queueing time, behind all requests served before."""
+        slots = sum(load.upstream.slots for load in self.usable())
+        ahead = sum(
+            1 for entry in self.waiting if entry.ticket.priority <= ticket.priority
+        )
+        return self.mean_slot_time * (ahead + 1) / max(1, slots)
--- a/banyansail/gateway/duties/moves.py
+++ b/banyansail/gateway/duties/moves.py
@@ -13,6 +13,8 @@
 from datetime import timedelta
 from enum import Enum
 
+from banyansail.traffic.tally import Tally
+
 CANARY_SHARE = 0.5  # of the exposure limit, until there is enough evidence
 PROVEN_SHARE = 0.8  # of the exposure limit, until the final ramp
 MIN_SAMPLES = 20  # answers before a version may be judged good
@@ -58,29 +60,6 @@
     state: MoveState | None = None
 
 
-@dataclass(slots=True)
-class Tally:
-    """Answers of one version since a move was ordered."""
-
-    good: int = 0
-    bad: int = 0
-
-    @property
-    def total(self) -> int:
-        """Number of answers."""
-        return self.good + self.bad
-
-    @property
-    def bad_share(self) -> float:
-        """Share of bad answers."""
-        return self.bad / self.total if self.total else 0.0
-
-    def add(self, other: Tally) -> None:
-        """Add the answers that another router counted."""
-        self.good += other.good
-        self.bad += other.bad
-
-
 class Verdict(Enum):
     """Judgement of a version by its answers."""
 
--- a/banyansail/gateway/exchange.py
+++ b/banyansail/gateway/exchange.py
@@ -8,7 +8,6 @@
 from twisted.internet import defer
 
 from banyansail.gateway.attempt import Attempt
-from banyansail.gateway.decisions.dispatch import Slot, Ticket
 from banyansail.gateway.decisions.retry_policy import (
     Answered,
     Deliver,
@@ -21,6 +20,7 @@
     may_have_run,
     next_step,
 )
+from banyansail.gateway.decisions.service_state import Slot, Ticket
 from banyansail.gateway.outcome_recorder import OutcomeRecorder
 from banyansail.gateway.request_types import Cause, Rejection, RunStatus
 from banyansail.gateway.site import RouteKind
--- a/banyansail/gateway/router.py
+++ b/banyansail/gateway/router.py
@@ -321,7 +321,7 @@
                 document = await self.link.fetch(member, CONFIG_DOCUMENT)
                 if document is not None:
                     self.config.apply_document(document, name)
-            if self.upstream_table.mirror.revision is None and member.is_ready:
+            if self.upstream_table.needs_seed and member.is_ready:
                 document = await self.link.fetch(member, UPSTREAMS_DOCUMENT)
                 if document is not None:
                     self.upstream_table.seed(document, name)
--- a/banyansail/gateway/upstream_table.py
+++ b/banyansail/gateway/upstream_table.py
@@ -129,6 +129,11 @@
         specs = {stored.name: stored.spec for stored in objects}
         return Document(self.mirror.revision.number, json.dumps(specs))
 
+    @property
+    def needs_seed(self) -> bool:
+        """Whether no entry is known, neither from the store nor from a router."""
+        return self.mirror.revision is None and not self.mirror.object_by_name
+
     def seed(self, document: Document, source: str) -> None:
         """Use another router's entries until the store can be reached."""
         if self.mirror.object_by_name:
--- a/banyansail/traffic/aggregator.py
+++ b/banyansail/traffic/aggregator.py
@@ -20,8 +20,8 @@
 
 if TYPE_CHECKING:
     from banyansail.clock import Clock
-    from banyansail.gateway.duties.moves import Tally
     from banyansail.traffic.report import TallyKey
+    from banyansail.traffic.tally import Tally
 
 WORK_TIMEOUT = timedelta(seconds=2.5)  # after which reported work does not count
 # Without a report; longer than the windows of the quotas and of the retry budgets.
--- a/banyansail/traffic/fleet_traffic.py
+++ b/banyansail/traffic/fleet_traffic.py
@@ -20,8 +20,8 @@
 
 if TYPE_CHECKING:
     from banyansail.clock import Clock
-    from banyansail.gateway.duties.moves import Tally
     from banyansail.traffic.report import TallyKey
+    from banyansail.traffic.tally import Tally
 
 # Own reports that are kept to be subtracted from sums that include them; more than are
 # sent within `SILENT_AFTER`.
--- a/banyansail/traffic/report.py
+++ b/banyansail/traffic/report.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass, field
 
-from banyansail.gateway.duties.moves import Tally
+from banyansail.traffic.tally import Tally
 
 TallyKey = tuple[str, int, bool]  # service, number of the move, is_target
 
--- a/banyansail/wire/traffic_codec.py
+++ b/banyansail/wire/traffic_codec.py
@@ -4,13 +4,13 @@
 
 from typing import Any
 
-from banyansail.gateway.duties.moves import Tally
 from banyansail.traffic.report import (
     TallyKey,
     TrafficReport,
     TrafficSum,
     UpstreamWork,
 )
+from banyansail.traffic.tally import Tally
 from banyansail.wire.gossip_codec import unpack
 from banyansail.wire.schema import schema
 
--- a/tests/gateway/test_upstream_table.py
+++ b/tests/gateway/test_upstream_table.py
@@ -97,3 +97,18 @@
     second.encode_leaving_marks(second.upstreams())
     second.merge_leaving_marks(Entry("a", 1, Topic.LEAVING, 1, published))
     assert decode_leaving(second.encode_leaving_marks(second.upstreams()))
+
+
+def test_entries_are_asked_of_other_routers_only_while_none_is_known():
+    """Else each router would ask all others again and again while the store is away."""
+    store, clock = FakeStore(), FakeClock()
+    run_now(store.create("servers", "u1", SPEC))
+    mirror = Mirror("servers", store, clock, lambda mirror: None)
+    run_now(mirror.follow())
+    known = UpstreamTable(mirror)
+    started = UpstreamTable(Mirror("servers", store, clock, lambda mirror: None))
+    assert started.needs_seed
+    started.seed(known.document(), "a")
+    assert not started.needs_seed
+    mirror.reset()
+    assert not known.needs_seed
--- a/tests/traffic/simulated_fleet.py
+++ b/tests/traffic/simulated_fleet.py
@@ -8,10 +8,10 @@
 
 from banyansail.config.fields import Address
 from banyansail.fleet.entries import Entry, Member
-from banyansail.gateway.duties.moves import Tally
 from banyansail.traffic.exchange import TrafficExchange
 from banyansail.traffic.fleet_traffic import FleetTraffic
 from banyansail.traffic.report import TrafficReport, UpstreamWork
+from banyansail.traffic.tally import Tally
 from tests.fakes import FakeClock
 
 STEP_S = 0.1
