Move the use of upstreams and leaving marks out of the gateway's process module

Cause: gateway/router.py had grown to 421 lines; coalescing and leaving marks stood beside the building of components. Change: gateway/upstream_sync.py; no behaviour changes. Result: live, restore, planned-stop and follow tests pass; router.py has 379 lines.

--- a/banyansail/gateway/router.py
+++ b/banyansail/gateway/router.py
@@ -32,6 +32,7 @@
     apply_fleet_work,
     make_report,
 )
+from banyansail.gateway.upstream_sync import UpstreamSync
 from banyansail.gateway.upstream_table import UPSTREAMS_DOCUMENT, UpstreamTable
 from banyansail.log import log_event
 from banyansail.platform.cloud import CloudClient
@@ -50,14 +51,8 @@
 if TYPE_CHECKING:
     from banyansail.config.gateway_settings import GatewaySettings
     from banyansail.gateway.site import SiteConfig
-    from banyansail.gateway.upstream import Upstream
     from banyansail.traffic.report import TrafficReport
 
-MIN_COALESCE_TIME = timedelta(milliseconds=400)  # of consecutive upstream changes
-# Each change costs the store one call per router, as every router watches.
-COALESCE_TIME_PER_ROUTER = timedelta(milliseconds=13)
-# Half of the 2 s within which a draining upstream must receive no new work.
-MAX_COALESCE_TIME = timedelta(seconds=1)
 DRAIN_POLL_INTERVAL = timedelta(milliseconds=50)
 STOP_MARGIN = timedelta(milliseconds=400)  # left before the platform kills the process
 # The load balancer sends no new connections this long after readiness ends.
@@ -93,7 +88,6 @@
         self.clock = clock or SystemClock()
         self.config = ConfigKeeper(self.clock, self._apply_config)
         self._ports: list[Any] = []
-        self._marks_due_at: timedelta | None = None
         self._build_platform()
         self._build_state()
         self._build_servers()
@@ -114,7 +108,7 @@
                 "servers",
                 self.store,
                 self.clock,
-                lambda mirror: self._apply_upstreams(),
+                lambda mirror: self.upstream_sync.apply(),
                 keeps_lapsed=True,
             )
         )
@@ -161,7 +155,10 @@
             publish_crashes=lambda value: self.link.publish(
                 Topic.DEATHS, value, urgent=True
             ),
-            mark_leaving=self._mark_leaving,
+            mark_leaving=lambda upstream: self.upstream_sync.mark_leaving(upstream),
+        )
+        self.upstream_sync = UpstreamSync(
+            self.upstream_table, self.link, self.context, self._publish_member
         )
         self.usage_exchange = UsageExchange(
             settings.name, clock, self.link, usage, self.fleet, self.reporter
@@ -266,30 +263,8 @@
     def _apply_config(self, site: SiteConfig) -> None:
         self.request_handler.site = site
         self._caller_factory.set_limits(site.limits)
-        self._apply_upstreams()
-
-    def _apply_upstreams(self) -> None:
-        upstreams = self.upstream_table.upstreams()
-        if self._marks_due_at is None:
-            jitter = self._random.random() * coalesce_time(self.fleet.fleet_size())
-            self._marks_due_at = self.clock.monotonic() + jitter
-        self.upstream_table.log_changes(upstreams)
-        self.dispatcher.apply_upstreams(upstreams, self.site)
-        self.context.close_unused_pools({upstream.address for upstream in upstreams})
-        self._publish_member()
-
-    def _mark_leaving(self, upstream: Upstream) -> None:
-        if self.upstream_table.mark_leaving(upstream):
-            log_event("leaving_answered", upstream=upstream.id)
-            self._apply_upstreams()
-            self._publish_leaving_marks()
-
-    def _publish_leaving_marks(self) -> None:
-        self._marks_due_at = None
-        marks = self.upstream_table.encode_leaving_marks(
-            self.upstream_table.upstreams()
-        )
-        self.link.publish(Topic.LEAVING, marks, urgent=True)
+        self.upstream_sync.site = site
+        self.upstream_sync.apply()
 
     def _apply_restore(self) -> None:
         """Take into account that the store was restored from a copy."""
@@ -307,7 +282,7 @@
     async def follow_upstreams(self) -> None:
         """Wait for upstream changes, then pause so that further changes coalesce."""
         await self.upstream_table.mirror.follow()
-        await self._sleep(coalesce_time(self.fleet.fleet_size()))
+        await self._sleep(self.upstream_sync.coalesce_time)
 
     async def expire_upstreams(self) -> None:
         """Remove lapsed upstreams that did not reappear in the store in time."""
@@ -349,9 +324,7 @@
     async def publish_state(self) -> None:
         """Publish this router's state, and leaving marks that no other published."""
         self._publish_member()
-        due_at = self._marks_due_at
-        if due_at is not None and self.clock.monotonic() >= due_at:
-            self._publish_leaving_marks()
+        self.upstream_sync.publish_due_marks()
 
     async def exchange_traffic(self) -> None:
         """Send this router's traffic report, sums and usage counts that are due."""
@@ -374,8 +347,7 @@
         for entry in entries:
             match entry.topic:
                 case Topic.LEAVING:
-                    if self.upstream_table.merge_leaving_marks(entry):
-                        self._apply_upstreams()
+                    self.upstream_sync.merge_marks(entry)
                 case Topic.DEATHS:
                     self.context.crash_guard.merge_peer_crashes(entry.value)
                 case Topic.USAGE:
@@ -405,17 +377,3 @@
         """Scale the replicas unless this router is draining."""
         if not self.request_handler.is_leaving:
             await self.scaler.scale(self.site)
-
-
-def coalesce_time(router_count: int) -> timedelta:
-    """Return how long to coalesce upstream changes before the next watch.
-
-    Parameters
-    ----------
-    router_count : int
-        Live routers; each one makes one store call per batch of changes.
-    """
-    return min(
-        MAX_COALESCE_TIME,
-        max(MIN_COALESCE_TIME, COALESCE_TIME_PER_ROUTER * router_count),
-    )
