Trace the planned stop that cut a stream; let a caller really leave in its test

Cause: the stream of 3 s of the planned-stop test ran into its route's timeout of 5 s on a slow machine, not into the stop: with events every 0.18 s the test failed in the same way, and with a timeout of 20 s it passes. That timeout showed that the test of a caller that leaves closed nothing (the response kept the socket) and passed by the timeout alone. Ruled out for the resumed stream: a first event after 0.3 s does not break it.

--- a/tests/gateway/live_gateway.py
+++ b/tests/gateway/live_gateway.py
@@ -28,7 +28,7 @@
         "routes": [
             _route("stock", "/stock/", "safe", "depot", maxAttempts=2),
             _route("orders", "/orders/", "unsafe", "depot"),
-            _route("draft", "/draft/", "streaming", "engines", timeoutMs=5000),
+            _route("draft", "/draft/", "streaming", "engines", timeoutMs=20_000),
             _route(
                 "resume",
                 "/draft/resumable/",
--- a/tests/gateway/test_live_requests.py
+++ b/tests/gateway/test_live_requests.py
@@ -137,7 +137,7 @@
         "POST", "/draft/1", b"n", {"Host": HOST, "Api-Key": KEY, "X-Attempt-Id": "x"}
     )
     connection.getresponse().read(20)
-    connection.sock.close()
+    connection.close()  # with the response; the socket alone would stay open
     wait_until(
         lambda: any(
             item.state.disconnect_count for item in live.replica_by_name.values()
