--- a/banyansail/gateway/decisions/dispatch.py
+++ b/banyansail/gateway/decisions/dispatch.py
@@ -33,8 +33,6 @@
 NO_UPSTREAM_RETRY_DELAY = timedelta(milliseconds=400)
 MIN_RETRY_DELAY = timedelta(milliseconds=100)
 MAX_QUEUE_LENGTH = 500  # requests of one service
-
-
 NO_UPSTREAM_LEFT = Rejection(
     503, Cause.NO_UPSTREAM, "no usable upstream is left", NO_UPSTREAM_RETRY_DELAY
 )
@@ -166,7 +164,9 @@
         paused = _check_pauses(usable, remaining * MAX_WAIT_SHARE, now)
         if paused is not None:
             return paused
-        if ticket.is_retry or any(has_room(load) for load in usable):
+        if ticket.is_retry or any(
+            has_room(load) and not load.pause_left(now) for load in usable
+        ):
             return None
         wait = state.expected_wait(ticket)
         if wait > remaining * MAX_WAIT_SHARE or len(state.waiting) >= MAX_QUEUE_LENGTH:
