Check waiting requests for rejection every 50 ms, not at each arrival and release

Change: a release assigns until no slot is free; rejections are checked by the periodic task and when upstreams change; an entry that was resolved meanwhile is skipped.

--- a/banyansail/gateway/decisions/choice.py
+++ b/banyansail/gateway/decisions/choice.py
@@ -79,9 +79,7 @@
     available = [
         load
         for load in loads
-        if load.upstream.id not in excluded
-        and has_room(load)
-        and not load.pause_left(now)
+        if load.upstream.id not in excluded and has_free_slot(load, now)
     ]
     candidates = [load for load in available if not load.is_suspect(now)] or available
     if not candidates:
@@ -91,9 +89,13 @@
     return _choose_engine(candidates, prompt, zone, now, random)
 
 
-def has_room(load: UpstreamLoad) -> bool:
-    """Return whether an upstream has a free slot, by own and reported requests."""
-    return load.in_flight + load.peer_in_flight < load.upstream.slots
+def has_free_slot(load: UpstreamLoad, now: timedelta) -> bool:
+    """Return whether an upstream takes a request, by own and reported requests.
+
+    One that asked for a pause takes none.
+    """
+    is_full = load.in_flight + load.peer_in_flight >= load.upstream.slots
+    return not is_full and not load.pause_left(now)
 
 
 def _choose_plain(
--- a/banyansail/gateway/decisions/dispatch.py
+++ b/banyansail/gateway/decisions/dispatch.py
@@ -9,7 +9,7 @@
 from datetime import timedelta
 from typing import TYPE_CHECKING
 
-from banyansail.gateway.decisions.choice import choose, has_room
+from banyansail.gateway.decisions.choice import choose, has_free_slot
 from banyansail.gateway.decisions.service_state import (
     QueueEntry,
     ServiceState,
@@ -119,34 +119,54 @@
         state.waiting.sort(
             key=lambda item: (item.ticket.priority, item.ticket.arrived_at)
         )
-        self.assign_waiting()
+        self._assign_free_slots(state, now)
         return lambda: _remove_entry(state.waiting, entry)
 
     def release(self, slot: Slot) -> None:
         """Release a slot after its attempt and assign it to a waiting request."""
         slot.load.end_attempt(slot.number, slot.chosen.prefill_tokens)
         state = self.state(slot.load.upstream.service)
-        slot_time = self._clock.monotonic() - slot.assigned_at
+        now = self._clock.monotonic()
+        slot_time = now - slot.assigned_at
         state.mean_slot_time += (slot_time - state.mean_slot_time) * SLOT_TIME_WEIGHT
-        self.assign_waiting()
+        self._assign_free_slots(state, now)
 
     def assign_waiting(self) -> None:
         """Assign free slots to waiting requests; reject those that waited too long."""
         now = self._clock.monotonic()
-        for state in self.service_by_name.values():
-            for entry in list(state.waiting):
-                result = self._assign_or_reject(state, entry.ticket, now)
-                if result is not None:
-                    _remove_entry(state.waiting, entry)
-                    entry.on_result(result)
-
-    def _assign_or_reject(
-        self, state: ServiceState, ticket: Ticket, now: timedelta
-    ) -> Slot | Rejection | None:
-        slot = self._assign_slot(state, ticket, now)
-        if slot is not None:
-            return slot
-        usable = state.usable_by(ticket)
+        for state in list(self.service_by_name.values()):
+            self._assign_free_slots(state, now)
+            self._reject_waiting(state, now)
+
+    def _assign_free_slots(self, state: ServiceState, now: timedelta) -> None:
+        """Assign free slots to waiting requests; it ends with the last free slot."""
+        for entry in list(state.waiting):
+            if not state.has_free_slot(now):
+                return
+            if not entry.is_resolved:  # by a result that was delivered meanwhile
+                slot = self._assign_slot(state, entry.ticket, now)
+                if slot is not None:
+                    _resolve(state, entry, slot)
+
+    def _reject_waiting(self, state: ServiceState, now: timedelta) -> None:
+        """Reject the requests that waited too long or can't be served any more."""
+        usable = state.usable()
+        for entry in list(state.waiting):
+            if not entry.is_resolved:
+                rejection = self._check_waiting(state, usable, entry.ticket, now)
+                if rejection is not None:
+                    _resolve(state, entry, rejection)
+
+    def _check_waiting(
+        self,
+        state: ServiceState,
+        usable: list[UpstreamLoad],
+        ticket: Ticket,
+        now: timedelta,
+    ) -> Rejection | None:
+        """Return a rejection if a request waited too long or can't be served."""
+        if ticket.excluded:
+            usable = state.usable_by(ticket)
         if not usable:
             return NO_UPSTREAM_LEFT
         wait_end = ticket.arrived_at + _max_wait(ticket)
@@ -164,9 +184,7 @@
         paused = _check_pauses(usable, remaining * MAX_WAIT_SHARE, now)
         if paused is not None:
             return paused
-        if ticket.is_retry or any(
-            has_room(load) and not load.pause_left(now) for load in usable
-        ):
+        if ticket.is_retry or any(has_free_slot(load, now) for load in usable):
             return None
         wait = state.expected_wait(ticket)
         if wait > remaining * MAX_WAIT_SHARE or len(state.waiting) >= MAX_QUEUE_LENGTH:
@@ -234,14 +252,20 @@
 
     It tells the caller when the first of them takes requests again.
     """
-    shortest = min(load.pause_left(now) for load in usable)
-    if shortest <= max_wait:
+    if not all(load.pause_left(now) > max_wait for load in usable):
         return None
+    shortest = min(load.pause_left(now) for load in usable)
     return Rejection(
         503, Cause.PAUSED, "all usable upstreams asked for a pause", shortest
     )
 
 
+def _resolve(state: ServiceState, entry: QueueEntry, result: Slot | Rejection) -> None:
+    entry.is_resolved = True
+    _remove_entry(state.waiting, entry)
+    entry.on_result(result)
+
+
 def _remove_entry(entries: list[QueueEntry], entry: QueueEntry) -> None:
     if entry in entries:
         entries.remove(entry)
--- a/banyansail/gateway/decisions/service_state.py
+++ b/banyansail/gateway/decisions/service_state.py
@@ -6,6 +6,7 @@
 from datetime import timedelta
 from typing import TYPE_CHECKING
 
+from banyansail.gateway.decisions.choice import has_free_slot
 from banyansail.gateway.decisions.upstream_load import PrefillRate, UpstreamLoad
 
 if TYPE_CHECKING:
@@ -67,6 +68,7 @@
 
     ticket: Ticket
     on_result: Callable[[Slot | Rejection], None]
+    is_resolved: bool = False
 
 
 @dataclass(slots=True, frozen=True)
@@ -98,6 +100,10 @@
             load for load in self.load_by_id.values() if not load.upstream.is_leaving
         ]
 
+    def has_free_slot(self, now: timedelta) -> bool:
+        """Return whether any usable upstream takes a request now."""
+        return any(has_free_slot(load, now) for load in self.usable())
+
     def usable_by(self, ticket: Ticket) -> list[UpstreamLoad]:
         """Return the usable upstreams that did not fail a request yet."""
         return [
