Keep the entries that a restored store lacks also after a cancelled watch

The watch that is cancelled at a restore looked like the beginning of an outage of under a second, and then entries that the copy lacks were removed at once instead of kept until written again. Change: a recent recovery, or restore, counts whether or not a call has failed since. Result: the new test fails before (no entry left) and passes after.

--- a/banyansail/gateway/mirror.py
+++ b/banyansail/gateway/mirror.py
@@ -178,10 +178,10 @@
     def _has_just_recovered(self) -> bool:
         """Return whether an outage ended recently, or with the call in progress."""
         now = self._clock.monotonic()
-        if self._failing_since is not None:
-            return now - self._failing_since >= MIN_OUTAGE
+        if self._recovered_at is not None and now - self._recovered_at < RETURN_GRACE:
+            return True
         return (
-            self._recovered_at is not None and now - self._recovered_at < RETURN_GRACE
+            self._failing_since is not None and now - self._failing_since >= MIN_OUTAGE
         )
 
     def _record_failure(self, error: PlatformUnavailableError) -> None:
--- a/tests/gateway/test_mirror.py
+++ b/tests/gateway/test_mirror.py
@@ -211,3 +211,19 @@
         mirror.reset()
     follow(mirror)
     assert set(mirror.object_by_name) == {"b"}
+
+
+def test_missing_entries_stay_though_a_watch_was_cancelled_at_the_restore():
+    """The cancelled watch looks like the beginning of an outage."""
+    store, clock = RestorableStore(), FakeClock()
+    copy = store.copy()
+    store.put("new")
+    mirror = mirror_of(store, clock, keeps_lapsed=True)
+    follow(mirror)
+    store.restore(copy)
+    store.is_down = True
+    follow(mirror)
+    store.is_down = False
+    mirror.reset()
+    follow(mirror)
+    assert set(mirror.object_by_name) == {"new"}
