Log which requests a crash makes suspect and when a suspicion is cleared

Change: upstream_died and rejections carry fingerprints; new events peer_reported_crash, request_quarantined and suspicion_cleared. No decision differs.

--- a/banyansail/gateway/decisions/crash_guard.py
+++ b/banyansail/gateway/decisions/crash_guard.py
@@ -66,7 +66,11 @@
         crash = UpstreamCrash(name, upstream.zone, frozenset(fingerprints))
         if not self._quarantine.record_crash(crash):
             return None
-        log_event("upstream_died", upstream=name, requests=len(fingerprints))
+        log_event(
+            "upstream_died",
+            upstream=name,
+            fingerprints=[f"{number:016x}" for number in sorted(fingerprints)],
+        )
         self._recent_crashes = [*self._recent_crashes, crash][-MAX_PUBLISHED_CRASHES:]
         return encode_crashes(self._recent_crashes)
 
@@ -78,7 +82,8 @@
             log_event("deaths_unreadable", error=error.message)
             return
         for crash in crashes:
-            self._quarantine.record_crash(crash)
+            if self._quarantine.record_crash(crash):
+                log_event("peer_reported_crash", upstream=crash.upstream)
 
     def quarantine_remaining(self, fingerprint: int) -> timedelta | None:
         """Return how long a request is still rejected, or ``None`` if it may run."""
--- a/banyansail/gateway/request_handler.py
+++ b/banyansail/gateway/request_handler.py
@@ -110,6 +110,7 @@
             request=call.attempt_id,
             status=rejection.status,
             cause=rejection.cause.value,
+            fingerprint=f"{call.fingerprint:016x}",
             config=self.site.version,
         )
         writer.reject(rejection)
--- a/banyansail/routing/quarantine.py
+++ b/banyansail/routing/quarantine.py
@@ -11,6 +11,8 @@
 from datetime import timedelta
 from typing import TYPE_CHECKING
 
+from banyansail.log import log_event
+
 if TYPE_CHECKING:
     from banyansail.clock import Clock
 
@@ -134,6 +136,7 @@
         suspect.last_crash_at = now
         if suspect.crash_count >= self._crashes_to_quarantine:
             self._quarantine_end_by_fingerprint[fingerprint] = now + QUARANTINE_DURATION
+            log_event("request_quarantined", fingerprint=f"{fingerprint:016x}")
 
     def _clear_correlated_suspects(self) -> None:
         counts = Counter(
@@ -143,8 +146,15 @@
         )
         for fingerprint, count in counts.items():
             if count < self._crashes_to_quarantine:
-                self._suspect_by_fingerprint.pop(fingerprint, None)
-                self._quarantine_end_by_fingerprint.pop(fingerprint, None)
+                suspect = self._suspect_by_fingerprint.pop(fingerprint, None)
+                end = self._quarantine_end_by_fingerprint.pop(fingerprint, None)
+                if suspect is not None or end is not None:
+                    log_event(
+                        "suspicion_cleared",
+                        fingerprint=f"{fingerprint:016x}",
+                        crashes=0 if suspect is None else suspect.crash_count,
+                        was_quarantined=end is not None,
+                    )
 
     def _expire_crashes(self, now: timedelta) -> None:
         while (
