Add failing tests of requests that go on crashing upstreams

A receiver forgets a crash after 5 s, but its reporter publishes its last 20 again with each new one; forgotten ones count as new, make three crashes in 5 s and so an outage, in which the suspicion of requests with fewer than three crashes, and even a quarantine, is dropped.

--- a/tests/gateway/decisions/test_crash_guard.py
+++ b/tests/gateway/decisions/test_crash_guard.py
@@ -60,3 +60,27 @@
     guard.record_success(7)
     crash(guard, "u3", 7)
     assert guard.quarantine_remaining(7) is None
+
+
+def test_old_crashes_published_again_do_not_clear_a_request_that_crashes_upstreams():
+    clock = FakeClock()
+    first, second, observer = (CrashGuard(clock) for _ in range(3))
+    for name in ("old1", "old2"):
+        observer.merge_peer_crashes(crash(first, name, 1))
+    clock.advance(40)
+    for guard, name in ((first, "u1"), (first, "u2"), (second, "u3")):
+        observer.merge_peer_crashes(crash(guard, name, 7))
+        clock.advance(1)
+    assert observer.quarantine_remaining(7) is not None
+
+
+def test_crashes_of_other_requests_do_not_lift_a_quarantine():
+    clock = FakeClock()
+    guard = CrashGuard(clock)
+    for name in ("u1", "u2", "u3"):
+        crash(guard, name, 7)
+    clock.advance(10)
+    crash(guard, "u4", 7)
+    for number in range(3):
+        crash(guard, f"other{number}", 100 + number)
+    assert guard.quarantine_remaining(7) is not None
