Count a crash of an upstream once, however often its report arrives

Cause: a receiver forgets a crash after 5 s, but its reporter publishes its last 20 crashes with each new one. Forgotten ones counted as new ones of that moment; three in 5 s are taken for an outage, which clears the suspicion of requests with fewer crashes. Class: a repeated report without identity or age taken for a new event. Change: a report has an id, which is known for longer than the report is published, and an age; old ones are not published any more. The router had the same cause and shares the new reports. Ruled out: a crash that was not recognised (each has an upstream_died line within 2 ms).

--- a/banyansail/gateway/decisions/crash_guard.py
+++ b/banyansail/gateway/decisions/crash_guard.py
@@ -11,6 +11,7 @@
 
 from banyansail.exceptions import WireError
 from banyansail.log import log_event
+from banyansail.routing.crash_reports import CrashReports
 from banyansail.routing.quarantine import Quarantine, UpstreamCrash
 from banyansail.wire.gossip_codec import decode_crashes, encode_crashes
 
@@ -21,7 +22,6 @@
     from banyansail.gateway.upstream import Upstream
 
 CRASHES_TO_REJECT = 3  # fewer would reject harmless requests that callers retry
-MAX_PUBLISHED_CRASHES = 20  # the most recent ones
 
 
 class CrashGuard:
@@ -36,7 +36,7 @@
     def __init__(self, clock: Clock) -> None:
         self._quarantine = Quarantine(clock, CRASHES_TO_REJECT)
         self._running_by_incarnation: dict[tuple[str, int], dict[int, int]] = {}
-        self._recent_crashes: list[UpstreamCrash] = []
+        self._reports = CrashReports(clock)
 
     def start_attempt(self, upstream: Upstream, fingerprint: int) -> None:
         """Record that a request is being sent to an upstream."""
@@ -71,8 +71,7 @@
             upstream=name,
             fingerprints=[f"{number:016x}" for number in sorted(fingerprints)],
         )
-        self._recent_crashes = [*self._recent_crashes, crash][-MAX_PUBLISHED_CRASHES:]
-        return encode_crashes(self._recent_crashes)
+        return encode_crashes(self._reports.add(crash))
 
     def merge_peer_crashes(self, value: bytes) -> None:
         """Merge the crashes that another router detected."""
--- a/banyansail/router/upstream_signals.py
+++ b/banyansail/router/upstream_signals.py
@@ -8,6 +8,7 @@
 from banyansail.exceptions import WireError
 from banyansail.fleet.entries import Entry, Topic
 from banyansail.log import log_decision, log_event
+from banyansail.routing.crash_reports import CrashReports
 from banyansail.wire.gossip_codec import (
     decode_crashes,
     decode_leaving,
@@ -26,8 +27,6 @@
     from banyansail.routing.dispatch import Dispatcher
     from banyansail.routing.quarantine import Quarantine, UpstreamCrash
 
-MAX_PUBLISHED_CRASHES = 20
-
 
 class UpstreamSignals:
     """Acts on signals about upstreams and publishes the ones observed here.
@@ -71,7 +70,7 @@
         self._registry = registry
         self._prober = prober
         self._zone_latency = zone_latency
-        self._crashes: list[UpstreamCrash] = []
+        self._crash_reports = CrashReports(clock)
         self._leaving_at_by_name: dict[str, timedelta] = {}
 
     def report_leaving(self, notice_by_name: dict[str, timedelta]) -> None:
@@ -87,8 +86,8 @@
     def report_crash(self, crash: UpstreamCrash) -> None:
         """Publish a crash that this router detected."""
         log_event("upstream_died", upstream=crash.upstream, zone=crash.zone)
-        self._crashes = [*self._crashes, crash][-MAX_PUBLISHED_CRASHES:]
-        self._gossiper.publish(Topic.DEATHS, encode_crashes(self._crashes))
+        reports = self._crash_reports.add(crash)
+        self._gossiper.publish(Topic.DEATHS, encode_crashes(reports))
         self._push()
 
     def publish_leaving(self) -> None:
--- a/banyansail/routing/quarantine.py
+++ b/banyansail/routing/quarantine.py
@@ -6,8 +6,9 @@
 
 from __future__ import annotations
 
+import secrets
 from collections import Counter, deque
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from datetime import timedelta
 from typing import TYPE_CHECKING
 
@@ -21,7 +22,9 @@
 CORRELATED_CRASH_WINDOW = timedelta(seconds=5)
 MIN_CORRELATED_CRASHES = 3  # as many within the window imply an external cause
 CRASHES_TO_QUARANTINE = 2  # of upstreams that ran the same request
+REPORT_LIFETIME = 2 * SUSPECT_LIFETIME  # longer than a report is published
 MAX_SUSPECTS = 10_000
+CRASH_ID_BITS = 64
 
 
 @dataclass(slots=True, frozen=True)
@@ -34,11 +37,17 @@
         Name and zone of the upstream.
     fingerprints : frozenset of int
         Fingerprints of the requests that were in flight on it.
+    id : int
+        Unique id of this report; a router publishes a report several times.
+    age : timedelta
+        Time since the crash was detected.
     """
 
     upstream: str
     zone: str
     fingerprints: frozenset[int]
+    id: int = field(default_factory=lambda: secrets.randbits(CRASH_ID_BITS))
+    age: timedelta = timedelta(0)
 
 
 @dataclass(slots=True)
@@ -62,6 +71,7 @@
         "_clock",
         "_crashes_to_quarantine",
         "_fingerprints_by_upstream",
+        "_known_until_by_id",
         "_quarantine_end_by_fingerprint",
         "_recent_crashes",
         "_suspect_by_fingerprint",
@@ -74,18 +84,23 @@
         self._crashes_to_quarantine = crashes_to_quarantine
         self._recent_crashes: deque[tuple[timedelta, str]] = deque()
         self._fingerprints_by_upstream: dict[str, frozenset[int]] = {}
+        self._known_until_by_id: dict[int, timedelta] = {}
         self._suspect_by_fingerprint: dict[int, _Suspect] = {}
         self._quarantine_end_by_fingerprint: dict[int, timedelta] = {}
 
     def record_crash(self, crash: UpstreamCrash) -> bool:
         """Record a crash; return whether it contained new information.
 
-        Several routers may report one crash, each with its own requests. Of
-        correlated crashes, which have an external cause such as the loss of a zone,
-        only requests that were in flight at several remain suspect.
+        Several routers may report one crash, each with its own requests, and each
+        report may arrive several times. Of correlated crashes, which have an external
+        cause such as the loss of a zone, only requests that were in flight at several
+        remain suspect.
         """
         now = self._clock.monotonic()
         self._expire_crashes(now)
+        if crash.id in self._known_until_by_id or crash.age >= SUSPECT_LIFETIME:
+            return False
+        self._known_until_by_id[crash.id] = now + REPORT_LIFETIME
         known = self._fingerprints_by_upstream.get(crash.upstream)
         fresh = crash.fingerprints - (known or frozenset())
         if known is not None and not fresh:
@@ -163,3 +178,8 @@
         ):
             _, upstream = self._recent_crashes.popleft()
             del self._fingerprints_by_upstream[upstream]
+        while self._known_until_by_id:
+            oldest_id = next(iter(self._known_until_by_id))
+            if self._known_until_by_id[oldest_id] > now:
+                return
+            del self._known_until_by_id[oldest_id]
--- a/banyansail/wire/gossip_codec.py
+++ b/banyansail/wire/gossip_codec.py
@@ -187,6 +187,8 @@
             "upstream": crash.upstream,
             "zone": crash.zone,
             "fingerprints": sorted(crash.fingerprints),
+            "id": crash.id,
+            "ageMs": min(crash.age // MILLISECOND, MAX_AGE_MS),
         }
         for crash in crashes
     ]
@@ -196,7 +198,13 @@
 def decode_crashes(data: bytes) -> list[UpstreamCrash]:
     """Decode a value of `Topic.DEATHS`."""
     return [
-        UpstreamCrash(item.upstream, item.zone, frozenset(item.fingerprints))
+        UpstreamCrash(
+            item.upstream,
+            item.zone,
+            frozenset(item.fingerprints),
+            item.id,
+            item.ageMs * MILLISECOND,
+        )
         for item in unpack(schema.Deaths, data).deaths
     ]
 
--- a/banyansail/wire/schema.capnp
+++ b/banyansail/wire/schema.capnp
@@ -69,6 +69,8 @@
   upstream @0 :Text;
   zone @1 :Text;
   fingerprints @2 :List(UInt64);
+  id @3 :UInt64;
+  ageMs @4 :UInt32;
 }
 
 struct Evidence {
