Keep what speaks against a request when upstreams crash without it

Cause: three crashes within 5 s were taken for an outage, and each request with fewer crashes among these lost its whole suspicion and even its quarantine, also what it had earned before. Class: evidence destroyed by unrelated events. Change: crashes are kept with their times for 10 minutes; each decision weighs them anew. Of correlated crashes a request counts those alone that it was in flight at twice or more, but three crashes suffice whatever else crashes; a quarantine ends by its time. Ruled out: a success that clears a fingerprint (it needs the same path, caller and body). A test of reclaims read a private field and now reads its public successor.

--- a/banyansail/routing/quarantine.py
+++ b/banyansail/routing/quarantine.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import secrets
-from collections import Counter, deque
+from collections import deque
 from dataclasses import dataclass, field
 from datetime import timedelta
 from typing import TYPE_CHECKING
@@ -15,15 +15,19 @@
 from banyansail.log import log_event
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from banyansail.clock import Clock
 
 SUSPECT_LIFETIME = timedelta(minutes=2)
+CRASH_LIFETIME = timedelta(minutes=10)  # a request that crashes upstreams may be rare
 QUARANTINE_DURATION = timedelta(minutes=10)
 CORRELATED_CRASH_WINDOW = timedelta(seconds=5)
 MIN_CORRELATED_CRASHES = 3  # as many within the window imply an external cause
 CRASHES_TO_QUARANTINE = 2  # of upstreams that ran the same request
+CORRELATED_CRASHES_TO_QUARANTINE = 3  # the same, whatever else crashed meanwhile
 REPORT_LIFETIME = 2 * SUSPECT_LIFETIME  # longer than a report is published
-MAX_SUSPECTS = 10_000
+MAX_CRASHES = 1_000  # kept at a time
 CRASH_ID_BITS = 64
 
 
@@ -50,15 +54,30 @@
     age: timedelta = timedelta(0)
 
 
-@dataclass(slots=True)
-class _Suspect:
-    crash_count: int
-    last_crash_at: timedelta
+@dataclass(slots=True, eq=False)
+class _Crash:
+    """Crash of an upstream as known so far.
+
+    Parameters
+    ----------
+    at : timedelta
+        Time of the crash on this router's monotonic clock.
+    fingerprints : set of int
+        Fingerprints that any report of the crash contains.
+    """
+
+    upstream: str
+    at: timedelta
+    fingerprints: set[int]
 
 
 class Quarantine:
     """Counts crashes by request fingerprint and quarantines those with too many.
 
+    Correlated crashes may have an external cause, such as the loss of a zone. They
+    count less, see `CORRELATED_CRASHES_TO_QUARANTINE`, but crashes without a request
+    neither remove its own from the count nor end its quarantine.
+
     Parameters
     ----------
     clock : Clock
@@ -69,12 +88,11 @@
 
     __slots__ = (
         "_clock",
+        "_crashes",
+        "_crashes_by_fingerprint",
         "_crashes_to_quarantine",
-        "_fingerprints_by_upstream",
         "_known_until_by_id",
         "_quarantine_end_by_fingerprint",
-        "_recent_crashes",
-        "_suspect_by_fingerprint",
     )
 
     def __init__(
@@ -82,51 +100,50 @@
     ) -> None:
         self._clock = clock
         self._crashes_to_quarantine = crashes_to_quarantine
-        self._recent_crashes: deque[tuple[timedelta, str]] = deque()
-        self._fingerprints_by_upstream: dict[str, frozenset[int]] = {}
+        self._crashes: deque[_Crash] = deque()
+        self._crashes_by_fingerprint: dict[int, list[_Crash]] = {}
         self._known_until_by_id: dict[int, timedelta] = {}
-        self._suspect_by_fingerprint: dict[int, _Suspect] = {}
         self._quarantine_end_by_fingerprint: dict[int, timedelta] = {}
 
+    @property
+    def crashed_fingerprints(self) -> set[int]:
+        """Fingerprints with a crash since their last success."""
+        return set(self._crashes_by_fingerprint)
+
     def record_crash(self, crash: UpstreamCrash) -> bool:
         """Record a crash; return whether it contained new information.
 
         Several routers may report one crash, each with its own requests, and each
-        report may arrive several times. Of correlated crashes, which have an external
-        cause such as the loss of a zone, only requests that were in flight at several
-        remain suspect.
+        report may arrive several times.
         """
         now = self._clock.monotonic()
-        self._expire_crashes(now)
+        self._expire(now)
         if crash.id in self._known_until_by_id or crash.age >= SUSPECT_LIFETIME:
             return False
         self._known_until_by_id[crash.id] = now + REPORT_LIFETIME
-        known = self._fingerprints_by_upstream.get(crash.upstream)
-        fresh = crash.fingerprints - (known or frozenset())
-        if known is not None and not fresh:
-            return False
-        if known is None:
-            self._recent_crashes.append((now, crash.upstream))
-        self._fingerprints_by_upstream[crash.upstream] = fresh | (known or frozenset())
+        at = now - crash.age
+        recorded = self._find(crash.upstream, at)
+        is_new = recorded is None
+        if recorded is None:
+            recorded = _Crash(crash.upstream, at, set())
+            self._add(recorded)
+        fresh = crash.fingerprints - recorded.fingerprints
+        recorded.fingerprints |= fresh
         for fingerprint in fresh:
-            self._record_suspect(fingerprint, now)
-        if len(self._recent_crashes) >= MIN_CORRELATED_CRASHES:
-            self._clear_correlated_suspects()
-        return True
+            self._add_suspicion(fingerprint, recorded)
+        return is_new or bool(fresh)
 
     def record_success(self, fingerprint: int) -> None:
         """Clear the suspicion of a request that completed."""
-        self._suspect_by_fingerprint.pop(fingerprint, None)
+        self._crashes_by_fingerprint.pop(fingerprint, None)
 
     def is_suspect(self, fingerprint: int) -> bool:
         """Return whether a request must run alone on its upstream."""
-        suspect = self._suspect_by_fingerprint.get(fingerprint)
-        if suspect is None:
-            return False
-        if self._clock.monotonic() - suspect.last_crash_at > SUSPECT_LIFETIME:
-            del self._suspect_by_fingerprint[fingerprint]
-            return False
-        return True
+        now = self._clock.monotonic()
+        self._expire(now)
+        crashes = self._crashes_by_fingerprint.get(fingerprint, [])
+        is_recent = any(now - crash.at <= SUSPECT_LIFETIME for crash in crashes)
+        return is_recent and self._uncorrelated_count(fingerprint) > 0
 
     def quarantine_remaining(self, fingerprint: int) -> timedelta | None:
         """Return the remaining quarantine of a request, or ``None`` if it may run."""
@@ -139,47 +156,66 @@
             return None
         return remaining
 
-    def _record_suspect(self, fingerprint: int, now: timedelta) -> None:
-        suspect = self._suspect_by_fingerprint.get(fingerprint)
-        if suspect is None or now - suspect.last_crash_at > SUSPECT_LIFETIME:
-            if len(self._suspect_by_fingerprint) >= MAX_SUSPECTS:
-                oldest = next(iter(self._suspect_by_fingerprint))
-                del self._suspect_by_fingerprint[oldest]
-            suspect = _Suspect(0, now)
-            self._suspect_by_fingerprint[fingerprint] = suspect
-        suspect.crash_count += 1
-        suspect.last_crash_at = now
-        if suspect.crash_count >= self._crashes_to_quarantine:
-            self._quarantine_end_by_fingerprint[fingerprint] = now + QUARANTINE_DURATION
-            log_event("request_quarantined", fingerprint=f"{fingerprint:016x}")
-
-    def _clear_correlated_suspects(self) -> None:
-        counts = Counter(
-            fingerprint
-            for fingerprints in self._fingerprints_by_upstream.values()
-            for fingerprint in fingerprints
-        )
-        for fingerprint, count in counts.items():
-            if count < self._crashes_to_quarantine:
-                suspect = self._suspect_by_fingerprint.pop(fingerprint, None)
-                end = self._quarantine_end_by_fingerprint.pop(fingerprint, None)
-                if suspect is not None or end is not None:
-                    log_event(
-                        "suspicion_cleared",
-                        fingerprint=f"{fingerprint:016x}",
-                        crashes=0 if suspect is None else suspect.crash_count,
-                        was_quarantined=end is not None,
-                    )
-
-    def _expire_crashes(self, now: timedelta) -> None:
-        while (
-            self._recent_crashes
-            and now - self._recent_crashes[0][0] > CORRELATED_CRASH_WINDOW
+    def _find(self, upstream: str, at: timedelta) -> _Crash | None:
+        for crash in self._crashes:
+            is_near = abs(crash.at - at) <= CORRELATED_CRASH_WINDOW
+            if crash.upstream == upstream and is_near:
+                return crash
+        return None
+
+    def _add(self, crash: _Crash) -> None:
+        self._crashes.append(crash)
+        if len(self._crashes) > MAX_CRASHES:
+            self._forget(self._crashes.popleft())
+
+    def _add_suspicion(self, fingerprint: int, crash: _Crash) -> None:
+        crashes = self._crashes_by_fingerprint.setdefault(fingerprint, [])
+        crashes.append(crash)
+        if (
+            self._uncorrelated_count(fingerprint) < self._crashes_to_quarantine
+            and len(crashes) < self._max_crashes
         ):
-            _, upstream = self._recent_crashes.popleft()
-            del self._fingerprints_by_upstream[upstream]
+            return
+        end = self._clock.monotonic() + QUARANTINE_DURATION
+        self._quarantine_end_by_fingerprint[fingerprint] = end
+        log_event(
+            "request_quarantined",
+            fingerprint=f"{fingerprint:016x}",
+            upstreams=[crash.upstream for crash in crashes],
+        )
+
+    @property
+    def _max_crashes(self) -> int:
+        return max(self._crashes_to_quarantine, CORRELATED_CRASHES_TO_QUARANTINE)
+
+    def _uncorrelated_count(self, fingerprint: int) -> int:
+        """Return the crashes with a request in flight that speak against it."""
+        crashes = self._crashes_by_fingerprint.get(fingerprint, [])
+        return sum(not self._is_excused(crash, crashes) for crash in crashes)
+
+    def _is_excused(self, crash: _Crash, crashes: list[_Crash]) -> bool:
+        """Return whether other upstreams crashed without the request at that time."""
+        if _count_near(crash, crashes) >= self._crashes_to_quarantine:
+            return False
+        return _count_near(crash, self._crashes) >= MIN_CORRELATED_CRASHES
+
+    def _forget(self, crash: _Crash) -> None:
+        for fingerprint in crash.fingerprints:
+            crashes = self._crashes_by_fingerprint.get(fingerprint, [])
+            if crash in crashes:  # false after a success
+                crashes.remove(crash)
+            if not crashes:
+                self._crashes_by_fingerprint.pop(fingerprint, None)
+
+    def _expire(self, now: timedelta) -> None:
+        while self._crashes and now - self._crashes[0].at >= CRASH_LIFETIME:
+            self._forget(self._crashes.popleft())
         while self._known_until_by_id:
             oldest_id = next(iter(self._known_until_by_id))
             if self._known_until_by_id[oldest_id] > now:
                 return
             del self._known_until_by_id[oldest_id]
+
+
+def _count_near(crash: _Crash, crashes: Iterable[_Crash]) -> int:
+    return sum(abs(crash.at - other.at) <= CORRELATED_CRASH_WINDOW for other in crashes)
--- a/tests/router/test_reclaims.py
+++ b/tests/router/test_reclaims.py
@@ -89,7 +89,7 @@
     site.kill(name)
     status, _, data = answer.result()
     assert (status, stream_text(data)) == (200, answer_text("x", 300))
-    assert not in_reactor(lambda: dict(router.quarantine._suspect_by_fingerprint))
+    assert not in_reactor(lambda: router.quarantine.crashed_fingerprints)
 
 
 def test_instance_list_alone_marks_an_upstream_as_leaving(site):
--- a/tests/routing/test_quarantine.py
+++ b/tests/routing/test_quarantine.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from datetime import timedelta
+
 import pytest
 
 from banyansail.routing.quarantine import Quarantine, UpstreamCrash
@@ -69,3 +71,41 @@
     quarantine.record_crash(new_crash("a", HARMLESS_FINGERPRINT))
     clock.advance(121)
     assert not quarantine.is_suspect(HARMLESS_FINGERPRINT)
+
+
+def test_request_that_crashes_upstreams_among_many_other_crashes_is_quarantined(
+    quarantine, clock
+):
+    for number in range(3):
+        quarantine.record_crash(new_crash(f"poisoned{number}", POISON_FINGERPRINT))
+        for other in range(3):
+            quarantine.record_crash(new_crash(f"other{number}.{other}"))
+        clock.advance(6)
+    assert quarantine.quarantine_remaining(POISON_FINGERPRINT) is not None
+
+
+def test_rare_request_that_crashes_upstreams_is_quarantined(quarantine, clock):
+    quarantine.record_crash(new_crash("a", POISON_FINGERPRINT))
+    clock.advance(300)
+    quarantine.record_crash(new_crash("b", POISON_FINGERPRINT))
+    assert quarantine.quarantine_remaining(POISON_FINGERPRINT) is not None
+
+
+def test_crashes_expire(quarantine, clock):
+    quarantine.record_crash(new_crash("a", HARMLESS_FINGERPRINT))
+    clock.advance(601)
+    quarantine.record_crash(new_crash("b", HARMLESS_FINGERPRINT))
+    assert quarantine.quarantine_remaining(HARMLESS_FINGERPRINT) is None
+
+
+def test_old_report_counts_at_the_time_of_its_crash(quarantine, clock):
+    crash = UpstreamCrash("a", "z", frozenset({1}), age=timedelta(seconds=119))
+    quarantine.record_crash(crash)
+    assert quarantine.is_suspect(1)
+    clock.advance(2)
+    assert not quarantine.is_suspect(1)
+
+
+def test_crash_without_requests_is_new_information_once(quarantine):
+    assert quarantine.record_crash(new_crash("a"))
+    assert not quarantine.record_crash(new_crash("a"))
