Check a request for its quarantine before each attempt too

Cause: the quarantine was checked at arrival only; a request that waited for a slot meanwhile, or was retried, went on. Class: a decision made from a state that has changed since. Change: the check is made again when a slot is assigned; the crash guard words its rejection.

--- a/banyansail/gateway/decisions/crash_guard.py
+++ b/banyansail/gateway/decisions/crash_guard.py
@@ -10,6 +10,7 @@
 from typing import TYPE_CHECKING
 
 from banyansail.exceptions import WireError
+from banyansail.gateway.request_types import Cause, Rejection
 from banyansail.log import log_event
 from banyansail.routing.crash_reports import CrashReports
 from banyansail.routing.quarantine import Quarantine, UpstreamCrash
@@ -19,6 +20,7 @@
     from datetime import timedelta
 
     from banyansail.clock import Clock
+    from banyansail.gateway.request_types import CallerCall
     from banyansail.gateway.upstream import Upstream
 
 CRASHES_TO_REJECT = 3  # fewer would reject harmless requests that callers retry
@@ -84,6 +86,13 @@
             if self._quarantine.record_crash(crash):
                 log_event("peer_reported_crash", upstream=crash.upstream)
 
+    def rejection(self, call: CallerCall) -> Rejection | None:
+        """Return the rejection of a quarantined request, ``None`` if it may run."""
+        if self.quarantine_remaining(call.fingerprint) is None:
+            return None
+        detail = "several upstreams crashed while they ran this request"
+        return Rejection(500, Cause.CRASHES_UPSTREAMS, detail)
+
     def quarantine_remaining(self, fingerprint: int) -> timedelta | None:
         """Return how long a request is still rejected, or ``None`` if it may run."""
         return self._quarantine.quarantine_remaining(fingerprint)
--- a/banyansail/gateway/exchange.py
+++ b/banyansail/gateway/exchange.py
@@ -130,6 +130,11 @@
             if isinstance(assigned, Rejection):
                 self._finish(self._fallback or assigned)
                 return
+            quarantined = self._context.crash_guard.rejection(self._call)
+            if quarantined is not None:
+                self._context.dispatcher.release(assigned)
+                self._finish(self._fallback or quarantined)
+                return
             outcome = await self._attempt(assigned)
             if self._is_finished:
                 return
--- a/banyansail/gateway/request_handler.py
+++ b/banyansail/gateway/request_handler.py
@@ -82,9 +82,9 @@
         if route is None:
             detail = f"no route for {call.host}{call.path}"
             return Rejection(404, Cause.NO_ROUTE, detail)
-        if self._context.crash_guard.quarantine_remaining(call.fingerprint) is not None:
-            detail = "several upstreams crashed while they ran this request"
-            return Rejection(500, Cause.CRASHES_UPSTREAMS, detail)
+        rejection = self._context.crash_guard.rejection(call)
+        if rejection is not None:
+            return rejection
         if not site.has_workspaces or route.is_public:
             return route, None
         workspace = site.workspace_by_key.get(call.key)
--- a/tests/gateway/test_live_requests.py
+++ b/tests/gateway/test_live_requests.py
@@ -3,9 +3,12 @@
 import http.client
 import socket
 import time
+from concurrent.futures import ThreadPoolExecutor
 
 import pytest
 
+from banyansail.platform.calls import decode_call
+from tests.gateway.builders import upstream
 from tests.gateway.live_gateway import HOST, KEY, LiveGateway, config_body
 from tests.live import in_reactor
 from tests.processes import wait_until
@@ -324,3 +327,27 @@
         )
         assert connection.recv(1000).startswith(b"HTTP/1.1 413 ")
     assert live.runs() == ["a-orders-1"]
+
+
+def test_a_request_quarantined_while_it_waits_is_not_sent(live):
+    for replica in live.replica_by_name.values():
+        replica.state.pause_s = 0.3
+    with ThreadPoolExecutor() as threads:
+        running = [
+            threads.submit(live.call, "POST", f"/draft/{number}", b"x")
+            for number in range(8)
+        ]
+        wait_until(lambda: len(live.runs()) == 8)
+        waiting = threads.submit(live.call, "POST", "/draft/crashes", b"x")
+        wait_until(lambda: live.gateway.request_handler.in_progress == 9)
+        fields = [(b"Host", HOST.encode()), (b"Api-Key", KEY.encode())]
+        call = decode_call(b"POST", b"/draft/crashes", fields, b"x")
+        for name in ("u1", "u2", "u3"):
+            in_reactor(
+                live.gateway.context.crash_guard.record_crash,
+                upstream(name),
+                call.fingerprint,
+            )
+        assert waiting.result()[0] == 500
+        assert [future.result()[0] for future in running] == [200] * 8
+    assert "a-draft-crashes" not in live.runs()
