Keep quarantines in the store, so that they outlive the routers

After a kill of all routers, a request that had crashed three upstreams was sent to further ones, since only memory knew of it; a killed router also took the crashes that it had reported with it. Class: state that must survive in processes that are reclaimable. Change: a quarantine is written to the store by the router that detected the last crash, or some seconds later by another; all follow that kind by a watch, so a zone that gossip does not reach learns of it too. Expired ones are deleted by the holder of the duties; after a restore of the store they are written again. Result: the new tests pass (there was nothing to fail before but the behaviour itself: a new CrashGuard rejected nothing); gateway tests pass. Cost: one watch more per router.

--- a/banyansail/gateway/decisions/crash_guard.py
+++ b/banyansail/gateway/decisions/crash_guard.py
@@ -39,6 +39,7 @@
         self._quarantine = Quarantine(clock, CRASHES_TO_REJECT)
         self._running_by_incarnation: dict[tuple[str, int], dict[int, int]] = {}
         self._reports = CrashReports(clock)
+        self._detected_fingerprints: set[int] = set()
 
     def start_attempt(self, upstream: Upstream, fingerprint: int) -> None:
         """Record that a request is being sent to an upstream."""
@@ -73,6 +74,8 @@
             upstream=name,
             fingerprints=[f"{number:016x}" for number in sorted(fingerprints)],
         )
+        self._detected_fingerprints |= fingerprints
+        self._detected_fingerprints &= self._quarantine.crashed_fingerprints
         return encode_crashes(self._reports.add(crash))
 
     def merge_peer_crashes(self, value: bytes) -> None:
@@ -86,6 +89,18 @@
             if self._quarantine.record_crash(crash):
                 log_event("peer_reported_crash", upstream=crash.upstream)
 
+    def quarantines(self) -> dict[int, timedelta]:
+        """Return the remaining quarantine by fingerprint."""
+        return self._quarantine.quarantines()
+
+    def has_detected(self, fingerprint: int) -> bool:
+        """Return whether this router detected a crash during a request."""
+        return fingerprint in self._detected_fingerprints
+
+    def restore(self, fingerprint: int, remaining: timedelta) -> None:
+        """Quarantine a request as another router did."""
+        self._quarantine.restore(fingerprint, remaining)
+
     def rejection(self, call: CallerCall) -> Rejection | None:
         """Return the rejection of a quarantined request, ``None`` if it may run."""
         if self.quarantine_remaining(call.fingerprint) is None:
--- a/banyansail/gateway/router.py
+++ b/banyansail/gateway/router.py
@@ -24,6 +24,7 @@
 from banyansail.gateway.ingress import GatewayFactory, ReadyFactory
 from banyansail.gateway.metrics import MetricsFactory
 from banyansail.gateway.mirror import Mirror
+from banyansail.gateway.quarantine_store import QuarantineStore
 from banyansail.gateway.request_handler import RequestHandler
 from banyansail.gateway.store_probe import StoreProbe
 from banyansail.gateway.tasks import add_tasks
@@ -157,6 +158,13 @@
             ),
             mark_leaving=lambda upstream: self.upstream_sync.mark_leaving(upstream),
         )
+        self.quarantine_store = QuarantineStore(
+            self.store,
+            clock,
+            self._random,
+            self.context.crash_guard,
+            is_cleaner=lambda: lease.fencing_token() is not None,
+        )
         self.upstream_sync = UpstreamSync(
             self.upstream_table, self.link, self.context, self._publish_member
         )
@@ -275,6 +283,7 @@
             self.config_mirror,
             self.upstream_table.mirror,
             self.move_mirror,
+            self.quarantine_store.mirror,
         ):
             mirror.reset()
         self._publish_member()
--- a/tests/gateway/fake_store.py
+++ b/tests/gateway/fake_store.py
@@ -78,3 +78,7 @@
         if current is None or current.revision != expected:
             raise StoreConflictError(f"{kind}/{name}")
         return self._put(kind, name, current.spec, status)
+
+    async def delete(self, kind, name):
+        self._check_reachable()
+        self.object_by_key.pop((kind, name), None)
--- /dev/null
+++ b/tests/gateway/test_quarantine_store.py
@@ -0,0 +1,113 @@
+"""Tests of the quarantines in the store, without a network."""
+
+from __future__ import annotations
+
+from random import Random
+
+import pytest
+from twisted.internet import defer
+
+from banyansail.gateway.decisions.crash_guard import CrashGuard
+from banyansail.gateway.quarantine_store import QUARANTINES_KIND, QuarantineStore
+from tests.fakes import FakeClock
+from tests.gateway.builders import upstream
+from tests.gateway.fake_store import FakeStore
+
+POISON_FINGERPRINT = 7
+
+
+class Router:
+    """Crash guard of one router and its link to the store."""
+
+    def __init__(self, store, clock, is_cleaner=False) -> None:
+        self.guard = CrashGuard(clock)
+        self.link = QuarantineStore(
+            store, clock, Random(1), self.guard, lambda: is_cleaner
+        )
+        run(self.link.mirror._list())
+
+    def crash(self, *names):
+        """Crash upstreams with one request; return the last published value."""
+        for name in names:
+            value = self.guard.record_crash(upstream(name), POISON_FINGERPRINT)
+        return value
+
+    @property
+    def is_rejecting(self):
+        return self.guard.quarantine_remaining(POISON_FINGERPRINT) is not None
+
+
+def run(coroutine):
+    return defer.Deferred.fromCoroutine(coroutine).result
+
+
+@pytest.fixture
+def clock():
+    return FakeClock()
+
+
+@pytest.fixture
+def store():
+    return FakeStore()
+
+
+def stored_names(store):
+    return [name for kind, name in store.object_by_key if kind == QUARANTINES_KIND]
+
+
+def test_a_router_started_after_all_were_killed_rejects_a_quarantined_request(
+    store, clock
+):
+    router = Router(store, clock)
+    router.crash("u1", "u2", "u3")
+    run(router.link.synchronize())
+    assert Router(store, clock).is_rejecting
+
+
+def test_another_router_writes_if_the_one_that_detected_the_crash_was_killed(
+    store, clock
+):
+    killed, other = Router(store, clock), Router(store, clock)
+    other.guard.merge_peer_crashes(killed.crash("u1", "u2", "u3"))
+    run(other.link.synchronize())
+    assert not stored_names(store)
+    clock.advance(6)
+    run(other.link.synchronize())
+    assert Router(store, clock).is_rejecting
+
+
+def test_a_quarantine_is_written_again_to_a_restored_store(store, clock):
+    router = Router(store, clock)
+    copy = store.copy()
+    router.crash("u1", "u2", "u3")
+    run(router.link.synchronize())
+    store.restore(copy)
+    router.link.mirror.reset()
+    run(router.link.mirror._list())
+    run(router.link.synchronize())
+    assert Router(store, clock).is_rejecting
+
+
+def test_an_expired_quarantine_is_neither_applied_nor_kept(store, clock):
+    router = Router(store, clock)
+    router.crash("u1", "u2", "u3")
+    run(router.link.synchronize())
+    clock.advance(700)
+    later = Router(store, clock, is_cleaner=True)
+    assert not later.is_rejecting
+    run(later.link.synchronize())
+    assert not stored_names(store)
+
+
+@pytest.mark.parametrize("name, spec", [("zz", {"untilMs": 1}), ("7", {}), ("7", None)])
+def test_a_malformed_quarantine_is_ignored(store, clock, name, spec):
+    store._put(QUARANTINES_KIND, name, spec)
+    assert not Router(store, clock).is_rejecting
+
+
+def test_nothing_is_written_while_the_content_of_the_store_is_unknown(store, clock):
+    router = Router(store, clock)
+    router.link.mirror.reset()
+    router.crash("u1", "u2", "u3")
+    run(router.link.synchronize())
+    assert not stored_names(store)
