Log which parts of prompts were in flight at a crash

Change: the crash guard takes requests instead of fingerprints; upstream_died names the parts that other requests may contain. No decision differs. Result: gateway tests pass.

--- a/banyansail/gateway/context.py
+++ b/banyansail/gateway/context.py
@@ -122,12 +122,12 @@
                 seconds=head.pause.total_seconds(),
             )
 
-    async def check_liveness(self, upstream: Upstream, fingerprint: int) -> None:
+    async def check_liveness(self, upstream: Upstream, call: CallerCall) -> None:
         """Connect to an upstream after a failure; record its crash if that fails."""
         try:
             connection = await self.pool_of(upstream.address).connect()
         except ConnectFailedError:
-            encoded_crashes = self.crash_guard.record_crash(upstream, fingerprint)
+            encoded_crashes = self.crash_guard.record_crash(upstream, call)
             if encoded_crashes is not None:
                 self.publish_crashes(encoded_crashes)
             return
--- a/banyansail/gateway/decisions/crash_guard.py
+++ b/banyansail/gateway/decisions/crash_guard.py
@@ -37,34 +37,30 @@
 
     def __init__(self, clock: Clock) -> None:
         self._quarantine = Quarantine(clock, CRASHES_TO_REJECT)
-        self._running_by_incarnation: dict[tuple[str, int], dict[int, int]] = {}
+        self._running_by_incarnation: dict[tuple[str, int], list[CallerCall]] = {}
         self._reports = CrashReports(clock)
         self._detected_fingerprints: set[int] = set()
 
-    def start_attempt(self, upstream: Upstream, fingerprint: int) -> None:
+    def start_attempt(self, upstream: Upstream, call: CallerCall) -> None:
         """Record that a request is being sent to an upstream."""
-        running = self._running_by_incarnation.setdefault(upstream.incarnation, {})
-        running[fingerprint] = running.get(fingerprint, 0) + 1
+        running = self._running_by_incarnation.setdefault(upstream.incarnation, [])
+        running.append(call)
 
-    def end_attempt(self, upstream: Upstream, fingerprint: int) -> None:
+    def end_attempt(self, upstream: Upstream, call: CallerCall) -> None:
         """Record the end of an attempt."""
-        running = self._running_by_incarnation.get(upstream.incarnation, {})
-        running[fingerprint] = running.get(fingerprint, 1) - 1
-        if running[fingerprint] <= 0:
-            del running[fingerprint]
+        running = self._running_by_incarnation.get(upstream.incarnation, [])
+        running[:] = [other for other in running if other is not call]
         if not running:
             self._running_by_incarnation.pop(upstream.incarnation, None)
 
-    def record_success(self, fingerprint: int) -> None:
+    def record_success(self, call: CallerCall) -> None:
         """Clear a request that an upstream answered."""
-        self._quarantine.record_success(fingerprint)
+        self._quarantine.record_success(call.fingerprint)
 
-    def record_crash(self, upstream: Upstream, fingerprint: int) -> bytes | None:
+    def record_crash(self, upstream: Upstream, call: CallerCall) -> bytes | None:
         """Record the crash of an upstream; return the value to publish if it is new."""
-        fingerprints = {
-            fingerprint,
-            *self._running_by_incarnation.get(upstream.incarnation, {}),
-        }
+        calls = [call, *self._running_by_incarnation.get(upstream.incarnation, ())]
+        fingerprints = {call.fingerprint for call in calls}
         name = f"{upstream.id}@{upstream.started_at}"
         crash = UpstreamCrash(name, upstream.zone, frozenset(fingerprints))
         if not self._quarantine.record_crash(crash):
@@ -73,6 +69,7 @@
             "upstream_died",
             upstream=name,
             fingerprints=[f"{number:016x}" for number in sorted(fingerprints)],
+            parts=sorted({part_id for call in calls for part_id in shared_parts(call)}),
         )
         self._detected_fingerprints |= fingerprints
         self._detected_fingerprints &= self._quarantine.crashed_fingerprints
@@ -111,3 +108,8 @@
     def quarantine_remaining(self, fingerprint: int) -> timedelta | None:
         """Return how long a request is still rejected, or ``None`` if it may run."""
         return self._quarantine.quarantine_remaining(fingerprint)
+
+
+def shared_parts(call: CallerCall) -> list[str]:
+    """Return the ids of the parts of a request's prompt that others may contain."""
+    return [] if call.prompt is None else call.prompt.shared_part_ids
--- a/banyansail/gateway/exchange.py
+++ b/banyansail/gateway/exchange.py
@@ -209,7 +209,7 @@
         self._progress.attempts += 1
         self._progress.possible_runs += 1
         self._log_route(slot)
-        context.crash_guard.start_attempt(upstream, self._call.fingerprint)
+        context.crash_guard.start_attempt(upstream, self._call)
         timer = self._start_attempt_timer(attempt, slot, sent_at)
         try:
             outcome = await attempt.run(
@@ -219,7 +219,7 @@
             if timer is not None and timer.active():
                 timer.cancel()
             context.dispatcher.release(slot)
-            context.crash_guard.end_attempt(upstream, self._call.fingerprint)
+            context.crash_guard.end_attempt(upstream, self._call)
         if not may_have_run(outcome):
             self._progress.possible_runs -= 1
         duration = context.clock.monotonic() - sent_at
--- a/banyansail/gateway/outcome_recorder.py
+++ b/banyansail/gateway/outcome_recorder.py
@@ -80,7 +80,7 @@
                     load.mark_suspect(now)
             case Answered(head):
                 if not head.is_failure:
-                    self._context.crash_guard.record_success(self._call.fingerprint)
+                    self._context.crash_guard.record_success(self._call)
                 latency = duration if self._call.prompt is None else None
                 load.record_outcome(now, ok=not head.is_failure, latency=latency)
             case Incomplete():
@@ -102,7 +102,7 @@
 
     def _check_for_crash(self, upstream: Upstream) -> None:
         done = defer.Deferred.fromCoroutine(
-            self._context.check_liveness(upstream, self._call.fingerprint)
+            self._context.check_liveness(upstream, self._call)
         )
         done.addErrback(
             lambda failure: log_event(
--- a/banyansail/gateway/request_types.py
+++ b/banyansail/gateway/request_types.py
@@ -37,6 +37,11 @@
     parts: tuple[PromptPart, ...] = ()
     expected_output: int | None = None
 
+    @property
+    def shared_part_ids(self) -> list[str]:
+        """Ids of the parts that other requests may contain: all but the last."""
+        return [part.id for part in self.parts[:-1]]
+
 
 @dataclass(slots=True, frozen=True)
 class CallerCall:
--- a/tests/gateway/builders.py
+++ b/tests/gateway/builders.py
@@ -5,7 +5,7 @@
 from datetime import timedelta
 
 from banyansail.config.fields import Address
-from banyansail.gateway.request_types import Prompt, PromptPart
+from banyansail.gateway.request_types import CallerCall, Prompt, PromptPart
 from banyansail.gateway.site import (
     CallerLimits,
     EngineSpec,
@@ -53,6 +53,26 @@
     return Prompt("m", tokens, output, parts)
 
 
+def call(fingerprint=1, parts=()) -> CallerCall:
+    """Return a request with a prompt of these parts and one of its own."""
+    ids = [*parts, f"own{fingerprint}"]
+    text = tuple(PromptPart(part_id, 100) for part_id in ids)
+    return CallerCall(
+        method=b"POST",
+        target=b"/draft/1",
+        host="shop.example",
+        path="/draft/1",
+        headers=[],
+        body=b"",
+        attempt_id=f"a{fingerprint}",
+        key="k",
+        timeout=None,
+        last_event_id="",
+        prompt=Prompt("m", 100 * len(ids), 10, text),
+        fingerprint=fingerprint,
+    )
+
+
 def workspace(name="w", rate=100.0, burst=100.0, **options) -> Workspace:
     return Workspace(name, (f"key-{name}",), None, rate, burst, **options)
 
--- a/tests/gateway/decisions/test_crash_guard.py
+++ b/tests/gateway/decisions/test_crash_guard.py
@@ -2,14 +2,14 @@
 
 from banyansail.gateway.decisions.crash_guard import CrashGuard
 from tests.fakes import FakeClock
-from tests.gateway.builders import upstream
+from tests.gateway.builders import call, upstream
 
 
 def crash(guard, name, fingerprint):
-    target = upstream(name)
-    guard.start_attempt(target, fingerprint)
-    published = guard.record_crash(target, fingerprint)
-    guard.end_attempt(target, fingerprint)
+    target, request = upstream(name), call(fingerprint)
+    guard.start_attempt(target, request)
+    published = guard.record_crash(target, request)
+    guard.end_attempt(target, request)
     return published
 
 
@@ -37,8 +37,8 @@
     guard = CrashGuard(FakeClock())
     target = upstream("u1")
     for fingerprint in range(5):
-        guard.start_attempt(target, fingerprint)
-    guard.record_crash(target, 0)
+        guard.start_attempt(target, call(fingerprint))
+    guard.record_crash(target, call(0))
     assert all(guard.quarantine_remaining(number) is None for number in range(5))
 
 
@@ -57,7 +57,7 @@
     for name in ("u1", "u2"):
         crash(guard, name, 7)
         clock.advance(6)
-    guard.record_success(7)
+    guard.record_success(call(7))
     crash(guard, "u3", 7)
     assert guard.quarantine_remaining(7) is None
 
--- a/tests/gateway/test_live_requests.py
+++ b/tests/gateway/test_live_requests.py
@@ -346,7 +346,7 @@
             in_reactor(
                 live.gateway.context.crash_guard.record_crash,
                 upstream(name),
-                call.fingerprint,
+                call,
             )
         assert waiting.result()[0] == 500
         assert [future.result()[0] for future in running] == [200] * 8
--- a/tests/gateway/test_quarantine_store.py
+++ b/tests/gateway/test_quarantine_store.py
@@ -10,7 +10,7 @@
 from banyansail.gateway.decisions.crash_guard import CrashGuard
 from banyansail.gateway.quarantine_store import QUARANTINES_KIND, QuarantineStore
 from tests.fakes import FakeClock
-from tests.gateway.builders import upstream
+from tests.gateway.builders import call, upstream
 from tests.gateway.fake_store import FakeStore
 
 POISON_FINGERPRINT = 7
@@ -29,7 +29,7 @@
     def crash(self, *names):
         """Crash upstreams with one request; return the last published value."""
         for name in names:
-            value = self.guard.record_crash(upstream(name), POISON_FINGERPRINT)
+            value = self.guard.record_crash(upstream(name), call(POISON_FINGERPRINT))
         return value
 
     @property
