Add failing tests of a part of prompts that crashes upstreams

Suspicion is kept by whole requests; requests that share only a part of their prompts never have more than one crash each.

--- a/banyansail/standins/replica.py
+++ b/banyansail/standins/replica.py
@@ -10,6 +10,8 @@
 from banyansail.standins.web import StandinResource, is_open
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from twisted.web.server import Request
 
 FIRST_EVENT_ID = 1
@@ -35,6 +37,9 @@
         Whether all answers say that the upstream is draining.
     retry_after : str
         Pause that rejections ask for, as sent; empty for none.
+    crashes_on_part : str
+        Part of a prompt that ends the upstream once it begins to answer; empty for
+        none.
     """
 
     is_full: bool = False
@@ -44,6 +49,7 @@
     sends_stray_answer: bool = False
     is_leaving: bool = False
     retry_after: str = ""
+    crashes_on_part: str = ""
 
 
 @dataclass(slots=True)
@@ -72,10 +78,21 @@
 
 
 class ReplicaStandin(StandinResource):
-    """Answers requests as an upstream does."""
+    """Answers requests as an upstream does.
+
+    Parameters
+    ----------
+    replica_id : str
+        Id that the upstream registers with.
+    crash : callable
+        Ends the upstream.
+    """
 
-    def __init__(self, replica_id: str) -> None:
+    def __init__(
+        self, replica_id: str, crash: Callable[[], None] = lambda: None
+    ) -> None:
         super().__init__()
+        self.crash = crash
         self.state = ReplicaState(replica_id)
         self.faults = ReplicaFaults()
 
@@ -100,6 +117,9 @@
         )
         request.notifyFinish().addErrback(self._count_disconnect)
         await task.deferLater(reactor, self.state.pause_s)
+        if _contains_part(request, self.faults.crashes_on_part):
+            self.crash()
+            return
         if self.faults.cuts_before_answer:
             request.transport.abortConnection()
             return
@@ -150,3 +170,9 @@
             await task.deferLater(reactor, self.state.pause_s)
         if is_open(request):
             request.finish()
+
+
+def _contains_part(request: Request, part_id: str) -> bool:
+    prefix = request.getHeader("x-prompt-prefix") or ""
+    ids = [item.partition(":")[0] for item in prefix.split(",")]
+    return bool(part_id) and part_id in ids
--- a/tests/gateway/decisions/test_crash_guard.py
+++ b/tests/gateway/decisions/test_crash_guard.py
@@ -84,3 +84,17 @@
     for number in range(3):
         crash(guard, f"other{number}", 100 + number)
     assert guard.quarantine_remaining(7) is not None
+
+
+def test_requests_with_one_part_that_crashes_upstreams_are_rejected():
+    clock = FakeClock()
+    guard = CrashGuard(clock)
+    for number in range(5):
+        guard.record_crash(
+            upstream(f"u{number}"), call(number, parts=("shared", "bad"))
+        )
+        clock.advance(1)
+        guard.record_success(call(100 + number, parts=("shared",)))
+    clock.advance(3)
+    assert guard.rejection(call(50, parts=("shared", "bad"))) is not None
+    assert guard.rejection(call(60, parts=("shared", "other"))) is None
--- a/tests/gateway/live_gateway.py
+++ b/tests/gateway/live_gateway.py
@@ -93,6 +93,7 @@
         for name, replica in self.replica_by_name.items():
             running = self._listen(replica)
             self.running_by_name[name] = running
+            replica.crash = running.kill
             self.announce(name, running.address)
         self.store.state.put("config", "main", spec=config_body())
         self.gateway = Gateway(self._settings(store.address), reactor)
