Move the record of crashes and their reports out of the quarantine

Change: CrashHistory keeps crashes by subject, CrashReports what a router tells the others; a report may also name cleared subjects and parts, which nothing fills yet. No decision differs. Result: tests of routing, wire, gateway, crashing requests and reclaims pass.

--- a/banyansail/gateway/decisions/crash_guard.py
+++ b/banyansail/gateway/decisions/crash_guard.py
@@ -12,8 +12,9 @@
 from banyansail.exceptions import WireError
 from banyansail.gateway.request_types import Cause, Rejection
 from banyansail.log import log_event
+from banyansail.routing.crash_history import UpstreamCrash
 from banyansail.routing.crash_reports import CrashReports
-from banyansail.routing.quarantine import Quarantine, UpstreamCrash
+from banyansail.routing.quarantine import Quarantine
 from banyansail.wire.gossip_codec import decode_crashes, encode_crashes
 
 if TYPE_CHECKING:
@@ -73,16 +74,17 @@
         )
         self._detected_fingerprints |= fingerprints
         self._detected_fingerprints &= self._quarantine.crashed_fingerprints
-        return encode_crashes(self._reports.add(crash))
+        self._reports.add(crash)
+        return encode_crashes(self._reports.report())
 
     def merge_peer_crashes(self, value: bytes) -> None:
         """Merge the crashes that another router detected."""
         try:
-            crashes = decode_crashes(value)
+            report = decode_crashes(value)
         except WireError as error:
             log_event("deaths_unreadable", error=error.message)
             return
-        for crash in crashes:
+        for crash in report.crashes:
             if self._quarantine.record_crash(crash):
                 log_event("peer_reported_crash", upstream=crash.upstream)
 
--- a/banyansail/router/health.py
+++ b/banyansail/router/health.py
@@ -7,7 +7,7 @@
 from twisted.internet import defer
 
 from banyansail.log import log_event
-from banyansail.routing.quarantine import UpstreamCrash
+from banyansail.routing.crash_history import UpstreamCrash
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/banyansail/router/upstream_signals.py
+++ b/banyansail/router/upstream_signals.py
@@ -24,8 +24,9 @@
     from banyansail.router.load_prober import LoadProber
     from banyansail.router.registry import ExchangeRegistry
     from banyansail.router.zone_latency import RegionZoneLatency
+    from banyansail.routing.crash_history import UpstreamCrash
     from banyansail.routing.dispatch import Dispatcher
-    from banyansail.routing.quarantine import Quarantine, UpstreamCrash
+    from banyansail.routing.quarantine import Quarantine
 
 
 class UpstreamSignals:
@@ -86,8 +87,9 @@
     def report_crash(self, crash: UpstreamCrash) -> None:
         """Publish a crash that this router detected."""
         log_event("upstream_died", upstream=crash.upstream, zone=crash.zone)
-        reports = self._crash_reports.add(crash)
-        self._gossiper.publish(Topic.DEATHS, encode_crashes(reports))
+        self._crash_reports.add(crash)
+        value = encode_crashes(self._crash_reports.report())
+        self._gossiper.publish(Topic.DEATHS, value)
         self._push()
 
     def publish_leaving(self) -> None:
@@ -118,7 +120,7 @@
             case Topic.LEAVING:
                 self._mark_leaving(decode_leaving(entry.value), entry.origin)
             case Topic.DEATHS:
-                for crash in decode_crashes(entry.value):
+                for crash in decode_crashes(entry.value).crashes:
                     if self._quarantine.record_crash(crash):
                         self._dispatcher.mark_suspect(crash.upstream)
             case Topic.LOADS:
--- a/banyansail/routing/quarantine.py
+++ b/banyansail/routing/quarantine.py
@@ -6,69 +6,25 @@
 
 from __future__ import annotations
 
-import secrets
-from collections import deque
-from dataclasses import dataclass, field
 from datetime import timedelta
 from typing import TYPE_CHECKING
 
 from banyansail.log import log_event
+from banyansail.routing.crash_history import (
+    SUSPECT_LIFETIME,
+    CrashHistory,
+    RecordedCrash,
+    UpstreamCrash,
+    count_near,
+)
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
-
     from banyansail.clock import Clock
 
-SUSPECT_LIFETIME = timedelta(minutes=2)
-CRASH_LIFETIME = timedelta(minutes=10)  # a request that crashes upstreams may be rare
 QUARANTINE_DURATION = timedelta(minutes=10)
-CORRELATED_CRASH_WINDOW = timedelta(seconds=5)
 MIN_CORRELATED_CRASHES = 3  # as many within the window imply an external cause
 CRASHES_TO_QUARANTINE = 2  # of upstreams that ran the same request
 CORRELATED_CRASHES_TO_QUARANTINE = 3  # the same, whatever else crashed meanwhile
-REPORT_LIFETIME = 2 * SUSPECT_LIFETIME  # longer than a report is published
-MAX_CRASHES = 1_000  # kept at a time
-CRASH_ID_BITS = 64
-
-
-@dataclass(slots=True, frozen=True)
-class UpstreamCrash:
-    """Crash of an upstream: its end without a preemption notice.
-
-    Parameters
-    ----------
-    upstream, zone : str
-        Name and zone of the upstream.
-    fingerprints : frozenset of int
-        Fingerprints of the requests that were in flight on it.
-    id : int
-        Unique id of this report; a router publishes a report several times.
-    age : timedelta
-        Time since the crash was detected.
-    """
-
-    upstream: str
-    zone: str
-    fingerprints: frozenset[int]
-    id: int = field(default_factory=lambda: secrets.randbits(CRASH_ID_BITS))
-    age: timedelta = timedelta(0)
-
-
-@dataclass(slots=True, eq=False)
-class _Crash:
-    """Crash of an upstream as known so far.
-
-    Parameters
-    ----------
-    at : timedelta
-        Time of the crash on this router's monotonic clock.
-    fingerprints : set of int
-        Fingerprints that any report of the crash contains.
-    """
-
-    upstream: str
-    at: timedelta
-    fingerprints: set[int]
 
 
 class Quarantine:
@@ -88,10 +44,8 @@
 
     __slots__ = (
         "_clock",
-        "_crashes",
-        "_crashes_by_fingerprint",
         "_crashes_to_quarantine",
-        "_known_until_by_id",
+        "_history",
         "_quarantine_end_by_fingerprint",
     )
 
@@ -100,48 +54,32 @@
     ) -> None:
         self._clock = clock
         self._crashes_to_quarantine = crashes_to_quarantine
-        self._crashes: deque[_Crash] = deque()
-        self._crashes_by_fingerprint: dict[int, list[_Crash]] = {}
-        self._known_until_by_id: dict[int, timedelta] = {}
+        self._history = CrashHistory(clock)
         self._quarantine_end_by_fingerprint: dict[int, timedelta] = {}
 
     @property
     def crashed_fingerprints(self) -> set[int]:
         """Fingerprints with a crash since their last success."""
-        return set(self._crashes_by_fingerprint)
+        return self._history.subjects
 
     def record_crash(self, crash: UpstreamCrash) -> bool:
-        """Record a crash; return whether it contained new information.
-
-        Several routers may report one crash, each with its own requests, and each
-        report may arrive several times.
-        """
-        now = self._clock.monotonic()
-        self._expire(now)
-        if crash.id in self._known_until_by_id or crash.age >= SUSPECT_LIFETIME:
-            return False
-        self._known_until_by_id[crash.id] = now + REPORT_LIFETIME
-        at = now - crash.age
-        recorded = self._find(crash.upstream, at)
-        is_new = recorded is None
+        """Record a crash; return whether it contained new information."""
+        recorded = self._history.record(crash, crash.fingerprints)
         if recorded is None:
-            recorded = _Crash(crash.upstream, at, set())
-            self._add(recorded)
-        fresh = crash.fingerprints - recorded.fingerprints
-        recorded.fingerprints |= fresh
-        for fingerprint in fresh:
-            self._add_suspicion(fingerprint, recorded)
-        return is_new or bool(fresh)
+            return False
+        for fingerprint in recorded.fresh:
+            self._check_crashes(fingerprint)
+        return recorded.is_new or bool(recorded.fresh)
 
     def record_success(self, fingerprint: int) -> None:
         """Clear the suspicion of a request that completed."""
-        self._crashes_by_fingerprint.pop(fingerprint, None)
+        self._history.clear(fingerprint)
 
     def is_suspect(self, fingerprint: int) -> bool:
         """Return whether a request must run alone on its upstream."""
+        self._history.expire()
         now = self._clock.monotonic()
-        self._expire(now)
-        crashes = self._crashes_by_fingerprint.get(fingerprint, [])
+        crashes = self._history.crashes_of(fingerprint)
         is_recent = any(now - crash.at <= SUSPECT_LIFETIME for crash in crashes)
         return is_recent and self._uncorrelated_count(fingerprint) > 0
 
@@ -174,21 +112,8 @@
         current = self._quarantine_end_by_fingerprint.get(fingerprint, end)
         self._quarantine_end_by_fingerprint[fingerprint] = max(current, end)
 
-    def _find(self, upstream: str, at: timedelta) -> _Crash | None:
-        for crash in self._crashes:
-            is_near = abs(crash.at - at) <= CORRELATED_CRASH_WINDOW
-            if crash.upstream == upstream and is_near:
-                return crash
-        return None
-
-    def _add(self, crash: _Crash) -> None:
-        self._crashes.append(crash)
-        if len(self._crashes) > MAX_CRASHES:
-            self._forget(self._crashes.popleft())
-
-    def _add_suspicion(self, fingerprint: int, crash: _Crash) -> None:
-        crashes = self._crashes_by_fingerprint.setdefault(fingerprint, [])
-        crashes.append(crash)
+    def _check_crashes(self, fingerprint: int) -> None:
+        crashes = self._history.crashes_of(fingerprint)
         if (
             self._uncorrelated_count(fingerprint) < self._crashes_to_quarantine
             and len(crashes) < self._max_crashes
@@ -208,32 +133,11 @@
 
     def _uncorrelated_count(self, fingerprint: int) -> int:
         """Return the crashes with a request in flight that speak against it."""
-        crashes = self._crashes_by_fingerprint.get(fingerprint, [])
+        crashes = self._history.crashes_of(fingerprint)
         return sum(not self._is_excused(crash, crashes) for crash in crashes)
 
-    def _is_excused(self, crash: _Crash, crashes: list[_Crash]) -> bool:
+    def _is_excused(self, crash: RecordedCrash, crashes: list[RecordedCrash]) -> bool:
         """Return whether other upstreams crashed without the request at that time."""
-        if _count_near(crash, crashes) >= self._crashes_to_quarantine:
+        if count_near(crash, crashes) >= self._crashes_to_quarantine:
             return False
-        return _count_near(crash, self._crashes) >= MIN_CORRELATED_CRASHES
-
-    def _forget(self, crash: _Crash) -> None:
-        for fingerprint in crash.fingerprints:
-            crashes = self._crashes_by_fingerprint.get(fingerprint, [])
-            if crash in crashes:  # false after a success
-                crashes.remove(crash)
-            if not crashes:
-                self._crashes_by_fingerprint.pop(fingerprint, None)
-
-    def _expire(self, now: timedelta) -> None:
-        while self._crashes and now - self._crashes[0].at >= CRASH_LIFETIME:
-            self._forget(self._crashes.popleft())
-        while self._known_until_by_id:
-            oldest_id = next(iter(self._known_until_by_id))
-            if self._known_until_by_id[oldest_id] > now:
-                return
-            del self._known_until_by_id[oldest_id]
-
-
-def _count_near(crash: _Crash, crashes: Iterable[_Crash]) -> int:
-    return sum(abs(crash.at - other.at) <= CORRELATED_CRASH_WINDOW for other in crashes)
+        return self._history.count_near(crash) >= MIN_CORRELATED_CRASHES
--- a/banyansail/wire/gossip_codec.py
+++ b/banyansail/wire/gossip_codec.py
@@ -12,7 +12,8 @@
 from banyansail.exceptions import WireError
 from banyansail.fleet.entries import Digest, Entry, Gossip, Member, Topic
 from banyansail.rollout.evidence import Evidence, EvidenceCell, EvidenceKey
-from banyansail.routing.quarantine import UpstreamCrash
+from banyansail.routing.crash_history import UpstreamCrash
+from banyansail.routing.crash_reports import CrashReport
 from banyansail.wire.schema import schema
 
 MILLISECOND = timedelta(milliseconds=1)
@@ -180,33 +181,47 @@
     return {item.upstream: item.inFlight for item in unpack(schema.Loads, data).loads}
 
 
-def encode_crashes(crashes: Iterable[UpstreamCrash]) -> bytes:
+def encode_crashes(report: CrashReport) -> bytes:
     """Encode a value of `Topic.DEATHS`."""
-    encoded = [
+    deaths = [
         {
             "upstream": crash.upstream,
             "zone": crash.zone,
             "fingerprints": sorted(crash.fingerprints),
+            "parts": sorted(crash.parts),
             "id": crash.id,
-            "ageMs": min(crash.age // MILLISECOND, MAX_AGE_MS),
+            "ageMs": _age_ms(crash.age),
         }
-        for crash in crashes
+        for crash in report.crashes
     ]
-    return schema.Deaths.new_message(deaths=encoded).to_bytes_packed()
+    cleared = [
+        {"subject": subject, "ageMs": _age_ms(age)}
+        for subject, age in report.age_by_cleared_subject.items()
+    ]
+    message = schema.Deaths.new_message(deaths=deaths, cleared=cleared)
+    return message.to_bytes_packed()
 
 
-def decode_crashes(data: bytes) -> list[UpstreamCrash]:
+def decode_crashes(data: bytes) -> CrashReport:
     """Decode a value of `Topic.DEATHS`."""
-    return [
+    message = unpack(schema.Deaths, data)
+    crashes = tuple(
         UpstreamCrash(
             item.upstream,
             item.zone,
-            frozenset(item.fingerprints),
-            item.id,
-            item.ageMs * MILLISECOND,
+            fingerprints=frozenset(item.fingerprints),
+            parts=frozenset(item.parts),
+            id=item.id,
+            age=item.ageMs * MILLISECOND,
         )
-        for item in unpack(schema.Deaths, data).deaths
-    ]
+        for item in message.deaths
+    )
+    cleared = {item.subject: item.ageMs * MILLISECOND for item in message.cleared}
+    return CrashReport(crashes, cleared)
+
+
+def _age_ms(age: timedelta) -> int:
+    return min(age // MILLISECOND, MAX_AGE_MS)
 
 
 def encode_evidence(evidence: Evidence, zone: str = "") -> bytes:
--- a/banyansail/wire/schema.capnp
+++ b/banyansail/wire/schema.capnp
@@ -63,6 +63,12 @@
 
 struct Deaths {
   deaths @0 :List(Death);
+  cleared @1 :List(Cleared);
+}
+
+struct Cleared {
+  subject @0 :UInt64;
+  ageMs @1 :UInt32;
 }
 
 struct Death {
@@ -71,6 +77,7 @@
   fingerprints @2 :List(UInt64);
   id @3 :UInt64;
   ageMs @4 :UInt32;
+  parts @5 :List(UInt64);
 }
 
 struct Evidence {
--- a/tests/routing/test_quarantine.py
+++ b/tests/routing/test_quarantine.py
@@ -6,7 +6,8 @@
 
 import pytest
 
-from banyansail.routing.quarantine import Quarantine, UpstreamCrash
+from banyansail.routing.crash_history import UpstreamCrash
+from banyansail.routing.quarantine import Quarantine
 from tests.fakes import FakeClock
 
 POISON_FINGERPRINT, HARMLESS_FINGERPRINT = 1, 2
--- a/tests/wire/test_gossip_codec.py
+++ b/tests/wire/test_gossip_codec.py
@@ -4,12 +4,19 @@
 
 from datetime import timedelta
 
-from banyansail.routing.quarantine import UpstreamCrash
+from banyansail.routing.crash_history import UpstreamCrash
+from banyansail.routing.crash_reports import CrashReport
 from banyansail.wire.gossip_codec import decode_crashes, encode_crashes
 
 
-def test_crashes_keep_their_id_and_age():
+def test_crash_reports_are_decoded_as_they_were_encoded():
     crash = UpstreamCrash(
-        "u1", "z", frozenset({1, 2**64 - 1}), 2**63, timedelta(milliseconds=1500)
+        "u1",
+        "z",
+        fingerprints=frozenset({1, 2**64 - 1}),
+        parts=frozenset({3}),
+        id=2**63,
+        age=timedelta(milliseconds=1500),
     )
-    assert decode_crashes(encode_crashes([crash])) == [crash]
+    report = CrashReport((crash,), {2**64 - 2: timedelta(seconds=2)})
+    assert decode_crashes(encode_crashes(report)) == report
