Reject prompts with a part that crashes each upstream that begins to answer

Cause: suspicion was kept by whole requests; those that share one part of their prompts, and nothing else, never had more than one crash each. Class: a fault looked for at the wrong granularity. Change: a crash also names the parts in flight that others may contain. A part is quarantined after three crashes if no upstream ever answered it, else after five; an answer clears the parts of its prompt at all routers, and none counts while nothing else is answered either. It is kept in the store like the quarantine of a request, and deleted if an upstream answers it at last. Result: gateway tests pass.

--- a/banyansail/gateway/decisions/crash_guard.py
+++ b/banyansail/gateway/decisions/crash_guard.py
@@ -1,15 +1,17 @@
 """Detection of requests that crash upstreams, over all routers.
 
 An upstream is treated as crashed when its connection breaks during a request and no new
-one can be opened. Any request in flight may have caused the crash; a request that was
-in flight at several crashes is rejected for some time.
+one can be opened. Any request in flight, or a part of its prompt, may have caused the
+crash; what was in flight at several crashes is rejected for some time.
 """
 
 from __future__ import annotations
 
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from banyansail.exceptions import WireError
+from banyansail.gateway.decisions.part_quarantine import PartQuarantine, hash_part
 from banyansail.gateway.request_types import Cause, Rejection
 from banyansail.log import log_event
 from banyansail.routing.crash_history import UpstreamCrash
@@ -27,8 +29,25 @@
 CRASHES_TO_REJECT = 3  # fewer would reject harmless requests that callers retry
 
 
+@dataclass(slots=True, frozen=True)
+class RequestSubject:
+    """A request that may be quarantined, by its fingerprint."""
+
+    hash: int
+
+
+@dataclass(slots=True, frozen=True)
+class PartSubject:
+    """A part of prompts that may be quarantined, by its hash."""
+
+    hash: int
+
+
+Subject = RequestSubject | PartSubject
+
+
 class CrashGuard:
-    """Counts the crashes during which each request was in flight.
+    """Counts the crashes during which requests, and parts of prompts, were in flight.
 
     Parameters
     ----------
@@ -40,7 +59,9 @@
         self._quarantine = Quarantine(clock, CRASHES_TO_REJECT)
         self._running_by_incarnation: dict[tuple[str, int], list[CallerCall]] = {}
         self._reports = CrashReports(clock)
-        self._detected_fingerprints: set[int] = set()
+        self._parts = PartQuarantine(clock)
+        self._detected_subjects: set[int] = set()
+        self._cleared_parts: set[int] = set()
 
     def start_attempt(self, upstream: Upstream, call: CallerCall) -> None:
         """Record that a request is being sent to an upstream."""
@@ -54,58 +75,98 @@
         if not running:
             self._running_by_incarnation.pop(upstream.incarnation, None)
 
-    def record_success(self, call: CallerCall) -> None:
-        """Clear a request that an upstream answered."""
+    def record_success(self, call: CallerCall) -> bytes | None:
+        """Clear a request that an upstream answered; return the value to publish."""
         self._quarantine.record_success(call.fingerprint)
+        if call.prompt is None:
+            return None
+        cleared = self._parts.record_answer(map(hash_part, call.prompt.shared_part_ids))
+        if not cleared:
+            return None
+        for part in cleared:
+            self._reports.add_cleared(part)
+            self._cleared_parts.add(part)
+        return encode_crashes(self._reports.report())
 
     def record_crash(self, upstream: Upstream, call: CallerCall) -> bytes | None:
         """Record the crash of an upstream; return the value to publish if it is new."""
         calls = [call, *self._running_by_incarnation.get(upstream.incarnation, ())]
-        fingerprints = {call.fingerprint for call in calls}
+        part_ids = {part_id for call in calls for part_id in shared_parts(call)}
         name = f"{upstream.id}@{upstream.started_at}"
-        crash = UpstreamCrash(name, upstream.zone, frozenset(fingerprints))
-        if not self._quarantine.record_crash(crash):
+        crash = UpstreamCrash(
+            name,
+            upstream.zone,
+            fingerprints=frozenset(call.fingerprint for call in calls),
+            parts=frozenset(map(hash_part, part_ids)),
+        )
+        if not self._record(crash):
             return None
         log_event(
             "upstream_died",
             upstream=name,
-            fingerprints=[f"{number:016x}" for number in sorted(fingerprints)],
-            parts=sorted({part_id for call in calls for part_id in shared_parts(call)}),
+            fingerprints=[f"{number:016x}" for number in sorted(crash.fingerprints)],
+            parts=sorted(part_ids),
+        )
+        self._detected_subjects |= crash.fingerprints | crash.parts
+        self._detected_subjects &= (
+            self._quarantine.crashed_fingerprints | self._parts.crashed_parts
         )
-        self._detected_fingerprints |= fingerprints
-        self._detected_fingerprints &= self._quarantine.crashed_fingerprints
         self._reports.add(crash)
         return encode_crashes(self._reports.report())
 
     def merge_peer_crashes(self, value: bytes) -> None:
-        """Merge the crashes that another router detected."""
+        """Merge the crashes that another router detected, and what it cleared."""
         try:
             report = decode_crashes(value)
         except WireError as error:
             log_event("deaths_unreadable", error=error.message)
             return
         for crash in report.crashes:
-            if self._quarantine.record_crash(crash):
+            if self._record(crash):
                 log_event("peer_reported_crash", upstream=crash.upstream)
-
-    def quarantines(self) -> dict[int, timedelta]:
-        """Return the remaining quarantine by fingerprint."""
-        return self._quarantine.quarantines()
-
-    def has_detected(self, fingerprint: int) -> bool:
-        """Return whether this router detected a crash during a request."""
-        return fingerprint in self._detected_fingerprints
-
-    def restore(self, fingerprint: int, remaining: timedelta) -> None:
-        """Quarantine a request as another router did."""
-        self._quarantine.restore(fingerprint, remaining)
+        for part, age in report.age_by_cleared_subject.items():
+            self._parts.clear(part, age)
+
+    def _record(self, crash: UpstreamCrash) -> bool:
+        is_new = self._quarantine.record_crash(crash)
+        return self._parts.record_crash(crash) or is_new
+
+    def quarantines(self) -> dict[Subject, timedelta]:
+        """Return the remaining quarantine by what is quarantined."""
+        requests = self._quarantine.quarantines()
+        parts = self._parts.quarantines()
+        return {
+            **{RequestSubject(number): end for number, end in requests.items()},
+            **{PartSubject(number): end for number, end in parts.items()},
+        }
+
+    def has_detected(self, subject: Subject) -> bool:
+        """Return whether this router detected a crash with a subject in flight."""
+        return subject.hash in self._detected_subjects
+
+    def take_cleared(self) -> set[PartSubject]:
+        """Return the parts that were cleared here since the last call."""
+        cleared, self._cleared_parts = self._cleared_parts, set()
+        return {PartSubject(part) for part in cleared}
+
+    def restore(self, subject: Subject, remaining: timedelta) -> None:
+        """Quarantine what another router quarantined."""
+        match subject:
+            case RequestSubject(fingerprint):
+                self._quarantine.restore(fingerprint, remaining)
+            case PartSubject(part):
+                self._parts.restore(part, remaining)
 
     def rejection(self, call: CallerCall) -> Rejection | None:
         """Return the rejection of a quarantined request, ``None`` if it may run."""
-        if self.quarantine_remaining(call.fingerprint) is None:
-            return None
-        detail = "several upstreams crashed while they ran this request"
-        return Rejection(500, Cause.CRASHES_UPSTREAMS, detail)
+        if self.quarantine_remaining(call.fingerprint) is not None:
+            detail = "several upstreams crashed while they ran this request"
+            return Rejection(500, Cause.CRASHES_UPSTREAMS, detail)
+        for part_id in shared_parts(call):
+            if self._parts.is_quarantined(hash_part(part_id)):
+                detail = f"several upstreams crashed with prompt part {part_id}"
+                return Rejection(500, Cause.CRASHES_UPSTREAMS, detail)
+        return None
 
     def quarantine_remaining(self, fingerprint: int) -> timedelta | None:
         """Return how long a request is still rejected, or ``None`` if it may run."""
--- a/banyansail/gateway/quarantine_store.py
+++ b/banyansail/gateway/quarantine_store.py
@@ -1,11 +1,18 @@
-"""Quarantines of requests in the platform's store, which outlive the routers."""
+"""Quarantines in the platform's store, which outlive the routers."""
 
 from __future__ import annotations
 
+from dataclasses import dataclass
 from datetime import UTC, datetime, timedelta
 from typing import TYPE_CHECKING
 
 from banyansail.exceptions import StoreConflictError
+from banyansail.gateway.decisions.crash_guard import (
+    CrashGuard,
+    PartSubject,
+    RequestSubject,
+    Subject,
+)
 from banyansail.gateway.mirror import Mirror
 from banyansail.log import log_event
 
@@ -14,10 +21,11 @@
     from random import Random
 
     from banyansail.clock import Clock
-    from banyansail.gateway.decisions.crash_guard import CrashGuard
-    from banyansail.platform.store import StoreClient, StoredObject
+    from banyansail.platform.store import Revision, StoreClient, StoredObject
 
 QUARANTINES_KIND = "quarantines"
+REQUEST_PREFIX = "request-"
+PART_PREFIX = "part-"
 # The router that detected the last crash writes at once; another one, chosen by the
 # shortest delay, writes if that router was killed first.
 MIN_BACKUP_DELAY = timedelta(seconds=2)
@@ -25,6 +33,12 @@
 DELETION_DELAY = timedelta(minutes=1)  # after the end, as clocks differ
 
 
+@dataclass(slots=True, frozen=True)
+class _StoredQuarantine:
+    subject: Subject
+    end: datetime
+
+
 class QuarantineStore:
     """Writes this router's quarantines to the store and applies those of the others.
 
@@ -55,74 +69,100 @@
         self._random = random
         self._guard = guard
         self._is_cleaner = is_cleaner
-        self._write_at_by_fingerprint: dict[int, timedelta] = {}
+        self._write_at_by_subject: dict[Subject, timedelta] = {}
+        self._applied_revision_by_name: dict[str, Revision] = {}
         self.mirror = Mirror(QUARANTINES_KIND, store, clock, self._apply)
 
     async def synchronize(self) -> None:
-        """Write the quarantines that the store lacks; delete expired ones."""
+        """Write the quarantines that the store lacks; delete those that are over."""
         if self.mirror.revision is None:
             return  # what the store holds is not known
-        for fingerprint, remaining in self._due_writes().items():
-            await self._write(fingerprint, remaining)
+        for subject, remaining in self._due_writes().items():
+            await self._write(subject, remaining)
+        await self._delete_cleared()
         if self._is_cleaner():
             await self._delete_expired()
 
-    def _due_writes(self) -> dict[int, timedelta]:
+    def _due_writes(self) -> dict[Subject, timedelta]:
         now = self._clock.monotonic()
-        remaining_by_fingerprint = {
-            fingerprint: remaining
-            for fingerprint, remaining in self._guard.quarantines().items()
-            if _name_of(fingerprint) not in self.mirror.object_by_name
+        remaining_by_subject = {
+            subject: remaining
+            for subject, remaining in self._guard.quarantines().items()
+            if _name_of(subject) not in self.mirror.object_by_name
         }
-        self._write_at_by_fingerprint = {
-            fingerprint: self._write_at_by_fingerprint.get(fingerprint)
-            or now + self._draw_delay(fingerprint)
-            for fingerprint in remaining_by_fingerprint
+        self._write_at_by_subject = {
+            subject: self._write_at_by_subject.get(subject)
+            or now + self._draw_delay(subject)
+            for subject in remaining_by_subject
         }
         return {
-            fingerprint: remaining_by_fingerprint[fingerprint]
-            for fingerprint, write_at in self._write_at_by_fingerprint.items()
+            subject: remaining_by_subject[subject]
+            for subject, write_at in self._write_at_by_subject.items()
             if write_at <= now
         }
 
-    def _draw_delay(self, fingerprint: int) -> timedelta:
-        if self._guard.has_detected(fingerprint):
+    def _draw_delay(self, subject: Subject) -> timedelta:
+        if self._guard.has_detected(subject):
             return timedelta(0)
         spread = MAX_BACKUP_DELAY - MIN_BACKUP_DELAY
         return MIN_BACKUP_DELAY + spread * self._random.random()
 
-    async def _write(self, fingerprint: int, remaining: timedelta) -> None:
+    async def _write(self, subject: Subject, remaining: timedelta) -> None:
         until = self._clock.now() + remaining
         spec = {"untilMs": int(until.timestamp() * 1000)}
         try:
-            await self._store.create(QUARANTINES_KIND, _name_of(fingerprint), spec)
+            await self._store.create(QUARANTINES_KIND, _name_of(subject), spec)
         except StoreConflictError as error:
             log_event("quarantine_conflict", error=error.message)
 
+    async def _delete_cleared(self) -> None:
+        for subject in self._guard.take_cleared():
+            name = _name_of(subject)
+            if name in self.mirror.object_by_name:
+                await self._store.delete(QUARANTINES_KIND, name)
+
     async def _delete_expired(self) -> None:
         latest = self._clock.now() - DELETION_DELAY
         for stored in list(self.mirror.object_by_name.values()):
-            end = _decode_end(stored)
-            if end is None or end < latest:
+            quarantine = _decode(stored)
+            if quarantine is None or quarantine.end < latest:
                 await self._store.delete(QUARANTINES_KIND, stored.name)
 
     def _apply(self, mirror: Mirror) -> None:
+        """Apply each quarantine once, as it may have been cleared here since."""
         now = self._clock.now()
         for stored in mirror.object_by_name.values():
-            end = _decode_end(stored)
-            if end is not None and end > now:
-                self._guard.restore(int(stored.name, 16), end - now)
-
-
-def _name_of(fingerprint: int) -> str:
-    return f"{fingerprint:016x}"
-
-
-def _decode_end(stored: StoredObject) -> datetime | None:
-    """Return when a quarantine ends; ``None`` if the object is malformed."""
+            if self._applied_revision_by_name.get(stored.name) == stored.revision:
+                continue
+            self._applied_revision_by_name[stored.name] = stored.revision
+            quarantine = _decode(stored)
+            if quarantine is not None and quarantine.end > now:
+                self._guard.restore(quarantine.subject, quarantine.end - now)
+        for name in self._applied_revision_by_name.keys() - mirror.object_by_name:
+            del self._applied_revision_by_name[name]
+
+
+def _name_of(subject: Subject) -> str:
+    match subject:
+        case RequestSubject(number):
+            return f"{REQUEST_PREFIX}{number:016x}"
+        case PartSubject(number):
+            return f"{PART_PREFIX}{number:016x}"
+
+
+def _decode_subject(name: str) -> Subject:
+    if name.startswith(REQUEST_PREFIX):
+        return RequestSubject(int(name.removeprefix(REQUEST_PREFIX), 16))
+    if name.startswith(PART_PREFIX):
+        return PartSubject(int(name.removeprefix(PART_PREFIX), 16))
+    raise ValueError(f"{name!r} names neither a request nor a part")
+
+
+def _decode(stored: StoredObject) -> _StoredQuarantine | None:
+    """Return a stored quarantine; ``None`` if the object is malformed."""
     try:
-        int(stored.name, 16)
-        return datetime.fromtimestamp(stored.spec["untilMs"] / 1000, UTC)
+        end = datetime.fromtimestamp(stored.spec["untilMs"] / 1000, UTC)
+        return _StoredQuarantine(_decode_subject(stored.name), end)
     except (KeyError, TypeError, ValueError, OverflowError, OSError) as error:
         log_event("quarantine_unreadable", name=stored.name, error=repr(error))
         return None
--- a/tests/gateway/decisions/test_crash_guard.py
+++ b/tests/gateway/decisions/test_crash_guard.py
@@ -98,3 +98,24 @@
     clock.advance(3)
     assert guard.rejection(call(50, parts=("shared", "bad"))) is not None
     assert guard.rejection(call(60, parts=("shared", "other"))) is None
+
+
+def test_a_router_that_saw_no_crash_rejects_a_part_that_crashes_upstreams():
+    clock = FakeClock()
+    first, second = CrashGuard(clock), CrashGuard(clock)
+    for number in range(20):
+        second.record_success(call(100 + number, parts=("shared",)))
+    for number in range(3):
+        bad = call(number, parts=("shared", "bad"))
+        second.merge_peer_crashes(first.record_crash(upstream(f"u{number}"), bad))
+    second.merge_peer_crashes(first.record_success(call(200, parts=("shared",))))
+    clock.advance(1)
+    assert second.rejection(call(50, parts=("other", "bad"))) is not None
+    assert second.rejection(call(60, parts=("shared",))) is None
+
+
+def test_the_last_part_of_a_prompt_is_never_suspected():
+    guard = CrashGuard(FakeClock())
+    for number in range(6):
+        guard.record_crash(upstream(f"u{number}"), call(7))
+    assert guard.rejection(call(8, parts=("own7",))) is None
--- a/tests/gateway/test_quarantine_store.py
+++ b/tests/gateway/test_quarantine_store.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+from datetime import timedelta
 from random import Random
 
 import pytest
 from twisted.internet import defer
 
-from banyansail.gateway.decisions.crash_guard import CrashGuard
+from banyansail.gateway.decisions.crash_guard import CrashGuard, PartSubject
+from banyansail.gateway.decisions.part_quarantine import hash_part
 from banyansail.gateway.quarantine_store import QUARANTINES_KIND, QuarantineStore
 from tests.fakes import FakeClock
 from tests.gateway.builders import call, upstream
@@ -92,6 +94,7 @@
     router = Router(store, clock)
     router.crash("u1", "u2", "u3")
     run(router.link.synchronize())
+    assert stored_names(store) == ["request-0000000000000007"]
     clock.advance(700)
     later = Router(store, clock, is_cleaner=True)
     assert not later.is_rejecting
@@ -99,7 +102,15 @@
     assert not stored_names(store)
 
 
-@pytest.mark.parametrize("name, spec", [("zz", {"untilMs": 1}), ("7", {}), ("7", None)])
+@pytest.mark.parametrize(
+    "name, spec",
+    [
+        ("zz", {"untilMs": 1}),
+        ("request-zz", {"untilMs": 1}),
+        ("request-7", {}),
+        ("part-7", None),
+    ],
+)
 def test_a_malformed_quarantine_is_ignored(store, clock, name, spec):
     store._put(QUARANTINES_KIND, name, spec)
     assert not Router(store, clock).is_rejecting
@@ -111,3 +122,20 @@
     router.crash("u1", "u2", "u3")
     run(router.link.synchronize())
     assert not stored_names(store)
+
+
+def test_a_part_that_an_upstream_answered_at_last_leaves_the_store(store, clock):
+    writer, other = Router(store, clock), Router(store, clock)
+    bad = call(1, parts=("bad",))
+    writer.guard.restore(PartSubject(hash_part("bad")), timedelta(minutes=5))
+    clock.advance(6)
+    run(writer.link.synchronize())
+    clock.advance(6)
+    run(writer.link.synchronize())
+    run(other.link.mirror._list())
+    assert other.guard.rejection(bad) is not None
+    other.guard.record_success(bad)
+    assert other.guard.rejection(bad) is None
+    run(other.link.synchronize())
+    assert not stored_names(store)
+    assert Router(store, clock).guard.rejection(bad) is None
