--- a/banyansail/gateway/decisions/part_quarantine.py
+++ b/banyansail/gateway/decisions/part_quarantine.py
@@ -26,7 +26,7 @@
 # Since the first of these crashes; other routers report an answer to the part sooner.
 MIN_CRASH_AGE = timedelta(seconds=1)
 # Answered prompts after which a part that was in none counts as never answered.
-MIN_ANSWERS = 20
+MIN_ANSWERS = 5
 # Answers to other prompts since the first crash; without any, no upstream may be up.
 MIN_OTHER_ANSWERS = 3
 MIN_CRASHES_TO_CLEAR = 2  # for which other routers are told of an answer
