Treat a stream that ends with its connection before any event as broken off

What callers saw: not seen; found by a new test. A stream with neither a length nor chunks, whose upstream ended before the first event, reached the caller as a complete 200 without a body. Cause: the end of the connection was taken for the end of the stream. Class: an answer that broke off reported as complete; it would also clear a prompt that crashes upstreams. Change: without framing, a stream is complete only if it has an event and ends after one.

--- a/banyansail/gateway/attempt.py
+++ b/banyansail/gateway/attempt.py
@@ -25,6 +25,7 @@
     from banyansail.upstreams.pool import ConnectionPool
 
 MAX_ANSWER_BYTES = 16 * 1024**2
+FRAMING_HEADERS = (b"content-length", b"transfer-encoding")
 
 
 class StreamSink(Protocol):
@@ -74,6 +75,8 @@
         self._body = bytearray()
         self._parser = EventParser()
         self._stream_bytes = 0
+        self._has_events = False
+        self._is_framed = False
         self.is_sent = False
 
     async def run(
@@ -114,6 +117,7 @@
     ) -> None:
         """Process the head of the answer."""
         self._head = decode_reply(status, reason, headers)
+        self._is_framed = any(name.lower() in FRAMING_HEADERS for name, _ in headers)
         self._on_head(self._head)
         if self._sink is None or status >= 300:  # only a success has events
             self._sink = None
@@ -149,6 +153,9 @@
         if self._sink is not None and self._parser.has_partial_event:
             self._finish(Incomplete("the stream ended in the middle of an event"))
             return
+        if self._sink is not None and not (self._is_framed or self._has_events):
+            self._finish(Incomplete("the stream ended before its first event"))
+            return
         self._finish(Answered(self._head, bytes(self._body)))
 
     def exchange_failed(self, reason: str) -> None:
@@ -156,6 +163,7 @@
         self._finish(Incomplete(reason))
 
     def _forward_event(self, event: StreamEvent) -> None:
+        self._has_events = True
         on_first_byte, self._on_first_byte = self._on_first_byte, _ignore
         on_first_byte(self._head)
         self._sink.event_received(self._head, event)
--- a/tests/gateway/test_unusual_answers.py
+++ b/tests/gateway/test_unusual_answers.py
@@ -61,6 +61,11 @@
         live.call("POST", "/draft/1", b"x")
 
 
+def test_a_stream_without_length_that_ends_before_its_first_event_is_broken_off(live):
+    answer_with(live, UNFRAMED)
+    assert live.call("POST", "/draft/1", b"x")[0] == 502
+
+
 @pytest.mark.parametrize("path", ["/orders/1", "/draft/1"])
 @pytest.mark.parametrize(
     "start, filler",
