Recognise a version whose answers are several times slower

Cause: any complete answer of a model counted as good, and one of a plain service unless it took twice its latency objective; a version several times slower stays within both. Class: health judged by an absolute limit where only a comparison tells. Change: answers are compared with the usual time of the other versions on the same route; three times as long counts as bad, which the existing verdict weighs. Upstreams that say that they are cold are left out. Result: tests of moves pass, new ones for 4 and 8 times slower (they use a new interface, so that they can't run on the old code).

--- a/banyansail/gateway/duties/move_controller.py
+++ b/banyansail/gateway/duties/move_controller.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 from banyansail.exceptions import StoreConflictError, WireError
+from banyansail.gateway.duties.answer_times import AnswerTimes
 from banyansail.gateway.duties.moves import (
     Move,
     MoveState,
@@ -26,6 +27,7 @@
     from banyansail.gateway.decisions.dispatch import Dispatcher
     from banyansail.gateway.duties.duty_lease import DutyLease
     from banyansail.gateway.mirror import Mirror
+    from banyansail.gateway.upstream import Upstream
     from banyansail.platform.store import Revision, StoreClient
     from banyansail.traffic.report import TallyKey
 
@@ -74,6 +76,7 @@
         self._to_publish_again: set[str] = set()
         self._received_at: dict[tuple[str, str, int], timedelta] = {}
         self._bad_moves: set[tuple[str, int]] = set()
+        self._answer_times = AnswerTimes()
         self.own_tallies: dict[TallyKey, Tally] = {}
         # Of the whole fleet, this router included, as of a moment ago.
         self._fleet_tallies: Mapping[TallyKey, Tally] = {}
@@ -129,6 +132,22 @@
         """Replace the tallies of the whole fleet, which include this router's."""
         self._fleet_tallies = tallies
 
+    def is_slow(self, upstream: Upstream, route: str, duration: timedelta) -> bool:
+        """Return whether an answer took several times as long as other versions' do.
+
+        Answers of other versions than a move's target set what is usual; an upstream
+        that has just started is slower for a while and not compared.
+        """
+        if upstream.is_cold:
+            return False
+        key = (upstream.service, route)
+        move = self._move_by_service.get(upstream.service)
+        is_target = move is not None and upstream.version == move.target
+        is_slow = self._answer_times.is_slow(key, duration)
+        if not is_target or move.state is MoveState.COMPLETED:
+            self._answer_times.record(key, duration)
+        return is_slow
+
     def record(self, service: str, version: str, *, is_good: bool) -> None:
         """Count an answer of an upstream."""
         move = self._move_by_service.get(service)
--- a/banyansail/gateway/upstream.py
+++ b/banyansail/gateway/upstream.py
@@ -26,6 +26,8 @@
         Whether the platform may reclaim its instance.
     time_left : timedelta or None
         Time until a draining upstream stops, if announced.
+    is_cold : bool
+        Whether it has just started and is slower than later.
     """
 
     id: str
@@ -38,6 +40,7 @@
     is_reclaimable: bool = False
     started_at: int = 0
     time_left: timedelta | None = None
+    is_cold: bool = False
 
     @property
     def incarnation(self) -> tuple[str, int]:
--- a/banyansail/platform/site.py
+++ b/banyansail/platform/site.py
@@ -164,6 +164,7 @@
             bool(item.get("spot")),  # reclaimable, in our terms
             started_at if isinstance(started_at, int) else 0,
             None if time_left_ms is None else _milliseconds(time_left_ms),
+            is_cold=bool(item.get("coldLeftMs")),
         )
     except DECODE_ERRORS as error:
         raise WireError(f"malformed upstream {upstream_id}: {error!r}") from None
--- a/tests/gateway/duties/test_moves.py
+++ b/tests/gateway/duties/test_moves.py
@@ -23,7 +23,7 @@
 )
 from banyansail.gateway.mirror import Mirror
 from tests.fakes import FakeClock, run_now
-from tests.gateway.builders import seconds
+from tests.gateway.builders import seconds, upstream
 from tests.gateway.fake_store import FakeStore
 
 MOVE = Move("engines", "v2", seconds(12), 7)
@@ -141,6 +141,53 @@
     assert dispatcher.state("engines").version_share.share == 0.0
 
 
+def record_answer(controller, version, duration, **options):
+    target = upstream(f"e-{version}", "engines", version=version, **options)
+    is_slow = controller.is_slow(target, "draft", seconds(duration))
+    controller.record("engines", version, is_good=not is_slow)
+
+
+@pytest.mark.parametrize("factor", [4, 8])
+def test_a_version_that_answers_several_times_slower_is_rolled_back(factor):
+    """Its answers are complete, and within the latency objective."""
+    store, clock, random = FakeStore(), FakeClock(), Random(1)
+    controller, dispatcher = controller_of(store, clock, FakeLease())
+    order(store)
+    follow(store, clock, controller)
+    for _ in range(20):
+        record_answer(controller, "v1", random.uniform(0.3, 0.6))
+        record_answer(controller, "v2", factor * random.uniform(0.3, 0.6))
+    run_now(controller.publish_states())
+    assert store.object_by_key["rollouts", "engines"].status["state"] == "rolled_back"
+    assert dispatcher.state("engines").version_share.share == 0.0
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_a_version_whose_answers_vary_like_the_others_is_not_rolled_back(seed):
+    store, clock, random = FakeStore(), FakeClock(), Random(seed)
+    controller, _ = controller_of(store, clock, FakeLease())
+    order(store)
+    follow(store, clock, controller)
+    for _ in range(200):
+        record_answer(controller, "v1", random.lognormvariate(-1, 0.5))
+        record_answer(controller, "v2", random.lognormvariate(-1, 0.5))
+        controller.update_shares()
+    run_now(controller.publish_states())
+    assert store.object_by_key["rollouts", "engines"].status["state"] == "running"
+
+
+def test_a_version_that_is_slow_only_while_it_starts_is_not_rolled_back():
+    store, clock = FakeStore(), FakeClock()
+    controller, _ = controller_of(store, clock, FakeLease())
+    order(store)
+    follow(store, clock, controller)
+    for _ in range(20):
+        record_answer(controller, "v1", 0.5)
+        record_answer(controller, "v2", 4.0, is_cold=True)
+    run_now(controller.publish_states())
+    assert store.object_by_key["rollouts", "engines"].status["state"] == "running"
+
+
 def test_evidence_of_other_routers_counts():
     store, clock = FakeStore(), FakeClock()
     controller, dispatcher = controller_of(store, clock, FakeLease())
