List the quarantines every 5 s instead of watching them

Change: a stale read, a tenth of a call, every 5 s; gossip stays the way on which quarantines usually arrive. Computed: 0.02 calls a second and router, before 0.05 and one for each change. Result: tests of the gateway pass.

--- a/banyansail/gateway/quarantine_store.py
+++ b/banyansail/gateway/quarantine_store.py
@@ -13,7 +13,6 @@
     RequestSubject,
     Subject,
 )
-from banyansail.gateway.mirror import Mirror
 from banyansail.log import log_event
 
 if TYPE_CHECKING:
@@ -71,24 +70,38 @@
         self._is_cleaner = is_cleaner
         self._write_at_by_subject: dict[Subject, timedelta] = {}
         self._applied_revision_by_name: dict[str, Revision] = {}
-        self.mirror = Mirror(QUARANTINES_KIND, store, clock, self._apply)
+        # As last listed; ``None`` if what the store holds is not known.
+        self._stored_by_name: dict[str, StoredObject] | None = None
+
+    def forget(self) -> None:
+        """List the quarantines again, as the store was restored from a copy."""
+        self._stored_by_name = None
+
+    async def refresh(self) -> None:
+        """List the stored quarantines and apply those that are new."""
+        _, stored = await self._store.list(QUARANTINES_KIND, serializable=True)
+        self._stored_by_name = {item.name: item for item in stored}
+        self._apply(self._stored_by_name)
 
     async def synchronize(self) -> None:
         """Write the quarantines that the store lacks; delete those that are over."""
-        if self.mirror.revision is None:
-            return  # what the store holds is not known
-        for subject, remaining in self._due_writes().items():
-            await self._write(subject, remaining)
-        await self._delete_cleared()
+        stored_by_name = self._stored_by_name
+        if stored_by_name is None:
+            return
+        for subject, remaining in self._due_writes(stored_by_name).items():
+            await self._write(subject, remaining, stored_by_name)
+        await self._delete_cleared(stored_by_name)
         if self._is_cleaner():
-            await self._delete_expired()
+            await self._delete_expired(stored_by_name)
 
-    def _due_writes(self) -> dict[Subject, timedelta]:
+    def _due_writes(
+        self, stored_by_name: dict[str, StoredObject]
+    ) -> dict[Subject, timedelta]:
         now = self._clock.monotonic()
         remaining_by_subject = {
             subject: remaining
             for subject, remaining in self._guard.quarantines().items()
-            if _name_of(subject) not in self.mirror.object_by_name
+            if _name_of(subject) not in stored_by_name
         }
         self._write_at_by_subject = {
             subject: self._write_at_by_subject.get(subject)
@@ -107,38 +120,48 @@
         spread = MAX_BACKUP_DELAY - MIN_BACKUP_DELAY
         return MIN_BACKUP_DELAY + spread * self._random.random()
 
-    async def _write(self, subject: Subject, remaining: timedelta) -> None:
+    async def _write(
+        self,
+        subject: Subject,
+        remaining: timedelta,
+        stored_by_name: dict[str, StoredObject],
+    ) -> None:
+        name = _name_of(subject)
         until = self._clock.now() + remaining
         spec = {"untilMs": int(until.timestamp() * 1000)}
         try:
-            await self._store.create(QUARANTINES_KIND, _name_of(subject), spec)
+            stored = await self._store.create(QUARANTINES_KIND, name, spec)
         except StoreConflictError as error:
             log_event("quarantine_conflict", error=error.message)
+            stored = await self._store.get(QUARANTINES_KIND, name)
+        if stored is not None:
+            stored_by_name[name] = stored
 
-    async def _delete_cleared(self) -> None:
+    async def _delete_cleared(self, stored_by_name: dict[str, StoredObject]) -> None:
         for subject in self._guard.take_cleared():
             name = _name_of(subject)
-            if name in self.mirror.object_by_name:
+            if stored_by_name.pop(name, None) is not None:
                 await self._store.delete(QUARANTINES_KIND, name)
 
-    async def _delete_expired(self) -> None:
+    async def _delete_expired(self, stored_by_name: dict[str, StoredObject]) -> None:
         latest = self._clock.now() - DELETION_DELAY
-        for stored in list(self.mirror.object_by_name.values()):
+        for stored in list(stored_by_name.values()):
             quarantine = _decode(stored)
             if quarantine is None or quarantine.end < latest:
                 await self._store.delete(QUARANTINES_KIND, stored.name)
+                stored_by_name.pop(stored.name, None)
 
-    def _apply(self, mirror: Mirror) -> None:
+    def _apply(self, stored_by_name: dict[str, StoredObject]) -> None:
         """Apply each quarantine once, as it may have been cleared here since."""
         now = self._clock.now()
-        for stored in mirror.object_by_name.values():
+        for stored in stored_by_name.values():
             if self._applied_revision_by_name.get(stored.name) == stored.revision:
                 continue
             self._applied_revision_by_name[stored.name] = stored.revision
             quarantine = _decode(stored)
             if quarantine is not None and quarantine.end > now:
                 self._guard.restore(quarantine.subject, quarantine.end - now)
-        for name in self._applied_revision_by_name.keys() - mirror.object_by_name:
+        for name in self._applied_revision_by_name.keys() - stored_by_name:
             del self._applied_revision_by_name[name]
 
 
--- a/banyansail/gateway/router.py
+++ b/banyansail/gateway/router.py
@@ -283,9 +283,9 @@
             self.config_mirror,
             self.upstream_table.mirror,
             self.move_mirror,
-            self.quarantine_store.mirror,
         ):
             mirror.reset()
+        self.quarantine_store.forget()
         self._publish_member()
 
     async def follow_upstreams(self) -> None:
--- a/banyansail/gateway/tasks.py
+++ b/banyansail/gateway/tasks.py
@@ -20,6 +20,7 @@
 EXPIRY_INTERVAL = timedelta(milliseconds=200)
 DUTY_INTERVAL = timedelta(seconds=1)
 QUARANTINE_INTERVAL = timedelta(milliseconds=200)
+REFRESH_INTERVAL = timedelta(seconds=5)  # for routers that gossip does not reach
 MOVE_INTERVAL = timedelta(milliseconds=300)
 JOIN_INTERVAL = timedelta(seconds=5)
 
@@ -34,10 +35,6 @@
         (gateway.config_mirror.kind, gateway.config_mirror.follow),
         (gateway.upstream_table.mirror.kind, gateway.follow_upstreams),
         (gateway.move_mirror.kind, gateway.move_mirror.follow),
-        (
-            gateway.quarantine_store.mirror.kind,
-            gateway.quarantine_store.mirror.follow,
-        ),
     ):
         gateway.add_task(f"{kind}.follow", follow, FOLLOW_PAUSE, MAX_FOLLOW_BACKOFF)
     gateway.add_task("config.catch_up", gateway.catch_up, CATCH_UP_INTERVAL)
@@ -46,6 +43,9 @@
     gateway.add_task("duties.usage", gateway.report_usage, DUTY_INTERVAL)
     gateway.add_task("duties.replicas", gateway.scale, DUTY_INTERVAL)
     gateway.add_task("moves", gateway.moves.publish_states, MOVE_INTERVAL)
+    gateway.add_task(
+        "quarantines.refresh", gateway.quarantine_store.refresh, REFRESH_INTERVAL
+    )
     gateway.add_task(
         "quarantines", gateway.quarantine_store.synchronize, QUARANTINE_INTERVAL
     )
--- a/tests/gateway/test_quarantine_store.py
+++ b/tests/gateway/test_quarantine_store.py
@@ -26,7 +26,7 @@
         self.link = QuarantineStore(
             store, clock, Random(1), self.guard, lambda: is_cleaner
         )
-        run(self.link.mirror._list())
+        run(self.link.refresh())
 
     def crash(self, *names):
         """Crash upstreams with one request; return the last published value."""
@@ -84,8 +84,8 @@
     router.crash("u1", "u2", "u3")
     run(router.link.synchronize())
     store.restore(copy)
-    router.link.mirror.reset()
-    run(router.link.mirror._list())
+    router.link.forget()
+    run(router.link.refresh())
     run(router.link.synchronize())
     assert Router(store, clock).is_rejecting
 
@@ -118,7 +118,7 @@
 
 def test_nothing_is_written_while_the_content_of_the_store_is_unknown(store, clock):
     router = Router(store, clock)
-    router.link.mirror.reset()
+    router.link.forget()
     router.crash("u1", "u2", "u3")
     run(router.link.synchronize())
     assert not stored_names(store)
@@ -132,7 +132,7 @@
     run(writer.link.synchronize())
     clock.advance(6)
     run(writer.link.synchronize())
-    run(other.link.mirror._list())
+    run(other.link.refresh())
     assert other.guard.rejection(bad) is not None
     other.guard.record_success(bad)
     assert other.guard.rejection(bad) is None
