--- a/banyansail/router/exchange.py
+++ b/banyansail/router/exchange.py
@@ -167,6 +167,7 @@
             assignment = await self.context.scheduler.acquire(
                 self.ticket, is_admitted=self.attempts > 0
             )
+            self._check_quarantine_of(assignment)
             self.attempts += 1
             error = await self._run_attempt(assignment)
             if error is None:
@@ -183,6 +184,14 @@
             raise RefusedError(quarantined(self.run_status(), remaining))
         return quarantine.is_suspect(self.fingerprint)
 
+    def _check_quarantine_of(self, assignment: Assignment) -> None:
+        """Release the slot of a request that was quarantined while it waited."""
+        try:
+            self._check_quarantine()
+        except RefusedError:
+            self.context.scheduler.release(assignment, None, timedelta(0))
+            raise
+
     async def _run_attempt(self, assignment: Assignment) -> AttemptError | None:
         name = assignment.state.rule.name
         client = self.context.upstream_clients.get(name)
--- a/tests/router/test_crashing_requests.py
+++ b/tests/router/test_crashing_requests.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import json
+from datetime import timedelta
 
 import pytest
 
+from banyansail.routing.quarantine import Quarantine
 from banyansail.standins.engine_state import EngineOptions, answer_text
 from tests.live import LiveSite, in_reactor
 from tests.processes import completion, wait_until
@@ -93,3 +95,22 @@
         )
         assert status == 422
     assert len(crashed_engines(site)) == crashed_count
+
+
+def test_a_request_quarantined_while_it_waits_is_not_sent(monkeypatch):
+    with LiveSite() as live:
+        live.engine("e0", "glasgow")
+        live.start("r0:glasgow")
+        router = live.site.router_by_name["r0"]
+        state = router.dispatcher.state_by_name["e0"]
+        in_reactor(setattr, state, "is_exclusive", True)  # has no slot for others
+        waiting = live.call_later("POST", COMPLETIONS, completion("late", 5))
+        wait_until(lambda: router.scheduler._waiter_by_ticket)
+        monkeypatch.setattr(
+            Quarantine, "quarantine_remaining", lambda *_: timedelta(seconds=60)
+        )
+        in_reactor(setattr, state, "is_exclusive", False)
+        in_reactor(router.scheduler.assign_waiting)
+        assert waiting.result()[0] == 422
+        assert state.in_flight == 0
+        assert live.counter("requests") == 0
