--- a/banyansail/router/placements.py
+++ b/banyansail/router/placements.py
@@ -94,15 +94,17 @@
     def apply_rules(self, rules: RuleSet) -> None:
         """Use the placements of new rules."""
         self._rules = rules
-        for service in self._placement_by_service.keys() - set(
-            rules.placement_by_service
-        ):
-            del self._placement_by_service[service]
 
     async def reconcile(self) -> None:
-        """Reconcile the services for which this router has the duty."""
+        """Reconcile the services for which this router has the duty.
+
+        The leases of services that the rules do not place any more are released.
+        """
         if self._rules is None:
             return
+        dropped = self._placement_by_service.keys() - self._rules.placement_by_service
+        for service in dropped:
+            await self._release(service)
         for service, rule in self._rules.placement_by_service.items():
             if self._duties.owner_of(f"placement/{service}") is None:
                 await self._reconcile_service(service, rule)
