Let a few drawn routers report a cleared part instead of all

Cause: each router that answers a prompt with a suspected part published that at once; with 195 routers that share a part, all would within a second, and each report is passed on by all.

--- a/banyansail/gateway/context.py
+++ b/banyansail/gateway/context.py
@@ -128,12 +128,6 @@
                 seconds=head.pause.total_seconds(),
             )
 
-    def record_success(self, call: CallerCall) -> None:
-        """Clear an answered request, and the parts of its prompt, of suspicion."""
-        cleared = self.crash_guard.record_success(call)
-        if cleared is not None:
-            self.publish_crashes(cleared)
-
     async def check_liveness(self, upstream: Upstream, call: CallerCall) -> None:
         """Connect to an upstream after a failure; record its crash if that fails."""
         try:
--- a/banyansail/gateway/decisions/crash_guard.py
+++ b/banyansail/gateway/decisions/crash_guard.py
@@ -21,11 +21,14 @@
 
 if TYPE_CHECKING:
     from datetime import timedelta
+    from random import Random
 
     from banyansail.clock import Clock
     from banyansail.gateway.request_types import CallerCall
     from banyansail.gateway.upstream import Upstream
 
+MEAN_REPORTERS = 3  # of the routers that cleared a part, at each draw
+MAX_REPORTED_REQUESTS = 16  # with one crash; each lost request is reported itself
 CRASHES_TO_REJECT = 3  # fewer would reject harmless requests that callers retry
 
 
@@ -62,6 +65,7 @@
         self._parts = PartQuarantine(clock)
         self._detected_subjects: set[int] = set()
         self._cleared_parts: set[int] = set()
+        self._parts_to_report: set[int] = set()
 
     def start_attempt(self, upstream: Upstream, call: CallerCall) -> None:
         """Record that a request is being sent to an upstream."""
@@ -75,22 +79,34 @@
         if not running:
             self._running_by_incarnation.pop(upstream.incarnation, None)
 
-    def record_success(self, call: CallerCall) -> bytes | None:
-        """Clear a request that an upstream answered; return the value to publish."""
+    def record_success(self, call: CallerCall) -> None:
+        """Clear a request that an upstream answered, and the parts of its prompt."""
         self._quarantine.record_success(call.fingerprint)
         if call.prompt is None:
-            return None
+            return
         cleared = self._parts.record_answer(map(hash_part, call.prompt.shared_part_ids))
-        if not cleared:
+        self._parts_to_report.update(cleared)
+        self._cleared_parts.update(cleared)
+
+    def draw_report(self, random: Random, fleet_size: int) -> bytes | None:
+        """Return the value that tells others of cleared parts, or ``None``.
+
+        Many routers clear a shared part at the same time. A few of them are drawn to
+        report it, and their reports spare the others theirs.
+        """
+        if not self._parts_to_report:
+            return None
+        if random.random() * fleet_size >= MEAN_REPORTERS:
             return None
-        for part in cleared:
+        for part in self._parts_to_report:
             self._reports.add_cleared(part)
-            self._cleared_parts.add(part)
+        self._parts_to_report.clear()
         return encode_crashes(self._reports.report())
 
     def record_crash(self, upstream: Upstream, call: CallerCall) -> bytes | None:
         """Record the crash of an upstream; return the value to publish if it is new."""
-        calls = [call, *self._running_by_incarnation.get(upstream.incarnation, ())]
+        running = self._running_by_incarnation.get(upstream.incarnation, [])
+        calls = [call, *running][:MAX_REPORTED_REQUESTS]
         part_ids = {part_id for call in calls for part_id in shared_parts(call)}
         name = f"{upstream.id}@{upstream.started_at}"
         crash = UpstreamCrash(
@@ -126,6 +142,7 @@
                 log_event("peer_reported_crash", upstream=crash.upstream)
         for part, age in report.age_by_cleared_subject.items():
             self._parts.clear(part, age)
+            self._parts_to_report.discard(part)
 
     def _record(self, crash: UpstreamCrash) -> bool:
         is_new = self._quarantine.record_crash(crash)
--- a/banyansail/gateway/outcome_recorder.py
+++ b/banyansail/gateway/outcome_recorder.py
@@ -80,7 +80,7 @@
                     load.mark_suspect(now)
             case Answered(head):
                 if not head.is_failure:
-                    self._context.record_success(self._call)
+                    self._context.crash_guard.record_success(self._call)
                 latency = duration if self._call.prompt is None else None
                 load.record_outcome(now, ok=not head.is_failure, latency=latency)
             case Incomplete():
--- a/banyansail/gateway/router.py
+++ b/banyansail/gateway/router.py
@@ -335,6 +335,14 @@
         self._publish_member()
         self.upstream_sync.publish_due_marks()
 
+    async def report_cleared(self) -> None:
+        """Tell other routers of suspected parts of prompts that were answered here."""
+        value = self.context.crash_guard.draw_report(
+            self._random, self.fleet.fleet_size()
+        )
+        if value is not None:
+            self.context.publish_crashes(value)
+
     async def exchange_traffic(self) -> None:
         """Send this router's traffic report, sums and usage counts that are due."""
         is_urgent = self.quota.has_urgent_use
--- a/banyansail/gateway/tasks.py
+++ b/banyansail/gateway/tasks.py
@@ -29,6 +29,7 @@
     """Add a gateway's tasks to its supervisor tree."""
     gateway.add_task("gossip.push", gateway.push_gossip, PUSH_INTERVAL)
     gateway.add_task("gossip.state", gateway.publish_state, STATE_INTERVAL)
+    gateway.add_task("gossip.cleared", gateway.report_cleared, STATE_INTERVAL)
     gateway.add_task("gossip.traffic", gateway.exchange_traffic, TRAFFIC_INTERVAL)
     gateway.add_task("gossip.exchange", gateway.exchange_digests, DIGEST_INTERVAL)
     for kind, follow in (
--- a/banyansail/routing/crash_reports.py
+++ b/banyansail/routing/crash_reports.py
@@ -12,7 +12,7 @@
     from banyansail.clock import Clock
     from banyansail.routing.crash_history import UpstreamCrash
 
-MAX_REPORTS = 20  # the most recent ones
+MAX_REPORTS = 8  # the most recent ones
 
 
 @dataclass(slots=True, frozen=True)
