--- a/banyansail/gateway/duties/move_controller.py
+++ b/banyansail/gateway/duties/move_controller.py
@@ -132,11 +132,12 @@
         """Replace the tallies of the whole fleet, which include this router's."""
         self._fleet_tallies = tallies
 
-    def is_slow(self, upstream: Upstream, route: str, duration: timedelta) -> bool:
-        """Return whether an answer took several times as long as other versions' do.
+    def record_time(self, upstream: Upstream, route: str, duration: timedelta) -> bool:
+        """Record the time of a complete answer; return whether it was slow.
 
-        Answers of other versions than a move's target set what is usual; an upstream
-        that has just started is slower for a while and not compared.
+        It was if it took several times the usual time, which the answers of other
+        versions than a move's target set. An upstream that has just started is slower
+        for a while and not compared.
         """
         if upstream.is_cold:
             return False
--- a/banyansail/gateway/outcome_recorder.py
+++ b/banyansail/gateway/outcome_recorder.py
@@ -68,7 +68,7 @@
             self._context.moves.record(
                 upstream.service,
                 upstream.version,
-                is_good=self._is_good(outcome, upstream, duration),
+                is_good=self._check_answer(outcome, upstream, duration),
             )
         now = self._context.clock.monotonic()
         match outcome:
@@ -91,12 +91,13 @@
                     self._check_for_crash(load.upstream)
                 self._context.pool_of(load.upstream.address).close_idle()
 
-    def _is_good(
+    def _check_answer(
         self, outcome: Outcome, upstream: Upstream, duration: timedelta
     ) -> bool:
+        """Record the time of a complete answer; return whether the outcome is good."""
         if not isinstance(outcome, Answered) or outcome.head.is_failure:
             return False
-        if self._context.moves.is_slow(upstream, self._route.name, duration):
+        if self._context.moves.record_time(upstream, self._route.name, duration):
             return False
         is_plain = self._call.prompt is None
         return (
--- a/tests/gateway/duties/test_moves.py
+++ b/tests/gateway/duties/test_moves.py
@@ -143,7 +143,7 @@
 
 def record_answer(controller, version, duration, **options):
     target = upstream(f"e-{version}", "engines", version=version, **options)
-    is_slow = controller.is_slow(target, "draft", seconds(duration))
+    is_slow = controller.record_time(target, "draft", seconds(duration))
     controller.record("engines", version, is_good=not is_slow)
 
 
