Clear a request at all routers once an upstream answers it, as parts are

A sound request that is sent often may be in flight at three crashes of one moment, then all routers rejected it for ten minutes; an answer cleared it at its router alone, and did not end a quarantine. Change: one quarantine of requests and parts, CrashQuarantine: nothing is quarantined before one second has passed since the first crash, an answer clears at all routers and ends a quarantine. What only the gateway used leaves the router's quarantine. Tests of gateway, routing, wire and crashing requests pass.

--- a/banyansail/gateway/decisions/crash_guard.py
+++ b/banyansail/gateway/decisions/crash_guard.py
@@ -7,16 +7,20 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from banyansail.exceptions import WireError
-from banyansail.gateway.decisions.part_quarantine import PartQuarantine, hash_part
+from banyansail.gateway.decisions.crash_quarantine import (
+    CrashQuarantine,
+    PartSubject,
+    RequestSubject,
+    Subject,
+)
 from banyansail.gateway.request_types import Cause, Rejection
 from banyansail.log import log_event
 from banyansail.routing.crash_history import UpstreamCrash
 from banyansail.routing.crash_reports import CrashReports
-from banyansail.routing.quarantine import Quarantine
+from banyansail.utils import hash64
 from banyansail.wire.gossip_codec import decode_crashes, encode_crashes
 
 if TYPE_CHECKING:
@@ -27,26 +31,8 @@
     from banyansail.gateway.request_types import CallerCall
     from banyansail.gateway.upstream import Upstream
 
-MEAN_REPORTERS = 3  # of the routers that cleared a part, at each draw
+MEAN_REPORTERS = 3  # of the routers that cleared something, at each draw
 MAX_REPORTED_REQUESTS = 16  # with one crash; each lost request is reported itself
-CRASHES_TO_REJECT = 3  # fewer would reject harmless requests that callers retry
-
-
-@dataclass(slots=True, frozen=True)
-class RequestSubject:
-    """A request that may be quarantined, by its fingerprint."""
-
-    hash: int
-
-
-@dataclass(slots=True, frozen=True)
-class PartSubject:
-    """A part of prompts that may be quarantined, by its hash."""
-
-    hash: int
-
-
-Subject = RequestSubject | PartSubject
 
 
 class CrashGuard:
@@ -59,13 +45,12 @@
     """
 
     def __init__(self, clock: Clock) -> None:
-        self._quarantine = Quarantine(clock, CRASHES_TO_REJECT)
+        self._quarantine = CrashQuarantine(clock)
         self._running_by_incarnation: dict[tuple[str, int], list[CallerCall]] = {}
         self._reports = CrashReports(clock)
-        self._parts = PartQuarantine(clock)
-        self._detected_subjects: set[int] = set()
-        self._cleared_parts: set[int] = set()
-        self._parts_to_report: set[int] = set()
+        self._detected_hashes: set[int] = set()
+        self._cleared: set[Subject] = set()  # not taken yet
+        self._to_report: set[Subject] = set()
 
     def start_attempt(self, upstream: Upstream, call: CallerCall) -> None:
         """Record that a request is being sent to an upstream."""
@@ -81,52 +66,48 @@
 
     def record_success(self, call: CallerCall) -> None:
         """Clear a request that an upstream answered, and the parts of its prompt."""
-        self._quarantine.record_success(call.fingerprint)
-        if call.prompt is None:
-            return
-        cleared = self._parts.record_answer(map(hash_part, call.prompt.shared_part_ids))
-        self._parts_to_report.update(cleared)
-        self._cleared_parts.update(cleared)
+        request = RequestSubject(call.fingerprint)
+        cleared = self._quarantine.record_answer(request, parts_of(call))
+        self._to_report |= cleared
+        self._cleared |= cleared
 
     def draw_report(self, random: Random, fleet_size: int) -> bytes | None:
-        """Return the value that tells others of cleared parts, or ``None``.
+        """Return the value that tells others what was cleared here, or ``None``.
 
         Many routers clear a shared part at the same time. A few of them are drawn to
         report it, and their reports spare the others theirs.
         """
-        if not self._parts_to_report:
+        if not self._to_report:
             return None
         if random.random() * fleet_size >= MEAN_REPORTERS:
             return None
-        for part in self._parts_to_report:
-            self._reports.add_cleared(part)
-        self._parts_to_report.clear()
+        for subject in self._to_report:
+            self._reports.add_cleared(subject.hash)
+        self._to_report.clear()
         return encode_crashes(self._reports.report())
 
     def record_crash(self, upstream: Upstream, call: CallerCall) -> bytes | None:
         """Record the crash of an upstream; return the value to publish if it is new."""
         running = self._running_by_incarnation.get(upstream.incarnation, [])
         calls = [call, *running][:MAX_REPORTED_REQUESTS]
-        part_ids = {part_id for call in calls for part_id in shared_parts(call)}
+        parts = {part.hash for call in calls for part in parts_of(call)}
         name = f"{upstream.id}@{upstream.started_at}"
         crash = UpstreamCrash(
             name,
             upstream.zone,
             fingerprints=frozenset(call.fingerprint for call in calls),
-            parts=frozenset(map(hash_part, part_ids)),
+            parts=frozenset(parts),
         )
-        if not self._record(crash):
+        if not self._quarantine.record_crash(crash):
             return None
         log_event(
             "upstream_died",
             upstream=name,
             fingerprints=[f"{number:016x}" for number in sorted(crash.fingerprints)],
-            parts=sorted(part_ids),
-        )
-        self._detected_subjects |= crash.fingerprints | crash.parts
-        self._detected_subjects &= (
-            self._quarantine.crashed_fingerprints | self._parts.crashed_parts
+            parts=[f"{number:016x}" for number in sorted(parts)],
         )
+        self._detected_hashes |= crash.fingerprints | crash.parts
+        self._detected_hashes &= {item.hash for item in self._quarantine.suspects}
         self._reports.add(crash)
         return encode_crashes(self._reports.report())
 
@@ -138,58 +119,44 @@
             log_event("deaths_unreadable", error=error.message)
             return
         for crash in report.crashes:
-            if self._record(crash):
+            if self._quarantine.record_crash(crash):
                 log_event("peer_reported_crash", upstream=crash.upstream)
-        for part, age in report.age_by_cleared_subject.items():
-            self._parts.clear(part, age)
-            self._parts_to_report.discard(part)
-
-    def _record(self, crash: UpstreamCrash) -> bool:
-        is_new = self._quarantine.record_crash(crash)
-        return self._parts.record_crash(crash) or is_new
+        for number, age in report.age_by_cleared_subject.items():
+            for subject in (RequestSubject(number), PartSubject(number)):
+                self._quarantine.clear(subject, age)
+                self._to_report.discard(subject)
 
     def quarantines(self) -> dict[Subject, timedelta]:
-        """Return the remaining quarantine by what is quarantined."""
-        requests = self._quarantine.quarantines()
-        parts = self._parts.quarantines()
-        return {
-            **{RequestSubject(number): end for number, end in requests.items()},
-            **{PartSubject(number): end for number, end in parts.items()},
-        }
+        """Return the remaining quarantine by subject."""
+        return self._quarantine.quarantines()
 
     def has_detected(self, subject: Subject) -> bool:
         """Return whether this router detected a crash with a subject in flight."""
-        return subject.hash in self._detected_subjects
+        return subject.hash in self._detected_hashes
 
-    def take_cleared(self) -> set[PartSubject]:
-        """Return the parts that were cleared here since the last call."""
-        cleared, self._cleared_parts = self._cleared_parts, set()
-        return {PartSubject(part) for part in cleared}
+    def take_cleared(self) -> set[Subject]:
+        """Return what was cleared here since the last call."""
+        cleared, self._cleared = self._cleared, set()
+        return cleared
 
     def restore(self, subject: Subject, remaining: timedelta) -> None:
         """Quarantine what another router quarantined."""
-        match subject:
-            case RequestSubject(fingerprint):
-                self._quarantine.restore(fingerprint, remaining)
-            case PartSubject(part):
-                self._parts.restore(part, remaining)
+        self._quarantine.restore(subject, remaining)
 
     def rejection(self, call: CallerCall) -> Rejection | None:
         """Return the rejection of a quarantined request, ``None`` if it may run."""
-        if self.quarantine_remaining(call.fingerprint) is not None:
+        if self._quarantine.is_quarantined(RequestSubject(call.fingerprint)):
             detail = "several upstreams crashed while they ran this request"
             return Rejection(500, Cause.CRASHES_UPSTREAMS, detail)
-        for part_id in shared_parts(call):
-            if self._parts.is_quarantined(hash_part(part_id)):
-                detail = f"several upstreams crashed with prompt part {part_id}"
+        for part in parts_of(call):
+            if self._quarantine.is_quarantined(part):
+                detail = f"several upstreams crashed with prompt part {part.hash:016x}"
                 return Rejection(500, Cause.CRASHES_UPSTREAMS, detail)
         return None
 
-    def quarantine_remaining(self, fingerprint: int) -> timedelta | None:
-        """Return how long a request is still rejected, or ``None`` if it may run."""
-        return self._quarantine.quarantine_remaining(fingerprint)
-
 
-def shared_parts(call: CallerCall) -> list[str]:
-    """Return the ids of the parts of a request's prompt that others may contain."""
-    return [] if call.prompt is None else call.prompt.shared_part_ids
+def parts_of(call: CallerCall) -> list[PartSubject]:
+    """Return the parts of a request's prompt that other prompts may contain."""
+    if call.prompt is None:
+        return []
+    return [PartSubject(hash64(part_id)) for part_id in call.prompt.shared_part_ids]
--- a/banyansail/gateway/decisions/crash_quarantine.py
+++ b/banyansail/gateway/decisions/crash_quarantine.py
@@ -1,29 +1,34 @@
-"""Detection of parts of prompts that crash each upstream that begins to answer.
+"""Quarantine of requests, and of parts of prompts, that crash upstreams.
 
-Prompts with such a part need have nothing else in common, and sound prompts share
-their other parts. What tells the part from those is that no upstream answers a prompt
-with it: an answer clears all parts of its prompt, at all routers.
+A part may crash each upstream that begins to answer a prompt with it. Such prompts
+need have nothing else in common, and sound prompts share their other parts. Likewise a
+sound request may be sent often and be in flight at several crashes. What tells the
+cause of the crashes from these is that no upstream answers it: an answer clears a
+request and all parts of its prompt, at all routers.
 """
 
 from __future__ import annotations
 
 from collections import OrderedDict
+from dataclasses import dataclass
 from datetime import timedelta
 from typing import TYPE_CHECKING
 
 from banyansail.log import log_event
 from banyansail.routing.crash_history import CrashHistory, UpstreamCrash
-from banyansail.routing.quarantine import QUARANTINE_DURATION
-from banyansail.utils import hash64
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
     from banyansail.clock import Clock
-
-MIN_CRASHES = 3  # since the last answer, of a part that was never answered
-MIN_CRASHES_ANSWERED = 5  # the same, of any part
-# Since the first of these crashes; other routers report an answer to the part sooner.
+    from banyansail.routing.crash_history import RecordedCrash
+
+QUARANTINE_DURATION = timedelta(minutes=10)
+# Since the last answer, of a request or of a part that was never answered; fewer would
+# reject harmless requests that callers retry.
+MIN_CRASHES = 3
+MIN_CRASHES_ANSWERED = 5  # the same, of a part that was answered before
+# Since the first of these crashes; other routers report an answer sooner.
 MIN_CRASH_AGE = timedelta(seconds=1)
 # Answered prompts after which a part that was in none counts as never answered.
 MIN_ANSWERS = 5
@@ -33,8 +38,25 @@
 MAX_ANSWERED_PARTS = 4096  # remembered; the least recently answered ones are forgotten
 
 
-class PartQuarantine:
-    """Rejects prompts with a part during which upstreams crashed and none answered.
+@dataclass(slots=True, frozen=True)
+class RequestSubject:
+    """A request that may be quarantined, by its fingerprint."""
+
+    hash: int
+
+
+@dataclass(slots=True, frozen=True)
+class PartSubject:
+    """A part of prompts that may be quarantined, by the hash of its id."""
+
+    hash: int
+
+
+Subject = RequestSubject | PartSubject
+
+
+class CrashQuarantine:
+    """Quarantines what was in flight at several crashes and was not answered since.
 
     Parameters
     ----------
@@ -44,111 +66,128 @@
 
     __slots__ = (
         "_answer_count",
-        "_answered",
+        "_answered_parts",
         "_answers_before_crash",
         "_clock",
-        "_end_by_part",
+        "_end_by_subject",
         "_history",
     )
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self._history = CrashHistory(clock)
-        self._answered: OrderedDict[int, None] = OrderedDict()
-        self._answer_count = 0
-        self._answers_before_crash: dict[int, int] = {}
-        self._end_by_part: dict[int, timedelta] = {}
+        self._answered_parts: OrderedDict[PartSubject, None] = OrderedDict()
+        self._answer_count = 0  # of prompts
+        self._answers_before_crash: dict[Subject, int] = {}
+        self._end_by_subject: dict[Subject, timedelta] = {}
 
     @property
-    def crashed_parts(self) -> set[int]:
-        """Parts with a crash since the last answer."""
+    def suspects(self) -> set[Subject]:
+        """Subjects with a crash since the last answer."""
         return self._history.subjects
 
     def record_crash(self, crash: UpstreamCrash) -> bool:
         """Record a crash; return whether it contained new information."""
-        recorded = self._history.record(crash, crash.parts)
+        subjects = frozenset[Subject](
+            {
+                *(RequestSubject(number) for number in crash.fingerprints),
+                *(PartSubject(number) for number in crash.parts),
+            }
+        )
+        recorded = self._history.record(crash, subjects)
         if recorded is None:
             return False
-        for part in recorded.fresh:
-            self._answers_before_crash.setdefault(part, self._answer_count)
+        for subject in recorded.fresh:
+            self._answers_before_crash.setdefault(subject, self._answer_count)
         return recorded.is_new or bool(recorded.fresh)
 
-    def record_answer(self, parts: Iterable[int]) -> list[int]:
-        """Clear the parts of an answered prompt; return those to clear elsewhere."""
-        self._answer_count += 1
-        to_report = []
-        for part in parts:
-            crash_count = len(self._history.crashes_of(part))
-            if crash_count >= MIN_CRASHES_TO_CLEAR or part in self._end_by_part:
-                to_report.append(part)
-            self.clear(part)
-            self._answered[part] = None
-            self._answered.move_to_end(part)
-        while len(self._answered) > MAX_ANSWERED_PARTS:
-            self._answered.popitem(last=False)
+    def record_answer(
+        self, request: RequestSubject, parts: Iterable[PartSubject]
+    ) -> set[Subject]:
+        """Clear an answered request and its parts; return those to clear elsewhere."""
+        subjects: list[Subject] = [request, *parts]
+        to_report = {subject for subject in subjects if self._must_report(subject)}
+        for subject in subjects:
+            self.clear(subject)
+        self._remember_answer(subjects[1:])
         return to_report
 
-    def clear(self, part: int, age: timedelta = timedelta(0)) -> None:
-        """Clear a part that an upstream answered some time ago."""
-        self._history.clear(part, self._clock.monotonic() - age)
-        if self._history.crashes_of(part):
+    def _must_report(self, subject: Subject) -> bool:
+        crash_count = len(self._history.crashes_of(subject))
+        return crash_count >= MIN_CRASHES_TO_CLEAR or subject in self._end_by_subject
+
+    def _remember_answer(self, parts: list[Subject]) -> None:
+        self._answer_count += bool(parts)
+        for part in parts:
+            self._answered_parts[part] = None
+            self._answered_parts.move_to_end(part)
+        while len(self._answered_parts) > MAX_ANSWERED_PARTS:
+            self._answered_parts.popitem(last=False)
+
+    def clear(self, subject: Subject, age: timedelta = timedelta(0)) -> None:
+        """Clear a subject that an upstream answered some time ago."""
+        self._history.clear(subject, self._clock.monotonic() - age)
+        if self._history.crashes_of(subject):
             return
-        self._answers_before_crash.pop(part, None)
-        if self._end_by_part.pop(part, None) is not None:
-            log_event("part_cleared", part=f"{part:016x}")
+        self._answers_before_crash.pop(subject, None)
+        if self._end_by_subject.pop(subject, None) is not None:
+            log_event("quarantine_cleared", subject=repr(subject))
 
-    def is_quarantined(self, part: int) -> bool:
-        """Return whether prompts with a part must not run now."""
+    def is_quarantined(self, subject: Subject) -> bool:
+        """Return whether a request must not run now."""
         self._history.expire()
         now = self._clock.monotonic()
-        end = self._end_by_part.get(part)
+        end = self._end_by_subject.get(subject)
         if end is not None and end > now:
             return True
-        if not self._is_guilty(part, now):
-            self._end_by_part.pop(part, None)
+        if not self._is_guilty(subject, now):
+            self._end_by_subject.pop(subject, None)
             return False
-        self._end_by_part[part] = now + QUARANTINE_DURATION
+        self._end_by_subject[subject] = now + QUARANTINE_DURATION
         log_event(
-            "part_quarantined",
-            part=f"{part:016x}",
-            upstreams=[crash.upstream for crash in self._history.crashes_of(part)],
+            "quarantined",
+            subject=repr(subject),
+            upstreams=[crash.upstream for crash in self._history.crashes_of(subject)],
         )
         return True
 
-    def quarantines(self) -> dict[int, timedelta]:
-        """Return the remaining quarantine by part."""
+    def quarantines(self) -> dict[Subject, timedelta]:
+        """Return the remaining quarantine by subject."""
         self._history.expire()
-        self._forget_cleared()
-        for part in self._history.subjects:
-            self.is_quarantined(part)
+        suspects = self._history.subjects
+        for subject in self._answers_before_crash.keys() - suspects:
+            del self._answers_before_crash[subject]
+        for subject in suspects:
+            self.is_quarantined(subject)
         now = self._clock.monotonic()
-        return {part: end - now for part, end in self._end_by_part.items() if end > now}
+        return {
+            subject: end - now
+            for subject, end in self._end_by_subject.items()
+            if end > now
+        }
 
-    def restore(self, part: int, remaining: timedelta) -> None:
+    def restore(self, subject: Subject, remaining: timedelta) -> None:
         """Continue a quarantine that another router began."""
         end = self._clock.monotonic() + min(remaining, QUARANTINE_DURATION)
-        self._end_by_part[part] = max(end, self._end_by_part.get(part, end))
+        self._end_by_subject[subject] = max(end, self._end_by_subject.get(subject, end))
 
-    def _is_guilty(self, part: int, now: timedelta) -> bool:
-        crashes = self._history.crashes_of(part)
+    def _is_guilty(self, subject: Subject, now: timedelta) -> bool:
+        crashes = self._history.crashes_of(subject)
         if len(crashes) < MIN_CRASHES:
             return False
         if now - min(crash.at for crash in crashes) < MIN_CRASH_AGE:
             return False
-        if self._answer_count >= MIN_ANSWERS and part not in self._answered:
+        match subject:
+            case RequestSubject():
+                return True
+            case PartSubject():
+                return self._is_part_guilty(subject, crashes)
+
+    def _is_part_guilty(self, part: PartSubject, crashes: list[RecordedCrash]) -> bool:
+        if self._answer_count >= MIN_ANSWERS and part not in self._answered_parts:
             return True
         answers_before = self._answers_before_crash.get(part, self._answer_count)
         other_answers = self._answer_count - answers_before
         return (
             len(crashes) >= MIN_CRASHES_ANSWERED and other_answers >= MIN_OTHER_ANSWERS
         )
-
-    def _forget_cleared(self) -> None:
-        remaining = self._history.subjects
-        for part in self._answers_before_crash.keys() - remaining:
-            del self._answers_before_crash[part]
-
-
-def hash_part(part_id: str) -> int:
-    """Return the hash of a part's id that routers report to each other."""
-    return hash64(f"part {part_id}")
--- a/banyansail/routing/crash_history.py
+++ b/banyansail/routing/crash_history.py
@@ -9,7 +9,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Hashable, Iterable
 
     from banyansail.clock import Clock
 
@@ -55,13 +55,13 @@
     ----------
     at : timedelta
         Time of the crash on this router's monotonic clock.
-    subjects : set of int
-        Hashes of what was in flight, according to all reports of the crash.
+    subjects : set of hashable
+        What was in flight, according to all reports of the crash.
     """
 
     upstream: str
     at: timedelta
-    subjects: set[int]
+    subjects: set[Hashable]
 
 
 @dataclass(slots=True, frozen=True)
@@ -74,19 +74,19 @@
         Crash that it is about.
     is_new : bool
         Whether the crash was not known before.
-    fresh : frozenset of int
+    fresh : frozenset of hashable
         Subjects of the crash that were not known before.
     """
 
     crash: RecordedCrash
     is_new: bool
-    fresh: frozenset[int]
+    fresh: frozenset[Hashable]
 
 
 class CrashHistory:
     """Recent crashes, and those during which each subject was in flight.
 
-    A subject is a hash of a request, or of another thing that crashes may be due to.
+    A subject stands for a request, or for another thing that crashes may be due to.
 
     Parameters
     ----------
@@ -99,16 +99,16 @@
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self._crashes: deque[RecordedCrash] = deque()
-        self._crashes_by_subject: dict[int, list[RecordedCrash]] = {}
+        self._crashes_by_subject: dict[Hashable, list[RecordedCrash]] = {}
         self._known_until_by_id: dict[int, timedelta] = {}
 
     @property
-    def subjects(self) -> set[int]:
+    def subjects(self) -> set[Hashable]:
         """Subjects with a crash that is not cleared."""
         return set(self._crashes_by_subject)
 
     def record(
-        self, report: UpstreamCrash, subjects: frozenset[int]
+        self, report: UpstreamCrash, subjects: frozenset[Hashable]
     ) -> Recorded | None:
         """Record a report; return ``None`` if it is known already or too old.
 
@@ -132,11 +132,11 @@
             self._crashes_by_subject.setdefault(subject, []).append(crash)
         return Recorded(crash, is_new, fresh)
 
-    def crashes_of(self, subject: int) -> list[RecordedCrash]:
+    def crashes_of(self, subject: Hashable) -> list[RecordedCrash]:
         """Return the crashes of a subject that are not cleared, in order of report."""
         return self._crashes_by_subject.get(subject, [])
 
-    def clear(self, subject: int, until: timedelta | None = None) -> None:
+    def clear(self, subject: Hashable, until: timedelta | None = None) -> None:
         """Clear the crashes of a subject, or those up to a time."""
         remaining = [
             crash
--- a/banyansail/routing/quarantine.py
+++ b/banyansail/routing/quarantine.py
@@ -94,24 +94,6 @@
             return None
         return remaining
 
-    def quarantines(self) -> dict[int, timedelta]:
-        """Return the remaining quarantine by fingerprint."""
-        remaining_by_fingerprint = {
-            fingerprint: self.quarantine_remaining(fingerprint)
-            for fingerprint in list(self._quarantine_end_by_fingerprint)
-        }
-        return {
-            fingerprint: remaining
-            for fingerprint, remaining in remaining_by_fingerprint.items()
-            if remaining is not None
-        }
-
-    def restore(self, fingerprint: int, remaining: timedelta) -> None:
-        """Continue a quarantine that another router began."""
-        end = self._clock.monotonic() + min(remaining, QUARANTINE_DURATION)
-        current = self._quarantine_end_by_fingerprint.get(fingerprint, end)
-        self._quarantine_end_by_fingerprint[fingerprint] = max(current, end)
-
     def _check_crashes(self, fingerprint: int) -> None:
         crashes = self._history.crashes_of(fingerprint)
         if (
