--- a/banyansail/gateway/decisions/crash_quarantine.py
+++ b/banyansail/gateway/decisions/crash_quarantine.py
@@ -131,7 +131,7 @@
             return
         self._answers_before_crash.pop(subject, None)
         if self._end_by_subject.pop(subject, None) is not None:
-            log_event("quarantine_cleared", subject=repr(subject))
+            log_event("quarantine_cleared", subject=f"{subject.hash:016x}")
 
     def is_quarantined(self, subject: Subject) -> bool:
         """Return whether a request must not run now."""
@@ -146,7 +146,7 @@
         self._end_by_subject[subject] = now + QUARANTINE_DURATION
         log_event(
             "quarantined",
-            subject=repr(subject),
+            subject=f"{subject.hash:016x}",
             upstreams=[crash.upstream for crash in self._history.crashes_of(subject)],
         )
         return True
--- a/tests/gateway/decisions/test_crash_quarantine.py
+++ b/tests/gateway/decisions/test_crash_quarantine.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+from contextlib import contextmanager
 from datetime import timedelta
 
+import eliot
 import pytest
 
 from banyansail.gateway.decisions.crash_quarantine import (
@@ -18,6 +20,15 @@
 REQUEST, OTHER_REQUEST = RequestSubject(1), RequestSubject(2)
 
 
+@contextmanager
+def destination(receive):
+    eliot.add_destinations(receive)
+    try:
+        yield
+    finally:
+        eliot.remove_destination(receive)
+
+
 @pytest.fixture
 def clock():
     return FakeClock()
@@ -168,3 +179,13 @@
     assert quarantine.is_quarantined(REQUEST)
     assert answer(quarantine, request=REQUEST) == {REQUEST}
     assert not quarantine.is_quarantined(REQUEST)
+
+
+def test_the_log_names_what_is_quarantined_as_rejections_do(quarantine, clock):
+    messages = []
+    with destination(messages.append):
+        for number in range(3):
+            crash(quarantine, f"u{number}", RequestSubject(255))
+        clock.advance(1)
+        quarantine.is_quarantined(RequestSubject(255))
+    assert [item["subject"] for item in messages] == ["00000000000000ff"]
