--- a/banyansail/gateway/context.py
+++ b/banyansail/gateway/context.py
@@ -120,6 +120,9 @@
         """Apply what an upstream says about itself in the head of an answer."""
         if head.is_leaving:
             self.mark_leaving(load.upstream)
+        if head.limit != load.limit:
+            load.limit = head.limit
+            log_event("upstream_limit", upstream=load.upstream.id, per_s=head.limit)
         if head.pause is not None:
             load.pause(head.pause, self.clock.monotonic())
             log_event(
--- a/banyansail/gateway/decisions/upstream_load.py
+++ b/banyansail/gateway/decisions/upstream_load.py
@@ -74,6 +74,7 @@
         "_sent_at_by_slot",
         "cache",
         "in_flight",
+        "limit",
         "peer_in_flight",
         "peer_pending_prefill_tokens",
         "pending_prefill_tokens",
@@ -100,6 +101,7 @@
         self.suspicions = 0  # consecutive ones, without a success in between
         self._sent_at_by_slot: dict[int, timedelta] = {}  # until the first byte
         self._paused_until = timedelta(0)
+        self.limit: float | None = None  # requests per second that the upstream named
 
     def start_attempt(
         self, slot_number: int, prefill_tokens: int, now: timedelta
--- a/banyansail/gateway/request_types.py
+++ b/banyansail/gateway/request_types.py
@@ -105,6 +105,9 @@
         Whether the upstream is draining.
     pause : timedelta or None
         Time for which the upstream wants no further requests of this router.
+    limit : float or None
+        Requests per second that the upstream takes from all routers together, for as
+        long as its answers name it; ``None`` for no limit.
     """
 
     status: int
@@ -116,6 +119,7 @@
     is_misdirected: bool = False
     is_leaving: bool = False
     pause: timedelta | None = None
+    limit: float | None = None
 
     @property
     def is_failure(self) -> bool:
--- a/banyansail/platform/calls.py
+++ b/banyansail/platform/calls.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from datetime import timedelta
 
 import xxhash
@@ -121,6 +122,7 @@
         is_misdirected=status == 421,
         is_leaving=first_value_by_name.get(header_names.UPSTREAM_LEAVING) == b"1",
         pause=_decode_pause(status, first_value_by_name.get(header_names.RETRY_AFTER)),
+        limit=_decode_limit(first_value_by_name.get(header_names.UPSTREAM_LIMIT)),
     )
 
 
@@ -141,6 +143,17 @@
     return timedelta(seconds=min(seconds, MAX_PAUSE.total_seconds()))
 
 
+def _decode_limit(value: bytes | None) -> float | None:
+    """Return the requests per second that an answer names, ``None`` for no limit."""
+    if value is None:
+        return None
+    try:
+        limit = float(value)
+    except ValueError:
+        return None
+    return limit if 0 <= limit < math.inf else None
+
+
 def _decode_connection_options(first_value_by_name: dict[bytes, bytes]) -> set[bytes]:
     # The attempt id and the host are forwarded even if a caller lists them here.
     options = first_value_by_name.get(b"connection", b"").split(b",")
--- a/banyansail/standins/replica.py
+++ b/banyansail/standins/replica.py
@@ -37,6 +37,8 @@
         Whether all answers say that the upstream is draining.
     retry_after : str
         Pause that rejections ask for, as sent; empty for none.
+    limit : str
+        Requests per second that all answers name; empty for none.
     crashes_on_part : str
         Part of a prompt that ends the upstream once it begins to answer; empty for
         none.
@@ -49,6 +51,7 @@
     sends_stray_answer: bool = False
     is_leaving: bool = False
     retry_after: str = ""
+    limit: str = ""
     crashes_on_part: str = ""
 
 
@@ -60,6 +63,8 @@
     ----------
     arrivals : list of str
         Ids of the attempts that reached it.
+    arrived_at : list of float
+        When each of them did so, in seconds of the reactor's clock.
     runs : list of str
         Ids of the attempts that it ran.
     headers : list of dict
@@ -72,6 +77,7 @@
     events: int = 5
     pause_s: float = 0.01
     arrivals: list[str] = field(default_factory=list)
+    arrived_at: list[float] = field(default_factory=list)
     runs: list[str] = field(default_factory=list)
     headers: list[dict[str, str]] = field(default_factory=list)
     disconnect_count: int = 0
@@ -101,9 +107,12 @@
         attempt = request.getHeader("x-attempt-id") or ""
         expected = request.getHeader("x-expect-replica")
         self.state.arrivals.append(attempt)
+        self.state.arrived_at.append(reactor.seconds())
         request.setHeader("x-attempt-id", attempt)
         if self.faults.is_leaving:
             request.setHeader("server-leaving", "1")
+        if self.faults.limit:
+            request.setHeader("server-limit", self.faults.limit)
         if expected not in (None, self.state.id):
             self._reject(request, 421)
             return
--- a/tests/platform/test_calls.py
+++ b/tests/platform/test_calls.py
@@ -43,3 +43,22 @@
     assert is_leaving(503, b"1")
     assert not is_leaving(200, b"0")
     assert not decode_reply(200, b"", []).is_leaving
+
+
+def limit(value):
+    return decode_reply(200, b"", [(b"Server-Limit", value)]).limit
+
+
+def test_an_answer_names_a_limit_in_requests_per_second():
+    assert limit(b"1.3") == 1.3
+    assert limit(b" 20 ") == 20.0
+    assert limit(b"0") == 0.0
+
+
+@pytest.mark.parametrize("value", [b"", b"-1", b"nan", b"inf", b"many"])
+def test_an_unreadable_limit_limits_nothing(value):
+    assert limit(value) is None
+
+
+def test_an_answer_without_a_limit_names_none():
+    assert decode_reply(200, b"", []).limit is None
