--- a/banyansail/gateway/context.py
+++ b/banyansail/gateway/context.py
@@ -27,6 +27,7 @@
     from banyansail.gateway.decisions.upstream_load import UpstreamLoad
     from banyansail.gateway.duties.move_controller import MoveController
     from banyansail.gateway.duties.usage import UsageCounter
+    from banyansail.gateway.limit_sharing import LimitSharing
     from banyansail.gateway.request_types import CallerCall, ReplyHead
     from banyansail.gateway.site import Workspace
     from banyansail.gateway.upstream import Upstream
@@ -53,6 +54,8 @@
         Publishes the encoded crashes of upstreams to other routers.
     mark_leaving : callable
         Called with an upstream that said in an answer that it is draining.
+    limits : LimitSharing
+        Limits that upstreams name in their answers.
     """
 
     reactor: Any
@@ -67,6 +70,7 @@
     crash_guard: CrashGuard
     publish_crashes: Callable[[bytes], None]
     mark_leaving: Callable[[Upstream], None]
+    limits: LimitSharing
     answer_budget: ByteBudget = field(
         default_factory=lambda: ByteBudget(MAX_BUFFERED_BYTES)
     )
@@ -120,9 +124,7 @@
         """Apply what an upstream says about itself in the head of an answer."""
         if head.is_leaving:
             self.mark_leaving(load.upstream)
-        if head.limit != load.limit:
-            load.limit = head.limit
-            log_event("upstream_limit", upstream=load.upstream.id, per_s=head.limit)
+        self.limits.record_answer(load, head.limit)
         if head.pause is not None:
             load.pause(head.pause, self.clock.monotonic())
             log_event(
--- a/banyansail/gateway/decisions/crash_guard.py
+++ b/banyansail/gateway/decisions/crash_guard.py
@@ -91,7 +91,7 @@
         running = self._running_by_incarnation.get(upstream.incarnation, [])
         calls = [call, *running][:MAX_REPORTED_REQUESTS]
         parts = {part.hash for call in calls for part in parts_of(call)}
-        name = f"{upstream.id}@{upstream.started_at}"
+        name = upstream.incarnation_name
         crash = UpstreamCrash(
             name,
             upstream.zone,
--- a/banyansail/gateway/decisions/dispatch.py
+++ b/banyansail/gateway/decisions/dispatch.py
@@ -32,6 +32,8 @@
 MAX_WAIT_SHARE = 0.5  # of a request's time until its deadline
 NO_UPSTREAM_RETRY_DELAY = timedelta(milliseconds=400)
 MIN_RETRY_DELAY = timedelta(milliseconds=100)
+# Other routers may have a larger part of the limits.
+LIMITED_RETRY_DELAY = timedelta(milliseconds=500)
 MAX_QUEUE_LENGTH = 500  # requests of one service
 NO_UPSTREAM_LEFT = Rejection(
     503, Cause.NO_UPSTREAM, "no usable upstream is left", NO_UPSTREAM_RETRY_DELAY
@@ -62,6 +64,14 @@
         """Return the state of a service."""
         return self.service_by_name.setdefault(service, ServiceState())
 
+    def loads(self) -> list[UpstreamLoad]:
+        """Return the loads of all known upstreams."""
+        return [
+            load
+            for state in self.service_by_name.values()
+            for load in state.load_by_id.values()
+        ]
+
     def load_of(self, upstream_id: str) -> UpstreamLoad | None:
         """Return the load of an upstream, if it is known."""
         for state in self.service_by_name.values():
@@ -187,18 +197,30 @@
         if ticket.is_retry or any(has_free_slot(load, now) for load in usable):
             return None
         wait = state.expected_wait(ticket)
-        if wait > remaining * MAX_WAIT_SHARE or len(state.waiting) >= MAX_QUEUE_LENGTH:
+        if (
+            wait is None
+            or wait > remaining * MAX_WAIT_SHARE
+            or len(state.waiting) >= MAX_QUEUE_LENGTH
+        ):
             return self._overload_rejection(state, ticket)
         return None
 
     def _overload_rejection(self, state: ServiceState, ticket: Ticket) -> Rejection:
         wait = state.expected_wait(ticket)
-        jittered_wait = wait * (0.5 + self._random.random())
+        jitter = 0.5 + self._random.random()
+        if state.is_limited():
+            delay = LIMITED_RETRY_DELAY if wait is None else wait
+            return Rejection(
+                503,
+                Cause.LIMITED,
+                "this router's part of the upstreams' limits is used up",
+                min(LIMITED_RETRY_DELAY, delay) * jitter,
+            )
         return Rejection(
             503,
             Cause.OVERLOADED,
             f"no upstream has room; the expected wait is {wait.total_seconds():.2f} s",
-            max(MIN_RETRY_DELAY, jittered_wait),
+            max(MIN_RETRY_DELAY, wait * jitter),
         )
 
     def _assign_slot(
@@ -232,7 +254,9 @@
         for upstream_id, upstream in upstream_by_id.items():
             load = state.load_by_id.get(upstream_id)
             if load is None or load.upstream.incarnation != upstream.incarnation:
-                load = UpstreamLoad(upstream, kv_tokens, state.prefill_rate)
+                load = UpstreamLoad(
+                    upstream, kv_tokens, state.prefill_rate, self._random
+                )
                 state.load_by_id[upstream_id] = load
                 removed = state.paused_by_incarnation.pop(upstream.incarnation, None)
                 if removed is not None:
--- a/banyansail/gateway/decisions/service_state.py
+++ b/banyansail/gateway/decisions/service_state.py
@@ -135,10 +135,21 @@
             return others or target
         return others
 
-    def expected_wait(self, ticket: Ticket) -> timedelta:
-        """Return the expected queueing time, behind all requests served before."""
-        slots = sum(load.upstream.slots for load in self.usable())
+    def expected_wait(self, ticket: Ticket) -> timedelta | None:
+        """Return the expected queueing time, behind all requests served before.
+
+        It is ``None`` if the upstreams' limits leave nothing to this router.
+        """
+        slot_time_s = self.mean_slot_time.total_seconds()
+        per_s = sum(
+            load.limit.capped(load.upstream.slots / slot_time_s)
+            for load in self.usable()
+        )
         ahead = sum(
             1 for entry in self.waiting if entry.ticket.priority <= ticket.priority
         )
-        return self.mean_slot_time * (ahead + 1) / max(1, slots)
+        return timedelta(seconds=(ahead + 1) / per_s) if per_s else None
+
+    def is_limited(self) -> bool:
+        """Return whether any usable upstream named a limit."""
+        return any(load.limit.per_s is not None for load in self.usable())
--- a/banyansail/gateway/decisions/upstream_load.py
+++ b/banyansail/gateway/decisions/upstream_load.py
@@ -6,8 +6,11 @@
 from typing import TYPE_CHECKING
 
 from banyansail.gateway.decisions.prefix_cache import PrefixCache
+from banyansail.gateway.decisions.rate_limit import RateLimit
 
 if TYPE_CHECKING:
+    from random import Random
+
     from banyansail.gateway.request_types import Prompt
     from banyansail.gateway.upstream import Upstream
 
@@ -64,6 +67,8 @@
         Memory of an engine in tokens; 0 for a plain service.
     prefill_rate : PrefillRate
         Shared by the engines of a service.
+    random : Random
+        Source of random draws of a named limit.
     """
 
     __slots__ = (
@@ -85,7 +90,11 @@
     )
 
     def __init__(
-        self, upstream: Upstream, kv_tokens: int, prefill_rate: PrefillRate
+        self,
+        upstream: Upstream,
+        kv_tokens: int,
+        prefill_rate: PrefillRate,
+        random: Random,
     ) -> None:
         self.upstream = upstream
         self.cache = PrefixCache(kv_tokens) if kv_tokens else None
@@ -101,13 +110,14 @@
         self.suspicions = 0  # consecutive ones, without a success in between
         self._sent_at_by_slot: dict[int, timedelta] = {}  # until the first byte
         self._paused_until = timedelta(0)
-        self.limit: float | None = None  # requests per second that the upstream named
+        self.limit = RateLimit(random)
 
     def start_attempt(
         self, slot_number: int, prefill_tokens: int, now: timedelta
     ) -> None:
         """Count an attempt that is sent to the upstream."""
         self.in_flight += 1
+        self.limit.record_request(now)
         self.pending_prefill_tokens += prefill_tokens
         self._sent_at_by_slot[slot_number] = now
 
--- a/banyansail/gateway/request_types.py
+++ b/banyansail/gateway/request_types.py
@@ -137,6 +137,7 @@
     NO_UPSTREAM = "no_upstream"
     OVERLOADED = "overloaded"
     PAUSED = "paused"
+    LIMITED = "limited"
     TOO_LATE = "too_late"
     CRASHES_UPSTREAMS = "crashes_upstreams"
     UPSTREAM_FAILED = "upstream_failed"
--- a/banyansail/gateway/router.py
+++ b/banyansail/gateway/router.py
@@ -22,6 +22,7 @@
 from banyansail.gateway.duties.usage_reporter import UsageReporter
 from banyansail.gateway.fleet_link import ROUTERS_KIND, FleetLink
 from banyansail.gateway.ingress import GatewayFactory, ReadyFactory
+from banyansail.gateway.limit_sharing import LimitSharing
 from banyansail.gateway.metrics import MetricsFactory
 from banyansail.gateway.mirror import Mirror
 from banyansail.gateway.quarantine_store import QuarantineStore
@@ -142,6 +143,9 @@
             clock, self.store, lease, self.dispatcher, settings.expose_share
         )
         self.scaler = Scaler(clock, self.cloud, lease, self.dispatcher, self.fleet)
+        self.limits = LimitSharing(
+            settings.name, clock, self.dispatcher, self.fleet, self.link.live_members
+        )
         self.context = GatewayContext(
             reactor=self._reactor,
             clock=clock,
@@ -157,6 +161,7 @@
                 Topic.DEATHS, value, urgent=True
             ),
             mark_leaving=lambda upstream: self.upstream_sync.mark_leaving(upstream),
+            limits=self.limits,
         )
         self.quarantine_store = QuarantineStore(
             self.store,
@@ -334,6 +339,7 @@
         """Publish this router's state, and leaving marks that no other published."""
         self._publish_member()
         self.upstream_sync.publish_due_marks()
+        self.limits.update()
 
     async def report_cleared(self) -> None:
         """Tell other routers of suspected parts of prompts that were answered here."""
--- a/banyansail/gateway/traffic_report.py
+++ b/banyansail/gateway/traffic_report.py
@@ -34,6 +34,7 @@
         is_unfit_for_duties,
         context.quota.has_urgent_use,
         holds_duties,
+        context.limits.own_limits(),
     )
 
 
@@ -48,6 +49,7 @@
         silent_routers=fleet.silent_others(),
     )
     context.moves.set_fleet_tallies(fleet.tallies)
+    context.limits.update()
     apply_fleet_work(context)
 
 
--- a/banyansail/gateway/upstream.py
+++ b/banyansail/gateway/upstream.py
@@ -46,3 +46,8 @@
     def incarnation(self) -> tuple[str, int]:
         """Identifier and start time, unique to this process."""
         return self.id, self.started_at
+
+    @property
+    def incarnation_name(self) -> str:
+        """Name of this process in what routers tell each other."""
+        return f"{self.id}@{self.started_at}"
--- a/banyansail/gateway/upstream_table.py
+++ b/banyansail/gateway/upstream_table.py
@@ -89,7 +89,7 @@
     def _record_leaving(self, upstreams: list[Upstream]) -> set[str]:
         """Keep the marks of the draining upstreams, and return them."""
         marks = {
-            _leaving_mark(upstream)
+            upstream.incarnation_name
             for upstream in upstreams
             if upstream.is_leaving and upstream.id not in self.mirror.lapsed_names
         }
@@ -101,7 +101,7 @@
 
         The mark holds for this incarnation, whatever its entry in the store says.
         """
-        mark = _leaving_mark(upstream)
+        mark = upstream.incarnation_name
         if mark in self._leaving_marks:
             return False
         self._leaving_marks.add(mark)
@@ -164,14 +164,9 @@
         self, upstream: Upstream, presumed_stopped_ids: set[str]
     ) -> Upstream:
         """Return the upstream, as leaving if it is marked or presumed stopped."""
-        is_marked = _leaving_mark(upstream) in self._leaving_marks
+        is_marked = upstream.incarnation_name in self._leaving_marks
         if upstream.is_leaving or not (
             is_marked or upstream.id in presumed_stopped_ids
         ):
             return upstream
         return replace(upstream, is_leaving=True)
-
-
-def _leaving_mark(upstream: Upstream) -> str:
-    """Return the leaving mark of an upstream's incarnation."""
-    return f"{upstream.id}@{upstream.started_at}"
--- a/banyansail/traffic/aggregator.py
+++ b/banyansail/traffic/aggregator.py
@@ -15,12 +15,13 @@
     UpstreamWork,
     add_tallies,
     add_work,
+    merge_limits,
     merge_max_tallies,
 )
 
 if TYPE_CHECKING:
     from banyansail.clock import Clock
-    from banyansail.traffic.report import TallyKey
+    from banyansail.traffic.report import NamedLimit, TallyKey
     from banyansail.traffic.tally import Tally
 
 WORK_TIMEOUT = timedelta(seconds=2.5)  # after which reported work does not count
@@ -138,10 +139,12 @@
         work: dict[str, UpstreamWork] = {}
         tallies: dict[TallyKey, Tally] = {}
         add_tallies(tallies, self._ended_tallies)
+        limits: dict[str, NamedLimit] = {}
         candidates, holders = [], []
         for name, reporter in self._reporter_by_name.items():
             report = reporter.report
             add_tallies(tallies, report.tallies)
+            merge_limits(limits, report.limits, now - reporter.received_at)
             if now - reporter.received_at > WORK_TIMEOUT:
                 continue
             add_work(work, report.work_by_upstream)
@@ -159,6 +162,7 @@
             tuple(rank_names(DUTY, candidates)[:DUTY_CANDIDATES]),
             tuple(holders),
             is_urgent=self._is_urgent,
+            limits=limits,
         )
 
     def fleet_sum(self, zone_sum: TrafficSum) -> TrafficSum:
@@ -171,6 +175,7 @@
         add_tallies(tallies, zone_sum.tallies)
         candidates = list(zone_sum.duty_candidates)
         holders = list(zone_sum.duty_holders)
+        limits = dict(zone_sum.limits)
         routers, silent_routers = zone_sum.routers, zone_sum.silent_routers
         for remote in self._remote_by_zone.values():
             add_increase(used, remote.used.total, {})
@@ -179,6 +184,7 @@
             age = now - remote.received_at
             if age > MEMBER_TIMEOUT:
                 continue
+            merge_limits(limits, remote.last.limits, age)
             last = remote.last
             routers += last.routers
             is_silent = age > SILENT_AFTER
@@ -199,6 +205,7 @@
             tuple(holders),
             self._sequence_by_router(),
             zone_sum.is_urgent,
+            limits,
         )
 
     def _sequence_by_router(self) -> dict[int, int]:
--- a/banyansail/traffic/fleet_traffic.py
+++ b/banyansail/traffic/fleet_traffic.py
@@ -12,6 +12,7 @@
 from banyansail.traffic.recipients import SILENT_AFTER, router_key
 from banyansail.traffic.report import (
     NO_WORK,
+    NamedLimit,
     TrafficReport,
     TrafficSum,
     UpstreamWork,
@@ -119,6 +120,15 @@
         heard = self._heard_within(WORK_TIMEOUT)
         return heard.work_by_upstream if heard else {}
 
+    def limits(self) -> dict[str, NamedLimit]:
+        """Return the limits that upstreams named to any router lately."""
+        heard = self._heard_within(MEMBER_TIMEOUT)
+        if heard is None:
+            return {}
+        time = self._clock.monotonic() - heard.received_at
+        limits = heard.fleet_sum.limits
+        return {upstream: named.aged(time) for upstream, named in limits.items()}
+
     def duty_candidates(self) -> list[str]:
         """Return the routers that rank first for duties, and this one."""
         heard = self._heard_within(WORK_TIMEOUT)
--- a/banyansail/traffic/report.py
+++ b/banyansail/traffic/report.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
+from datetime import timedelta
 
 from banyansail.traffic.tally import Tally
 
@@ -40,6 +41,26 @@
 NO_WORK = UpstreamWork(0, 0)
 
 
+@dataclass(slots=True, frozen=True)
+class NamedLimit:
+    """Limit that an upstream named in an answer.
+
+    Parameters
+    ----------
+    per_s : float or None
+        Requests per second from all routers together; ``None`` if it named none.
+    age : timedelta
+        Time since that answer.
+    """
+
+    per_s: float | None
+    age: timedelta
+
+    def aged(self, time: timedelta) -> NamedLimit:
+        """Return the same limit some time later."""
+        return NamedLimit(self.per_s, self.age + time)
+
+
 @dataclass(slots=True, frozen=True)
 class TrafficReport:
     """Traffic of one router process.
@@ -60,6 +81,8 @@
         Whether a quota is nearly used up, so that others should know this use soon.
     holds_duties : bool
         Whether the router holds the lease on the duties of the fleet.
+    limits : dict
+        Limits that upstreams named to the router, by the upstream's incarnation.
     """
 
     used_by_workspace: dict[str, float] = field(default_factory=dict)
@@ -69,6 +92,7 @@
     is_unfit_for_duties: bool = False
     is_urgent: bool = False
     holds_duties: bool = False
+    limits: dict[str, NamedLimit] = field(default_factory=dict)
 
 
 @dataclass(slots=True, frozen=True)
@@ -100,6 +124,8 @@
         routers of its own data centre.
     is_urgent : bool
         Whether one of the reports was urgent.
+    limits : dict
+        Latest limits that upstreams named to the routers, by upstream's incarnation.
     """
 
     used_by_workspace: dict[str, float] = field(default_factory=dict)
@@ -112,6 +138,24 @@
     duty_holders: tuple[str, ...] = ()
     sequence_by_router: dict[int, int] = field(default_factory=dict)
     is_urgent: bool = False
+    limits: dict[str, NamedLimit] = field(default_factory=dict)
+
+
+def merge_limits(
+    latest: dict[str, NamedLimit], limits: dict[str, NamedLimit], time: timedelta
+) -> None:
+    """Keep the latest limit of each upstream.
+
+    Parameters
+    ----------
+    time : timedelta
+        Since `limits` were reported.
+    """
+    for upstream, named in limits.items():
+        aged = named.aged(time)
+        known = latest.get(upstream)
+        if known is None or aged.age < known.age:
+            latest[upstream] = aged
 
 
 def add_work(
--- a/banyansail/wire/gossip_codec.py
+++ b/banyansail/wire/gossip_codec.py
@@ -190,12 +190,12 @@
             "fingerprints": sorted(crash.fingerprints),
             "parts": sorted(crash.parts),
             "id": crash.id,
-            "ageMs": _age_ms(crash.age),
+            "ageMs": age_ms(crash.age),
         }
         for crash in report.crashes
     ]
     cleared = [
-        {"subject": subject, "ageMs": _age_ms(age)}
+        {"subject": subject, "ageMs": age_ms(age)}
         for subject, age in report.age_by_cleared_subject.items()
     ]
     message = schema.Deaths.new_message(deaths=deaths, cleared=cleared)
@@ -220,7 +220,8 @@
     return CrashReport(crashes, cleared)
 
 
-def _age_ms(age: timedelta) -> int:
+def age_ms(age: timedelta) -> int:
+    """Return an age as it is sent, in milliseconds."""
     return min(age // MILLISECOND, MAX_AGE_MS)
 
 
--- a/banyansail/wire/schema.capnp
+++ b/banyansail/wire/schema.capnp
@@ -105,6 +105,7 @@
   isUnfitForDuties @4 :Bool;  # the router is draining or can't reach the store
   isUrgent @5 :Bool;  # a quota is nearly used up
   holdsDuties @6 :Bool;  # the router holds the lease on the duties
+  limits @7 :List(NamedLimit);
 }
 
 struct TrafficSum {
@@ -119,6 +120,14 @@
   included @8 :List(IncludedReport);  # in the order in which the sum is relayed
   isUrgent @9 :Bool;
   dutyHolders @10 :List(Text);
+  limits @11 :List(NamedLimit);
+}
+
+struct NamedLimit {
+  upstream @0 :Text;
+  isLimited @1 :Bool;
+  perS @2 :Float64;  # requests a second from all routers together
+  ageMs @3 :UInt32;  # since the answer that named it
 }
 
 struct Counter {
--- a/banyansail/wire/traffic_codec.py
+++ b/banyansail/wire/traffic_codec.py
@@ -5,13 +5,14 @@
 from typing import Any
 
 from banyansail.traffic.report import (
+    NamedLimit,
     TallyKey,
     TrafficReport,
     TrafficSum,
     UpstreamWork,
 )
 from banyansail.traffic.tally import Tally
-from banyansail.wire.gossip_codec import unpack
+from banyansail.wire.gossip_codec import MILLISECOND, age_ms, unpack
 from banyansail.wire.schema import schema
 
 UsageCounts = dict[int, dict[str, int]]  # requests by window and workspace
@@ -27,6 +28,7 @@
         isUnfitForDuties=report.is_unfit_for_duties,
         isUrgent=report.is_urgent,
         holdsDuties=report.holds_duties,
+        limits=_limits(report.limits),
     )
     return message.to_bytes_packed()
 
@@ -48,6 +50,7 @@
         message.isUnfitForDuties,
         message.isUrgent,
         message.holdsDuties,
+        _decode_limits(message.limits),
     )
 
 
@@ -68,6 +71,7 @@
             for key, sequence in traffic_sum.sequence_by_router.items()
         ],
         isUrgent=traffic_sum.is_urgent,
+        limits=_limits(traffic_sum.limits),
     )
     return message.to_bytes_packed()
 
@@ -99,6 +103,7 @@
         tuple(message.dutyHolders),
         {item.router: item.sequence for item in message.included},
         message.isUrgent,
+        _decode_limits(message.limits),
     )
 
 
@@ -149,6 +154,27 @@
     return {item.upstream: UpstreamWork(item.running, item.prefill) for item in items}
 
 
+def _limits(limits: dict[str, NamedLimit]) -> list[dict[str, Any]]:
+    return [
+        {
+            "upstream": name,
+            "isLimited": named.per_s is not None,
+            "perS": named.per_s or 0.0,
+            "ageMs": age_ms(named.age),
+        }
+        for name, named in limits.items()
+    ]
+
+
+def _decode_limits(items: Any) -> dict[str, NamedLimit]:
+    return {
+        item.upstream: NamedLimit(
+            item.perS if item.isLimited else None, item.ageMs * MILLISECOND
+        )
+        for item in items
+    }
+
+
 def _tallies(tallies: dict[TallyKey, Tally]) -> list[dict[str, Any]]:
     return [
         {
--- a/tests/gateway/decisions/test_choice.py
+++ b/tests/gateway/decisions/test_choice.py
@@ -23,6 +23,7 @@
             upstream(f"u{number}", zone=ZONES[number % 2], slots=slots),
             kv_tokens,
             prefill_rate,
+            Random(number),
         )
         for number in range(count)
     ]
--- a/tests/gateway/decisions/test_dispatch.py
+++ b/tests/gateway/decisions/test_dispatch.py
@@ -311,3 +311,21 @@
                 result.load.pause(duration, harness.clock.monotonic())
             harness.dispatcher.release(result)
     assert all(item.arrivals_in_pause == 0 for item in upstreams.values())
+
+
+def test_a_request_is_sent_to_another_upstream_while_one_is_limited():
+    harness = DispatcherHarness(upstreams=2, slots=4)
+    harness.dispatcher.load_of("u0").limit.record_answer(1.0, harness.clock.monotonic())
+    for number in range(4):
+        harness.request(number)
+    assert {slot.load.upstream.id for _, slot in harness.slots()} == {"u1"}
+
+
+def test_a_request_that_all_limits_leave_no_room_for_is_rejected_at_once():
+    harness = DispatcherHarness(upstreams=2)
+    for load in harness.dispatcher.loads():
+        load.limit.record_answer(1.0, harness.clock.monotonic())
+    harness.request(1)
+    rejection = harness.rejections()[1]
+    assert (rejection.status, rejection.cause) == (503, Cause.LIMITED)
+    assert rejection.retry_after is not None
