--- a/tests/gateway/live_gateway.py
+++ b/tests/gateway/live_gateway.py
@@ -5,7 +5,7 @@
 import http.client
 from datetime import timedelta
 
-from twisted.internet import reactor
+from twisted.internet import defer, reactor
 
 from banyansail.config.fields import Address
 from banyansail.config.gateway_settings import GatewaySettings
@@ -14,6 +14,7 @@
 from banyansail.standins.server import RunningStandin
 from banyansail.standins.store import StoreStandin
 from banyansail.standins.web import TrackingSite
+from tests.gateway.cut_reactor import CutReactor
 from tests.gateway.raw_upstream import RawUpstream
 from tests.live import in_reactor, run_reactor
 from tests.ports import free_port
@@ -66,9 +67,14 @@
 
 
 class LiveGateway:
-    """A running gateway with a store and upstreams, called over HTTP."""
+    """Running gateways with a store and upstreams, called over HTTP.
 
-    def __init__(self, replicas=("d1", "d2", "e1", "e2"), raw_upstreams=()) -> None:
+    Calls go to the first of them.
+    """
+
+    def __init__(
+        self, replicas=("d1", "d2", "e1", "e2"), raw_upstreams=(), routers=1
+    ) -> None:
         run_reactor()
         self._raw_names = raw_upstreams
         self.raw_by_name: dict[str, RawUpstream] = {}
@@ -77,14 +83,28 @@
         self._running: list[RunningStandin] = []
         self.running_by_name: dict[str, RunningStandin] = {}
         self.gateway: Gateway | None = None
+        self.other_gateways: list[Gateway] = []
+        self._router_count = routers
+        self._peer_port = free_port()
+        self.reactor = CutReactor()  # of the first router
 
     def __enter__(self) -> LiveGateway:
         in_reactor(self._start)
         wait_until(lambda: self.gateway.is_ready)
         names = [*self.replica_by_name, *self.raw_by_name]
-        wait_until(lambda: all(map(self.gateway.dispatcher.load_of, names)))
+        for gateway in self.gateways:
+            wait_until(lambda: self._is_connected(gateway, names))  # noqa: B023
         return self
 
+    def _is_connected(self, gateway: Gateway, names: list[str]) -> bool:
+        peers = len(gateway.link.live_peers())
+        knows_upstreams = all(map(gateway.dispatcher.load_of, names))
+        return knows_upstreams and peers == self._router_count - 1
+
+    @property
+    def gateways(self) -> list[Gateway]:
+        return [self.gateway, *self.other_gateways]
+
     def __exit__(self, *exc_info: object) -> None:
         in_reactor(self._stop)
 
@@ -99,8 +119,12 @@
             self.raw_by_name[name] = RawUpstream()
             self.announce(name, self.raw_by_name[name].address)
         self.store.state.put("config", "main", spec=config_body())
-        self.gateway = Gateway(self._settings(store.address), reactor)
-        self.gateway.startService()
+        self.gateway = Gateway(self._settings(store.address, 1), self.reactor)
+        for number in range(2, self._router_count + 1):
+            settings = self._settings(store.address, number)
+            self.other_gateways.append(Gateway(settings, reactor))
+        for gateway in self.gateways:
+            gateway.startService()
 
     def _listen(self, resource) -> RunningStandin:
         running = RunningStandin(resource, TrackingSite(resource))
@@ -122,18 +146,20 @@
         }
         self.store.state.put("servers", name, spec=spec)
 
-    def _settings(self, store: Address) -> GatewaySettings:
+    def _settings(self, store: Address, number: int) -> GatewaySettings:
+        hosts = tuple(f"127.0.0.{item + 1}" for item in range(self._router_count))
+
         def address() -> Address:
             return Address("127.0.0.1", free_port())
 
         return GatewaySettings(
-            name="front-1",
+            name=f"front-{number}",
             zone="glasgow",
             region="scotland",
             listen=address(),
             ready=address(),
-            peer=address(),
-            seeds=(),
+            peer=Address(hosts[number - 1], self._peer_port),
+            seeds=hosts,
             store=store,
             cloud=store,
             shared_key="0123456789abcdef",
@@ -150,14 +176,26 @@
         )
 
     def _stop(self):
-        self.gateway.stop_listening()
-        done = self.gateway.stopService()
+        for gateway in self.gateways:
+            gateway.stop_listening()
+        done = defer.gatherResults(
+            [defer.maybeDeferred(gateway.stopService) for gateway in self.gateways]
+        )
         for running in self._running:
             running.kill()
         for raw in self.raw_by_name.values():
             raw.stop()
         return done
 
+    def cut_off(self, cut) -> None:
+        """Cut the first router off from all upstreams."""
+        ports = {running.address.port for running in self.running_by_name.values()}
+        in_reactor(lambda: self.reactor.begin(cut, ports))
+
+    def heal(self) -> None:
+        """Let the first router reach the upstreams again."""
+        in_reactor(self.reactor.end)
+
     def connect(self) -> http.client.HTTPConnection:
         """Return a new connection to the gateway."""
         listen = self.gateway.settings.listen
