--- a/banyansail/gateway/context.py
+++ b/banyansail/gateway/context.py
@@ -9,6 +9,7 @@
 from banyansail.gateway.byte_budget import ByteBudget
 from banyansail.gateway.decisions.quota import cost_of
 from banyansail.gateway.decisions.retry_budget import WindowedRetryBudget
+from banyansail.gateway.decisions.upstream_reach import UpstreamReach
 from banyansail.gateway.log_rate_limit import LogRateLimit
 from banyansail.gateway.metrics import GatewayMetrics
 from banyansail.log import log_event
@@ -75,6 +76,7 @@
         default_factory=lambda: ByteBudget(MAX_BUFFERED_BYTES)
     )
     route_log_limit: LogRateLimit = field(init=False)
+    reach: UpstreamReach = field(init=False)
     metrics: GatewayMetrics = field(default_factory=GatewayMetrics)
     _retry_budget_by_service: dict[str, WindowedRetryBudget] = field(
         default_factory=dict
@@ -82,6 +84,7 @@
     _pool_by_address: dict[Address, ConnectionPool] = field(default_factory=dict)
 
     def __post_init__(self) -> None:
+        self.reach = UpstreamReach(self.clock)
         self.route_log_limit = LogRateLimit(self.clock)
 
     def retry_budget(self, service: str) -> WindowedRetryBudget:
@@ -111,10 +114,18 @@
         """Return the connection pool of an upstream's address."""
         pool = self._pool_by_address.get(address)
         if pool is None:
-            pool = ConnectionPool(self.reactor, self.clock, address)
+            pool = ConnectionPool(
+                self.reactor, self.clock, address, self._record_connect
+            )
             self._pool_by_address[address] = pool
         return pool
 
+    def _record_connect(self, is_connected: bool) -> None:
+        if is_connected:
+            self.reach.record_contact()
+        else:
+            self.reach.record_failure()
+
     def close_unused_pools(self, used_addresses: set[Address]) -> None:
         """Close the pools whose address no upstream uses any more."""
         for address in self._pool_by_address.keys() - used_addresses:
@@ -122,6 +133,7 @@
 
     def apply_reply_head(self, load: UpstreamLoad, head: ReplyHead) -> None:
         """Apply what an upstream says about itself in the head of an answer."""
+        self.reach.record_bytes()
         if head.is_leaving:
             self.mark_leaving(load.upstream)
         self.limits.record_answer(load, head.limit)
--- a/banyansail/gateway/exchange.py
+++ b/banyansail/gateway/exchange.py
@@ -115,6 +115,7 @@
 
     def event_received(self, head: ReplyHead, event: StreamEvent) -> None:
         """Forward an event of a stream to the caller."""
+        self._context.reach.record_bytes()
         if self._is_finished:
             return
         if not self._progress.is_stream_started:
--- a/banyansail/gateway/outcome_recorder.py
+++ b/banyansail/gateway/outcome_recorder.py
@@ -85,6 +85,7 @@
                 load.record_outcome(now, ok=not head.is_failure, latency=latency)
             case Incomplete():
                 load.record_outcome(now, ok=False)
+                self._context.reach.record_failure()
                 if is_attempt_timeout:
                     load.mark_suspect(now)
                 else:
--- a/banyansail/gateway/router.py
+++ b/banyansail/gateway/router.py
@@ -26,6 +26,7 @@
 from banyansail.gateway.metrics import MetricsFactory
 from banyansail.gateway.mirror import Mirror
 from banyansail.gateway.quarantine_store import QuarantineStore
+from banyansail.gateway.reach_check import ReachCheck
 from banyansail.gateway.request_handler import RequestHandler
 from banyansail.gateway.store_probe import StoreProbe
 from banyansail.gateway.tasks import add_tasks
@@ -163,6 +164,7 @@
             mark_leaving=lambda upstream: self.upstream_sync.mark_leaving(upstream),
             limits=self.limits,
         )
+        self.reach_check = ReachCheck(self.context, clock, self._publish_member)
         self.quarantine_store = QuarantineStore(
             self.store,
             clock,
--- a/banyansail/gateway/tasks.py
+++ b/banyansail/gateway/tasks.py
@@ -13,6 +13,7 @@
 STATE_INTERVAL = timedelta(milliseconds=200)
 DIGEST_INTERVAL = timedelta(seconds=1)
 PROBE_INTERVAL = timedelta(seconds=1)
+REACH_INTERVAL = timedelta(milliseconds=100)
 ASSIGN_INTERVAL = timedelta(milliseconds=50)
 FOLLOW_PAUSE = timedelta(milliseconds=20)
 MAX_FOLLOW_BACKOFF = timedelta(milliseconds=500)  # recovers soon after an outage
@@ -40,6 +41,7 @@
         gateway.add_task(f"{kind}.follow", follow, FOLLOW_PAUSE, MAX_FOLLOW_BACKOFF)
     gateway.add_task("config.catch_up", gateway.catch_up, CATCH_UP_INTERVAL)
     gateway.add_task("upstreams.lapse", gateway.expire_upstreams, EXPIRY_INTERVAL)
+    gateway.add_task("reach", gateway.reach_check.run, REACH_INTERVAL)
     gateway.add_task("pump", gateway.assign_waiting, ASSIGN_INTERVAL)
     gateway.add_task("duties.usage", gateway.report_usage, DUTY_INTERVAL)
     gateway.add_task("duties.replicas", gateway.scale, DUTY_INTERVAL)
--- a/banyansail/upstreams/pool.py
+++ b/banyansail/upstreams/pool.py
@@ -11,6 +11,8 @@
 from banyansail.upstreams.connection import HttpConnection
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from banyansail.clock import Clock
     from banyansail.config.fields import Address
 
@@ -31,9 +33,18 @@
         Source of time.
     address : Address
         Address of the server.
+    on_connect : callable or None
+        Called after each attempt to connect with whether it succeeded.
     """
 
-    def __init__(self, reactor: Any, clock: Clock, address: Address) -> None:
+    def __init__(
+        self,
+        reactor: Any,
+        clock: Clock,
+        address: Address,
+        on_connect: Callable[[bool], None] | None = None,
+    ) -> None:
+        self._on_connect = on_connect or (lambda is_connected: None)
         self._reactor = reactor
         self._clock = clock
         self._address = address
@@ -60,7 +71,7 @@
             If the server did not accept it in time; nothing was sent.
         """
         factory = protocol.Factory.forProtocol(
-            lambda: HttpConnection(self._clock, self._add_idle, self._open.discard)
+            lambda: HttpConnection(self._clock, self.keep, self._open.discard)
         )
         factory.noisy = False
         connected = connect_tcp(self._reactor, self._address, factory)
@@ -69,8 +80,10 @@
         except defer.CancelledError:
             raise
         except Exception as error:
+            self._on_connect(False)
             text = f"can't connect to {self._address}: {error}"
             raise ConnectFailedError(text) from error
+        self._on_connect(True)
         self._open.add(connection)
         if self._is_closed:
             connection.close()
@@ -90,7 +103,8 @@
         for connection in idle:
             connection.close()
 
-    def _add_idle(self, connection: HttpConnection) -> None:
+    def keep(self, connection: HttpConnection) -> None:
+        """Keep a connection without an exchange for the next one."""
         if self._is_closed or len(self._idle) >= MAX_IDLE_CONNECTIONS:
             connection.close()
             return
