--- a/banyansail/config/gateway_settings.py
+++ b/banyansail/config/gateway_settings.py
@@ -26,6 +26,8 @@
         Listeners for callers and for readiness checks of the load balancer.
     peer : Address
         Listener for other routers, both UDP and TCP.
+    relay : Address
+        Listener for requests that other routers relay; on the host of `peer`.
     seeds : tuple of str
         IP addresses of routers to contact first; they may be stale.
     store, cloud : Address
@@ -55,6 +57,7 @@
     listen: Address
     ready: Address
     peer: Address
+    relay: Address
     seeds: tuple[str, ...]
     store: Address
     cloud: Address
@@ -103,6 +106,7 @@
     "listen": ("listen", _address),
     "ready": ("ready", _address),
     "peer": ("peer", _address),
+    "relay": ("relay", _address),
     "seeds": ("seeds", _hosts),
     "store": ("store", _address),
     "cloud": ("cloud", _address),
--- a/banyansail/fleet/entries.py
+++ b/banyansail/fleet/entries.py
@@ -55,6 +55,10 @@
         Whether the router is draining before it stops.
     store_era : int
         Highest era of the platform's store that the router knows; 0 for none.
+    relay_port : int
+        Port at which it serves requests for other routers; 0 for none.
+    is_cut_off : bool
+        Whether it reaches no upstream.
     """
 
     zone: str
@@ -65,6 +69,13 @@
     is_ready: bool
     is_leaving: bool
     store_era: int = 0
+    relay_port: int = 0
+    is_cut_off: bool = False
+
+    @property
+    def relay(self) -> Address | None:
+        """Address at which the router serves requests for other routers."""
+        return Address(self.peer.host, self.relay_port) if self.relay_port else None
 
 
 @dataclass(slots=True, frozen=True)
--- a/banyansail/gateway/context.py
+++ b/banyansail/gateway/context.py
@@ -12,16 +12,18 @@
 from banyansail.gateway.decisions.upstream_reach import UpstreamReach
 from banyansail.gateway.log_rate_limit import LogRateLimit
 from banyansail.gateway.metrics import GatewayMetrics
+from banyansail.gateway.relay import Relays
 from banyansail.log import log_event
 from banyansail.upstreams.pool import ConnectionPool
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Coroutine
     from random import Random
 
     from banyansail.clock import Clock
     from banyansail.config.fields import Address
     from banyansail.config.gateway_settings import GatewaySettings
+    from banyansail.fleet.entries import Member
     from banyansail.gateway.decisions.crash_guard import CrashGuard
     from banyansail.gateway.decisions.dispatch import Dispatcher
     from banyansail.gateway.decisions.quota import QuotaLimiter
@@ -57,6 +59,11 @@
         Called with an upstream that said in an answer that it is draining.
     limits : LimitSharing
         Limits that upstreams name in their answers.
+    live_peers : callable
+        Returns the other live routers by name.
+    confirm_reach : callable
+        Coroutine function that checks whether this router is cut off from all upstreams
+        if a connection failed since the last one was accepted.
     """
 
     reactor: Any
@@ -72,19 +79,24 @@
     publish_crashes: Callable[[bytes], None]
     mark_leaving: Callable[[Upstream], None]
     limits: LimitSharing
+    live_peers: Callable[[], dict[str, Member]]
+    confirm_reach: Callable[[], Coroutine[Any, Any, None]]
     answer_budget: ByteBudget = field(
         default_factory=lambda: ByteBudget(MAX_BUFFERED_BYTES)
     )
     route_log_limit: LogRateLimit = field(init=False)
     reach: UpstreamReach = field(init=False)
+    relays: Relays = field(init=False)
     metrics: GatewayMetrics = field(default_factory=GatewayMetrics)
     _retry_budget_by_service: dict[str, WindowedRetryBudget] = field(
         default_factory=dict
     )
     _pool_by_address: dict[Address, ConnectionPool] = field(default_factory=dict)
+    _pool_by_router: dict[Address, ConnectionPool] = field(default_factory=dict)
 
     def __post_init__(self) -> None:
         self.reach = UpstreamReach(self.clock)
+        self.relays = Relays(self, self.live_peers)
         self.route_log_limit = LogRateLimit(self.clock)
 
     def retry_budget(self, service: str) -> WindowedRetryBudget:
@@ -105,6 +117,11 @@
         """Withdraw a retry from a service's budget; return whether it was available."""
         return self.retry_budget(service).withdraw(self.fleet.fleet_size())
 
+    def charge_quota(self, workspace: Workspace | None, call: CallerCall) -> None:
+        """Charge the quota of a request that was admitted before."""
+        if workspace is not None:
+            self.quota.charge(workspace, quota_cost(workspace, call))
+
     def refund_quota(self, workspace: Workspace | None, call: CallerCall) -> None:
         """Refund the quota of a request that did not run."""
         if workspace is not None:
@@ -120,6 +137,14 @@
             self._pool_by_address[address] = pool
         return pool
 
+    def pool_of_router(self, address: Address) -> ConnectionPool:
+        """Return the connection pool of a router that relays requests."""
+        pool = self._pool_by_router.get(address)
+        if pool is None:
+            pool = ConnectionPool(self.reactor, self.clock, address)
+            self._pool_by_router[address] = pool
+        return pool
+
     def _record_connect(self, is_connected: bool) -> None:
         if is_connected:
             self.reach.record_contact()
--- a/banyansail/gateway/decisions/upstream_reach.py
+++ b/banyansail/gateway/decisions/upstream_reach.py
@@ -57,6 +57,11 @@
         """Record that a connection was not accepted, or broke during a request."""
         self._failed_at = self._clock.monotonic()
 
+    @property
+    def is_in_doubt(self) -> bool:
+        """Whether a connection failed since the last one that was accepted."""
+        return self._failed_at > self._contact_at and not self.is_cut_off
+
     def needs_check(self, oldest_wait: timedelta) -> bool:
         """Return whether connections should be tried now.
 
@@ -68,12 +73,13 @@
         now = self._clock.monotonic()
         if now - self._checked_at < CHECK_INTERVAL:
             return False
-        is_silent = oldest_wait > SILENCE and now - self._heard_at > SILENCE
-        return (
-            self.is_cut_off
-            or self._failed_at > self._contact_at
-            or (is_silent and now - self._contact_at > SILENCE)
-        )
+        if self.is_cut_off or self.is_in_doubt:
+            return True
+        return oldest_wait > SILENCE and now - self._last_sign_at > SILENCE
+
+    @property
+    def _last_sign_at(self) -> timedelta:
+        return max(self._heard_at, self._contact_at)
 
     def record_check(self, *, has_contact: bool) -> bool:
         """Record the result of a check; return whether it changes `is_cut_off`."""
--- a/banyansail/gateway/exchange.py
+++ b/banyansail/gateway/exchange.py
@@ -11,6 +11,7 @@
 from banyansail.gateway.decisions.retry_policy import (
     Answered,
     Deliver,
+    NotSent,
     Outcome,
     Progress,
     Retry,
@@ -28,6 +29,7 @@
 from banyansail.platform.calls import encode_attempt
 
 if TYPE_CHECKING:
+    from banyansail.config.fields import Address
     from banyansail.gateway.context import GatewayContext
     from banyansail.gateway.events import StreamEvent
     from banyansail.gateway.request_types import CallerCall, ReplyHead
@@ -52,6 +54,9 @@
         Service that the request is routed to.
     workspace : Workspace or None
         Workspace of the caller, or ``None`` if the route needs no API key.
+    earlier_runs : int or None
+        Attempts of the router that relays the request which may have run it; ``None``
+        for a request from a caller.
     """
 
     def __init__(
@@ -62,6 +67,7 @@
         route: Route,
         service: str,
         workspace: Workspace | None,
+        earlier_runs: int | None = None,
     ) -> None:
         self._context = context
         self._writer = writer
@@ -83,7 +89,9 @@
             version_draw=context.random.random(),
         )
         self._recorder = OutcomeRecorder(context, call, route)
-        self._progress = Progress()
+        self._is_relayed = earlier_runs is not None
+        self._progress = Progress(possible_runs=earlier_runs or 0)
+        self._failed_relays: set[Address] = set()
         self._last_event_id = call.last_event_id
         self._fallback: Deliver | Rejection | None = None
         self._upstream_id = ""  # of the latest attempt
@@ -100,7 +108,8 @@
         self._deadline_timer = self._context.reactor.callLater(
             seconds, self._on_deadline
         )
-        self._context.retry_budget(self._ticket.service).record_request()
+        if not self._is_relayed:  # else counted by the router that relays it
+            self._context.retry_budget(self._ticket.service).record_request()
         self._serving = defer.Deferred.fromCoroutine(self._serve())
         self._serving.addErrback(self._on_error)
         self._serving.addBoth(lambda _: self._clean_up())
@@ -127,6 +136,11 @@
 
     async def _serve(self) -> None:
         while not self._is_finished:
+            relay = self._choose_relay()
+            if relay is not None:
+                if not await self._serve_through(relay):
+                    return
+                continue
             assigned = await self._wait_for_slot()
             if isinstance(assigned, Rejection):
                 self._finish(self._fallback or assigned)
@@ -137,11 +151,56 @@
                 self._finish(self._fallback or quarantined)
                 return
             outcome = await self._attempt(assigned)
+            if isinstance(outcome, NotSent) and not self._is_finished:
+                await self._context.confirm_reach()
             if self._is_finished:
                 return
             if not self._handle_outcome(outcome, assigned):
                 return
 
+    def _choose_relay(self) -> Address | None:
+        if self._is_relayed:
+            return None
+        return self._context.relays.choose(self._failed_relays)
+
+    async def _serve_through(self, relay: Address) -> bool:
+        """Let another router serve the request; return whether to try again."""
+        self._log("relay", "no upstream can be reached from here", router=str(relay))
+        # The other router charges the quota itself.
+        self._context.refund_quota(self._workspace, self._call)
+        self._progress.attempts += 1
+        outcome = await self._context.relays.send(
+            relay,
+            self._call,
+            self._sink(),
+            remaining=self._remaining(),
+            last_event_id=self._last_event_id,
+            possible_runs=self._progress.possible_runs,
+        )
+        if self._is_finished:
+            return False
+        match outcome:
+            case NotSent():
+                self._failed_relays.add(relay)
+                self._context.charge_quota(self._workspace, self._call)
+                return True
+            case Answered():
+                self._deliver(outcome)
+                return False
+        self._progress.possible_runs += 1
+        step = next_step(outcome, self._route, self._progress, self._remaining())
+        if isinstance(step, Retry) and self._context.withdraw_retry(
+            self._ticket.service
+        ):
+            self._fallback = step.fallback
+            self._context.charge_quota(self._workspace, self._call)
+            return True
+        self._finish(step.fallback if isinstance(step, Retry) else step)
+        return False
+
+    def _sink(self) -> Exchange | None:
+        return self if self._route.kind is RouteKind.STREAM else None
+
     def _handle_outcome(self, outcome: Outcome, slot: Slot) -> bool:
         """Finish the request or prepare a retry; return whether to try again."""
         step = next_step(outcome, self._route, self._progress, self._remaining())
@@ -180,7 +239,6 @@
         context = self._context
         load = slot.load
         upstream = load.upstream
-        sink = self if self._route.kind is RouteKind.STREAM else None
         sent_at = context.clock.monotonic()
 
         def on_first_byte(head: ReplyHead) -> None:
@@ -195,7 +253,7 @@
         attempt = Attempt(
             context.pool_of(upstream.address),
             self._call.attempt_id,
-            sink,
+            self._sink(),
             lambda head: context.apply_reply_head(load, head),
             on_first_byte,
             context.answer_budget,
--- a/banyansail/gateway/fleet_link.py
+++ b/banyansail/gateway/fleet_link.py
@@ -99,6 +99,7 @@
         is_ready: bool,
         is_leaving: bool,
         store_era: int,
+        is_cut_off: bool,
     ) -> None:
         """Publish this router's address and state.
 
@@ -114,6 +115,8 @@
             is_ready,
             is_leaving,
             store_era,
+            settings.relay.port,
+            is_cut_off,
         )
         self.publish(Topic.MEMBER, encode_member(member), urgent=True)
 
--- a/banyansail/gateway/reach_check.py
+++ b/banyansail/gateway/reach_check.py
@@ -38,6 +38,7 @@
         self._context = context
         self._clock = clock
         self._on_change = on_change
+        self._lock = defer.DeferredLock()
 
     async def run(self) -> None:
         """Check if it is due."""
@@ -45,8 +46,20 @@
         now = self._clock.monotonic()
         loads = self._context.dispatcher.loads()
         oldest_wait = max((load.oldest_wait(now) for load in loads), default=None)
-        if oldest_wait is None or not reach.needs_check(oldest_wait):
-            return
+        if oldest_wait is not None and reach.needs_check(oldest_wait):
+            await self._lock.run(self._check, loads)
+
+    async def confirm(self) -> None:
+        """Check at once if a connection failed since the last one was accepted."""
+        await self._lock.run(self._check_in_doubt)
+
+    async def _check_in_doubt(self) -> None:
+        loads = self._context.dispatcher.loads()
+        if loads and self._context.reach.is_in_doubt:
+            await self._check(loads)
+
+    async def _check(self, loads: list[UpstreamLoad]) -> None:
+        reach = self._context.reach
         if reach.record_check(has_contact=await self._has_contact(loads)):
             event = "upstreams_unreachable" if reach.is_cut_off else "upstreams_reached"
             log_event(event, tried=min(len(loads), MAX_TARGETS))
@@ -59,7 +72,7 @@
         attempts = [
             defer.Deferred.fromCoroutine(self._can_connect(load)) for load in others
         ]
-        return any(await defer.gatherResults(attempts))
+        return any(await defer.gatherResults(attempts, consumeErrors=True))
 
     def _choose_targets(self, loads: list[UpstreamLoad]) -> list[UpstreamLoad]:
         """Return a few upstreams, of as many data centres as there are."""
--- a/banyansail/gateway/request_handler.py
+++ b/banyansail/gateway/request_handler.py
@@ -13,12 +13,19 @@
     GatewayRequest,
     HttpResponseWriter,
 )
-from banyansail.gateway.request_types import CallerCall, Cause, Rejection
+from banyansail.gateway.request_types import (
+    CallerCall,
+    Cause,
+    HeaderList,
+    Rejection,
+)
 from banyansail.gateway.site import Route, SiteConfig, Workspace
 from banyansail.log import log_decision
-from banyansail.platform.calls import decode_call
+from banyansail.platform.calls import decode_call, decode_possible_runs
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from banyansail.gateway.context import GatewayContext
 
 UNKNOWN_ROUTE = ""
@@ -47,6 +54,17 @@
 
     def handle(self, request: GatewayRequest) -> None:
         """Reject a request at once or start its exchange."""
+        self._handle(request, lambda headers: None)
+
+    def handle_relayed(self, request: GatewayRequest) -> None:
+        """Serve a request that another router relays."""
+        self._handle(request, decode_possible_runs)
+
+    def _handle(
+        self,
+        request: GatewayRequest,
+        decode_earlier_runs: Callable[[HeaderList], int | None],
+    ) -> None:
         writer = HttpResponseWriter(request, lambda: self.is_leaving)
         request.notifyFinish().addErrback(lambda failure: None)
         headers = [
@@ -57,6 +75,7 @@
         body = request.content.getvalue()
         try:
             call = decode_call(request.method, request.uri, headers, body)
+            earlier_runs = decode_earlier_runs(headers)
         except CallError as error:
             writer.reject(Rejection(400, Cause.BAD_REQUEST, error.message))
             return
@@ -66,7 +85,9 @@
             return
         route, workspace = admitted
         service = self._choose_service(route)
-        exchange = Exchange(self._context, writer, call, route, service, workspace)
+        exchange = Exchange(
+            self._context, writer, call, route, service, workspace, earlier_runs
+        )
         self._exchanges.add(exchange)
         request.notifyFinish().addErrback(lambda failure: exchange.abandon())
         exchange.start().addBoth(lambda _: self._exchanges.discard(exchange))
--- a/banyansail/gateway/router.py
+++ b/banyansail/gateway/router.py
@@ -163,6 +163,8 @@
             ),
             mark_leaving=lambda upstream: self.upstream_sync.mark_leaving(upstream),
             limits=self.limits,
+            live_peers=self.link.live_peers,
+            confirm_reach=lambda: self.reach_check.confirm(),
         )
         self.reach_check = ReachCheck(self.context, clock, self._publish_member)
         self.quarantine_store = QuarantineStore(
@@ -195,6 +197,9 @@
         self._caller_factory = GatewayFactory(
             self._reactor, self.request_handler.handle
         )
+        self._relay_factory = GatewayFactory(
+            self._reactor, self.request_handler.handle_relayed
+        )
         self._metrics_factory = MetricsFactory(self._reactor, self._render_metrics)
         self._readiness_factory = ReadyFactory(self._reactor, lambda: self.is_ready)
 
@@ -228,6 +233,7 @@
         for address, factory in (
             (peer, self.link.server),
             (settings.listen, self._caller_factory),
+            (settings.relay, self._relay_factory),
             (settings.ready, self._readiness_factory),
             (settings.metrics, self._metrics_factory),
         ):
@@ -251,9 +257,11 @@
         drain_timeout = self.settings.grace - STOP_MARGIN
         while self.clock.monotonic() - stop_started_at < drain_timeout:
             self._caller_factory.close_idle_connections()
-            if (
-                not self.request_handler.in_progress
-                and not self._caller_factory.channels
+            self._relay_factory.close_idle_connections()
+            if not (
+                self.request_handler.in_progress
+                or self._caller_factory.channels
+                or self._relay_factory.channels
             ):
                 break
             await self._sleep(DRAIN_POLL_INTERVAL)
@@ -278,6 +286,7 @@
     def _apply_config(self, site: SiteConfig) -> None:
         self.request_handler.site = site
         self._caller_factory.set_limits(site.limits)
+        self._relay_factory.set_limits(site.limits)
         self.upstream_sync.site = site
         self.upstream_sync.apply()
 
@@ -387,6 +396,7 @@
             is_ready=self.is_ready,
             is_leaving=self.request_handler.is_leaving,
             store_era=self.store.era,
+            is_cut_off=self.context.reach.is_cut_off,
         )
 
     async def assign_waiting(self) -> None:
--- a/banyansail/platform/calls.py
+++ b/banyansail/platform/calls.py
@@ -91,14 +91,46 @@
     last_event_id: str = "",
 ) -> HeaderList:
     """Return the headers of an attempt at an upstream."""
-    headers = list(call.headers)
-    remaining_ms = max(1, int(remaining.total_seconds() * 1000))
-    headers.append((header_names.DEADLINE_MS, b"%d" % remaining_ms))
+    headers = _start_headers(call, remaining, last_event_id)
     headers.append((header_names.EXPECT_UPSTREAM, upstream_id.encode()))
     if workspace:
         headers.append((header_names.WORKSPACE, workspace.encode()))
     if urgency is not None:
         headers.append((header_names.URGENCY, b"%d" % urgency))
+    return headers
+
+
+def encode_relayed(
+    call: CallerCall, *, remaining: timedelta, last_event_id: str, possible_runs: int
+) -> HeaderList:
+    """Return the headers of a request that another router shall serve."""
+    headers = _start_headers(call, remaining, last_event_id)
+    if call.key:
+        headers.append((header_names.API_KEY, call.key.encode("latin-1")))
+    headers.append((header_names.POSSIBLE_RUNS, b"%d" % possible_runs))
+    return headers
+
+
+def decode_possible_runs(headers: HeaderList) -> int:
+    """Return how many earlier attempts may have run a relayed request.
+
+    Raises
+    ------
+    CallError
+        If the router that relays it did not say so.
+    """
+    for name, value in headers:
+        if name.lower() == header_names.POSSIBLE_RUNS and value.isdigit():
+            return int(value)
+    raise CallError("a relayed request must say how often it may have run")
+
+
+def _start_headers(
+    call: CallerCall, remaining: timedelta, last_event_id: str
+) -> HeaderList:
+    headers = list(call.headers)
+    remaining_ms = max(1, int(remaining.total_seconds() * 1000))
+    headers.append((header_names.DEADLINE_MS, b"%d" % remaining_ms))
     if last_event_id:
         headers.append((header_names.LAST_EVENT_ID, last_event_id.encode("latin-1")))
     if call.body or call.method not in (b"GET", b"HEAD"):
--- a/banyansail/platform/header_names.py
+++ b/banyansail/platform/header_names.py
@@ -22,6 +22,9 @@
 UPSTREAM_LIMIT = b"server-limit"  # requests a second from all routers together
 STORE_ERA = b"store-era"  # rises when the store is restored from a copy
 
+# Attempts before a router relayed the request to another that may have run it. Our own.
+POSSIBLE_RUNS = b"banyansail-possible-runs"
+
 # Headers of callers that are not forwarded: the router reads them or sets its own.
 RESERVED_HEADERS = frozenset(
     {
@@ -32,6 +35,7 @@
         DEADLINE_MS,
         LAST_EVENT_ID,
         API_KEY,
+        POSSIBLE_RUNS,
         b"x-hold",
         b"x-pin-ms",
         b"x-kv-backup",
--- a/banyansail/wire/gossip_codec.py
+++ b/banyansail/wire/gossip_codec.py
@@ -120,6 +120,8 @@
         isReady=member.is_ready,
         isLeaving=member.is_leaving,
         storeEra=member.store_era,
+        relayPort=member.relay_port,
+        isCutOff=member.is_cut_off,
     )
     return message.to_bytes_packed()
 
@@ -136,6 +138,8 @@
         message.isReady,
         message.isLeaving,
         message.storeEra,
+        message.relayPort,
+        message.isCutOff,
     )
 
 
--- a/banyansail/wire/schema.capnp
+++ b/banyansail/wire/schema.capnp
@@ -37,6 +37,8 @@
   isReady @6 :Bool;
   isLeaving @7 :Bool;
   storeEra @8 :UInt32;
+  relayPort @9 :UInt16;
+  isCutOff @10 :Bool;  # the router reaches no upstream
 }
 
 struct Names {
--- a/tests/config/test_gateway_settings.py
+++ b/tests/config/test_gateway_settings.py
@@ -21,6 +21,7 @@
 listen: 10.0.0.1:80
 ready: 10.0.0.1:81
 peer: 10.0.0.1:82
+relay: 10.0.0.1:84
 metrics: 10.0.0.1:83
 seeds: ["10.0.0.1:99", "10.0.0.2:99"]
 store: 10.0.1.1:80
@@ -55,7 +56,7 @@
     locations = {
         (item.line, item.message.split("'")[1]) for item in caught.value.findings
     }
-    assert locations == {(5, "ready"), (12, "grace"), (1, "grace_s")}
+    assert locations == {(5, "ready"), (13, "grace"), (1, "grace_s")}
 
 
 @pytest.mark.parametrize("text", ["[1, 2]", "a: [", ""])
--- a/tests/gateway/live_gateway.py
+++ b/tests/gateway/live_gateway.py
@@ -159,6 +159,7 @@
             listen=address(),
             ready=address(),
             peer=Address(hosts[number - 1], self._peer_port),
+            relay=Address(hosts[number - 1], free_port()),
             seeds=hosts,
             store=store,
             cloud=store,
