--- a/banyansail/gateway/context.py
+++ b/banyansail/gateway/context.py
@@ -5,7 +5,6 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Any
 
-from banyansail.exceptions import ConnectFailedError
 from banyansail.gateway.byte_budget import ByteBudget
 from banyansail.gateway.decisions.quota import cost_of
 from banyansail.gateway.decisions.retry_budget import WindowedRetryBudget
@@ -55,6 +54,9 @@
         Settings, such as those of the retry budget.
     publish_crashes : callable
         Publishes the encoded crashes of upstreams to other routers.
+    check_crash : callable
+        Coroutine function that examines an upstream after its connection broke during
+        a request, and records its crash.
     mark_leaving : callable
         Called with an upstream that said in an answer that it is draining.
     limits : LimitSharing
@@ -77,6 +79,7 @@
     moves: MoveController
     crash_guard: CrashGuard
     publish_crashes: Callable[[bytes], None]
+    check_crash: Callable[[Upstream, CallerCall], Coroutine[Any, Any, None]]
     mark_leaving: Callable[[Upstream], None]
     limits: LimitSharing
     live_peers: Callable[[], dict[str, Member]]
@@ -170,17 +173,6 @@
                 seconds=head.pause.total_seconds(),
             )
 
-    async def check_liveness(self, upstream: Upstream, call: CallerCall) -> None:
-        """Connect to an upstream after a failure; record its crash if that fails."""
-        try:
-            connection = await self.pool_of(upstream.address).connect()
-        except ConnectFailedError:
-            encoded_crashes = self.crash_guard.record_crash(upstream, call)
-            if encoded_crashes is not None:
-                self.publish_crashes(encoded_crashes)
-            return
-        connection.close()
-
 
 def quota_cost(workspace: Workspace, call: CallerCall) -> float:
     """Return the cost of a call against its workspace's quota."""
--- a/banyansail/gateway/fleet_link.py
+++ b/banyansail/gateway/fleet_link.py
@@ -140,10 +140,14 @@
         self._gossiper.expire_members()
         self.protocol.send(self._gossiper.exchange())
 
+    async def call(self, member: Member, call: PeerCall) -> PeerReply:
+        """Call another router; raise `WireError` if it does not reply."""
+        return await self._caller.call(member.peer, call)
+
     async def fetch(self, member: Member, document: str) -> Document | None:
         """Fetch a document from another router; return ``None`` if unavailable."""
         try:
-            reply = await self._caller.call(member.peer, FetchDocument(document, 0))
+            reply = await self.call(member, FetchDocument(document, 0))
         except WireError as error:
             log_event("peer_lost", peer=str(member.peer), error=error.message)
             return None
--- a/banyansail/gateway/outcome_recorder.py
+++ b/banyansail/gateway/outcome_recorder.py
@@ -108,7 +108,7 @@
 
     def _check_for_crash(self, upstream: Upstream) -> None:
         done = defer.Deferred.fromCoroutine(
-            self._context.check_liveness(upstream, self._call)
+            self._context.check_crash(upstream, self._call)
         )
         done.addErrback(
             lambda failure: log_event(
--- a/banyansail/gateway/router.py
+++ b/banyansail/gateway/router.py
@@ -12,6 +12,7 @@
 from banyansail.fleet.entries import Entry, Topic
 from banyansail.gateway.config_keeper import ConfigKeeper
 from banyansail.gateway.context import GatewayContext
+from banyansail.gateway.crash_check import CrashCheck
 from banyansail.gateway.decisions.crash_guard import CrashGuard
 from banyansail.gateway.decisions.dispatch import Dispatcher
 from banyansail.gateway.decisions.quota import QuotaLimiter
@@ -49,6 +50,7 @@
     FetchDocument,
     PeerCall,
     PeerReply,
+    ReachUpstream,
 )
 
 if TYPE_CHECKING:
@@ -161,11 +163,13 @@
             publish_crashes=lambda value: self.link.publish(
                 Topic.DEATHS, value, urgent=True
             ),
+            check_crash=lambda upstream, call: self.crash_check.run(upstream, call),
             mark_leaving=lambda upstream: self.upstream_sync.mark_leaving(upstream),
             limits=self.limits,
             live_peers=self.link.live_peers,
             confirm_reach=lambda: self.reach_check.confirm(),
         )
+        self.crash_check = CrashCheck(self.context, self.link)
         self.reach_check = ReachCheck(self.context, clock, self._publish_member)
         self.quarantine_store = QuarantineStore(
             self.store,
@@ -332,6 +336,8 @@
                 return self.config.document() or EmptyReply()
             case FetchDocument(name) if name == UPSTREAMS_DOCUMENT:
                 return self.upstream_table.document() or EmptyReply()
+            case ReachUpstream():
+                return await self.crash_check.answer(call)
         return EmptyReply()
 
     async def join(self) -> None:
--- a/banyansail/wire/call_codec.py
+++ b/banyansail/wire/call_codec.py
@@ -80,6 +80,23 @@
     request_id: str
 
 
+@dataclass(slots=True, frozen=True)
+class ReachUpstream:
+    """Ask the called router whether it reaches an upstream."""
+
+    upstream_id: str
+
+
+@dataclass(slots=True, frozen=True)
+class Reached:
+    """The upstream accepted a connection of the called router."""
+
+
+@dataclass(slots=True, frozen=True)
+class NotReached:
+    """The upstream accepted no connection of the called router."""
+
+
 @dataclass(slots=True, frozen=True)
 class Unavailable:
     """The called router could not perform the call."""
@@ -92,7 +109,15 @@
     """The router has nothing to return."""
 
 
-PeerCall = StartKey | FinishKey | ReleaseKey | FetchDocument | StoreStream | FetchStream
+PeerCall = (
+    StartKey
+    | FinishKey
+    | ReleaseKey
+    | FetchDocument
+    | StoreStream
+    | FetchStream
+    | ReachUpstream
+)
 PeerReply = (
     Started
     | InFlight
@@ -104,6 +129,8 @@
     | Document
     | StreamRecord
     | EmptyReply
+    | Reached
+    | NotReached
 )
 
 VOID_NAME_BY_REPLY = {
@@ -112,6 +139,8 @@
     ShardFull: "shardFull",
     Recorded: "recorded",
     EmptyReply: "nothing",
+    Reached: "reached",
+    NotReached: "notReached",
 }
 VOID_REPLY_BY_NAME = {name: reply for reply, name in VOID_NAME_BY_REPLY.items()}
 
@@ -138,6 +167,8 @@
             return {"keepStream": _stream_fields(record)}
         case FetchStream(request_id):
             return {"takeStream": request_id}
+        case ReachUpstream(upstream_id):
+            return {"reachUpstream": upstream_id}
 
 
 def decode_call(data: bytes) -> tuple[int, PeerCall]:
@@ -165,6 +196,8 @@
             return message.id, StoreStream(_decode_stream(message.keepStream))
         case "takeStream":
             return message.id, FetchStream(message.takeStream)
+        case "reachUpstream":
+            return message.id, ReachUpstream(message.reachUpstream)
         case other:
             raise WireError(f"unknown call {other!r}")
 
--- a/banyansail/wire/schema.capnp
+++ b/banyansail/wire/schema.capnp
@@ -177,6 +177,7 @@
     fetch @4 :Fetch;
     keepStream @5 :StreamRecord;
     takeStream @6 :Text;
+    reachUpstream @7 :Text;  # its id
   }
 }
 
@@ -225,6 +226,8 @@
     document @8 :Document;
     stream @9 :StreamRecord;
     nothing @10 :Void;
+    reached @11 :Void;
+    notReached @12 :Void;
   }
 }
 
--- a/tests/gateway/cut_reactor.py
+++ b/tests/gateway/cut_reactor.py
@@ -45,7 +45,7 @@
         self.cut = None
 
     def connectTCP(  # noqa: N802, as Twisted calls it
-        self, host: str, port: int, factory: Any, timeout: float = 30
+        self, host: str, port: int, factory: Any, timeout: float = 30, **options: Any
     ) -> Any:
         """Connect, or fail as a cut link does."""
         if self.cut is not None and port in self.ports:
@@ -64,7 +64,7 @@
             return protocol
 
         factory.buildProtocol = build_protocol
-        return reactor.connectTCP(host, port, factory, timeout)
+        return reactor.connectTCP(host, port, factory, timeout, **options)
 
 
 class _FailingConnector:
--- a/tests/gateway/live_gateway.py
+++ b/tests/gateway/live_gateway.py
@@ -188,9 +188,13 @@
             raw.stop()
         return done
 
-    def cut_off(self, cut) -> None:
-        """Cut the first router off from all upstreams."""
-        ports = {running.address.port for running in self.running_by_name.values()}
+    def cut_off(self, cut, names=None) -> None:
+        """Cut the first router off from some upstreams, by default from all."""
+        ports = {
+            running.address.port
+            for name, running in self.running_by_name.items()
+            if names is None or name in names
+        }
         in_reactor(lambda: self.reactor.begin(cut, ports))
 
     def heal(self) -> None:
@@ -215,6 +219,13 @@
         response = connection.getresponse()
         return response.status, dict(response.getheaders()), response.read()
 
+    def try_call(self, method, path, body=None, **headers):
+        """Send a request; return its answer, or ``None`` if that is broken off."""
+        try:
+            return self.call(method, path, body, **headers)
+        except (OSError, http.client.HTTPException):
+            return None
+
     def runs(self) -> list[str]:
         """Return the ids of the attempts that the upstreams ran."""
         return [
--- a/tests/gateway/test_crashing_prompts.py
+++ b/tests/gateway/test_crashing_prompts.py
@@ -4,6 +4,8 @@
 
 import time
 
+import pytest
+
 from tests.gateway.live_gateway import LiveGateway
 
 ENGINES = tuple(f"e{number}" for number in range(12))
@@ -22,8 +24,9 @@
     )[0]
 
 
-def test_a_part_of_prompts_that_crashes_upstreams_crashes_no_more_than_five():
-    with LiveGateway(replicas=ENGINES) as live:
+@pytest.mark.parametrize("routers", [1, 2])
+def test_a_part_of_prompts_that_crashes_upstreams_crashes_no_more_than_five(routers):
+    with LiveGateway(replicas=ENGINES, routers=routers) as live:
         live.set_faults("e", crashes_on_part="bad")
         for number in range(10):
             ask(live, f"crashing{number}", "shared", "bad")
