--- a/banyansail/gateway/context.py
+++ b/banyansail/gateway/context.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
+from datetime import timedelta
 from typing import TYPE_CHECKING, Any
 
 from banyansail.gateway.byte_budget import ByteBudget
@@ -35,6 +36,7 @@
     from banyansail.gateway.upstream import Upstream
     from banyansail.traffic.fleet_traffic import FleetTraffic
 
+MAX_UPSTREAM_SILENCE = timedelta(seconds=3)  # a sound one may be silent for a second
 MAX_BUFFERED_BYTES = 64 * 1024**2  # of answers, a part of the memory of an instance
 
 
@@ -135,7 +137,11 @@
         pool = self._pool_by_address.get(address)
         if pool is None:
             pool = ConnectionPool(
-                self.reactor, self.clock, address, self._record_connect
+                self.reactor,
+                self.clock,
+                address,
+                self._record_connect,
+                MAX_UPSTREAM_SILENCE,
             )
             self._pool_by_address[address] = pool
         return pool
--- a/banyansail/standins/replica.py
+++ b/banyansail/standins/replica.py
@@ -15,6 +15,7 @@
     from twisted.web.server import Request
 
 FIRST_EVENT_ID = 1
+SILENCE_CHECK_S = 0.05
 
 
 @dataclass(slots=True)
@@ -39,6 +40,8 @@
         Pause that rejections ask for, as sent; empty for none.
     limit : str
         Requests per second that all answers name; empty for none.
+    is_silent : bool
+        Whether nothing more is sent until the switch is off again.
     crashes_on_part : str
         Part of a prompt that ends the upstream once it begins to answer; empty for
         none.
@@ -52,6 +55,7 @@
     is_leaving: bool = False
     retry_after: str = ""
     limit: str = ""
+    is_silent: bool = False
     crashes_on_part: str = ""
 
 
@@ -126,6 +130,7 @@
         )
         request.notifyFinish().addErrback(self._count_disconnect)
         await task.deferLater(reactor, self.state.pause_s)
+        await self._wait_while_silent()
         if _contains_part(request, self.faults.crashes_on_part):
             self.crash()
             return
@@ -143,6 +148,10 @@
             return
         self._answer(request)
 
+    async def _wait_while_silent(self) -> None:
+        while self.faults.is_silent:
+            await task.deferLater(reactor, SILENCE_CHECK_S)
+
     def _count_disconnect(self, failure: object) -> None:
         self.state.disconnect_count += 1
 
@@ -175,6 +184,7 @@
                 await task.deferLater(reactor, self.state.pause_s)
                 request.transport.abortConnection()
                 return
+            await self._wait_while_silent()
             request.write(event)
             await task.deferLater(reactor, self.state.pause_s)
         if is_open(request):
--- a/banyansail/upstreams/connection.py
+++ b/banyansail/upstreams/connection.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import socket
+from datetime import timedelta
 from typing import TYPE_CHECKING, Any, Protocol
 
 import h11
@@ -15,13 +16,14 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
-    from datetime import timedelta
 
     from twisted.python.failure import Failure
 
     from banyansail.clock import Clock
 
-USER_TIMEOUT_MS = 1500  # for sent bytes that the peer does not acknowledge
+# Of a peer that acknowledges neither sent bytes nor keep-alive probes. Linux ends an
+# idle connection by this time too, whatever the number of probes.
+MAX_SILENCE = timedelta(milliseconds=1500)
 KEEPALIVE_IDLE_S = 1
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 2
@@ -63,6 +65,8 @@
         Called with the connection when it can carry another exchange.
     on_closed : callable
         Called with the connection when it is closed.
+    max_silence : timedelta
+        Time after which a peer that acknowledges nothing is taken for dead.
     """
 
     def __init__(
@@ -70,8 +74,10 @@
         clock: Clock,
         on_idle: Callable[[HttpConnection], None],
         on_closed: Callable[[HttpConnection], None],
+        max_silence: timedelta = MAX_SILENCE,
     ) -> None:
         self._clock = clock
+        self._max_silence = max_silence
         self._on_idle = on_idle
         self._on_closed = on_closed
         self._parser = h11.Connection(h11.CLIENT, MAX_HEAD_BYTES)
@@ -89,7 +95,7 @@
         """Set socket timeouts, so that a dead peer is detected."""
         self.transport.setTcpNoDelay(True)
         self.transport.setTcpKeepAlive(True)
-        set_socket_timeouts(self.transport.getHandle())
+        set_socket_timeouts(self.transport.getHandle(), self._max_silence)
 
     @property
     def is_busy(self) -> bool:
@@ -242,10 +248,12 @@
 PLACEHOLDER_HOST = (b"host", b"-")
 
 
-def set_socket_timeouts(handle: socket.socket) -> None:
+def set_socket_timeouts(
+    handle: socket.socket, max_silence: timedelta = MAX_SILENCE
+) -> None:
     """Make the kernel close a connection whose peer no longer responds."""
     for option, value in (
-        (socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS),
+        (socket.TCP_USER_TIMEOUT, max_silence // timedelta(milliseconds=1)),
         (socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S),
         (socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S),
         (socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
--- a/banyansail/upstreams/pool.py
+++ b/banyansail/upstreams/pool.py
@@ -8,7 +8,7 @@
 from twisted.internet import defer, protocol
 
 from banyansail.exceptions import ConnectFailedError
-from banyansail.upstreams.connection import HttpConnection
+from banyansail.upstreams.connection import MAX_SILENCE, HttpConnection
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -35,6 +35,8 @@
         Address of the server.
     on_connect : callable or None
         Called after each attempt to connect with whether it succeeded.
+    max_silence : timedelta
+        Time after which a server that acknowledges nothing is taken for dead.
     """
 
     def __init__(
@@ -43,7 +45,9 @@
         clock: Clock,
         address: Address,
         on_connect: Callable[[bool], None] | None = None,
+        max_silence: timedelta = MAX_SILENCE,
     ) -> None:
+        self._max_silence = max_silence
         self._on_connect = on_connect or (lambda is_connected: None)
         self._reactor = reactor
         self._clock = clock
@@ -71,7 +75,9 @@
             If the server did not accept it in time; nothing was sent.
         """
         factory = protocol.Factory.forProtocol(
-            lambda: HttpConnection(self._clock, self.keep, self._open.discard)
+            lambda: HttpConnection(
+                self._clock, self.keep, self._open.discard, self._max_silence
+            )
         )
         factory.noisy = False
         connected = connect_tcp(self._reactor, self._address, factory)
