--- a/banyansail/gateway/crash_check.py
+++ b/banyansail/gateway/crash_check.py
@@ -23,6 +23,9 @@
     from banyansail.gateway.request_types import CallerCall
     from banyansail.gateway.upstream import Upstream
 
+NEAR_WITNESSES = 2  # routers of the upstream's data centre that are asked
+FAR_WITNESSES = 1
+
 
 class CrashCheck:
     """Examines upstreams whose connection broke, and answers other routers that do.
@@ -40,10 +43,13 @@
         self._link = link
 
     async def run(self, upstream: Upstream, call: CallerCall) -> None:
-        """Record a crash if neither this router nor another reaches the upstream."""
+        """Record a crash if it is certain that the upstream ended, and unannounced."""
         if await self._can_connect(upstream):
             return
-        if self._context.reach.is_cut_off or await self._others_reach(upstream):
+        load = self._context.dispatcher.load_of(upstream.id)
+        if load is None:
+            return
+        if self._context.reach.is_cut_off or not await self._has_ended(upstream):
             log_event("link_broken", upstream=upstream.id)
             return
         encoded_crashes = self._context.crash_guard.record_crash(upstream, call)
@@ -58,31 +64,41 @@
         is_reached = await self._can_connect(load.upstream)
         return Reached() if is_reached else NotReached()
 
-    async def _others_reach(self, upstream: Upstream) -> bool:
-        replies = [
-            defer.Deferred.fromCoroutine(self._ask(member, upstream))
-            for member in self._choose_witnesses(upstream.zone)
-        ]
-        return any(await defer.gatherResults(replies, consumeErrors=True))
-
-    async def _ask(self, member: Member, upstream: Upstream) -> bool:
-        try:
-            reply = await self._link.call(member, ReachUpstream(upstream.id))
-        except WireError as error:
-            log_event("peer_lost", peer=str(member.peer), error=error.message)
-            return False
-        return isinstance(reply, Reached)
-
-    def _choose_witnesses(self, zone: str) -> list[Member]:
-        """Return a router of an upstream's data centre and one of another."""
+    async def _has_ended(self, upstream: Upstream) -> bool:
+        """Ask routers of the upstream's data centre, and one of another."""
         members = [
             member
             for member in self._link.live_peers().values()
             if not (member.is_leaving or member.is_cut_off)
         ]
-        near = [member for member in members if member.zone == zone]
-        far = [member for member in members if member.zone != zone]
-        return [self._context.random.choice(group) for group in (near, far) if group]
+        near = [member for member in members if member.zone == upstream.zone]
+        far = [member for member in members if member.zone != upstream.zone]
+        near_replies, far_replies = await defer.gatherResults(
+            [
+                self._ask(near, NEAR_WITNESSES, upstream),
+                self._ask(far, FAR_WITNESSES, upstream),
+            ]
+        )
+        is_near = self._context.settings.zone == upstream.zone
+        return has_ended(near_replies, far_replies, is_near=is_near)
+
+    def _ask(
+        self, members: list[Member], count: int, upstream: Upstream
+    ) -> defer.Deferred[list[PeerReply]]:
+        asked = self._context.random.sample(members, min(count, len(members)))
+        return defer.gatherResults(
+            [
+                defer.Deferred.fromCoroutine(self._call(member, upstream))
+                for member in asked
+            ]
+        )
+
+    async def _call(self, member: Member, upstream: Upstream) -> PeerReply:
+        try:
+            return await self._link.call(member, ReachUpstream(upstream.id))
+        except WireError as error:
+            log_event("peer_lost", peer=str(member.peer), error=error.message)
+            return EmptyReply()
 
     async def _can_connect(self, upstream: Upstream) -> bool:
         try:
@@ -91,3 +107,21 @@
             return False
         connection.close()
         return True
+
+
+def has_ended(near: list[PeerReply], far: list[PeerReply], *, is_near: bool) -> bool:
+    """Return whether an upstream that this router doesn't reach has ended.
+
+    Parameters
+    ----------
+    near, far : list of PeerReply
+        Replies of routers of the upstream's data centre, and of others; `EmptyReply`
+        for none. A data centre may be cut off, so its own routers decide.
+    is_near : bool
+        Whether this router is in the upstream's data centre.
+    """
+    if Reached() in near + far:
+        return False
+    if near:
+        return NotReached() in near
+    return is_near or not far or NotReached() in far
