--- a/banyansail/gateway/crash_check.py
+++ b/banyansail/gateway/crash_check.py
@@ -47,7 +47,7 @@
         if await self._can_connect(upstream):
             return
         load = self._context.dispatcher.load_of(upstream.id)
-        if load is None:
+        if load is None or load.upstream.is_leaving:
             return
         if self._context.reach.is_cut_off or not await self._has_ended(upstream):
             log_event("link_broken", upstream=upstream.id)
