--- a/banyansail/gateway/context.py
+++ b/banyansail/gateway/context.py
@@ -170,7 +170,7 @@
         self.reach.record_bytes()
         if head.is_leaving:
             self.mark_leaving(load.upstream)
-        self.limits.record_answer(load, head.limit)
+        self.limits.record_answer(load, head)
         if head.pause is not None:
             load.pause(head.pause, self.clock.monotonic())
             log_event(
--- a/banyansail/gateway/decisions/choice.py
+++ b/banyansail/gateway/decisions/choice.py
@@ -90,13 +90,12 @@
 
 
 def has_free_slot(load: UpstreamLoad, now: timedelta) -> bool:
-    """Return whether an upstream takes a request, by own and reported requests.
+    """Return whether an upstream takes a request of this router.
 
     One that asked for a pause takes none, and one that named a limit only as many as
     are this router's part of it.
     """
-    is_full = load.in_flight + load.peer_in_flight >= load.upstream.slots
-    return not is_full and not load.pause_left(now) and load.limit.is_open(now)
+    return load.has_room() and not load.pause_left(now) and load.limit.is_open(now)
 
 
 def _choose_plain(
--- a/banyansail/gateway/decisions/service_state.py
+++ b/banyansail/gateway/decisions/service_state.py
@@ -89,6 +89,7 @@
     prefill_rate: PrefillRate = field(default_factory=PrefillRate)
     version_share: VersionShare | None = None
     prefill_tokens_total: float = 0.0  # expected, of all requests assigned so far
+    is_brittle: bool = False  # by the latest answer of an upstream
     # Removed upstreams that asked for a pause; their entries may return.
     paused_by_incarnation: dict[tuple[str, int], UpstreamLoad] = field(
         default_factory=dict
--- a/banyansail/gateway/decisions/upstream_load.py
+++ b/banyansail/gateway/decisions/upstream_load.py
@@ -79,11 +79,13 @@
         "_sent_at_by_slot",
         "cache",
         "in_flight",
+        "is_brittle",
         "limit",
         "peer_in_flight",
         "peer_pending_prefill_tokens",
         "pending_prefill_tokens",
         "prefill_rate",
+        "slot_part",
         "suspect_until",
         "suspicions",
         "upstream",
@@ -111,6 +113,8 @@
         self._sent_at_by_slot: dict[int, timedelta] = {}  # until the first byte
         self._paused_until = timedelta(0)
         self.limit = RateLimit(random)
+        self.is_brittle = False
+        self.slot_part = upstream.slots  # of a brittle one, that this router may use
 
     def start_attempt(
         self, slot_number: int, prefill_tokens: int, now: timedelta
@@ -131,6 +135,15 @@
         self.record_first_byte(slot_number, prefill_tokens)
         self.in_flight -= 1
 
+    def has_room(self) -> bool:
+        """Return whether a slot is free, by own and reported requests.
+
+        The slots of a brittle upstream are divided among the routers.
+        """
+        if self.is_brittle and self.in_flight >= self.slot_part:
+            return False
+        return self.in_flight + self.peer_in_flight < self.upstream.slots
+
     def is_awaiting_first_byte(self, slot_number: int) -> bool:
         """Return whether an attempt has not received its first byte yet."""
         return slot_number in self._sent_at_by_slot
--- a/banyansail/gateway/limit_sharing.py
+++ b/banyansail/gateway/limit_sharing.py
@@ -1,9 +1,10 @@
-"""Use of the limits that upstreams name, here and to other routers."""
+"""Use of what upstreams in need say: limits, and that they bear few rejections."""
 
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
 
+from banyansail.gateway.decisions.slot_share import divide_slots
 from banyansail.log import log_event
 
 if TYPE_CHECKING:
@@ -13,6 +14,7 @@
     from banyansail.fleet.entries import Member
     from banyansail.gateway.decisions.dispatch import Dispatcher
     from banyansail.gateway.decisions.upstream_load import UpstreamLoad
+    from banyansail.gateway.request_types import ReplyHead
     from banyansail.traffic.fleet_traffic import FleetTraffic
     from banyansail.traffic.report import NamedLimit
 
@@ -48,11 +50,22 @@
         self._fleet = fleet
         self._live_members = live_members
 
-    def record_answer(self, load: UpstreamLoad, per_s: float | None) -> None:
+    def record_answer(self, load: UpstreamLoad, head: ReplyHead) -> None:
         """Apply the limit that an answer names, or that it names none."""
-        if load.limit.record_answer(per_s, self._clock.monotonic()):
+        is_changed = load.limit.record_answer(head.limit, self._clock.monotonic())
+        if is_changed:
             self._log_change(load)
-            self._share([load])
+        state = self._dispatcher.state(load.upstream.service)
+        if head.is_brittle is not state.is_brittle:
+            state.is_brittle = head.is_brittle
+            log_event(
+                "brittle_changed",
+                service=load.upstream.service,
+                is_brittle=head.is_brittle,
+            )
+            is_changed = True
+        if is_changed:
+            self._share(self._dispatcher.loads())
 
     def update(self) -> None:
         """Apply what other routers were told, and divide the limits anew."""
@@ -75,8 +88,12 @@
         return {name: report for name, report in reports if report is not None}
 
     def _share(self, loads: list[UpstreamLoad]) -> None:
+        for load in loads:
+            state = self._dispatcher.state(load.upstream.service)
+            load.is_brittle = state.is_brittle
         limited = [load for load in loads if load.limit.per_s is not None]
-        if not limited:
+        brittle = [load for load in loads if load.is_brittle]
+        if not (limited or brittle):
             return
         now = self._clock.monotonic()
         routers = [
@@ -87,6 +104,18 @@
         for load in limited:
             upstream = load.upstream.incarnation_name
             load.limit.share_among(upstream, self._name, routers, now)
+        self._share_slots(brittle, routers)
+
+    def _share_slots(self, brittle: list[UpstreamLoad], routers: list[str]) -> None:
+        for service in {load.upstream.service for load in brittle}:
+            load_by_name = {
+                load.upstream.incarnation_name: load
+                for load in brittle
+                if load.upstream.service == service
+            }
+            slots = {name: load.upstream.slots for name, load in load_by_name.items()}
+            for name, part in divide_slots(slots, self._name, routers).items():
+                load_by_name[name].slot_part = part
 
     def _log_change(self, load: UpstreamLoad) -> None:
         log_event("upstream_limit", upstream=load.upstream.id, per_s=load.limit.per_s)
--- a/banyansail/gateway/outcome_recorder.py
+++ b/banyansail/gateway/outcome_recorder.py
@@ -23,6 +23,8 @@
     from banyansail.gateway.site import Route
     from banyansail.gateway.upstream import Upstream
 
+# After a brittle upstream rejected a request; its rejections are counted by the second.
+BRITTLE_PAUSE = timedelta(seconds=1)
 SLOW_ANSWER_FACTOR = 2  # times the latency objective; a slower answer counts as bad
 
 
@@ -78,6 +80,8 @@
             case Answered(head) if head.run_status is RunStatus.NOT_RUN:
                 if head.is_misdirected:
                     load.mark_suspect(now)
+                elif head.is_brittle:
+                    load.pause(BRITTLE_PAUSE, now)
             case Answered(head):
                 if not head.is_failure:
                     self._context.crash_guard.record_success(self._call)
--- a/banyansail/gateway/request_types.py
+++ b/banyansail/gateway/request_types.py
@@ -108,6 +108,8 @@
     limit : float or None
         Requests per second that the upstream takes from all routers together, for as
         long as its answers name it; ``None`` for no limit.
+    is_brittle : bool
+        Whether the upstream ends if it has to reject more than a few requests.
     """
 
     status: int
@@ -120,6 +122,7 @@
     is_leaving: bool = False
     pause: timedelta | None = None
     limit: float | None = None
+    is_brittle: bool = False
 
     @property
     def is_failure(self) -> bool:
--- a/banyansail/platform/calls.py
+++ b/banyansail/platform/calls.py
@@ -154,6 +154,7 @@
         is_misdirected=status == 421,
         is_leaving=first_value_by_name.get(header_names.UPSTREAM_LEAVING) == b"1",
         pause=_decode_pause(status, first_value_by_name.get(header_names.RETRY_AFTER)),
+        is_brittle=header_names.UPSTREAM_BRITTLE in first_value_by_name,
         limit=_decode_limit(first_value_by_name.get(header_names.UPSTREAM_LIMIT)),
     )
 
--- a/banyansail/platform/header_names.py
+++ b/banyansail/platform/header_names.py
@@ -19,6 +19,7 @@
 FENCING_TOKEN = b"x-fence-token"
 UPSTREAM_ID = b"x-replica-id"
 UPSTREAM_LEAVING = b"server-leaving"
+UPSTREAM_BRITTLE = b"server-brittle"  # rejections a second that it bears
 UPSTREAM_LIMIT = b"server-limit"  # requests a second from all routers together
 STORE_ERA = b"store-era"  # rises when the store is restored from a copy
 
--- a/banyansail/standins/replica.py
+++ b/banyansail/standins/replica.py
@@ -16,6 +16,7 @@
 
 FIRST_EVENT_ID = 1
 SILENCE_CHECK_S = 0.05
+BRITTLE_WINDOW_S = 1.0
 
 
 @dataclass(slots=True)
@@ -40,6 +41,9 @@
         Pause that rejections ask for, as sent; empty for none.
     limit : str
         Requests per second that all answers name; empty for none.
+    brittle : str
+        Rejections in a second, as all answers name them, beyond which it ends; empty
+        for an upstream that is not brittle. While it is, it lets no request wait.
     is_silent : bool
         Whether nothing more is sent until the switch is off again.
     crashes_on_part : str
@@ -55,6 +59,7 @@
     is_leaving: bool = False
     retry_after: str = ""
     limit: str = ""
+    brittle: str = ""
     is_silent: bool = False
     crashes_on_part: str = ""
 
@@ -75,6 +80,10 @@
         Headers of these attempts.
     disconnect_count : int
         Requests whose connection was closed before the answer was complete.
+    slots, running : int
+        Requests that it may run at a time, and those that it runs now.
+    rejected_at : list of float
+        When it rejected requests for want of a slot, in seconds of the reactor's clock.
     """
 
     id: str
@@ -85,6 +94,9 @@
     runs: list[str] = field(default_factory=list)
     headers: list[dict[str, str]] = field(default_factory=list)
     disconnect_count: int = 0
+    slots: int = 4
+    running: int = 0
+    rejected_at: list[float] = field(default_factory=list)
 
 
 class ReplicaStandin(StandinResource):
@@ -113,22 +125,24 @@
         self.state.arrivals.append(attempt)
         self.state.arrived_at.append(reactor.seconds())
         request.setHeader("x-attempt-id", attempt)
-        if self.faults.is_leaving:
-            request.setHeader("server-leaving", "1")
-        if self.faults.limit:
-            request.setHeader("server-limit", self.faults.limit)
+        self._describe_itself(request)
         if expected not in (None, self.state.id):
             self._reject(request, 421)
             return
         if self.faults.is_full:
             self._reject(request, 503)
             return
+        if self.faults.brittle and self.state.running >= self.state.slots:
+            self._reject_brittle(request)
+            return
         self.state.runs.append(attempt)
         fields = request.requestHeaders.getAllRawHeaders()
         self.state.headers.append(
             {name.decode().lower(): values[0].decode() for name, values in fields}
         )
         request.notifyFinish().addErrback(self._count_disconnect)
+        self.state.running += 1
+        request.notifyFinish().addBoth(self._release)
         await task.deferLater(reactor, self.state.pause_s)
         await self._wait_while_silent()
         if _contains_part(request, self.faults.crashes_on_part):
@@ -148,6 +162,14 @@
             return
         self._answer(request)
 
+    def _describe_itself(self, request: Request) -> None:
+        if self.faults.is_leaving:
+            request.setHeader("server-leaving", "1")
+        if self.faults.limit:
+            request.setHeader("server-limit", self.faults.limit)
+        if self.faults.brittle:
+            request.setHeader("server-brittle", self.faults.brittle)
+
     async def _wait_while_silent(self) -> None:
         while self.faults.is_silent:
             await task.deferLater(reactor, SILENCE_CHECK_S)
@@ -155,6 +177,18 @@
     def _count_disconnect(self, failure: object) -> None:
         self.state.disconnect_count += 1
 
+    def _release(self, result: object) -> None:
+        self.state.running -= 1
+
+    def _reject_brittle(self, request: Request) -> None:
+        now = reactor.seconds()
+        self.state.rejected_at.append(now)
+        recent = [at for at in self.state.rejected_at if now - at < BRITTLE_WINDOW_S]
+        if len(recent) > int(self.faults.brittle):
+            self.crash()
+        else:
+            self._reject(request, 503)
+
     def _reject(self, request: Request, status: int) -> None:
         request.setResponseCode(status)
         request.setHeader("x-not-executed", "1")
--- /dev/null
+++ b/tests/gateway/decisions/test_slot_share.py
@@ -0,0 +1,28 @@
+"""Slots of brittle upstreams, divided among the routers of a fleet."""
+
+from __future__ import annotations
+
+import pytest
+
+from banyansail.gateway.decisions.slot_share import divide_slots
+
+
+def shares(routers, upstreams, slots):
+    names = [f"r{number}" for number in range(routers)]
+    slots_by_upstream = {f"u{number}@1": slots for number in range(upstreams)}
+    return [divide_slots(slots_by_upstream, name, names) for name in names]
+
+
+@pytest.mark.parametrize("routers", [1, 4, 9, 20])
+def test_all_slots_are_divided_and_none_twice(routers):
+    for upstream in ("u0@1", "u1@1", "u2@1", "u3@1"):
+        assert sum(part[upstream] for part in shares(routers, 4, 6)) == 6
+
+
+@pytest.mark.parametrize("routers", [9, 67, 195])
+def test_each_router_may_use_a_slot(routers):
+    assert all(sum(part.values()) >= 1 for part in shares(routers, 4, 6))
+
+
+def test_nothing_is_divided_without_brittle_upstreams():
+    assert divide_slots({}, "r1", ["r1", "r2"]) == {}
--- a/tests/gateway/live_gateway.py
+++ b/tests/gateway/live_gateway.py
@@ -201,14 +201,16 @@
         """Let the first router reach the upstreams again."""
         in_reactor(self.reactor.end)
 
-    def connect(self) -> http.client.HTTPConnection:
-        """Return a new connection to the gateway."""
-        listen = self.gateway.settings.listen
+    def connect(self, gateway=None) -> http.client.HTTPConnection:
+        """Return a new connection to a gateway, by default to the first one."""
+        listen = (gateway or self.gateway).settings.listen
         return http.client.HTTPConnection(listen.host, listen.port, timeout=10)
 
-    def call(self, method, path, body=None, *, connection=None, **headers):
+    def call(
+        self, method, path, body=None, *, connection=None, gateway=None, **headers
+    ):
         """Send a request; return the status, headers and body of the response."""
-        connection = connection or self.connect()
+        connection = connection or self.connect(gateway)
         fields = {
             "Host": HOST,
             "Api-Key": KEY,
--- a/tests/platform/test_calls.py
+++ b/tests/platform/test_calls.py
@@ -62,3 +62,8 @@
 
 def test_an_answer_without_a_limit_names_none():
     assert decode_reply(200, b"", []).limit is None
+
+
+def test_an_answer_says_that_its_upstream_is_brittle():
+    assert decode_reply(200, b"", [(b"Server-Brittle", b"3")]).is_brittle
+    assert not decode_reply(200, b"", []).is_brittle
