--- a/banyansail/gateway/duties/move_controller.py
+++ b/banyansail/gateway/duties/move_controller.py
@@ -13,6 +13,7 @@
     MoveState,
     Tally,
     Verdict,
+    is_due,
     judge,
     state_to_publish,
     target_share,
@@ -208,6 +209,8 @@
             service=move.service,
             target=move.target,
             state=state.value,
+            good=self._total_tally(move, True).good,
+            bad=self._total_tally(move, True).bad,
         )
 
     def _share(self, move: Move, verdict: Verdict) -> float:
@@ -221,7 +224,11 @@
         key = (move.service, move.number)
         if key in self._bad_moves:
             return Verdict.BAD
-        verdict = judge(self._total_tally(move, True), self._total_tally(move, False))
+        verdict = judge(
+            self._total_tally(move, True),
+            self._total_tally(move, False),
+            is_due=is_due(move, self._elapsed(move)),
+        )
         if verdict is Verdict.BAD:
             self._bad_moves.add(key)
             log_decision(
--- a/banyansail/gateway/duties/moves.py
+++ b/banyansail/gateway/duties/moves.py
@@ -19,6 +19,7 @@
 PROVEN_SHARE = 0.8  # of the exposure limit, until the final ramp
 MIN_SAMPLES = 20  # answers before a version may be judged good
 MIN_BAD = 4  # bad answers before a version may be judged bad
+MIN_BAD_WHEN_DUE = 2  # the same, shortly before its deadline
 BAD_RATIO = 2.0  # tolerated multiple of the other versions' share of bad answers
 BAD_MARGIN = 0.12  # share of bad answers that is tolerated on top
 # Final ramp to all traffic; short, so that a version that fails late gets little.
@@ -68,10 +69,17 @@
     BAD = "bad"
 
 
-def judge(target: Tally, others: Tally) -> Verdict:
-    """Compare a version with the others, which serve at the same time and load."""
+def judge(target: Tally, others: Tally, *, is_due: bool = False) -> Verdict:
+    """Compare a version with the others, which serve at the same time and load.
+
+    Parameters
+    ----------
+    is_due : bool
+        Whether the move must be decided now, with the answers that there are.
+    """
     max_bad_share = others.bad_share * BAD_RATIO + BAD_MARGIN
-    if target.bad >= MIN_BAD and target.bad_share > max_bad_share:
+    min_bad = MIN_BAD_WHEN_DUE if is_due else MIN_BAD
+    if target.bad >= min_bad and target.bad_share > max_bad_share:
         return Verdict.BAD
     if target.total >= MIN_SAMPLES:
         return Verdict.GOOD
@@ -135,5 +143,10 @@
     return None
 
 
+def is_due(move: Move, elapsed: timedelta) -> bool:
+    """Return whether the time has come to move all traffic or to roll back."""
+    return elapsed >= move.duration - _ramp_time(move)
+
+
 def _ramp_time(move: Move) -> timedelta:
     return min(move.duration / 2, MAX_RAMP_TIME)
--- a/tests/gateway/duties/test_moves.py
+++ b/tests/gateway/duties/test_moves.py
@@ -36,6 +36,13 @@
     assert judge(Tally(3, 1), Tally(100, 2)) is Verdict.OPEN
 
 
+def test_a_version_that_few_answers_show_to_be_bad_is_judged_when_it_is_due():
+    target, others = Tally(7, 3), Tally(375, 32)
+    assert judge(target, others) is Verdict.OPEN
+    assert judge(target, others, is_due=True) is Verdict.BAD
+    assert judge(Tally(9, 1), others, is_due=True) is Verdict.OPEN
+
+
 def test_failures_that_all_versions_share_are_no_reason_to_roll_back():
     assert judge(Tally(80, 14), Tally(80, 14)) is Verdict.GOOD
 
@@ -141,6 +148,24 @@
     assert dispatcher.state("engines").version_share.share == 0.0
 
 
+def test_a_bad_version_with_few_answers_is_rolled_back_by_its_deadline():
+    store, clock = FakeStore(), FakeClock()
+    controller, _ = controller_of(store, clock, FakeLease())
+    order(store)
+    follow(store, clock, controller)
+    for number in range(400):
+        controller.record("engines", "v1", is_good=number % 12 > 0)
+    for number in range(10):
+        controller.record("engines", "v2", is_good=number > 2)
+    clock.advance(5)
+    run_now(controller.publish_states())
+    assert store.object_by_key["rollouts", "engines"].status["state"] == "running"
+    clock.advance(6)
+    run_now(controller.publish_states())
+    stored = store.object_by_key["rollouts", "engines"]
+    assert stored.status == {"state": "rolled_back", "target": "v2"}
+
+
 def record_answer(controller, version, duration, **options):
     target = upstream(f"e-{version}", "engines", version=version, **options)
     is_slow = controller.record_time(target, "draft", seconds(duration))
