--- a/tests/gateway/duties/test_moves.py
+++ b/tests/gateway/duties/test_moves.py
@@ -160,6 +160,7 @@
     clock.advance(5)
     run_now(controller.publish_states())
     assert store.object_by_key["rollouts", "engines"].status["state"] == "running"
+    follow(store, clock, controller)
     clock.advance(6)
     run_now(controller.publish_states())
     stored = store.object_by_key["rollouts", "engines"]
