--- a/banyansail/gateway/exchange.py
+++ b/banyansail/gateway/exchange.py
@@ -168,26 +168,30 @@
         self._log("relay", "no upstream can be reached from here", router=str(relay))
         # The other router charges the quota itself.
         self._context.refund_quota(self._workspace, self._call)
+        earlier_runs = self._progress.possible_runs
         self._progress.attempts += 1
+        self._progress.possible_runs += 1
         outcome = await self._context.relays.send(
             relay,
             self._call,
             self._sink(),
             remaining=self._remaining(),
             last_event_id=self._last_event_id,
-            possible_runs=self._progress.possible_runs,
+            possible_runs=earlier_runs,
         )
         if self._is_finished:
             return False
         match outcome:
             case NotSent():
+                self._progress.possible_runs = earlier_runs
                 self._failed_relays.add(relay)
                 self._context.charge_quota(self._workspace, self._call)
                 return True
-            case Answered():
-                self._deliver(outcome)
+            case Answered(head):
+                # The other router's rejection says nothing of earlier attempts here.
+                is_rejection = earlier_runs and not head.is_stamped
+                self._finish((is_rejection and self._fallback) or Deliver(outcome))
                 return False
-        self._progress.possible_runs += 1
         step = next_step(outcome, self._route, self._progress, self._remaining())
         if isinstance(step, Retry) and self._context.withdraw_retry(
             self._ticket.service
--- a/tests/gateway/test_cut_off_routers.py
+++ b/tests/gateway/test_cut_off_routers.py
@@ -136,3 +136,11 @@
         live.set_faults("d", fails=True)
         live.call("GET", "/stock/2", **name)
         assert live.runs().count("a-stock-2") == 2
+
+
+def test_a_relayed_order_that_times_out_is_not_said_not_to_have_run(live):
+    for replica in live.replica_by_name.values():
+        replica.state.pause_s = 3.0  # longer than the route's timeout
+    status, _, _ = live.call("POST", "/orders/late", b"x", X_Attempt_Id="late")
+    assert "late" in live.runs()
+    assert status == 504
