--- a/banyansail/gateway/decisions/rate_limit.py
+++ b/banyansail/gateway/decisions/rate_limit.py
@@ -34,7 +34,15 @@
         Draws when the first request may be sent, so that routers do not coincide.
     """
 
-    __slots__ = ("_known_at", "_named_at", "_part", "_random", "_ready_at", "per_s")
+    __slots__ = (
+        "_ended_at",
+        "_known_at",
+        "_named_at",
+        "_part",
+        "_random",
+        "_ready_at",
+        "per_s",
+    )
 
     def __init__(self, random: Random) -> None:
         self._random = random
@@ -42,13 +50,15 @@
         self._ready_at = timedelta(0)
         self._known_at = timedelta(0)  # when the upstream said so, to any router
         self._named_at: timedelta | None = None  # the same, to this router
+        self._ended_at: timedelta | None = None  # when it named no limit any more
         self.per_s: float | None = None  # requests per second; None for no limit
 
     def record_answer(self, per_s: float | None, now: timedelta) -> bool:
         """Apply what an answer names; return whether that changes the limit."""
-        if per_s is not None or self.per_s is not None:
+        is_changed = self._set(per_s, now)
+        if per_s is not None or self._has_ended_lately(now):
             self._named_at = now
-        return self._set(per_s, now)
+        return is_changed
 
     def merge(self, named: NamedLimit, now: timedelta) -> bool:
         """Apply what another router was told; return whether that changes the limit."""
@@ -61,9 +71,14 @@
             return False
         if self.per_s is None:
             self._part = 0.0
+        if per_s is None:
+            self._ended_at = said_at
         self.per_s = per_s
         return True
 
+    def _has_ended_lately(self, now: timedelta) -> bool:
+        return self._ended_at is not None and now - self._ended_at <= REPORT_TIME
+
     def report(self, now: timedelta) -> NamedLimit | None:
         """Return what this router was told itself, for the others."""
         if self._named_at is None or now - self._named_at > REPORT_TIME:
