--- a/banyansail/gateway/exchange.py
+++ b/banyansail/gateway/exchange.py
@@ -188,9 +188,11 @@
                 self._context.charge_quota(self._workspace, self._call)
                 return True
             case Answered(head):
-                # The other router's rejection says nothing of earlier attempts here.
-                is_rejection = earlier_runs and not head.is_stamped
-                self._finish((is_rejection and self._fallback) or Deliver(outcome))
+                if earlier_runs and not head.is_stamped and self._fallback is not None:
+                    # Its rejection says nothing of the earlier attempts here.
+                    self._finish(self._fallback)
+                else:
+                    self._deliver(outcome)
                 return False
         step = next_step(outcome, self._route, self._progress, self._remaining())
         if isinstance(step, Retry) and self._context.withdraw_retry(
--- a/banyansail/gateway/limit_sharing.py
+++ b/banyansail/gateway/limit_sharing.py
@@ -20,7 +20,7 @@
 
 
 class LimitSharing:
-    """Keeps this router to its part of the upstreams' limits.
+    """Keeps this router to its part of upstreams' limits and of brittle ones' slots.
 
     Parameters
     ----------
@@ -51,7 +51,7 @@
         self._live_members = live_members
 
     def record_answer(self, load: UpstreamLoad, head: ReplyHead) -> None:
-        """Apply the limit that an answer names, or that it names none."""
+        """Apply what an answer says of its upstream's limit and brittleness."""
         is_changed = load.limit.record_answer(head.limit, self._clock.monotonic())
         if is_changed:
             self._log_change(load)
