--- a/banyansail/gateway/crash_check.py
+++ b/banyansail/gateway/crash_check.py
@@ -23,8 +23,8 @@
     from banyansail.gateway.request_types import CallerCall
     from banyansail.gateway.upstream import Upstream
 
-NEAR_WITNESSES = 2  # routers of the upstream's data centre that are asked
-FAR_WITNESSES = 1
+NEAR_PEERS = 2  # routers of the upstream's data centre that are asked
+FAR_PEERS = 1
 
 
 class CrashCheck:
@@ -75,8 +75,8 @@
         far = [member for member in members if member.zone != upstream.zone]
         near_replies, far_replies = await defer.gatherResults(
             [
-                self._ask(near, NEAR_WITNESSES, upstream),
-                self._ask(far, FAR_WITNESSES, upstream),
+                self._ask(near, NEAR_PEERS, upstream),
+                self._ask(far, FAR_PEERS, upstream),
             ]
         )
         is_near = self._context.settings.zone == upstream.zone
