Refill a quota's bucket before the use of other routers is charged

Cause: a bucket was refilled only by a router's own requests. At a router that had none of the workspace for a while, the use of the others was subtracted from a bucket that had not been refilled, and the next request of its own then refilled it for the whole idle time at once. The cap at the burst so did not apply to that time, and the others' use of the last seconds was offset by seconds in which the bucket was full. Class: a lazily refilled counter that is changed without being refilled first. Ruled out: relayed requests and refunds (none in the window), restarts (none).

Change: the limiter knows the configured workspaces and refills a bucket before it charges reported use.

--- a/banyansail/gateway/decisions/quota.py
+++ b/banyansail/gateway/decisions/quota.py
@@ -3,7 +3,8 @@
 Each router keeps a token bucket per workspace for the whole fleet. Its own use is
 charged immediately, use by other routers when reports of it arrive: a peer is another
 router, or all the others if their use is reported as a sum. Between two reports of a
-peer, its recent rate of use is assumed to continue.
+peer, its recent rate of use is assumed to continue. A bucket is refilled before any use
+is charged, so that time in which it was full does not offset later use.
 
 Operators tolerate some use beyond a quota. While reports from all routers are recent,
 part of that tolerance is spent so that no request is rejected because of use that is
@@ -107,6 +108,7 @@
         "_started_at",
         "has_urgent_use",
         "used_by_workspace",
+        "workspace_by_name",
     )
 
     def __init__(self, clock: Clock, slack: float = 0.0) -> None:
@@ -115,6 +117,7 @@
         self._overdraft = slack * OVERDRAFT_SHARE
         self._bucket_by_name: dict[str, _Bucket] = {}
         self.used_by_workspace: dict[str, float] = {}
+        self.workspace_by_name: Mapping[str, Workspace] = {}  # of the configuration
         # Whether to report this router's use at once, as a quota is nearly used up.
         self.has_urgent_use = False
 
@@ -165,7 +168,8 @@
         """
         now = self._clock.monotonic()
         for name, total in total_by_workspace.items():
-            bucket = self._bucket(name)
+            workspace = self.workspace_by_name.get(name)
+            bucket = self._refill(workspace) if workspace else self._bucket(name)
             use = bucket.use_by_peer.get(peer)
             if use is None or use.incarnation != incarnation:
                 # Use before the first report of a peer is in the past and not charged,
--- a/banyansail/gateway/router.py
+++ b/banyansail/gateway/router.py
@@ -289,6 +289,7 @@
 
     def _apply_config(self, site: SiteConfig) -> None:
         self.request_handler.site = site
+        self.quota.workspace_by_name = site.workspace_by_name
         self._caller_factory.set_limits(site.limits)
         self._relay_factory.set_limits(site.limits)
         self.upstream_sync.site = site
--- a/tests/gateway/decisions/test_quota.py
+++ b/tests/gateway/decisions/test_quota.py
@@ -80,7 +80,7 @@
     assert refusals[TOLERATED] is None
 
 
-def run_fleet(demands, parts=(), cut=(0, 0), hot_from=0, restarts=()):
+def run_fleet(demands, parts=(), cut=(0, 0), hot_from=0, restarts=(), idle=()):
     """Simulate routers with delayed reports; return the use by time.
 
     Parameters
@@ -95,10 +95,12 @@
         Time before which each router receives a twentieth of the quota.
     restarts : tuple of (float, int)
         Times at which a router restarts without any state.
+    idle : tuple of (int, float)
+        Routers that receive no requests before a time.
     """
     clock = FakeClock()
     owner = workspace(rate=1000, burst=1000)
-    limiters = [QuotaLimiter(clock, TOLERATED) for _ in demands]
+    limiters = [make_limiter(clock, owner) for _ in demands]
     incarnations = [1] * len(limiters)
     reported_at = [0.0] * len(limiters)
     in_transit = deque()
@@ -108,12 +110,12 @@
         clock.advance(step)
         at = tick * step
         for index in _restarted(restarts, at, step):
-            limiters[index] = QuotaLimiter(clock, TOLERATED)
+            limiters[index] = make_limiter(clock, owner)
             incarnations[index] += 1
         for index, limiter in enumerate(limiters):
             usual = tick % 4 // 3  # 5% of the quota at each router
             demand = demands[index] * (tick % 2) if at >= hot_from else usual
-            for _ in range(demand):
+            for _ in range(demand * (at >= dict(idle).get(index, 0))):
                 if limiter.charge(owner, 10) is None:
                     used.append((at, 10))
             interval = URGENT_REPORT_S if limiter.has_urgent_use else REPORT_S
@@ -130,6 +132,12 @@
     return used
 
 
+def make_limiter(clock, owner):
+    limiter = QuotaLimiter(clock, TOLERATED)
+    limiter.workspace_by_name = {owner.name: owner}
+    return limiter
+
+
 def _restarted(restarts, at, step):
     return [index for restart_at, index in restarts if abs(at - restart_at) < step / 2]
 
@@ -214,3 +222,26 @@
     restarts = tuple((12, index) for index in range(9))
     used = run_fleet([3] * 9, restarts=restarts)
     assert sum(cost for at, cost in used if 12 <= at < 16) >= 0.9 * 1000 * 4
+
+
+def test_use_by_others_is_charged_to_a_router_without_requests():
+    """A bucket refilled only by own requests hides what others use meanwhile."""
+    clock = FakeClock()
+    owner = workspace(rate=100, burst=100)
+    limiter = QuotaLimiter(clock)
+    limiter.workspace_by_name = {owner.name: owner}
+    limiter.merge_peer_use("others", 1, {"w": 0})
+    clock.advance(30)
+    for number in range(1, 11):
+        limiter.merge_peer_use("others", 1, {"w": 60 * number})
+        clock.advance(0.4)
+    assert limiter.charge(owner, 10) is not None
+
+
+@pytest.mark.parametrize("count", [2, 5, 8])
+def test_routers_that_a_hot_workspace_reaches_late_keep_its_quota(count):
+    busy = 9 - count
+    demands = [MOST_ASKED // busy] * busy + [4] * count
+    idle = tuple((index, 16) for index in range(busy, 9))
+    used = run_fleet(demands, hot_from=10, idle=idle)
+    assert most_in_a_window(used) <= ALLOWED
