Share the verdict that a version is bad among the routers

Cause: each router judges by the tallies that it has heard. Class: a decision that every router repeats on evidence that differs. Ruled out: a lost lease, a store that refused the status. Change: a router publishes the moves that it found bad as a value of an existing topic; the others take them over, also for an order that reaches them later.

--- a/banyansail/gateway/duties/move_controller.py
+++ b/banyansail/gateway/duties/move_controller.py
@@ -20,11 +20,13 @@
 )
 from banyansail.log import log_decision, log_event
 from banyansail.platform.moves import MOVES_KIND, decode_move, encode_status
+from banyansail.wire.gossip_codec import decode_names, encode_names
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
     from banyansail.clock import Clock
+    from banyansail.fleet.entries import Entry
     from banyansail.gateway.decisions.dispatch import Dispatcher
     from banyansail.gateway.duties.duty_lease import DutyLease
     from banyansail.gateway.mirror import Mirror
@@ -77,11 +79,26 @@
         self._to_publish_again: set[str] = set()
         self._received_at: dict[tuple[str, str, int], timedelta] = {}
         self._bad_moves: set[tuple[str, int]] = set()
+        self._bad_names_by_origin: dict[str, set[str]] = {}  # of other routers
         self._answer_times = AnswerTimes()
         self.own_tallies: dict[TallyKey, Tally] = {}
         # Of the whole fleet, this router included, as of a moment ago.
         self._fleet_tallies: Mapping[TallyKey, Tally] = {}
 
+    def encode_bad_moves(self) -> bytes:
+        """Return the encoded names of the moves whose target is known to be bad."""
+        return encode_names(_bad_move_name(*key) for key in self._bad_moves)
+
+    def merge_bad_moves(self, entry: Entry) -> None:
+        """Apply the verdicts of another router, whose evidence may be newer."""
+        try:
+            names = decode_names(entry.value)
+        except WireError as error:
+            log_event("verdicts_unreadable", origin=entry.origin, error=error.message)
+            return
+        self._bad_names_by_origin[entry.origin] = names
+        self.update_shares()
+
     def record_restore(self) -> None:
         """Remember the present moves, as the store was restored from a copy."""
         self._moves_before_restore.update(self._move_by_service)
@@ -224,21 +241,39 @@
         key = (move.service, move.number)
         if key in self._bad_moves:
             return Verdict.BAD
+        judges = self._other_judges(*key)
+        if judges:
+            self._record_bad_move(key, f"router {judges[0]} found the target bad")
+            return Verdict.BAD
         verdict = judge(
             self._total_tally(move, True),
             self._total_tally(move, False),
             is_due=is_due(move, self._elapsed(move)),
         )
         if verdict is Verdict.BAD:
-            self._bad_moves.add(key)
-            log_decision(
-                "move_bad", "too many bad answers of the target", service=move.service
-            )
+            self._record_bad_move(key, "too many bad answers of the target")
         return verdict
 
+    def _other_judges(self, service: str, number: int) -> list[str]:
+        """Return the other routers that found the target of a move bad."""
+        name = _bad_move_name(service, number)
+        return [
+            origin
+            for origin, names in self._bad_names_by_origin.items()
+            if name in names
+        ]
+
+    def _record_bad_move(self, key: tuple[str, int], reason: str) -> None:
+        self._bad_moves.add(key)
+        log_decision("move_bad", reason, service=key[0])
+
     def _total_tally(self, move: Move, is_target: bool) -> Tally:
         """Return the larger of two tallies: the fleet's lags behind this router's."""
         key = (move.service, move.number, is_target)
         own = self.own_tallies.get(key, Tally())
         fleet = self._fleet_tallies.get(key, Tally())
         return Tally(max(own.good, fleet.good), max(own.bad, fleet.bad))
+
+
+def _bad_move_name(service: str, number: int) -> str:
+    return f"bad/{service}/{number}"
--- a/banyansail/gateway/router.py
+++ b/banyansail/gateway/router.py
@@ -357,6 +357,7 @@
         """Publish this router's state, and leaving marks that no other published."""
         self._publish_member()
         self.upstream_sync.publish_due_marks()
+        self.link.publish(Topic.STATEMENTS, self.moves.encode_bad_moves(), urgent=True)
         self.limits.update()
 
     async def report_cleared(self) -> None:
@@ -391,6 +392,8 @@
                     self.upstream_sync.merge_marks(entry)
                 case Topic.DEATHS:
                     self.context.crash_guard.merge_peer_crashes(entry.value)
+                case Topic.STATEMENTS:
+                    self.moves.merge_bad_moves(entry)
                 case Topic.USAGE:
                     self.usage_exchange.apply_entry(entry)
                 case Topic.TRAFFIC | Topic.ZONE_TRAFFIC | Topic.FLEET_TRAFFIC:
--- a/tests/gateway/duties/test_moves.py
+++ b/tests/gateway/duties/test_moves.py
@@ -7,6 +7,7 @@
 from hypothesis import strategies as st
 
 from banyansail.exceptions import StoreConflictError
+from banyansail.fleet.entries import Entry, Topic
 from banyansail.gateway.decisions.dispatch import Dispatcher
 from banyansail.gateway.duties.move_controller import MoveController
 from banyansail.gateway.duties.moves import (
@@ -22,6 +23,7 @@
     target_share,
 )
 from banyansail.gateway.mirror import Mirror
+from banyansail.wire.gossip_codec import encode_names
 from tests.fakes import FakeClock, run_now
 from tests.gateway.builders import seconds, upstream
 from tests.gateway.fake_store import FakeStore
@@ -167,6 +169,41 @@
     assert stored.status == {"state": "rolled_back", "target": "v2"}
 
 
+def test_holder_without_enough_evidence_publishes_another_routers_bad_verdict():
+    """Tallies arrive at different times, so verdicts of routers may differ for good."""
+    clock = FakeClock()
+    first, _ = controller_of(FakeStore(), clock, FakeLease())
+    store = FakeStore()
+    holder, dispatcher = controller_of(store, clock, FakeLease())
+    for source in (store, other_store := FakeStore()):
+        order(source)
+    follow(other_store, clock, first)
+    for number in range(10):
+        first.record("engines", "v1", is_good=True)
+        first.record("engines", "v2", is_good=number > 3)
+    first.update_shares()
+    value = first.encode_bad_moves()
+    holder.merge_bad_moves(Entry("r1", 1, Topic.STATEMENTS, 1, value))
+    follow(store, clock, holder)
+    run_now(holder.publish_states())
+    stored = store.object_by_key["rollouts", "engines"]
+    assert stored.status == {"state": "rolled_back", "target": "v2"}
+    assert dispatcher.state("engines").version_share.share == 0.0
+
+
+def test_bad_verdict_on_an_earlier_order_says_nothing_of_a_new_one():
+    clock = FakeClock()
+    store = FakeStore()
+    controller, _ = controller_of(store, clock, FakeLease())
+    order(store)
+    follow(store, clock, controller)
+    value = encode_names(["bad/engines/12345"])
+    controller.merge_bad_moves(Entry("r1", 1, Topic.STATEMENTS, 1, value))
+    run_now(controller.publish_states())
+    stored = store.object_by_key["rollouts", "engines"]
+    assert stored.status["state"] == "running"
+
+
 def record_answer(controller, version, duration, **options):
     target = upstream(f"e-{version}", "engines", version=version, **options)
     is_slow = controller.record_time(target, "draft", seconds(duration))
