Receive messages of a newer build without closing a connection

A call or reply of an unknown union member raised KjException, which escaped the receiving function and closed the connection with the calls on it. A datagram with one unknown topic was dropped as a whole, and a member entry with a time beyond the calendar raised ValueError.

An unknown call is answered with NotSupported and an unknown reply is read as it. Entries of unknown topics are skipped and counted. Decoders raise WireError only. Member entries carry features, which are forgotten when the router restarts, and a call is sent only to routers whose features name it. The new call reachIncarnation names one process of an upstream, so that a restarted one no longer counts as reached.

Before, decode_call and decode_reply raised KjException on the new messages, decode_gossip raised WireError, decode_member ValueError.

--- a/banyansail/fleet/datagrams.py
+++ b/banyansail/fleet/datagrams.py
@@ -51,9 +51,13 @@
         self.bytes_received = 0
         self.datagrams_sent = 0
         self.dropped = 0
+        self.unknown_entries = 0  # of topics that only a newer build knows
 
     def datagramReceived(self, datagram: bytes, addr: tuple[str, int]) -> None:
-        """Process a datagram; count and drop one that is invalid."""
+        """Process a datagram; count and drop one that is invalid.
+
+        Entries of unknown topics are counted and skipped.
+        """
         self.bytes_received += len(datagram)
         try:
             gossip = decode_gossip(self._authenticator.verify(datagram))
@@ -61,6 +65,9 @@
             self.dropped += 1
             self._metrics.count("gossip.dropped")
             return
+        if gossip.unknown_entries:
+            self.unknown_entries += gossip.unknown_entries
+            self._metrics.count("gossip.unknown_topic", gossip.unknown_entries)
         new_entries, replies = self._gossiper.receive(gossip, Address(*addr[:2]))
         self.send(replies)
         if new_entries:
--- a/banyansail/fleet/entries.py
+++ b/banyansail/fleet/entries.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass
 from datetime import datetime, timedelta
-from enum import IntEnum
+from enum import IntEnum, IntFlag
 
 from banyansail.config.fields import Address
 
@@ -27,6 +27,19 @@
     USAGE = 10
 
 
+class Feature(IntFlag):
+    """What a router understands beyond the messages of the first build, c1e6479.
+
+    Bits of newer builds are kept.
+    """
+
+    ANSWERS_UNKNOWN_CALLS = 1  # with `NotSupported`
+    RELAYS_STORE_CHANGES = 2
+    REACH_INCARNATION = 4
+
+
+NO_FEATURES = Feature(0)
+
 # Sent directly to some routers, never pushed and not part of digests.
 DIRECT_TOPICS = (
     Topic.EVIDENCE,
@@ -59,6 +72,8 @@
         Port at which it serves requests for other routers; 0 for none.
     is_cut_off : bool
         Whether it reaches no upstream.
+    features : Feature
+        What it understands; none for an older build.
     """
 
     zone: str
@@ -71,6 +86,7 @@
     store_era: int = 0
     relay_port: int = 0
     is_cut_off: bool = False
+    features: Feature = NO_FEATURES
 
     @property
     def relay(self) -> Address | None:
@@ -136,6 +152,8 @@
     step : int
         Position in an exchange: 0 for the request, one more for each reply. A
         datagram with `LAST_STEP` gets no reply; pushed entries carry `LAST_STEP`.
+    unknown_entries : int
+        Received entries that were skipped, as their topics are those of a newer build.
     """
 
     origin: str
@@ -143,3 +161,4 @@
     entries: tuple[Entry, ...]
     digests: tuple[Digest, ...]
     step: int
+    unknown_entries: int = 0
--- a/banyansail/fleet/gossiper.py
+++ b/banyansail/fleet/gossiper.py
@@ -223,8 +223,10 @@
         new_entries = [entry for entry in gossip.entries if self._view.merge(entry)]
         for entry in new_entries:
             self._apply_entry(entry)
+            self._topology.forget_features(entry.origin)
         for digest in gossip.digests:
             self._view.merge_digest(digest)
+            self._topology.forget_features(digest.origin)
         if gossip.step >= LAST_STEP:
             return new_entries, []
         reply = self._make_reply(gossip, sender)
--- a/banyansail/fleet/peer_calls.py
+++ b/banyansail/fleet/peer_calls.py
@@ -11,12 +11,16 @@
 from twisted.protocols.basic import Int32StringReceiver
 
 from banyansail.exceptions import BanyansailError, WireError
+from banyansail.fleet.entries import Feature
 from banyansail.log import log_event
 from banyansail.wire.call_codec import (
     MAX_CALL_BYTES,
+    NotSupported,
     PeerCall,
     PeerReply,
+    ReachIncarnation,
     Unavailable,
+    UnknownCall,
     decode_call,
     decode_reply,
     encode_call,
@@ -34,6 +38,16 @@
 NONCE_BYTES = 16
 CONNECT_TIMEOUT_S = 1.0
 CALL_TIMEOUT = timedelta(seconds=3)
+# Calls that the first build, c1e6479, does not know; it closes the connection that
+# brings one.
+FEATURE_BY_CALL: dict[type, Feature] = {
+    ReachIncarnation: Feature.REACH_INCARNATION,
+}
+
+
+def is_understood(call: PeerCall, features: Feature) -> bool:
+    """Return whether a router with these features understands a call."""
+    return FEATURE_BY_CALL.get(type(call), Feature(0)) in features
 
 
 class _AuthenticatedFrameProtocol(Int32StringReceiver):
@@ -112,9 +126,12 @@
             lambda failure: log_event("peer_call_failed", error=failure.getTraceback())
         )
 
-    async def _handle_call(self, call_id: int, call: PeerCall) -> None:
+    async def _handle_call(self, call_id: int, call: PeerCall | UnknownCall) -> None:
         try:
-            reply = await self._handle(call)
+            if isinstance(call, UnknownCall):
+                reply = NotSupported()
+            else:
+                reply = await self._handle(call)
         except BanyansailError as error:
             reply = Unavailable(error.message)
         if self.connected:
--- a/banyansail/fleet/topology.py
+++ b/banyansail/fleet/topology.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from datetime import timedelta
 from typing import TYPE_CHECKING
 
 from banyansail.fleet.duties import rank_names
+from banyansail.fleet.entries import NO_FEATURES
 from banyansail.fleet.view import LIVENESS_TIMEOUT
 
 if TYPE_CHECKING:
@@ -33,6 +35,7 @@
     """
 
     __slots__ = (
+        "_incarnation_by_name",
         "_live_by_name",
         "_live_cached_at",
         "_member_by_name",
@@ -44,19 +47,34 @@
         self._view = view
         self._zone = zone
         self._member_by_name: dict[str, Member] = {}
+        self._incarnation_by_name: dict[str, int] = {}  # that published the member
         self._live_by_name: dict[str, Member] = {}
         self._live_cached_at: timedelta | None = None
 
     def update_member(self, name: str, member: Member) -> None:
         """Store the state that a router published about itself."""
         self._member_by_name[name] = member
+        self._incarnation_by_name[name] = self._view.incarnation_of(name)
         self._live_cached_at = None
 
+    def forget_features(self, name: str) -> None:
+        """Forget the features of a router that restarted, perhaps with another build.
+
+        Its other state is kept, as the next member entry replaces it soon.
+        """
+        member = self._member_by_name.get(name)
+        if member is None or not member.features:
+            return
+        if self._view.incarnation_of(name) != self._incarnation_by_name[name]:
+            self._member_by_name[name] = replace(member, features=NO_FEATURES)
+            self._live_cached_at = None
+
     def remove_expired(self) -> None:
         """Remove members that the view no longer contains."""
         known_names = set(self._view.names)
         for name in self._member_by_name.keys() - known_names:
             del self._member_by_name[name]
+            del self._incarnation_by_name[name]
         self._live_cached_at = None
 
     def members(self) -> dict[str, Member]:
--- a/banyansail/fleet/view.py
+++ b/banyansail/fleet/view.py
@@ -75,6 +75,11 @@
         """Names of all known routers, live or not."""
         return list(self._origin_by_name)
 
+    def incarnation_of(self, name: str) -> int:
+        """Return the highest known incarnation of a router, 0 if it is unknown."""
+        origin = self._origin_by_name.get(name)
+        return origin.incarnation if origin is not None else 0
+
     def now(self) -> timedelta:
         """Return the monotonic time from which ages are computed."""
         return self._clock.monotonic()
--- a/banyansail/gateway/crash_check.py
+++ b/banyansail/gateway/crash_check.py
@@ -11,8 +11,10 @@
 from banyansail.wire.call_codec import (
     EmptyReply,
     NotReached,
+    NotSupported,
     PeerReply,
     Reached,
+    ReachIncarnation,
     ReachUpstream,
 )
 
@@ -25,6 +27,7 @@
 
 NEAR_PEERS = 2  # routers of the upstream's data centre that are asked
 FAR_PEERS = 1
+MAX_STARTED_AT = 2**63 - 1  # an entry in the store may hold any number
 
 
 class CrashCheck:
@@ -56,13 +59,31 @@
         if encoded_crashes is not None:
             self._context.publish_crashes(encoded_crashes)
 
-    async def answer(self, call: ReachUpstream) -> PeerReply:
-        """Answer whether this router reaches an upstream."""
+    async def answer(self, call: ReachUpstream | ReachIncarnation) -> PeerReply:
+        """Answer whether this router reaches an upstream, or one process of it."""
         load = self._context.dispatcher.load_of(call.upstream_id)
         if load is None or self._context.reach.is_cut_off:
             return EmptyReply()
-        is_reached = await self._can_connect(load.upstream)
-        return Reached() if is_reached else NotReached()
+        if isinstance(call, ReachUpstream):
+            is_reached = await self._can_connect(load.upstream)
+            return Reached() if is_reached else NotReached()
+        return await self._answer_incarnation(call)
+
+    async def _answer_incarnation(self, call: ReachIncarnation) -> PeerReply:
+        """Answer for one process, as another one under its id may be reached."""
+        if not self._has_started_again(call):
+            load = self._context.dispatcher.load_of(call.upstream_id)
+            if load is None or load.upstream.started_at != call.started_at:
+                return EmptyReply()  # a process that this router does not know yet
+            if await self._can_connect(load.upstream):
+                # The store may have told of the next process meanwhile.
+                is_replaced = self._has_started_again(call)
+                return NotReached() if is_replaced else Reached()
+        return NotReached()
+
+    def _has_started_again(self, call: ReachIncarnation) -> bool:
+        load = self._context.dispatcher.load_of(call.upstream_id)
+        return load is not None and load.upstream.started_at > call.started_at
 
     async def _has_ended(self, upstream: Upstream) -> bool:
         """Ask routers of the upstream's data centre, and one of another."""
@@ -95,6 +116,11 @@
 
     async def _call(self, member: Member, upstream: Upstream) -> PeerReply:
         try:
+            if 0 < upstream.started_at <= MAX_STARTED_AT:
+                call = ReachIncarnation(upstream.id, upstream.started_at)
+                reply = await self._link.call(member, call)
+                if reply != NotSupported():
+                    return reply
             return await self._link.call(member, ReachUpstream(upstream.id))
         except WireError as error:
             log_event("peer_lost", peer=str(member.peer), error=error.message)
--- a/banyansail/gateway/fleet_link.py
+++ b/banyansail/gateway/fleet_link.py
@@ -8,13 +8,17 @@
 from banyansail.config.fields import Address, parse_address
 from banyansail.exceptions import StoreConflictError, WireError
 from banyansail.fleet.datagrams import GossipProtocol
-from banyansail.fleet.entries import Member, Topic
+from banyansail.fleet.entries import Feature, Member, Topic
 from banyansail.fleet.gossiper import Gossiper
-from banyansail.fleet.peer_calls import PeerCaller, PeerServerFactory
+from banyansail.fleet.peer_calls import (
+    PeerCaller,
+    PeerServerFactory,
+    is_understood,
+)
 from banyansail.fleet.view import FleetView
 from banyansail.log import log_event
 from banyansail.metrics import Metrics
-from banyansail.wire.call_codec import Document, FetchDocument
+from banyansail.wire.call_codec import Document, FetchDocument, NotSupported
 from banyansail.wire.gossip_codec import encode_member
 from banyansail.wire.message_auth import MessageAuthenticator
 
@@ -25,10 +29,11 @@
     from banyansail.clock import Clock
     from banyansail.config.gateway_settings import GatewaySettings
     from banyansail.fleet.entries import Entry
-    from banyansail.platform.store import StoreClient
+    from banyansail.platform.store import StoreClient, StoredObject
     from banyansail.wire.call_codec import PeerCall, PeerReply
 
 ROUTERS_KIND = "routers"
+FEATURES = Feature.ANSWERS_UNKNOWN_CALLS | Feature.REACH_INCARNATION
 
 
 class FleetLink:
@@ -117,6 +122,7 @@
             store_era,
             settings.relay.port,
             is_cut_off,
+            FEATURES,
         )
         self.publish(Topic.MEMBER, encode_member(member), urgent=True)
 
@@ -141,7 +147,12 @@
         self.protocol.send(self._gossiper.exchange())
 
     async def call(self, member: Member, call: PeerCall) -> PeerReply:
-        """Call another router; raise `WireError` if it does not reply."""
+        """Call another router; raise `WireError` if it does not reply.
+
+        A call that the router does not understand is not sent.
+        """
+        if not is_understood(call, member.features):
+            return NotSupported()
         return await self._caller.call(member.peer, call)
 
     async def fetch(self, member: Member, document: str) -> Document | None:
@@ -174,7 +185,18 @@
         except StoreConflictError as error:
             log_event("join_conflict", error=error.message)
             return
-        seeds = [parse_address(item.spec["peer"]) for item in routers.values()]
+        seeds = _read_seeds(routers.values())
         self._gossiper.add_seeds(seeds)
         log_event("joined", others=len(seeds))
         self._is_joined = True
+
+
+def _read_seeds(routers: Iterable[StoredObject]) -> list[Address]:
+    """Return the addresses of registered routers; log and skip unreadable entries."""
+    seeds = []
+    for item in routers:
+        try:
+            seeds.append(parse_address(item.spec["peer"]))
+        except (KeyError, TypeError, ValueError) as error:
+            log_event("router_unreadable", name=item.name, error=repr(error))
+    return seeds
--- a/banyansail/gateway/router.py
+++ b/banyansail/gateway/router.py
@@ -50,6 +50,7 @@
     FetchDocument,
     PeerCall,
     PeerReply,
+    ReachIncarnation,
     ReachUpstream,
 )
 
@@ -337,7 +338,7 @@
                 return self.config.document() or EmptyReply()
             case FetchDocument(name) if name == UPSTREAMS_DOCUMENT:
                 return self.upstream_table.document() or EmptyReply()
-            case ReachUpstream():
+            case ReachUpstream() | ReachIncarnation():
                 return await self.crash_check.answer(call)
         return EmptyReply()
 
--- a/banyansail/router/handoff.py
+++ b/banyansail/router/handoff.py
@@ -6,7 +6,12 @@
 from typing import TYPE_CHECKING
 
 from banyansail.exceptions import WireError
-from banyansail.wire.call_codec import FetchStream, StoreStream, StreamRecord
+from banyansail.wire.call_codec import (
+    EmptyReply,
+    FetchStream,
+    StoreStream,
+    StreamRecord,
+)
 
 if TYPE_CHECKING:
     from banyansail.fleet.duties import Duties
@@ -54,9 +59,11 @@
         copies = 0
         for name in self._duties.stream_record_holders(record.request_id, len(members)):
             try:
-                await self._peers.call(members[name].peer, StoreStream(record))
+                reply = await self._peers.call(members[name].peer, StoreStream(record))
             except WireError:
                 continue
+            if reply != EmptyReply():
+                continue
             copies += 1
             if copies == RECORD_COPIES:
                 break
--- a/banyansail/router/peer_service.py
+++ b/banyansail/router/peer_service.py
@@ -71,6 +71,7 @@
                 return EmptyReply()
             case FetchStream(request_id):
                 return self._streams.get(request_id) or EmptyReply()
+        return EmptyReply()
 
     @staticmethod
     def check_result(reply: PeerReply) -> Result:
--- a/banyansail/router/router.py
+++ b/banyansail/router/router.py
@@ -15,7 +15,7 @@
 from banyansail.exceptions import WireError
 from banyansail.fleet.datagrams import GossipProtocol
 from banyansail.fleet.duties import Duties
-from banyansail.fleet.entries import Entry, Member, Topic
+from banyansail.fleet.entries import Entry, Feature, Member, Topic
 from banyansail.fleet.gossiper import Gossiper
 from banyansail.fleet.peer_calls import PeerCaller
 from banyansail.fleet.view import FleetView
@@ -320,6 +320,7 @@
             self.rules_keeper.active_since,
             self.lifecycle.is_ready,
             self.lifecycle.state is RouterState.LEAVING,
+            features=Feature.ANSWERS_UNKNOWN_CALLS,
         )
         self.gossiper.publish(Topic.MEMBER, encode_member(member))
 
--- a/banyansail/wire/call_codec.py
+++ b/banyansail/wire/call_codec.py
@@ -7,7 +7,6 @@
 
 import capnp
 
-from banyansail.exceptions import WireError
 from banyansail.ledger.records import (
     Finished,
     FinishKey,
@@ -20,6 +19,7 @@
     StartKey,
     StoredAnswer,
 )
+from banyansail.wire.errors import raise_as_wire_error
 from banyansail.wire.schema import schema
 
 MAX_CALL_BYTES = 4 * 1024**2
@@ -87,6 +87,25 @@
     upstream_id: str
 
 
+@dataclass(slots=True, frozen=True)
+class ReachIncarnation:
+    """Ask the called router whether it reaches one process of an upstream.
+
+    Parameters
+    ----------
+    started_at : int
+        Wall-clock start time of the process in milliseconds.
+    """
+
+    upstream_id: str
+    started_at: int
+
+
+@dataclass(slots=True, frozen=True)
+class UnknownCall:
+    """Call of a newer build; it is answered with `NotSupported`."""
+
+
 @dataclass(slots=True, frozen=True)
 class Reached:
     """The upstream accepted a connection of the called router."""
@@ -109,6 +128,11 @@
     """The router has nothing to return."""
 
 
+@dataclass(slots=True, frozen=True)
+class NotSupported:
+    """The called router does not know the call, or this one does not know the reply."""
+
+
 PeerCall = (
     StartKey
     | FinishKey
@@ -117,6 +141,7 @@
     | StoreStream
     | FetchStream
     | ReachUpstream
+    | ReachIncarnation
 )
 PeerReply = (
     Started
@@ -131,6 +156,7 @@
     | EmptyReply
     | Reached
     | NotReached
+    | NotSupported
 )
 
 VOID_NAME_BY_REPLY = {
@@ -141,6 +167,7 @@
     EmptyReply: "nothing",
     Reached: "reached",
     NotReached: "notReached",
+    NotSupported: "notSupported",
 }
 VOID_REPLY_BY_NAME = {name: reply for reply, name in VOID_NAME_BY_REPLY.items()}
 
@@ -169,10 +196,14 @@
             return {"takeStream": request_id}
         case ReachUpstream(upstream_id):
             return {"reachUpstream": upstream_id}
+        case ReachIncarnation(upstream_id, started_at):
+            incarnation = {"upstream": upstream_id, "startedAt": started_at}
+            return {"reachIncarnation": incarnation}
 
 
-def decode_call(data: bytes) -> tuple[int, PeerCall]:
-    """Decode a call.
+@raise_as_wire_error("a call")
+def decode_call(data: bytes) -> tuple[int, PeerCall | UnknownCall]:
+    """Decode a call; one of a newer build is an `UnknownCall`.
 
     Raises
     ------
@@ -180,7 +211,7 @@
         If the bytes are not a call.
     """
     message = _unpack(schema.Call, data)
-    match message.which():
+    match _member_name(message):
         case "start":
             claim = message.start
             return message.id, StartKey(claim.key, claim.attempt, claim.fingerprint)
@@ -198,8 +229,11 @@
             return message.id, FetchStream(message.takeStream)
         case "reachUpstream":
             return message.id, ReachUpstream(message.reachUpstream)
-        case other:
-            raise WireError(f"unknown call {other!r}")
+        case "reachIncarnation":
+            item = message.reachIncarnation
+            return message.id, ReachIncarnation(item.upstream, item.startedAt)
+        case _:
+            return message.id, UnknownCall()
 
 
 def encode_reply(call_id: int, reply: PeerReply) -> bytes:
@@ -224,8 +258,9 @@
             return {VOID_NAME_BY_REPLY[type(reply)]: None}
 
 
+@raise_as_wire_error("a reply")
 def decode_reply(data: bytes) -> tuple[int, PeerReply]:
-    """Decode a reply.
+    """Decode a reply; one of a newer build is `NotSupported`.
 
     Raises
     ------
@@ -233,7 +268,7 @@
         If the bytes are not a reply.
     """
     message = _unpack(schema.Reply, data)
-    match message.which():
+    match _member_name(message):
         case "inFlight":
             return message.id, InFlight(message.inFlight)
         case "finished":
@@ -246,14 +281,19 @@
         case "stream":
             return message.id, _decode_stream(message.stream)
         case other:
-            return message.id, VOID_REPLY_BY_NAME[other]()
+            return message.id, VOID_REPLY_BY_NAME.get(other, NotSupported)()
 
 
 def _unpack(struct: Any, data: bytes) -> Any:
+    return struct.from_bytes_packed(data, traversal_limit_in_words=MAX_CALL_BYTES)
+
+
+def _member_name(message: Any) -> str:
+    """Return the name of the union's member; empty if this build has no such one."""
     try:
-        return struct.from_bytes_packed(data, traversal_limit_in_words=MAX_CALL_BYTES)
-    except (capnp.KjException, ValueError, RuntimeError) as error:
-        raise WireError(f"not a packed struct: {error}") from None
+        return message.which()
+    except capnp.KjException:
+        return ""
 
 
 def _answer_fields(answer: StoredAnswer) -> dict[str, Any]:
--- a/banyansail/wire/gossip_codec.py
+++ b/banyansail/wire/gossip_codec.py
@@ -6,19 +6,31 @@
 from datetime import UTC, datetime, timedelta
 from typing import Any
 
-import capnp
-
 from banyansail.config.fields import Address
 from banyansail.exceptions import WireError
-from banyansail.fleet.entries import Digest, Entry, Gossip, Member, Topic
-from banyansail.rollout.evidence import Evidence, EvidenceCell, EvidenceKey
+from banyansail.fleet.entries import (
+    Digest,
+    Entry,
+    Feature,
+    Gossip,
+    Member,
+    Topic,
+)
+from banyansail.rollout.evidence import (
+    LATENCY_BUCKETS,
+    Evidence,
+    EvidenceCell,
+    EvidenceKey,
+)
 from banyansail.routing.crash_history import UpstreamCrash
 from banyansail.routing.crash_reports import CrashReport
+from banyansail.wire.errors import raise_as_wire_error
 from banyansail.wire.schema import schema
 
 MILLISECOND = timedelta(milliseconds=1)
 MAX_AGE_MS = 2**32 - 1
 MAX_PACKED_BYTES = 64 * 1024
+KNOWN_TOPICS = frozenset(Topic)
 
 
 def unpack(struct: Any, data: bytes) -> Any:
@@ -31,10 +43,8 @@
     """
     if len(data) > MAX_PACKED_BYTES:
         raise WireError(f"{len(data)} bytes exceed the limit of {MAX_PACKED_BYTES}")
-    try:
+    with raise_as_wire_error("a packed struct"):
         return struct.from_bytes_packed(data)
-    except (capnp.KjException, ValueError, RuntimeError) as error:
-        raise WireError(f"not a packed struct: {error}") from None
 
 
 def encode_gossip(gossip: Gossip) -> bytes:
@@ -67,8 +77,9 @@
     return message.to_bytes_packed()
 
 
+@raise_as_wire_error("a datagram")
 def decode_gossip(data: bytes) -> Gossip:
-    """Decode a datagram.
+    """Decode a datagram; entries of unknown topics are skipped.
 
     Raises
     ------
@@ -76,16 +87,17 @@
         If the bytes are not a datagram.
     """
     message = unpack(schema.Datagram, data)
-    try:
-        return Gossip(
-            message.origin,
-            message.zone,
-            tuple(_decode_entry(item) for item in message.entries),
-            tuple(_decode_digest(item) for item in message.digests),
-            message.step,
-        )
-    except (capnp.KjException, ValueError) as error:
-        raise WireError(f"invalid datagram: {error}") from None
+    entries = tuple(
+        _decode_entry(item) for item in message.entries if item.topic in KNOWN_TOPICS
+    )
+    return Gossip(
+        message.origin,
+        message.zone,
+        entries,
+        tuple(_decode_digest(item) for item in message.digests),
+        message.step,
+        len(message.entries) - len(entries),
+    )
 
 
 def _decode_entry(item: Any) -> Entry:
@@ -122,10 +134,12 @@
         storeEra=member.store_era,
         relayPort=member.relay_port,
         isCutOff=member.is_cut_off,
+        features=int(member.features),
     )
     return message.to_bytes_packed()
 
 
+@raise_as_wire_error("a member")
 def decode_member(data: bytes) -> Member:
     """Decode a value of `Topic.MEMBER`."""
     message = unpack(schema.Member, data)
@@ -140,6 +154,7 @@
         message.storeEra,
         message.relayPort,
         message.isCutOff,
+        Feature(message.features),
     )
 
 
@@ -148,6 +163,7 @@
     return schema.Names.new_message(names=sorted(names)).to_bytes_packed()
 
 
+@raise_as_wire_error("names")
 def decode_names(data: bytes) -> set[str]:
     """Decode a value of `Topic.STATEMENTS`."""
     return set(unpack(schema.Names, data).names)
@@ -165,6 +181,7 @@
     return schema.LeavingMarks.new_message(marks=notices).to_bytes_packed()
 
 
+@raise_as_wire_error("leaving marks")
 def decode_leaving(data: bytes) -> dict[str, timedelta]:
     """Decode a value of `Topic.LEAVING`."""
     notices = unpack(schema.LeavingMarks, data).marks
@@ -180,6 +197,7 @@
     return schema.Loads.new_message(loads=loads).to_bytes_packed()
 
 
+@raise_as_wire_error("loads")
 def decode_loads(data: bytes) -> dict[str, int]:
     """Decode a value of `Topic.LOADS`."""
     return {item.upstream: item.inFlight for item in unpack(schema.Loads, data).loads}
@@ -206,6 +224,7 @@
     return message.to_bytes_packed()
 
 
+@raise_as_wire_error("crashes")
 def decode_crashes(data: bytes) -> CrashReport:
     """Decode a value of `Topic.DEATHS`."""
     message = unpack(schema.Deaths, data)
@@ -248,11 +267,13 @@
     return schema.Evidence.new_message(cells=cells, zone=zone).to_bytes_packed()
 
 
+@raise_as_wire_error("evidence")
 def decode_evidence(data: bytes) -> Evidence:
     """Decode a value of `Topic.EVIDENCE`."""
     return _decode_cells(unpack(schema.Evidence, data))
 
 
+@raise_as_wire_error("evidence of a zone")
 def decode_zone_evidence(data: bytes) -> tuple[str, Evidence]:
     """Decode a value of `Topic.ZONE_EVIDENCE`: the zone and its evidence."""
     message = unpack(schema.Evidence, data)
@@ -270,5 +291,18 @@
             item.loadBand,
             item.move,
         )
-        decoded[key] = EvidenceCell(item.good, item.failed, list(item.latencies))
+        latencies = _decode_latencies(item.latencies)
+        decoded[key] = EvidenceCell(item.good, item.failed, latencies)
     return decoded
+
+
+def _decode_latencies(counts: Iterable[int]) -> list[int]:
+    """Return counts by bucket; the last one has those of further buckets.
+
+    Another build may have fewer buckets or more.
+    """
+    known = list(counts)
+    latencies = known[:LATENCY_BUCKETS]
+    latencies += [0] * (LATENCY_BUCKETS - len(latencies))
+    latencies[-1] += sum(known[LATENCY_BUCKETS:])
+    return latencies
--- a/banyansail/wire/schema.capnp
+++ b/banyansail/wire/schema.capnp
@@ -39,6 +39,7 @@
   storeEra @8 :UInt32;
   relayPort @9 :UInt16;
   isCutOff @10 :Bool;  # the router reaches no upstream
+  features @11 :UInt64;  # bits of what the router understands
 }
 
 struct Names {
@@ -178,6 +179,8 @@
     keepStream @5 :StreamRecord;
     takeStream @6 :Text;
     reachUpstream @7 :Text;  # its id
+    followStore @8 :Void;
+    reachIncarnation @9 :Incarnation;
   }
 }
 
@@ -186,6 +189,11 @@
   version @1 :UInt64;  # version that the caller has
 }
 
+struct Incarnation {
+  upstream @0 :Text;
+  startedAt @1 :UInt64;  # Unix time in milliseconds
+}
+
 struct Claim {
   key @0 :Text;
   attempt @1 :Text;
@@ -228,6 +236,8 @@
     nothing @10 :Void;
     reached @11 :Void;
     notReached @12 :Void;
+    storeChanges @13 :Void;
+    notSupported @14 :Void;
   }
 }
 
--- a/banyansail/wire/traffic_codec.py
+++ b/banyansail/wire/traffic_codec.py
@@ -12,6 +12,7 @@
     UpstreamWork,
 )
 from banyansail.traffic.tally import Tally
+from banyansail.wire.errors import raise_as_wire_error
 from banyansail.wire.gossip_codec import MILLISECOND, age_ms, unpack
 from banyansail.wire.schema import schema
 
@@ -33,6 +34,7 @@
     return message.to_bytes_packed()
 
 
+@raise_as_wire_error("a traffic report")
 def decode_report(data: bytes) -> TrafficReport:
     """Decode a value of `Topic.TRAFFIC`.
 
@@ -76,6 +78,7 @@
     return message.to_bytes_packed()
 
 
+@raise_as_wire_error("a traffic sum")
 def decode_sum(data: bytes) -> tuple[str, TrafficSum]:
     """Decode a value of `Topic.FLEET_TRAFFIC` or `Topic.ZONE_TRAFFIC`.
 
@@ -117,6 +120,7 @@
     return schema.Usage.new_message(windows=windows).to_bytes_packed()
 
 
+@raise_as_wire_error("usage counts")
 def decode_usage(data: bytes) -> UsageCounts:
     """Decode a value of `Topic.USAGE`.
 
--- a/tests/gateway/test_fleet_link.py
+++ b/tests/gateway/test_fleet_link.py
@@ -1,11 +1,14 @@
 from __future__ import annotations
 
+from datetime import UTC, datetime
 from random import Random
 
 from banyansail.config.fields import Address
+from banyansail.fleet.entries import Member
 from banyansail.fleet.gossiper import Gossiper
 from banyansail.fleet.view import FleetView
 from banyansail.gateway.fleet_link import ROUTERS_KIND, FleetLink
+from banyansail.wire.call_codec import NotSupported, ReachIncarnation
 from tests.fakes import FakeClock, run_now
 from tests.gateway.fake_store import FakeStore
 
@@ -63,3 +66,21 @@
     gossiper = Gossiper(view, "glasgow", own, [own], Random(1))
     gossiper.add_seeds([own])
     assert gossiper.exchange() == []
+
+
+def test_a_call_that_a_router_does_not_understand_is_not_sent():
+    """An older build closes the connection that brings such a call."""
+    since = datetime.fromtimestamp(0, UTC)
+    older = Member("z", "r", Address("10.0.0.2", 7600), 1, since, True, False)
+    reply = run_now(fleet_link().call(older, ReachIncarnation("u", 1)))
+    assert reply == NotSupported()
+
+
+def test_an_unreadable_registration_does_not_keep_a_router_from_joining():
+    store = FakeStore()
+    other = Address("10.0.0.2", 7600)
+    run_now(store.create(ROUTERS_KIND, "front-0", {"of": "a newer build"}))
+    run_now(store.create(ROUTERS_KIND, "front-2", {"peer": str(other), "more": 1}))
+    fleet = fleet_link()
+    run_now(fleet.join(store))
+    assert other in digest_targets(fleet)
