Read records of a newer build in the store one by one

One ledger record in an unknown state, or with a further element, made its whole shard unreadable, so that all its orders were refused. One malformed object stopped the reading of a list or a watch, one registration kept a router from joining, one route of an unknown type refused the whole configuration, and the cleaner deleted quarantines that it could not read.

Such objects are skipped and logged. Unknown ledger states never run again and are written back as they are; states of moves are kept. A route of an unknown type runs a request at most once.

Before, decode_segment raised ValueError and TypeError on the new records and decode_status ValueError.

--- a/banyansail/gateway/config_keeper.py
+++ b/banyansail/gateway/config_keeper.py
@@ -50,7 +50,12 @@
 
     def apply_document(self, document: Document, source: str) -> None:
         """Apply the active configuration of another router."""
-        self.apply(json.loads(document.text), source)
+        try:
+            body = json.loads(document.text)
+        except ValueError as error:
+            log_event("config_unreadable", error=str(error), source=source)
+            return
+        self.apply(body, source)
 
     def apply(self, body: Any, source: str) -> None:
         """Activate a configuration if its version is newer."""
--- a/banyansail/gateway/quarantine_store.py
+++ b/banyansail/gateway/quarantine_store.py
@@ -34,7 +34,7 @@
 
 @dataclass(slots=True, frozen=True)
 class _StoredQuarantine:
-    subject: Subject
+    subject: Subject | None  # ``None`` if only a newer build knows its kind
     end: datetime
 
 
@@ -147,7 +147,8 @@
         latest = self._clock.now() - DELETION_DELAY
         for stored in list(stored_by_name.values()):
             quarantine = _decode(stored)
-            if quarantine is None or quarantine.end < latest:
+            # Another build may know what this one can't read.
+            if quarantine is not None and quarantine.end < latest:
                 await self._store.delete(QUARANTINES_KIND, stored.name)
                 stored_by_name.pop(stored.name, None)
 
@@ -159,7 +160,10 @@
                 continue
             self._applied_revision_by_name[stored.name] = stored.revision
             quarantine = _decode(stored)
-            if quarantine is not None and quarantine.end > now:
+            if quarantine is None or quarantine.subject is None:
+                log_event("quarantine_unreadable", name=stored.name)
+                continue
+            if quarantine.end > now:
                 self._guard.restore(quarantine.subject, quarantine.end - now)
         for name in self._applied_revision_by_name.keys() - stored_by_name:
             del self._applied_revision_by_name[name]
@@ -173,12 +177,12 @@
             return f"{PART_PREFIX}{number:016x}"
 
 
-def _decode_subject(name: str) -> Subject:
+def _decode_subject(name: str) -> Subject | None:
     if name.startswith(REQUEST_PREFIX):
         return RequestSubject(int(name.removeprefix(REQUEST_PREFIX), 16))
     if name.startswith(PART_PREFIX):
         return PartSubject(int(name.removeprefix(PART_PREFIX), 16))
-    raise ValueError(f"{name!r} names neither a request nor a part")
+    return None
 
 
 def _decode(stored: StoredObject) -> _StoredQuarantine | None:
@@ -186,6 +190,5 @@
     try:
         end = datetime.fromtimestamp(stored.spec["untilMs"] / 1000, UTC)
         return _StoredQuarantine(_decode_subject(stored.name), end)
-    except (KeyError, TypeError, ValueError, OverflowError, OSError) as error:
-        log_event("quarantine_unreadable", name=stored.name, error=repr(error))
+    except (KeyError, TypeError, ValueError, OverflowError, OSError):
         return None
--- a/banyansail/gateway/upstream_table.py
+++ b/banyansail/gateway/upstream_table.py
@@ -138,12 +138,15 @@
         """Use another router's entries until the store can be reached."""
         if self.mirror.object_by_name:
             return
-        specs = json.loads(document.text)
-        log_event("upstreams_from_peer", peer=source, count=len(specs))
         unknown = Revision(0, 0)
-        self.mirror.seed(
-            [StoredObject(name, unknown, spec) for name, spec in specs.items()]
-        )
+        try:
+            specs = json.loads(document.text)
+            objects = [StoredObject(name, unknown, specs[name]) for name in specs]
+        except (TypeError, ValueError) as error:
+            log_event("document_unreadable", peer=source, error=repr(error))
+            return
+        log_event("upstreams_from_peer", peer=source, count=len(objects))
+        self.mirror.seed(objects)
 
     def _presumed_stopped_ids(self, upstreams: list[Upstream]) -> set[str]:
         """Return the ids of lapsed upstreams that have probably stopped.
--- a/banyansail/ledger/codec.py
+++ b/banyansail/ledger/codec.py
@@ -11,6 +11,11 @@
 )
 from banyansail.ledger.records import KeyState, Record, ShardHead, StoredAnswer
 
+STATE_BY_WORD = {
+    state.value: state for state in KeyState if state is not KeyState.UNKNOWN
+}
+ANSWER_ELEMENTS = 3
+
 
 def encode_head(head: ShardHead) -> dict[str, object]:
     """Encode the head of a shard as the JSON body of its object."""
@@ -30,7 +35,7 @@
         return ShardHead()
     pages = tuple(
         PageRef(name, datetime.fromtimestamp(newest, tz=UTC), keys)
-        for name, newest, keys in body["pages"]
+        for name, newest, keys, *_ in body["pages"]
     )
     segments = decode_segments(body["segments"])
     return ShardHead(decode_segment(body), segments, pages)
@@ -43,25 +48,32 @@
         answer = record.answer
         stored = [answer.status, answer.content_type, answer.body] if answer else None
         encoded[key] = [
-            record.state.value,
+            record.unknown_state or record.state.value,
             record.claimant_id,
             record.fingerprint,
             record.started_at.timestamp(),
             stored,
+            *record.further,
         ]
     return {"records": encoded}
 
 
 def decode_segment(body: dict[str, object]) -> dict[str, Record]:
-    """Decode the JSON body of a segment."""
+    """Decode the JSON body of a segment.
+
+    States and elements of a newer build are kept and written back as they are.
+    """
     decoded = {}
     for key, item in body["records"].items():
-        state, claimant_id, fingerprint, at, stored = item
+        word, claimant_id, fingerprint, at, stored, *further = item
+        state = STATE_BY_WORD.get(word, KeyState.UNKNOWN)
         decoded[key] = Record(
-            KeyState(state),
+            state,
             claimant_id,
             fingerprint,
             datetime.fromtimestamp(at, tz=UTC),
-            StoredAnswer(*stored) if stored else None,
+            StoredAnswer(*stored[:ANSWER_ELEMENTS]) if stored else None,
+            word if state is KeyState.UNKNOWN else "",
+            tuple(further),
         )
     return decoded
--- a/banyansail/ledger/key_index.py
+++ b/banyansail/ledger/key_index.py
@@ -122,7 +122,7 @@
     """Decode the result of `encode_segments`."""
     return tuple(
         Segment(name, datetime.fromtimestamp(newest, tz=UTC), _unpack(hashes))
-        for name, newest, hashes in encoded
+        for name, newest, hashes, *_ in encoded
     )
 
 
--- a/banyansail/ledger/records.py
+++ b/banyansail/ledger/records.py
@@ -24,11 +24,12 @@
 
 
 class KeyState(Enum):
-    """State of a key; the last two states are settled."""
+    """State of a key; `DONE` and `RELEASED` are settled."""
 
     STARTED = "started"
     DONE = "done"
     RELEASED = "released"
+    UNKNOWN = "unknown"  # of a newer build; the call may have run
 
 
 @dataclass(slots=True, frozen=True)
@@ -58,6 +59,10 @@
         Hash of the call, which detects that the key is reused for a different call.
     started_at : datetime
         Platform time at which the key was started.
+    unknown_state : str
+        Word of a state that only a newer build knows; empty for a known state.
+    further : tuple
+        Elements that a newer build added, which are kept as they are.
     """
 
     state: KeyState
@@ -65,6 +70,8 @@
     fingerprint: int
     started_at: datetime
     answer: StoredAnswer | None = None
+    unknown_state: str = ""
+    further: tuple[Any, ...] = ()
 
 
 @dataclass(slots=True, frozen=True)
@@ -234,7 +241,8 @@
             return KeyMismatch(), False
         if record.state is KeyState.DONE:
             return Finished(record.answer), False
-        if record.claimant_id == operation.claimant_id:
+        is_claimant = record.claimant_id == operation.claimant_id
+        if is_claimant and record.state is KeyState.STARTED:
             return Started(), False
         return InFlight(record.claimant_id), False
 
--- a/banyansail/platform/moves.py
+++ b/banyansail/platform/moves.py
@@ -36,12 +36,19 @@
             spec["target"],
             timedelta(seconds=float(spec["durationS"])),
             stored.created_revision,
-            STATE_BY_WIRE_VALUE.get(status.get("state")) if is_for_target else None,
+            _decode_state(status.get("state")) if is_for_target else None,
         )
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
+    except (KeyError, TypeError, ValueError, AttributeError, OverflowError) as error:
         raise WireError(f"malformed move {stored.name}: {error!r}") from None
 
 
+def _decode_state(value: Any) -> MoveState | None:
+    """Return a published state; one of a newer build is published and not final."""
+    if value is None:
+        return None
+    return STATE_BY_WIRE_VALUE.get(value, MoveState.RUNNING)
+
+
 def encode_status(move: Move, state: MoveState) -> dict[str, Any]:
     """Encode the state of a move as the status of its rollout object."""
     return {"state": WIRE_VALUE_BY_STATE[state], "target": move.target}
--- a/banyansail/platform/site.py
+++ b/banyansail/platform/site.py
@@ -27,7 +27,7 @@
     "streaming": RouteKind.STREAM,
 }
 UPSTREAM_STATES = ("ready", "draining")
-DECODE_ERRORS = (KeyError, TypeError, ValueError, AttributeError)
+DECODE_ERRORS = (KeyError, TypeError, ValueError, AttributeError, OverflowError)
 
 
 def _milliseconds(value: float) -> timedelta:
@@ -67,7 +67,8 @@
         name=item["name"],
         host=item["host"].lower(),
         prefix=item["pathPrefix"],
-        kind=ROUTE_KIND_BY_TYPE[item["routeType"]],
+        # A request of a type that this build does not know runs at most once.
+        kind=ROUTE_KIND_BY_TYPE.get(item["routeType"], RouteKind.ONCE),
         targets=targets,
         timeout=_milliseconds(item["timeoutMs"]),
         latency_objective=_milliseconds(item.get("sloMs") or item["timeoutMs"]),
--- a/banyansail/platform/store.py
+++ b/banyansail/platform/store.py
@@ -154,15 +154,15 @@
                 "GET", f"/v1/objects/{kind}?{page_query.lstrip('&')}"
             )
             body = _read_body(answer, 200)
-            items = [_decode_object(item, answer.era) for item in body["items"]]
-            stored_objects += items
+            items = body["items"]
+            stored_objects += _decode_listed(items, answer.era)
             revision = Revision(answer.era, int(body["at"]))
             first_page_revision = first_page_revision or revision
             if first_page_revision.era != answer.era:
                 raise HistoryLostError("the store was restored between two pages")
             if not body.get("hasMore") or not items:
                 return first_page_revision, stored_objects
-            last_name = items[-1].name
+            last_name = stored_objects[-1].name if stored_objects else last_name
         raise PlatformUnavailableError(
             f"the list of {kind} has more than {MAX_PAGES} pages"
         )
@@ -193,12 +193,7 @@
                 f"changes of {kind} since revision {since} were compacted"
             )
         body = _read_body(answer, 200)
-        changes = [
-            Change(
-                _decode_object(item["object"], answer.era), bool(item.get("deleted"))
-            )
-            for item in body["events"]
-        ]
+        changes = _decode_changes(body["events"], answer.era)
         return Revision(answer.era, int(body["at"])), changes
 
     def cancel_watches(self) -> None:
@@ -317,6 +312,31 @@
     return answer.json()
 
 
+def _decode_listed(items: list[Any], era: int) -> list[StoredObject]:
+    """Return the readable objects of a list; log and skip the others."""
+    decoded = []
+    for item in items:
+        try:
+            decoded.append(_decode_object(item, era))
+        except PlatformUnavailableError as error:
+            log_event("object_unreadable", error=error.message)
+    return decoded
+
+
+def _decode_changes(events: list[Any], era: int) -> list[Change]:
+    """Return the readable changes of a watch; log and skip other events."""
+    decoded = []
+    for event in events:
+        try:
+            stored = _decode_object(event["object"], era)
+            decoded.append(Change(stored, bool(event.get("deleted"))))
+        except (KeyError, TypeError, AttributeError) as error:
+            log_event("change_unreadable", error=repr(error))
+        except PlatformUnavailableError as error:
+            log_event("change_unreadable", error=error.message)
+    return decoded
+
+
 def _decode_object(item: Any, era: int, name: str = "") -> StoredObject:
     try:
         metadata = item["metadata"]
--- a/banyansail/rollout/status.py
+++ b/banyansail/rollout/status.py
@@ -14,11 +14,21 @@
 
 
 class MoveState(Enum):
-    """Progress of a move; the last two states are final."""
+    """Progress of a move; `REVERTED` and `DONE` are final."""
 
     MOVING = "moving"
     REVERTED = "taken_back"  # the word in stored data
     DONE = "done"
+    UNKNOWN = "unknown"  # of a newer build, which is never overwritten
+
+    @classmethod
+    def _missing_(cls, value: object) -> MoveState:
+        return cls.UNKNOWN
+
+    @property
+    def is_final(self) -> bool:
+        """Whether the state of a move does not change any more."""
+        return self in (MoveState.REVERTED, MoveState.DONE)
 
 
 @dataclass(slots=True, frozen=True)
--- a/banyansail/router/move_status_store.py
+++ b/banyansail/router/move_status_store.py
@@ -108,7 +108,7 @@
 def _apply_stored(move: Move, stored: MoveStatus | None) -> None:
     if stored is None or stored.move_id != move_id(move.rule):
         return
-    if stored.state is not MoveState.MOVING:
+    if stored.state.is_final:
         move.final_status = stored
         move.is_final_stored = True
         log_decision(
--- a/tests/gateway/duties/test_moves.py
+++ b/tests/gateway/duties/test_moves.py
@@ -288,3 +288,25 @@
     order(store, target="v3")
     follow(store, clock, controller)
     assert dispatcher.state("engines").version_share.share < 1.0
+
+
+def test_a_published_state_of_a_newer_build_is_not_replaced_by_running():
+    store, clock = FakeStore(), FakeClock()
+    controller, _ = controller_of(store, clock, FakeLease())
+    stored = order(store)
+    status = {"state": "held", "target": "v2", "more": 1}
+    run_now(store.set_status("rollouts", "engines", status, stored.revision))
+    follow(store, clock, controller)
+    run_now(controller.publish_states())
+    assert store.object_by_key["rollouts", "engines"].status == status
+
+
+def test_an_unreadable_order_does_not_hide_the_others():
+    store, clock = FakeStore(), FakeClock()
+    controller, dispatcher = controller_of(store, clock, FakeLease())
+    store._put("rollouts", "depot", {"service": "depot", "target": "v2"})
+    far = {"service": "far", "target": "v2", "durationS": 1e300}
+    store._put("rollouts", "far", far)
+    order(store)
+    follow(store, clock, controller)
+    assert dispatcher.state("engines").version_share.version == "v2"
--- a/tests/gateway/test_config_keeper.py
+++ b/tests/gateway/test_config_keeper.py
@@ -4,6 +4,8 @@
 from hypothesis import strategies as st
 
 from banyansail.gateway.config_keeper import ConfigKeeper
+from banyansail.gateway.site import RouteKind
+from banyansail.wire.call_codec import Document
 from tests.fakes import FakeClock
 from tests.gateway.live_gateway import config_body
 
@@ -43,3 +45,21 @@
     other.apply_document(keeper.document(), "a")
     assert other.site.version == 3
     assert [site.version for site in changes] == [3]
+
+
+def test_a_route_of_an_unknown_type_runs_a_request_at_most_once():
+    """Guards against a configuration that is refused for one route of a newer kind."""
+    keeper = ConfigKeeper(FakeClock(), lambda site: None)
+    body = config_body(version=3, more={"of": "a newer build"})
+    body["routes"][0]["routeType"] = "replicated"
+    keeper.apply(body, "store")
+    assert keeper.site.version == 3
+    kinds = {route.name: route.kind for route in keeper.site.routes()}
+    assert kinds["stock"] is RouteKind.ONCE
+    assert kinds["draft"] is RouteKind.STREAM
+
+
+def test_a_document_that_is_not_json_changes_nothing():
+    keeper = ConfigKeeper(FakeClock(), lambda site: None)
+    keeper.apply_document(Document(9, "<config/>"), "front-2")
+    assert keeper.site.version == 0
--- a/tests/gateway/test_quarantine_store.py
+++ b/tests/gateway/test_quarantine_store.py
@@ -141,3 +141,22 @@
     run(other.link.synchronize())
     assert not stored_names(store)
     assert Router(store, clock).guard.rejection(bad) is None
+
+
+@pytest.mark.parametrize(
+    "name, spec, is_kept",
+    [
+        ("caller-7", {"untilMs": 2**41}, True),
+        ("caller-7", {"untilMs": 1}, False),
+        ("request-7", {"until": "later"}, True),
+    ],
+)
+def test_a_quarantine_that_only_a_newer_build_reads_is_deleted_after_its_end(
+    store, clock, name, spec, is_kept
+):
+    """Guards against an older cleaner that lifts the quarantines of a newer build."""
+    store._put(QUARANTINES_KIND, name, spec)
+    cleaner = Router(store, clock, is_cleaner=True)
+    clock.advance(700)
+    run(cleaner.link.synchronize())
+    assert (name in stored_names(store)) is is_kept
