--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PYTHON := $(VENV)/bin/python
 INSTALLED := $(VENV)/.installed
 
-.PHONY: demo test lint bench capacity
+.PHONY: demo test lint bench capacity recorded-messages
 
 demo: $(INSTALLED)
 	$(PYTHON) -m banyansail demo
@@ -36,3 +36,7 @@
 
 capacity: $(INSTALLED)
 	$(PYTHON) -m benchmarks.capacity
+
+# Writes the messages of an earlier build from the history, as tests/wire/recorded/COMMIT.
+recorded-messages: $(INSTALLED)
+	$(PYTHON) -m tests.wire.record_messages $(COMMIT)
