Give an unproven version the whole tolerated share while answers are few

Cause: an unproven version gets half of the tolerated share until its deadline; with 27 requests a second and 15 s that is about 17 answers, of which too few were slow for a verdict. Ruled out: verdicts that differ between routers (none was reached). Change: the setting expose_slack, the requests that operators tolerate beyond the share. An unproven version gets the whole share until half of the slack is used up.

--- a/banyansail/config/gateway_settings.py
+++ b/banyansail/config/gateway_settings.py
@@ -49,6 +49,8 @@
         Listener that serves counters and histograms.
     expose_share : float
         Maximum share of a service's requests that an unproven version may get.
+    expose_slack : float
+        Requests to such a version that are tolerated beyond that share.
     """
 
     name: str
@@ -72,6 +74,7 @@
     lease: timedelta
     expose_share: float
     metrics: Address
+    expose_slack: float = 0.0
 
 
 def _seconds(value: Any) -> timedelta:
@@ -120,8 +123,10 @@
     "usage_late_s": ("usage_late", _seconds),
     "lease_ms": ("lease", _milliseconds),
     "expose_share": ("expose_share", float),
+    "expose_slack": ("expose_slack", float),
     "metrics": ("metrics", _address),
 }
+OPTIONAL_SETTINGS = frozenset({"expose_slack"})
 
 
 def parse_gateway_settings(text: str, file: str) -> GatewaySettings:
@@ -156,7 +161,7 @@
     findings += [
         Finding(file, 1, 1, f"setting {name!r} is missing")
         for name, (field, _) in FIELD_AND_PARSER_BY_SETTING.items()
-        if name not in values
+        if name not in values and name not in OPTIONAL_SETTINGS
     ]
     if findings:
         raise ConfigError(findings)
--- a/banyansail/gateway/duties/move_controller.py
+++ b/banyansail/gateway/duties/move_controller.py
@@ -9,6 +9,7 @@
 from banyansail.exceptions import StoreConflictError, WireError
 from banyansail.gateway.duties.answer_times import AnswerTimes
 from banyansail.gateway.duties.moves import (
+    ExposureBound,
     Move,
     MoveState,
     Tally,
@@ -53,8 +54,8 @@
         Lease whose holder publishes the states.
     dispatcher : Dispatcher
         Routes requests by the shares that are set here.
-    exposure_limit : float
-        Largest share of a service's requests that a bad version may get.
+    exposure : ExposureBound
+        Requests of a service that a bad version may get.
     """
 
     def __init__(
@@ -63,9 +64,9 @@
         store: StoreClient,
         lease: DutyLease,
         dispatcher: Dispatcher,
-        exposure_limit: float,
+        exposure: ExposureBound,
     ) -> None:
-        self._exposure_limit = exposure_limit
+        self._exposure = exposure
         self._clock = clock
         self._store = store
         self._lease = lease
@@ -231,7 +232,12 @@
         )
 
     def _share(self, move: Move, verdict: Verdict) -> float:
-        return target_share(move, verdict, self._elapsed(move), self._exposure_limit)
+        canary_share = self._exposure.canary_share(
+            self._total_tally(move, True), self._total_tally(move, False)
+        )
+        return target_share(
+            move, verdict, self._elapsed(move), self._exposure.share, canary_share
+        )
 
     def _elapsed(self, move: Move) -> timedelta:
         received_at = self._received_at[move.service, move.target, move.number]
--- a/banyansail/gateway/duties/moves.py
+++ b/banyansail/gateway/duties/moves.py
@@ -16,6 +16,9 @@
 from banyansail.traffic.tally import Tally
 
 CANARY_SHARE = 0.5  # of the exposure limit, until there is enough evidence
+# Of the requests that operators tolerate beyond that limit; they bring evidence early
+# where few requests come. The rest covers requests in flight.
+EARLY_SLACK_SHARE = 0.5
 PROVEN_SHARE = 0.8  # of the exposure limit, until the final ramp
 MIN_SAMPLES = 20  # answers before a version may be judged good
 MIN_BAD = 4  # bad answers before a version may be judged bad
@@ -86,8 +89,35 @@
     return Verdict.OPEN
 
 
+@dataclass(slots=True, frozen=True)
+class ExposureBound:
+    """How many requests a version that turns out to be bad may have received.
+
+    Parameters
+    ----------
+    share : float
+        Tolerated share of the requests of its service.
+    slack : float
+        Requests tolerated beyond that share.
+    """
+
+    share: float
+    slack: float = 0.0
+
+    def canary_share(self, target: Tally, others: Tally) -> float:
+        """Return the share that an unproven version gets after these answers."""
+        beyond = target.total - self.share * (target.total + others.total)
+        if beyond < self.slack * EARLY_SLACK_SHARE:
+            return self.share
+        return self.share * CANARY_SHARE
+
+
 def target_share(
-    move: Move, verdict: Verdict, elapsed: timedelta, exposure_limit: float
+    move: Move,
+    verdict: Verdict,
+    elapsed: timedelta,
+    exposure_limit: float,
+    canary_share: float,
 ) -> float:
     """Return the share of requests that the target gets.
 
@@ -97,6 +127,8 @@
         Largest share of requests that a bad version may get.
     elapsed : timedelta
         Time since this router received the order.
+    canary_share : float
+        Share until there is enough evidence.
     """
     if move.state is MoveState.REVERTED or verdict is Verdict.BAD:
         return 0.0
@@ -105,7 +137,7 @@
     ramp_time = _ramp_time(move)
     time_in_ramp = elapsed - (move.duration - ramp_time)
     if verdict is Verdict.OPEN:
-        return exposure_limit * CANARY_SHARE
+        return canary_share
     if time_in_ramp <= timedelta(0):
         return exposure_limit * PROVEN_SHARE
     return min(
--- a/banyansail/gateway/router.py
+++ b/banyansail/gateway/router.py
@@ -17,6 +17,7 @@
 from banyansail.gateway.decisions.dispatch import Dispatcher
 from banyansail.gateway.decisions.quota import QuotaLimiter
 from banyansail.gateway.duties.move_controller import MoveController
+from banyansail.gateway.duties.moves import ExposureBound
 from banyansail.gateway.duties.scaler import Scaler
 from banyansail.gateway.duties.usage import SteadyTime, UsageCounter
 from banyansail.gateway.duties.usage_exchange import UsageExchange
@@ -144,7 +145,11 @@
         )
         lease = self.reporter.lease
         self.moves = MoveController(
-            clock, self.store, lease, self.dispatcher, settings.expose_share
+            clock,
+            self.store,
+            lease,
+            self.dispatcher,
+            ExposureBound(settings.expose_share, settings.expose_slack),
         )
         self.scaler = Scaler(clock, self.cloud, lease, self.dispatcher, self.fleet)
         self.limits = LimitSharing(
--- a/tests/config/test_gateway_settings.py
+++ b/tests/config/test_gateway_settings.py
@@ -36,6 +36,7 @@
 usage_late_s: 10
 lease_ms: 3000
 expose_share: 0.1
+expose_slack: 50
 """
 
 
--- a/tests/gateway/duties/test_moves.py
+++ b/tests/gateway/duties/test_moves.py
@@ -14,6 +14,7 @@
     CANARY_SHARE,
     MAX_RAMP_TIME,
     PROVEN_SHARE,
+    ExposureBound,
     Move,
     MoveState,
     Tally,
@@ -50,7 +51,8 @@
 
 
 def share_at(elapsed, verdict, exposure_limit=EXPOSE_SHARE):
-    return target_share(MOVE, verdict, seconds(elapsed), exposure_limit)
+    canary_share = exposure_limit * CANARY_SHARE
+    return target_share(MOVE, verdict, seconds(elapsed), exposure_limit, canary_share)
 
 
 @pytest.mark.parametrize("exposure_limit", [0.02, 0.1, 0.3])
@@ -61,6 +63,16 @@
     assert share_at(11, Verdict.BAD, exposure_limit) == 0.0
 
 
+def test_few_answers_so_far_give_an_unproven_version_the_whole_tolerated_share():
+    """With half of it, too few answers for a verdict came before the deadline."""
+    bound = ExposureBound(EXPOSE_SHARE, EXPOSE_SLACK)
+    assert bound.canary_share(Tally(0, 0), Tally(0, 0)) == EXPOSE_SHARE
+    assert bound.canary_share(Tally(30, 3), Tally(100, 2)) == EXPOSE_SHARE
+    later = bound.canary_share(Tally(40, 5), Tally(100, 2))
+    assert later == EXPOSE_SHARE * CANARY_SHARE
+    assert ExposureBound(0.1).canary_share(Tally(1, 0), Tally(9, 0)) == 0.05
+
+
 def test_completion_waits_for_the_last_requests_of_the_old_version():
     def state_at(elapsed, old_in_flight):
         share = share_at(elapsed, Verdict.GOOD)
@@ -89,12 +101,15 @@
     move = Move("engines", "v2", seconds(duration), 1)
     random = Random(seed)
     target, others = Tally(), Tally()
+    bound = ExposureBound(EXPOSE_SHARE, EXPOSE_SLACK)
     exposed = exposed_bad = total = 0
     goes_bad_late = duration * (1 - bad_from) <= MAX_RAMP_TIME.total_seconds()
     step = 0.5
     for tick in range(int(duration / step)):
         elapsed = seconds(tick * step)
-        share = target_share(move, judge(target, others), elapsed, EXPOSE_SHARE)
+        canary_share = bound.canary_share(target, others)
+        verdict = judge(target, others)
+        share = target_share(move, verdict, elapsed, EXPOSE_SHARE, canary_share)
         is_bad = tick * step >= duration * bad_from
         for _ in range(int(rate * step)):
             total += 1
@@ -115,7 +130,8 @@
 
 def controller_of(store, clock, lease):
     dispatcher = Dispatcher("glasgow", clock, None)
-    return MoveController(clock, store, lease, dispatcher, EXPOSE_SHARE), dispatcher
+    exposure = ExposureBound(EXPOSE_SHARE, EXPOSE_SLACK)
+    return MoveController(clock, store, lease, dispatcher, exposure), dispatcher
 
 
 class FakeLease:
