--- a/tests/processes.py
+++ b/tests/processes.py
@@ -34,10 +34,16 @@
                 process.kill()
             process.wait()
 
-    def start(self, name: str, module: str, *arguments: str) -> subprocess.Popen:
+    def start(
+        self, name: str, module: str, *arguments: str, cwd: Path | None = None
+    ) -> subprocess.Popen:
+        """Start a module, of the build in `cwd` if that is given."""
         output = open(self.folder / f"{name}.out", "ab")
         process = subprocess.Popen(
-            [sys.executable, "-m", module, *arguments], stdout=output, stderr=output
+            [sys.executable, "-m", module, *arguments],
+            stdout=output,
+            stderr=output,
+            cwd=cwd,
         )
         output.close()
         self.process_by_name[name] = process
