Count calls to the store by kind, operation and outcome

The price of the store's calls is known only as a sum, so it can't be seen which of them cost the most. StoreClient now reports each call that has ended, and the metric banyansail_store_calls_total shows them by kind, operation and outcome. Refused, unanswered and cancelled calls are told apart, as failed calls are priced too. tests/platform and tests/gateway/test_restored_store.py pass.

--- a/banyansail/gateway/metrics.py
+++ b/banyansail/gateway/metrics.py
@@ -17,6 +17,8 @@
 if TYPE_CHECKING:
     from datetime import timedelta
 
+    from banyansail.platform.store import CallRecord
+
 METRICS_PATH = b"/metrics"
 LATENCY_BUCKETS_S = (0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3.0, 6.0, 12.0)
 
@@ -56,6 +58,13 @@
             registry=self.registry,
         )
 
+        self._store_calls = Counter(
+            "banyansail_store_calls",
+            "Calls to the store by kind of object, operation and outcome",
+            ("kind", "operation", "outcome"),
+            registry=self.registry,
+        )
+
     def count_answer(self, route: str, outcome: str) -> None:
         """Count a final response."""
         self._requests.labels(route, outcome).inc()
@@ -76,6 +85,11 @@
         """Record the number of requests in progress."""
         self._in_progress.set(count)
 
+    def count_store_call(self, record: CallRecord) -> None:
+        """Count a call to the store that has ended."""
+        labels = (record.kind, record.operation, record.outcome.value)
+        self._store_calls.labels(*labels).inc()
+
     def render(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
         return generate_latest(self.registry)
--- a/banyansail/gateway/router.py
+++ b/banyansail/gateway/router.py
@@ -100,7 +100,12 @@
 
     def _build_platform(self) -> None:
         settings = self.settings
-        self.store = StoreClient(self._reactor, self.clock, settings.store)
+        self.store = StoreClient(
+            self._reactor,
+            self.clock,
+            settings.store,
+            lambda record: self.context.metrics.count_store_call(record),
+        )
         self.store_probe = StoreProbe(self.store, ROUTERS_KIND, settings.name)
         self.cloud = CloudClient(
             self._reactor, self.clock, settings.cloud, settings.name
--- a/banyansail/platform/store.py
+++ b/banyansail/platform/store.py
@@ -4,6 +4,7 @@
 
 from dataclasses import dataclass
 from datetime import timedelta
+from enum import Enum
 from typing import TYPE_CHECKING, Any
 from urllib.parse import quote
 
@@ -29,6 +30,7 @@
 WATCH_TIMEOUT = timedelta(seconds=20)  # a watch without changes ends after this
 WATCH_MARGIN = timedelta(seconds=1.5)  # for the answer after WATCH_TIMEOUT
 MAX_PAGES = 100
+OPERATION_BY_METHOD = {"POST": "create", "PUT": "replace", "DELETE": "delete"}
 
 
 @dataclass(slots=True, frozen=True, order=True)
@@ -73,6 +75,33 @@
     is_deleted: bool
 
 
+class CallOutcome(Enum):
+    """How a call to the store ended."""
+
+    ANSWERED = "answered"
+    REFUSED = "refused"  # with a status that says that the store did not serve it
+    UNANSWERED = "unanswered"  # no connection, or no complete answer in time
+    CANCELLED = "cancelled"
+
+
+@dataclass(slots=True, frozen=True)
+class CallRecord:
+    """A call to the store that has ended.
+
+    Parameters
+    ----------
+    kind : str
+        Kind of the objects that were read or written.
+    operation : str
+        Name of the method of `StoreClient`; a call with ``serializable=1``, which is
+        cheap for the store, has the prefix ``cheap_``.
+    """
+
+    kind: str
+    operation: str
+    outcome: CallOutcome
+
+
 @dataclass(slots=True, frozen=True)
 class StoreAnswer:
     """Answer of the store, with the era in which it was given."""
@@ -101,9 +130,18 @@
         Source of time.
     address : Address
         Address of the store.
+    on_call : callable
+        Called with the record of each call that has ended.
     """
 
-    def __init__(self, reactor: Any, clock: Clock, address: Address) -> None:
+    def __init__(
+        self,
+        reactor: Any,
+        clock: Clock,
+        address: Address,
+        on_call: Callable[[CallRecord], None] = lambda record: None,
+    ) -> None:
+        self._on_call = on_call
         self._reactor = reactor
         self._caller = HttpCaller(reactor, clock, address)
         self._pending_watches: set[defer.Deferred[StoreAnswer]] = set()
@@ -285,10 +323,7 @@
         timeout: timedelta = CALL_TIMEOUT,
         **options: Any,
     ) -> StoreAnswer:
-        try:
-            answer = await self._caller.call(method, target, timeout, **options)
-        except ConnectFailedError as error:
-            raise PlatformUnavailableError(error.message) from error
+        answer = await self._call_recorded(method, target, timeout, options)
         era = _decode_era(answer, self.era)
         if era < self.era:
             raise PlatformUnavailableError(
@@ -297,6 +332,37 @@
         self.observe_era(era)
         return StoreAnswer(answer, era)
 
+    async def _call_recorded(
+        self, method: str, target: str, timeout: timedelta, options: dict[str, Any]
+    ) -> HttpAnswer:
+        outcome = CallOutcome.UNANSWERED
+        try:
+            answer = await self._caller.call(method, target, timeout, **options)
+            is_served = answer.status < 500 and answer.status != 429
+            outcome = CallOutcome.ANSWERED if is_served else CallOutcome.REFUSED
+            return answer
+        except ConnectFailedError as error:
+            raise PlatformUnavailableError(error.message) from error
+        except defer.CancelledError:
+            outcome = CallOutcome.CANCELLED
+            raise
+        finally:
+            self._on_call(_record_of(method, target, outcome))
+
+
+def _record_of(method: str, target: str, outcome: CallOutcome) -> CallRecord:
+    path, _, query = target.removeprefix("/v1/objects/").partition("?")
+    kind, _, name = path.partition("/")
+    if method == "GET":
+        operation = "get" if name else "watch" if "watch=" in query else "list"
+        if "serializable=1" in query:
+            operation = f"cheap_{operation}"
+    else:
+        operation = OPERATION_BY_METHOD[method]
+        if path.endswith("/status"):
+            operation = "set_status"
+    return CallRecord(kind, operation, outcome)
+
 
 def _decode_era(answer: HttpAnswer, default: int) -> int:
     for name, value in answer.headers:
