Let routers follow others of their data centre that watch the store

Each router watched three kinds in the store, so that every change cost a call of every router. Three routers of a data centre now watch, by rendezvous hashing, and the others follow two of them by the call followStore; a follower trusts what it is told only as far as the age of the watcher's last contact with the store, and watches for itself after 2 s. While the store refuses, all but the first watcher back off to 2 s. Entries that expire in a second outage of the store were removed at once, as the time counted from the end of the first; they are now kept as in the first, and a test fails without the change.

--- a/banyansail/config/gateway_settings.py
+++ b/banyansail/config/gateway_settings.py
@@ -49,6 +49,8 @@
         Listener that serves counters and histograms.
     expose_share : float
         Maximum share of a service's requests that an unproven version may get.
+    store_watchers : int
+        Routers of each data centre that watch the store for the others; 0 if all do.
     """
 
     name: str
@@ -72,6 +74,7 @@
     lease: timedelta
     expose_share: float
     metrics: Address
+    store_watchers: int = 0
 
 
 def _seconds(value: Any) -> timedelta:
@@ -121,7 +124,9 @@
     "lease_ms": ("lease", _milliseconds),
     "expose_share": ("expose_share", float),
     "metrics": ("metrics", _address),
+    "store_watchers": ("store_watchers", int),
 }
+OPTIONAL_SETTINGS = ("store_watchers",)
 
 
 def parse_gateway_settings(text: str, file: str) -> GatewaySettings:
@@ -156,7 +161,7 @@
     findings += [
         Finding(file, 1, 1, f"setting {name!r} is missing")
         for name, (field, _) in FIELD_AND_PARSER_BY_SETTING.items()
-        if name not in values
+        if name not in values and name not in OPTIONAL_SETTINGS
     ]
     if findings:
         raise ConfigError(findings)
--- a/banyansail/fleet/entries.py
+++ b/banyansail/fleet/entries.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass
 from datetime import datetime, timedelta
-from enum import IntEnum
+from enum import IntEnum, IntFlag
 
 from banyansail.config.fields import Address
 
@@ -37,6 +37,17 @@
 )
 
 
+class Feature(IntFlag):
+    """What a router understands; an older build names no features."""
+
+    ANSWERS_UNKNOWN_CALLS = 1
+    RELAYS_STORE_CHANGES = 2
+    REACH_INCARNATION = 4
+
+
+NO_FEATURES = Feature(0)
+
+
 @dataclass(slots=True, frozen=True)
 class Member:
     """State that a router publishes about itself.
@@ -59,6 +70,8 @@
         Port at which it serves requests for other routers; 0 for none.
     is_cut_off : bool
         Whether it reaches no upstream.
+    features : Feature
+        What the router understands, unknown bits included.
     """
 
     zone: str
@@ -71,6 +84,7 @@
     store_era: int = 0
     relay_port: int = 0
     is_cut_off: bool = False
+    features: Feature = NO_FEATURES
 
     @property
     def relay(self) -> Address | None:
--- a/banyansail/fleet/peer_calls.py
+++ b/banyansail/fleet/peer_calls.py
@@ -244,8 +244,19 @@
             connection = await endpoint.connect(factory)
         except Exception as error:
             raise WireError(f"no connection to router {address}: {error}") from error
+        try:
+            await connection.when_connected
+        except defer.CancelledError:
+            connection.transport.abortConnection()
+            raise
+        # A call before the handshake would have a wrong code, so that a connection is
+        # kept only after it; of two made at the same time, the first one is kept.
+        kept = self._connection_by_address.setdefault(address, connection)
+        if kept is not connection and kept.connected:
+            connection.transport.loseConnection()
+            return kept
         self._connection_by_address[address] = connection
-        return await connection.when_connected
+        return connection
 
     def _abort_connection(self, address: Address) -> None:
         """Abort a connection whose peer may no longer respond."""
--- a/banyansail/gateway/fleet_link.py
+++ b/banyansail/gateway/fleet_link.py
@@ -8,7 +8,7 @@
 from banyansail.config.fields import Address, parse_address
 from banyansail.exceptions import StoreConflictError, WireError
 from banyansail.fleet.datagrams import GossipProtocol
-from banyansail.fleet.entries import Member, Topic
+from banyansail.fleet.entries import Feature, Member, Topic
 from banyansail.fleet.gossiper import Gossiper
 from banyansail.fleet.peer_calls import PeerCaller, PeerServerFactory
 from banyansail.fleet.view import FleetView
@@ -29,6 +29,7 @@
     from banyansail.wire.call_codec import PeerCall, PeerReply
 
 ROUTERS_KIND = "routers"
+OWN_FEATURES = Feature.RELAYS_STORE_CHANGES
 
 
 class FleetLink:
@@ -117,6 +118,7 @@
             store_era,
             settings.relay.port,
             is_cut_off,
+            OWN_FEATURES,
         )
         self.publish(Topic.MEMBER, encode_member(member), urgent=True)
 
--- a/banyansail/gateway/metrics.py
+++ b/banyansail/gateway/metrics.py
@@ -64,6 +64,22 @@
             ("kind", "operation", "outcome"),
             registry=self.registry,
         )
+        self._store_watchers_followed = Gauge(
+            "banyansail_store_watchers_followed",
+            "Routers from which this one learns of changes in the store",
+            registry=self.registry,
+        )
+        self._store_followers = Gauge(
+            "banyansail_store_followers",
+            "Calls of followers that wait for a change in the store",
+            registry=self.registry,
+        )
+        self._store_age = Gauge(
+            "banyansail_store_age_seconds",
+            "Time since the objects of a kind were last known to be current",
+            ("kind",),
+            registry=self.registry,
+        )
 
     def count_answer(self, route: str, outcome: str) -> None:
         """Count a final response."""
@@ -90,6 +106,15 @@
         labels = (record.kind, record.operation, record.outcome.value)
         self._store_calls.labels(*labels).inc()
 
+    def set_store_following(self, followed: int, followers: int) -> None:
+        """Record how many routers are followed and how many followers' calls wait."""
+        self._store_watchers_followed.set(followed)
+        self._store_followers.set(followers)
+
+    def set_store_age(self, kind: str, age: timedelta) -> None:
+        """Record how old the knowledge of a kind is."""
+        self._store_age.labels(kind).set(age.total_seconds())
+
     def render(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
         return generate_latest(self.registry)
--- a/banyansail/gateway/router.py
+++ b/banyansail/gateway/router.py
@@ -29,6 +29,7 @@
 from banyansail.gateway.quarantine_store import QuarantineStore
 from banyansail.gateway.reach_check import ReachCheck
 from banyansail.gateway.request_handler import RequestHandler
+from banyansail.gateway.store_following import StoreFollowing
 from banyansail.gateway.store_probe import StoreProbe
 from banyansail.gateway.tasks import add_tasks
 from banyansail.gateway.traffic_report import (
@@ -36,11 +37,12 @@
     apply_fleet_work,
     make_report,
 )
-from banyansail.gateway.upstream_sync import UpstreamSync
+from banyansail.gateway.upstream_sync import MAX_COALESCE_TIME, UpstreamSync
 from banyansail.gateway.upstream_table import UPSTREAMS_DOCUMENT, UpstreamTable
 from banyansail.log import log_event
 from banyansail.platform.cloud import CloudClient
 from banyansail.platform.moves import MOVES_KIND
+from banyansail.platform.site import differs_in_cold_time_only
 from banyansail.platform.store import StoreClient
 from banyansail.router.supervisor import Supervisor
 from banyansail.traffic.exchange import TrafficExchange
@@ -48,6 +50,7 @@
 from banyansail.wire.call_codec import (
     EmptyReply,
     FetchDocument,
+    FollowStore,
     PeerCall,
     PeerReply,
     ReachUpstream,
@@ -63,6 +66,7 @@
 # The load balancer sends no new connections this long after readiness ends.
 BALANCER_REMOVAL_TIME = timedelta(seconds=2.6)
 LISTEN_BACKLOG = 512
+CONFIRM_DELAY = timedelta(milliseconds=100)  # from the end of a pause; a watch is sent
 CONFIG_DOCUMENT = "config"
 
 
@@ -120,6 +124,7 @@
                 self.clock,
                 lambda mirror: self.upstream_sync.apply(),
                 keeps_lapsed=True,
+                is_minor_change=differs_in_cold_time_only,
             )
         )
         self.move_mirror = Mirror(
@@ -200,6 +205,17 @@
         )
 
         self.store.add_restore_listener(self._apply_restore)
+        self.store_following = StoreFollowing(
+            settings,
+            self._reactor,
+            clock,
+            self._random,
+            self.store,
+            self._mirrors,
+            self.link.live_members,
+            self.link.call,
+            lambda: self.context.metrics,
+        )
 
     def _build_servers(self) -> None:
         self.request_handler = RequestHandler(self.context)
@@ -212,6 +228,10 @@
         self._metrics_factory = MetricsFactory(self._reactor, self._render_metrics)
         self._readiness_factory = ReadyFactory(self._reactor, lambda: self.is_ready)
 
+    @property
+    def _mirrors(self) -> tuple[Mirror, ...]:
+        return self.config_mirror, self.upstream_table.mirror, self.move_mirror
+
     @property
     def site(self) -> SiteConfig:
         """Active configuration."""
@@ -305,19 +325,48 @@
         self.reporter.record_restore()
         self.moves.record_restore()
         self.link.forget_registration()
-        for mirror in (
-            self.config_mirror,
-            self.upstream_table.mirror,
-            self.move_mirror,
-        ):
+        for mirror in self._mirrors:
             mirror.reset()
         self.quarantine_store.forget()
         self._publish_member()
 
     async def follow_upstreams(self) -> None:
         """Wait for upstream changes, then pause so that further changes coalesce."""
-        await self.upstream_table.mirror.follow()
-        await self._sleep(self.upstream_sync.coalesce_time)
+        mirror = self.upstream_table.mirror
+        if not await self.store_following.follow(mirror):
+            return
+        if mirror.has_minor_changes_only:
+            await self._sleep(MAX_COALESCE_TIME)
+            # Followers rely on the age of the last contact, which the pause delays.
+            self._reactor.callLater(CONFIRM_DELAY.total_seconds(), self._confirm_store)
+        else:
+            await self._sleep(self.upstream_sync.coalesce_time)
+
+    async def follow_config(self) -> None:
+        """Wait for changes of the configuration."""
+        await self.store_following.follow(self.config_mirror)
+
+    async def follow_moves(self) -> None:
+        """Wait for changes of the orders to move traffic."""
+        await self.store_following.follow(self.move_mirror)
+
+    async def follow_first_watcher(self) -> None:
+        """Learn of changes in the store from the first router that is followed."""
+        await self.store_following.follow_watcher(0)
+
+    async def follow_second_watcher(self) -> None:
+        """Learn of changes in the store from the second router that is followed."""
+        await self.store_following.follow_watcher(1)
+
+    async def probe_store(self) -> None:
+        """Check whether the store answers."""
+        sent_at = self.clock.monotonic()
+        await self.store_probe.probe()
+        is_reached = not self.store_probe.is_unreachable
+        self.store_following.record_probe(sent_at, is_reached=is_reached)
+
+    def _confirm_store(self) -> None:
+        defer.Deferred.fromCoroutine(self.probe_store())
 
     async def expire_upstreams(self) -> None:
         """Remove lapsed upstreams that did not reappear in the store in time."""
@@ -344,6 +393,8 @@
                 return self.upstream_table.document() or EmptyReply()
             case ReachUpstream():
                 return await self.crash_check.answer(call)
+            case FollowStore():
+                return await self.store_following.answer(call)
         return EmptyReply()
 
     async def join(self) -> None:
@@ -362,6 +413,7 @@
         """Publish this router's state, and leaving marks that no other published."""
         self._publish_member()
         self.upstream_sync.publish_due_marks()
+        self.store_following.update()
         self.limits.update()
 
     async def report_cleared(self) -> None:
--- a/banyansail/gateway/tasks.py
+++ b/banyansail/gateway/tasks.py
@@ -34,11 +34,16 @@
     gateway.add_task("gossip.traffic", gateway.exchange_traffic, TRAFFIC_INTERVAL)
     gateway.add_task("gossip.exchange", gateway.exchange_digests, DIGEST_INTERVAL)
     for kind, follow in (
-        (gateway.config_mirror.kind, gateway.config_mirror.follow),
+        (gateway.config_mirror.kind, gateway.follow_config),
         (gateway.upstream_table.mirror.kind, gateway.follow_upstreams),
-        (gateway.move_mirror.kind, gateway.move_mirror.follow),
+        (gateway.move_mirror.kind, gateway.follow_moves),
     ):
         gateway.add_task(f"{kind}.follow", follow, FOLLOW_PAUSE, MAX_FOLLOW_BACKOFF)
+    for name, follow in (
+        ("store.follow.1", gateway.follow_first_watcher),
+        ("store.follow.2", gateway.follow_second_watcher),
+    ):
+        gateway.add_task(name, follow, FOLLOW_PAUSE, MAX_FOLLOW_BACKOFF)
     gateway.add_task("config.catch_up", gateway.catch_up, CATCH_UP_INTERVAL)
     gateway.add_task("upstreams.lapse", gateway.expire_upstreams, EXPIRY_INTERVAL)
     gateway.add_task("reach", gateway.reach_check.run, REACH_INTERVAL)
@@ -52,5 +57,5 @@
     gateway.add_task(
         "quarantines", gateway.quarantine_store.synchronize, QUARANTINE_INTERVAL
     )
-    gateway.add_task("store.probe", gateway.store_probe.probe, PROBE_INTERVAL)
+    gateway.add_task("store.probe", gateway.probe_store, PROBE_INTERVAL)
     gateway.add_task("join", gateway.join, JOIN_INTERVAL)
--- a/banyansail/gateway/upstream_sync.py
+++ b/banyansail/gateway/upstream_sync.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from banyansail.fleet.entries import Entry, Topic
+from banyansail.gateway.decisions.watchers import count_store_watchers
 from banyansail.gateway.site import SiteConfig
 from banyansail.log import log_event
 
@@ -18,7 +19,7 @@
     from banyansail.gateway.upstream_table import UpstreamTable
 
 MIN_COALESCE_TIME = timedelta(milliseconds=400)  # of consecutive upstream changes
-# Each change costs the store one call per router, as every router watches.
+# Each change costs the store one call per router that watches.
 COALESCE_TIME_PER_ROUTER = timedelta(milliseconds=13)
 # Half of the 2 s within which a draining upstream must receive no new work.
 MAX_COALESCE_TIME = timedelta(seconds=1)
@@ -56,7 +57,13 @@
     @property
     def coalesce_time(self) -> timedelta:
         """Time to coalesce upstream changes in, by the present size of the fleet."""
-        return coalesce_time(self._context.fleet.fleet_size())
+        return coalesce_time(
+            count_store_watchers(
+                self._link.live_members(),
+                self._context.settings.store_watchers,
+                self._context.fleet.fleet_size(),
+            )
+        )
 
     def apply(self) -> None:
         """Use the upstreams as they are known now."""
@@ -99,7 +106,7 @@
     Parameters
     ----------
     router_count : int
-        Live routers; each one makes one store call per batch of changes.
+        Routers that watch; each one makes one store call per batch of changes.
     """
     return min(
         MAX_COALESCE_TIME,
--- a/banyansail/platform/site.py
+++ b/banyansail/platform/site.py
@@ -27,6 +27,9 @@
     "streaming": RouteKind.STREAM,
 }
 UPSTREAM_STATES = ("ready", "draining")
+COLD_TIME = "coldLeftMs"
+# `seq` counts the writes of an entry.
+MINOR_FIELDS = (COLD_TIME, "seq")
 DECODE_ERRORS = (KeyError, TypeError, ValueError, AttributeError)
 
 
@@ -168,3 +171,19 @@
         )
     except DECODE_ERRORS as error:
         raise WireError(f"malformed upstream {upstream_id}: {error!r}") from None
+
+
+def differs_in_cold_time_only(before: Any, after: Any) -> bool:
+    """Return whether two registrations differ only in how long an upstream stays cold.
+
+    An upstream that becomes cold, or stops being cold, differs in more than that.
+    """
+    if not isinstance(before, dict) or not isinstance(after, dict):
+        return False
+    if bool(before.get(COLD_TIME)) is not bool(after.get(COLD_TIME)):
+        return False
+    return _without_cold_time(before) == _without_cold_time(after)
+
+
+def _without_cold_time(item: dict[str, Any]) -> dict[str, Any]:
+    return {key: value for key, value in item.items() if key not in MINOR_FIELDS}
--- a/banyansail/standins/store.py
+++ b/banyansail/standins/store.py
@@ -54,7 +54,8 @@
     first_revision: int = 0  # of the history that is kept
     objects: dict[tuple[str, str], dict[str, Any]] = field(default_factory=dict)
     events: list[tuple[int, str, dict[str, Any], bool]] = field(default_factory=list)
-    waiters: list[defer.Deferred[None]] = field(default_factory=list)
+    # Watches without changes, with the kind that each one watches.
+    waiters: list[tuple[str, defer.Deferred[None]]] = field(default_factory=list)
     usage: list[dict[str, Any]] = field(default_factory=list)
     orders: list[dict[str, Any]] = field(default_factory=list)
 
@@ -69,9 +70,7 @@
         self.objects = dict(copy.objects)
         self.events = []
         self.first_revision = copy.revision
-        waiters, self.waiters = self.waiters, []
-        for waiter in waiters:
-            waiter.callback(None)
+        self._end_watches()
 
     def has_history_since(self, revision: int) -> bool:
         """Return whether all changes after a revision are known."""
@@ -120,8 +119,13 @@
         self, kind: str, stored: dict[str, Any], is_deleted: bool
     ) -> None:
         self.events.append((self.revision, kind, stored, is_deleted))
-        waiters, self.waiters = self.waiters, []
-        for waiter in waiters:
+        self._end_watches(kind)
+
+    def _end_watches(self, kind: str | None = None) -> None:
+        """End the watches of a kind, or of all kinds."""
+        ended = [item for item in self.waiters if kind in (None, item[0])]
+        self.waiters = [item for item in self.waiters if item not in ended]
+        for _, waiter in ended:
             waiter.callback(None)
 
 
@@ -174,17 +178,18 @@
             return
         wait_s = int(request.args.get(b"waitMs", [b"0"])[0]) / 1000
         if not state.changes(kind, since):
-            await self._wait(wait_s)
+            await self._wait(kind, wait_s)
         if self.faults.is_silent:
             await defer.Deferred()
         request.setHeader("store-era", str(state.era))
         events = state.changes(kind, since)
         answer_json(request, {"events": events, "at": state.revision})
 
-    def _wait(self, seconds: float) -> defer.Deferred[None]:
+    def _wait(self, kind: str, seconds: float) -> defer.Deferred[None]:
         waiter: defer.Deferred[None] = defer.Deferred()
-        self.state.waiters.append(waiter)
-        timer = reactor.callLater(seconds, self._time_out, waiter)
+        entry = (kind, waiter)
+        self.state.waiters.append(entry)
+        timer = reactor.callLater(seconds, self._time_out, entry)
 
         def cancel(result: None) -> None:
             if timer.active():
@@ -192,10 +197,10 @@
 
         return waiter.addCallback(cancel)
 
-    def _time_out(self, waiter: defer.Deferred[None]) -> None:
-        if waiter in self.state.waiters:
-            self.state.waiters.remove(waiter)
-            waiter.callback(None)
+    def _time_out(self, entry: tuple[str, defer.Deferred[None]]) -> None:
+        if entry in self.state.waiters:
+            self.state.waiters.remove(entry)
+            entry[1].callback(None)
 
     def _write(self, request: Request, method: str, kind: str, name: str) -> None:
         state = self.state
--- a/banyansail/wire/call_codec.py
+++ b/banyansail/wire/call_codec.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import json
 from dataclasses import dataclass
+from datetime import timedelta
 from typing import Any
 
 import capnp
@@ -20,9 +22,12 @@
     StartKey,
     StoredAnswer,
 )
+from banyansail.platform.store import Revision, StoredObject
 from banyansail.wire.schema import schema
 
 MAX_CALL_BYTES = 4 * 1024**2
+MILLISECOND = timedelta(milliseconds=1)
+MAX_MS = 2**32 - 1
 
 
 @dataclass(slots=True, frozen=True)
@@ -97,6 +102,61 @@
     """The upstream accepted no connection of the called router."""
 
 
+@dataclass(slots=True, frozen=True)
+class FollowStore:
+    """Ask the called router for what changes in the store.
+
+    Parameters
+    ----------
+    known : dict
+        Revision of each kind that the caller has; ``None`` if it has no list of it.
+    wait : timedelta
+        Longest time to hold the call until there is a change.
+    """
+
+    known: dict[str, Revision | None]
+    wait: timedelta
+
+
+@dataclass(slots=True, frozen=True)
+class KindChanges:
+    """Changes of one kind since the revision that the caller has.
+
+    Parameters
+    ----------
+    revision : Revision
+        Revision that the caller has after it applied the changes.
+    is_complete : bool
+        Whether the objects are all that exist, as the changes alone are not known.
+    lapsed : tuple of str
+        Names that the store lost, perhaps only because of an outage.
+    age : timedelta
+        Time since the state was last known to be current.
+    """
+
+    kind: str
+    revision: Revision
+    is_complete: bool
+    objects: tuple[StoredObject, ...]
+    deleted: tuple[str, ...]
+    lapsed: tuple[str, ...]
+    age: timedelta
+
+
+@dataclass(slots=True, frozen=True)
+class StoreChanges:
+    """Changes in the store.
+
+    Parameters
+    ----------
+    held : timedelta
+        Time from the receipt of the call to this reply.
+    """
+
+    kinds: tuple[KindChanges, ...]
+    held: timedelta
+
+
 @dataclass(slots=True, frozen=True)
 class Unavailable:
     """The called router could not perform the call."""
@@ -117,6 +177,7 @@
     | StoreStream
     | FetchStream
     | ReachUpstream
+    | FollowStore
 )
 PeerReply = (
     Started
@@ -131,6 +192,7 @@
     | EmptyReply
     | Reached
     | NotReached
+    | StoreChanges
 )
 
 VOID_NAME_BY_REPLY = {
@@ -169,6 +231,9 @@
             return {"takeStream": request_id}
         case ReachUpstream(upstream_id):
             return {"reachUpstream": upstream_id}
+        case FollowStore(known, wait):
+            kinds = [_known_fields(*item) for item in known.items()]
+            return {"followStore": {"kinds": kinds, "waitMs": wait // MILLISECOND}}
 
 
 def decode_call(data: bytes) -> tuple[int, PeerCall]:
@@ -198,6 +263,10 @@
             return message.id, FetchStream(message.takeStream)
         case "reachUpstream":
             return message.id, ReachUpstream(message.reachUpstream)
+        case "followStore":
+            item = message.followStore
+            known = {kind.kind: _decode_known(kind) for kind in item.kinds}
+            return message.id, FollowStore(known, item.waitMs * MILLISECOND)
         case other:
             raise WireError(f"unknown call {other!r}")
 
@@ -220,6 +289,9 @@
             return {"document": {"version": version, "text": text}}
         case StreamRecord():
             return {"stream": _stream_fields(reply)}
+        case StoreChanges(kinds, held):
+            changes = [_changes_fields(item) for item in kinds]
+            return {"storeChanges": {"kinds": changes, "heldMs": _to_ms(held)}}
         case _:
             return {VOID_NAME_BY_REPLY[type(reply)]: None}
 
@@ -245,6 +317,10 @@
             return message.id, Document(item.version, item.text)
         case "stream":
             return message.id, _decode_stream(message.stream)
+        case "storeChanges":
+            item = message.storeChanges
+            kinds = tuple(_decode_changes(kind) for kind in item.kinds)
+            return message.id, StoreChanges(kinds, item.heldMs * MILLISECOND)
         case other:
             return message.id, VOID_REPLY_BY_NAME[other]()
 
@@ -289,3 +365,68 @@
         bytes(item.body),
         tuple(bytes(event) for event in item.events),
     )
+
+
+def _to_ms(duration: timedelta) -> int:
+    return max(0, min(MAX_MS, duration // MILLISECOND))
+
+
+def _known_fields(kind: str, revision: Revision | None) -> dict[str, Any]:
+    if revision is None:
+        return {"kind": kind, "isKnown": False}
+    era, number = revision.era, revision.number
+    return {"kind": kind, "isKnown": True, "era": era, "number": number}
+
+
+def _decode_known(item: Any) -> Revision | None:
+    return Revision(item.era, item.number) if item.isKnown else None
+
+
+def _changes_fields(changes: KindChanges) -> dict[str, Any]:
+    return {
+        "kind": changes.kind,
+        "era": changes.revision.era,
+        "number": changes.revision.number,
+        "isComplete": changes.is_complete,
+        "objects": [_encode_object(stored) for stored in changes.objects],
+        "deleted": list(changes.deleted),
+        "lapsed": list(changes.lapsed),
+        "ageMs": _to_ms(changes.age),
+    }
+
+
+def _decode_changes(item: Any) -> KindChanges:
+    return KindChanges(
+        item.kind,
+        Revision(item.era, item.number),
+        item.isComplete,
+        tuple(_decode_object(text, item.era) for text in item.objects),
+        tuple(item.deleted),
+        tuple(item.lapsed),
+        item.ageMs * MILLISECOND,
+    )
+
+
+def _encode_object(stored: StoredObject) -> str:
+    fields = {
+        "name": stored.name,
+        "revision": stored.revision.number,
+        "created": stored.created_revision,
+        "spec": stored.spec,
+        "status": stored.status,
+    }
+    return json.dumps(fields)
+
+
+def _decode_object(text: str, era: int) -> StoredObject:
+    try:
+        fields = json.loads(text)
+        return StoredObject(
+            fields["name"],
+            Revision(era, int(fields["revision"])),
+            fields["spec"],
+            fields["status"],
+            int(fields["created"]),
+        )
+    except (KeyError, TypeError, ValueError) as error:
+        raise WireError(f"not an object of the store: {error!r}") from None
--- a/banyansail/wire/gossip_codec.py
+++ b/banyansail/wire/gossip_codec.py
@@ -10,7 +10,7 @@
 
 from banyansail.config.fields import Address
 from banyansail.exceptions import WireError
-from banyansail.fleet.entries import Digest, Entry, Gossip, Member, Topic
+from banyansail.fleet.entries import Digest, Entry, Feature, Gossip, Member, Topic
 from banyansail.rollout.evidence import Evidence, EvidenceCell, EvidenceKey
 from banyansail.routing.crash_history import UpstreamCrash
 from banyansail.routing.crash_reports import CrashReport
@@ -122,6 +122,7 @@
         storeEra=member.store_era,
         relayPort=member.relay_port,
         isCutOff=member.is_cut_off,
+        features=int(member.features),
     )
     return message.to_bytes_packed()
 
@@ -140,6 +141,7 @@
         message.storeEra,
         message.relayPort,
         message.isCutOff,
+        Feature(message.features),
     )
 
 
--- a/banyansail/wire/schema.capnp
+++ b/banyansail/wire/schema.capnp
@@ -39,6 +39,7 @@
   storeEra @8 :UInt32;
   relayPort @9 :UInt16;
   isCutOff @10 :Bool;  # the router reaches no upstream
+  features @11 :UInt64;  # bits of `Feature`
 }
 
 struct Names {
@@ -178,6 +179,7 @@
     keepStream @5 :StreamRecord;
     takeStream @6 :Text;
     reachUpstream @7 :Text;  # its id
+    followStore @8 :FollowStore;
   }
 }
 
@@ -228,6 +230,7 @@
     nothing @10 :Void;
     reached @11 :Void;
     notReached @12 :Void;
+    storeChanges @13 :StoreChanges;
   }
 }
 
@@ -235,3 +238,31 @@
   version @0 :UInt64;
   text @1 :Text;
 }
+
+struct FollowStore {
+  kinds @0 :List(KnownKind);
+  waitMs @1 :UInt32;  # for a change
+}
+
+struct KnownKind {
+  kind @0 :Text;
+  isKnown @1 :Bool;  # whether the caller has a list of the kind
+  era @2 :UInt32;
+  number @3 :UInt64;
+}
+
+struct StoreChanges {
+  kinds @0 :List(KindChanges);
+  heldMs @1 :UInt32;  # from the receipt of the call to the reply
+}
+
+struct KindChanges {
+  kind @0 :Text;
+  era @1 :UInt32;
+  number @2 :UInt64;
+  isComplete @3 :Bool;  # the objects are all that exist
+  objects @4 :List(Text);  # JSON
+  deleted @5 :List(Text);
+  lapsed @6 :List(Text);  # deleted, perhaps only because of an outage
+  ageMs @7 :UInt32;  # of the state, by the router's last contact with the store
+}
--- a/tests/config/test_gateway_settings.py
+++ b/tests/config/test_gateway_settings.py
@@ -36,6 +36,7 @@
 usage_late_s: 10
 lease_ms: 3000
 expose_share: 0.1
+store_watchers: 3
 """
 
 
@@ -48,6 +49,12 @@
     assert settings.quota_slack == 190000
 
 
+def test_without_the_number_of_watchers_all_routers_watch_the_store():
+    """A deployment that does not name the setting must be served as before."""
+    text = VALID.replace("store_watchers: 3\n", "")
+    assert parse_gateway_settings(text, "f").store_watchers == 0
+
+
 def test_all_findings_have_their_location():
     text = VALID.replace("ready: 10.0.0.1:81", "ready: nowhere")
     text = text.replace("grace_s: 8", "grace: 8")
--- a/tests/gateway/live_gateway.py
+++ b/tests/gateway/live_gateway.py
@@ -73,7 +73,11 @@
     """
 
     def __init__(
-        self, replicas=("d1", "d2", "e1", "e2"), raw_upstreams=(), routers=1
+        self,
+        replicas=("d1", "d2", "e1", "e2"),
+        raw_upstreams=(),
+        routers=1,
+        store_watchers=0,
     ) -> None:
         run_reactor()
         self._raw_names = raw_upstreams
@@ -85,6 +89,7 @@
         self.gateway: Gateway | None = None
         self.other_gateways: list[Gateway] = []
         self._router_count = routers
+        self._store_watchers = store_watchers
         self._peer_port = free_port()
         self.reactor = CutReactor()  # of the first router
 
@@ -174,6 +179,7 @@
             lease=timedelta(seconds=3),
             expose_share=0.1,
             metrics=address(),
+            store_watchers=self._store_watchers,
         )
 
     def _stop(self):
--- a/tests/gateway/test_mirror.py
+++ b/tests/gateway/test_mirror.py
@@ -120,6 +120,25 @@
     assert "a" in mirror.object_by_name
 
 
+def test_entries_that_expire_in_a_second_outage_are_kept_as_in_the_first():
+    """They were removed at once, as the time counted from the end of the first one."""
+    store, clock = ChangingStore(), FakeClock()
+    mirror = mirror_of(store, clock, keeps_lapsed=True)
+    store.put("a")
+    for _ in range(2):
+        follow(mirror)
+        clock.advance(60)
+        store.is_down = True
+        for _ in range(3):
+            follow(mirror)
+            clock.advance(1)
+        store.is_down = False
+    store.delete("a")
+    follow(mirror)
+    mirror.expire_lapsed()
+    assert "a" in mirror.object_by_name
+
+
 def test_an_entry_that_is_deleted_while_the_store_is_up_is_removed_at_once():
     store, clock = ChangingStore(), FakeClock()
     mirror = mirror_of(store, clock, keeps_lapsed=True)
