--- a/tests/gateway/test_store_following.py
+++ b/tests/gateway/test_store_following.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from banyansail.gateway.decisions.watchers import ASKED_TIME
 from banyansail.gateway.mirror import MIN_STALL
 from tests.gateway.following_fleet import FollowingFleet
 
@@ -57,7 +58,8 @@
     calls = []
     for size in (4, 33):
         with FollowingFleet(size) as fleet:
-            fleet.advance(3)
+            # Routers that were asked while others started watch for a while longer.
+            fleet.advance(1 + ASKED_TIME.total_seconds())
             fleet.store.calls.clear()
             for version in range(2, 6):
                 assert time_in_force(fleet, version) < 0.2
