--- a/banyansail/gateway/decisions/watchers.py
+++ b/banyansail/gateway/decisions/watchers.py
@@ -38,11 +38,14 @@
         Whether it retries soon while the store refuses, so that recovery is noticed.
     followed : tuple of str
         Routers that it follows; empty for a watcher.
+    is_shared : bool
+        Whether the data centre is large enough to have followers.
     """
 
     is_watcher: bool
     is_first: bool
     followed: tuple[str, ...] = ()
+    is_shared: bool = True
 
 
 class WatcherChoice:
@@ -93,7 +96,7 @@
             if member.zone == self._zone
         }
         if len(in_zone) <= self._count or not self._count:
-            return WatchRole(is_watcher=True, is_first=True)
+            return WatchRole(is_watcher=True, is_first=True, is_shared=False)
         ranked = rank_names(
             f"store/{self._zone}",
             [name for name, member in in_zone.items() if _may_watch(member)],
--- a/banyansail/gateway/router.py
+++ b/banyansail/gateway/router.py
@@ -335,7 +335,7 @@
         mirror = self.upstream_table.mirror
         if not await self.store_following.follow(mirror):
             return
-        if mirror.has_minor_changes_only:
+        if mirror.has_minor_changes_only and self.store_following.role.is_shared:
             await self._sleep(MAX_COALESCE_TIME)
             # Followers rely on the age of the last contact, which the pause delays.
             self._reactor.callLater(CONFIRM_DELAY.total_seconds(), self._confirm_store)
--- a/banyansail/gateway/store_following.py
+++ b/banyansail/gateway/store_following.py
@@ -85,7 +85,7 @@
         self._choice = WatcherChoice(
             settings.name, settings.zone, settings.store_watchers, clock
         )
-        self._role = WatchRole(is_watcher=True, is_first=True)
+        self._role = WatchRole(is_watcher=True, is_first=True, is_shared=False)
         self._role_chosen_at: timedelta | None = None
         self._without_list_since: dict[str, timedelta] = {}  # by kind
         self._passed_on_kinds: set[str] = set()  # that this router did not watch last
--- a/tests/gateway/decisions/test_watchers.py
+++ b/tests/gateway/decisions/test_watchers.py
@@ -61,6 +61,7 @@
     for role in Zone(size).roles().values():
         assert role.is_watcher
         assert role.is_first
+        assert not role.is_shared
         assert role.followed == ()
 
 
--- a/tests/gateway/test_mirror.py
+++ b/tests/gateway/test_mirror.py
@@ -246,3 +246,66 @@
     mirror.reset()
     follow(mirror)
     assert set(mirror.object_by_name) == {"new"}
+
+
+@settings(derandomize=True, max_examples=300)
+@given(steps)
+def test_a_mirror_that_is_passed_changes_holds_what_the_other_holds(sequence):
+    """It may ask at any time, and the other one may have listed again in between."""
+    store, clock = ChangingStore(), FakeClock()
+    watcher, follower = mirror_of(store, clock), mirror_of(store, clock)
+    for action, name in sequence:
+        match action:
+            case "put" | "delete":
+                getattr(store, action)(name)
+            case "compact":
+                store.compact()
+            case "follow":
+                follow(watcher)
+            case "wait":
+                pass_on(watcher, follower, clock)
+    for _ in range(2):
+        follow(watcher)
+    pass_on(watcher, follower, clock)
+    assert follower.object_by_name == watcher.object_by_name == store.object_by_name
+    assert follower.revision == watcher.revision
+
+
+def pass_on(watcher, follower, clock):
+    changes = watcher.changes_since(follower.revision)
+    if changes is not None:
+        follower.apply_changes(changes, clock.monotonic() - changes.age)
+
+
+def test_an_answer_older_than_what_was_passed_on_changes_nothing():
+    """A follower's own watch may be answered after a watcher passed on more."""
+    store, clock = ChangingStore(), FakeClock()
+    watcher, follower = mirror_of(store, clock), mirror_of(store, clock)
+    follow(watcher)
+    store.put("a")
+    follow(watcher)
+    old = watcher.changes_since(None)
+    store.delete("a")
+    follow(watcher)
+    pass_on(watcher, follower, clock)
+    follower.apply_changes(old, clock.monotonic())
+    assert follower.object_by_name == {}
+
+
+def test_changes_are_minor_only_if_every_one_of_them_is():
+    """A draining upstream must not wait for the longer pause after minor changes."""
+    store, clock = ChangingStore(), FakeClock()
+    mirror = mirror_of(store, clock, is_minor_change=lambda before, after: True)
+    store.put("a")
+    follow(mirror)
+    assert not mirror.has_minor_changes_only
+    store.put("a")
+    follow(mirror)
+    assert mirror.has_minor_changes_only
+    store.put("a")
+    store.put("new")
+    follow(mirror)
+    assert not mirror.has_minor_changes_only
+    store.delete("a")
+    follow(mirror)
+    assert not mirror.has_minor_changes_only
