--- a/banyansail/config/gateway_settings.py
+++ b/banyansail/config/gateway_settings.py
@@ -51,6 +51,8 @@
         Maximum share of a service's requests that an unproven version may get.
     expose_slack : float
         Requests to such a version that are tolerated beyond that share.
+    store_watchers : int
+        Routers of each data centre that watch the store for the others; 0 if all do.
     """
 
     name: str
@@ -75,6 +77,7 @@
     expose_share: float
     metrics: Address
     expose_slack: float = 0.0
+    store_watchers: int = 0
 
 
 def _seconds(value: Any) -> timedelta:
@@ -125,8 +128,9 @@
     "expose_share": ("expose_share", float),
     "expose_slack": ("expose_slack", float),
     "metrics": ("metrics", _address),
+    "store_watchers": ("store_watchers", int),
 }
-OPTIONAL_SETTINGS = frozenset({"expose_slack"})
+OPTIONAL_SETTINGS = frozenset({"expose_slack", "store_watchers"})
 
 
 def parse_gateway_settings(text: str, file: str) -> GatewaySettings:
--- a/banyansail/fleet/peer_calls.py
+++ b/banyansail/fleet/peer_calls.py
@@ -15,6 +15,7 @@
 from banyansail.log import log_event
 from banyansail.wire.call_codec import (
     MAX_CALL_BYTES,
+    FollowStore,
     NotSupported,
     PeerCall,
     PeerReply,
@@ -41,6 +42,7 @@
 # Calls that the first build, c1e6479, does not know; it closes the connection that
 # brings one.
 FEATURE_BY_CALL: dict[type, Feature] = {
+    FollowStore: Feature.RELAYS_STORE_CHANGES,
     ReachIncarnation: Feature.REACH_INCARNATION,
 }
 
@@ -261,8 +263,19 @@
             connection = await endpoint.connect(factory)
         except Exception as error:
             raise WireError(f"no connection to router {address}: {error}") from error
+        try:
+            await connection.when_connected
+        except defer.CancelledError:
+            connection.transport.abortConnection()
+            raise
+        # A call before the handshake would have a wrong code, so that a connection is
+        # kept only after it; of two made at the same time, the first one is kept.
+        kept = self._connection_by_address.setdefault(address, connection)
+        if kept is not connection and kept.connected:
+            connection.transport.loseConnection()
+            return kept
         self._connection_by_address[address] = connection
-        return await connection.when_connected
+        return connection
 
     def _abort_connection(self, address: Address) -> None:
         """Abort a connection whose peer may no longer respond."""
--- a/banyansail/gateway/fleet_link.py
+++ b/banyansail/gateway/fleet_link.py
@@ -33,7 +33,11 @@
     from banyansail.wire.call_codec import PeerCall, PeerReply
 
 ROUTERS_KIND = "routers"
-FEATURES = Feature.ANSWERS_UNKNOWN_CALLS | Feature.REACH_INCARNATION
+FEATURES = (
+    Feature.ANSWERS_UNKNOWN_CALLS
+    | Feature.RELAYS_STORE_CHANGES
+    | Feature.REACH_INCARNATION
+)
 
 
 class FleetLink:
--- a/banyansail/wire/schema.capnp
+++ b/banyansail/wire/schema.capnp
@@ -179,7 +179,7 @@
     keepStream @5 :StreamRecord;
     takeStream @6 :Text;
     reachUpstream @7 :Text;  # its id
-    followStore @8 :Void;
+    followStore @8 :FollowStore;
     reachIncarnation @9 :Incarnation;
   }
 }
@@ -236,7 +236,7 @@
     nothing @10 :Void;
     reached @11 :Void;
     notReached @12 :Void;
-    storeChanges @13 :Void;
+    storeChanges @13 :StoreChanges;
     notSupported @14 :Void;
   }
 }
@@ -245,3 +245,31 @@
   version @0 :UInt64;
   text @1 :Text;
 }
+
+struct FollowStore {
+  kinds @0 :List(KnownKind);
+  waitMs @1 :UInt32;  # for a change
+}
+
+struct KnownKind {
+  kind @0 :Text;
+  isKnown @1 :Bool;  # whether the caller has a list of the kind
+  era @2 :UInt32;
+  number @3 :UInt64;
+}
+
+struct StoreChanges {
+  kinds @0 :List(KindChanges);
+  heldMs @1 :UInt32;  # from the receipt of the call to the reply
+}
+
+struct KindChanges {
+  kind @0 :Text;
+  era @1 :UInt32;
+  number @2 :UInt64;
+  isComplete @3 :Bool;  # the objects are all that exist
+  objects @4 :List(Text);  # JSON
+  deleted @5 :List(Text);
+  lapsed @6 :List(Text);  # deleted, perhaps only because of an outage
+  ageMs @7 :UInt32;  # of the state, by the router's last contact with the store
+}
