Keep all routers together to the allowance of a cold upstream

Cold upstreams got as many requests as warm ones.

The allowance is divided into whole requests a second by rendezvous hashing. A router that has heard of no majority for 10 s uses a second, smaller allowance, divided among all routers ever known, so that groups that are cut off from each other stay within the bound.

--- a/banyansail/config/gateway_settings.py
+++ b/banyansail/config/gateway_settings.py
@@ -49,6 +49,12 @@
         Listener that serves counters and histograms.
     expose_share : float
         Maximum share of a service's requests that an unproven version may get.
+    evacuate : timedelta or None
+        Time after which nothing more may be sent to an evacuated data centre; ``None``
+        if none is ever evacuated.
+    cold_over, cold_slack : float
+        Bound on the requests in any second to a cold upstream: factor of its allowance,
+        plus a constant.
     """
 
     name: str
@@ -72,6 +78,9 @@
     lease: timedelta
     expose_share: float
     metrics: Address
+    evacuate: timedelta | None = None
+    cold_over: float = 1.0
+    cold_slack: float = 0.0
 
 
 def _seconds(value: Any) -> timedelta:
@@ -121,7 +130,13 @@
     "lease_ms": ("lease", _milliseconds),
     "expose_share": ("expose_share", float),
     "metrics": ("metrics", _address),
+    "evacuate_ms": ("evacuate", _milliseconds),
+    "cold_over": ("cold_over", float),
+    "cold_slack": ("cold_slack", float),
 }
+# May be absent or empty: the platform's template leaves them so where a deployment has
+# no such bound.
+OPTIONAL_SETTINGS = ("evacuate_ms", "cold_over", "cold_slack")
 
 
 def parse_gateway_settings(text: str, file: str) -> GatewaySettings:
@@ -148,6 +163,8 @@
         if name not in FIELD_AND_PARSER_BY_SETTING:
             findings.append(Finding(*location, f"unknown setting {name!r}"))
             continue
+        if name in OPTIONAL_SETTINGS and values[name] in (None, ""):
+            continue
         field, parse = FIELD_AND_PARSER_BY_SETTING[name]
         try:
             fields[field] = parse(values[name])
@@ -156,7 +173,7 @@
     findings += [
         Finding(file, 1, 1, f"setting {name!r} is missing")
         for name, (field, _) in FIELD_AND_PARSER_BY_SETTING.items()
-        if name not in values
+        if name not in values and name not in OPTIONAL_SETTINGS
     ]
     if findings:
         raise ConfigError(findings)
--- a/banyansail/gateway/decisions/choice.py
+++ b/banyansail/gateway/decisions/choice.py
@@ -92,10 +92,15 @@
 def has_free_slot(load: UpstreamLoad, now: timedelta) -> bool:
     """Return whether an upstream takes a request of this router.
 
-    One that asked for a pause takes none, and one that named a limit only as many as
-    are this router's part of it.
+    One that asked for a pause takes none. One that named a limit or is cold takes only
+    as many as are this router's part.
     """
-    return load.has_room() and not load.pause_left(now) and load.limit.is_open(now)
+    return (
+        load.has_room()
+        and not load.pause_left(now)
+        and load.limit.is_open(now)
+        and load.cold.is_open(now)
+    )
 
 
 def _choose_plain(
--- a/banyansail/gateway/decisions/dispatch.py
+++ b/banyansail/gateway/decisions/dispatch.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from datetime import timedelta
+from datetime import UTC, datetime, timedelta
 from typing import TYPE_CHECKING
 
 from banyansail.gateway.decisions.choice import choose, has_free_slot
@@ -25,7 +25,7 @@
     from random import Random
 
     from banyansail.clock import Clock
-    from banyansail.gateway.site import SiteConfig
+    from banyansail.gateway.site import ServiceSpec, SiteConfig
     from banyansail.gateway.upstream import Upstream
 
 SLOT_TIME_WEIGHT = 0.1  # of a new sample in the moving average
@@ -35,6 +35,10 @@
 # Other routers may have a larger part of the limits.
 LIMITED_RETRY_DELAY = timedelta(milliseconds=500)
 MAX_QUEUE_LENGTH = 500  # requests of one service
+EPOCH = datetime.fromtimestamp(0, UTC)
+MILLISECOND = timedelta(milliseconds=1)
+# After its start, a router hears of the traffic of others within a few seconds.
+HEARING_TIME = timedelta(seconds=5)
 NO_UPSTREAM_LEFT = Rejection(
     503, Cause.NO_UPSTREAM, "no usable upstream is left", NO_UPSTREAM_RETRY_DELAY
 )
@@ -59,6 +63,8 @@
         self._random = random
         self._last_slot_number = 0
         self.service_by_name: dict[str, ServiceState] = {}
+        self._started_at = clock.monotonic()
+        self._has_traffic = False
 
     def state(self, service: str) -> ServiceState:
         """Return the state of a service."""
@@ -93,8 +99,39 @@
             self._apply_to_service(
                 self.state(name), upstreams_by_service.get(name, {}), kv_tokens
             )
+            self._apply_cold_starts(self.state(name), service)
         self.assign_waiting()
 
+    def record_traffic(self) -> None:
+        """Record that this router or another one has had requests.
+
+        Upstreams that were known before are warm. If there is traffic soon after the
+        start of this router, it probably had begun before that.
+        """
+        if self._has_traffic:
+            return
+        self._has_traffic = True
+        if self._clock.monotonic() - self._started_at < HEARING_TIME:
+            return
+        for load in self.loads():
+            load.cold.forget_start()
+
+    def _apply_cold_starts(
+        self, state: ServiceState, service: ServiceSpec | None
+    ) -> None:
+        """Apply what the entries of a service's upstreams say of being cold."""
+        now, wall_time = self._clock.monotonic(), self._clock.now()
+        for load in state.load_by_id.values():
+            cold, upstream = load.cold, load.upstream
+            is_new = not cold.is_known
+            cold.record_entry(upstream, now)
+            cold.per_s = service.cold_per_s if service else 0.0
+            if is_new and service is not None:
+                age = None
+                if upstream.started_at:
+                    age = wall_time - EPOCH - MILLISECOND * upstream.started_at
+                cold.record_start(age, service.cold_start, now)
+
     def set_share(self, service: str, version: str, share: float) -> None:
         """Set the share of a service's requests that a version receives."""
         self.state(service).version_share = VersionShare(version, share)
@@ -114,6 +151,7 @@
 
         `on_result` is called once, at once or later, with a slot or a rejection.
         """
+        self.record_traffic()
         state = self.state(ticket.service)
         now = self._clock.monotonic()
         entry = QueueEntry(ticket, on_result)
@@ -181,7 +219,7 @@
             return NO_UPSTREAM_LEFT
         wait_end = ticket.arrived_at + _max_wait(ticket)
         if now >= wait_end:
-            return self._overload_rejection(state, ticket)
+            return self._overload_rejection(state, ticket, now)
         return _check_pauses(usable, wait_end - now, now)
 
     def _check_admission(
@@ -196,19 +234,21 @@
             return paused
         if ticket.is_retry or any(has_free_slot(load, now) for load in usable):
             return None
-        wait = state.expected_wait(ticket)
+        wait = state.expected_wait(ticket, now)
         if (
             wait is None
             or wait > remaining * MAX_WAIT_SHARE
             or len(state.waiting) >= MAX_QUEUE_LENGTH
         ):
-            return self._overload_rejection(state, ticket)
+            return self._overload_rejection(state, ticket, now)
         return None
 
-    def _overload_rejection(self, state: ServiceState, ticket: Ticket) -> Rejection:
-        wait = state.expected_wait(ticket)
+    def _overload_rejection(
+        self, state: ServiceState, ticket: Ticket, now: timedelta
+    ) -> Rejection:
+        wait = state.expected_wait(ticket, now)
         jitter = 0.5 + self._random.random()
-        if state.is_limited():
+        if state.is_limited(now):
             delay = LIMITED_RETRY_DELAY if wait is None else wait
             return Rejection(
                 503,
--- a/banyansail/gateway/decisions/service_state.py
+++ b/banyansail/gateway/decisions/service_state.py
@@ -136,14 +136,14 @@
             return others or target
         return others
 
-    def expected_wait(self, ticket: Ticket) -> timedelta | None:
+    def expected_wait(self, ticket: Ticket, now: timedelta) -> timedelta | None:
         """Return the expected queueing time, behind all requests served before.
 
         It is ``None`` if the upstreams' limits leave nothing to this router.
         """
         slot_time_s = self.mean_slot_time.total_seconds()
         per_s = sum(
-            load.limit.capped(load.upstream.slots / slot_time_s)
+            load.capped(load.upstream.slots / slot_time_s, now)
             for load in self.usable()
         )
         ahead = sum(
@@ -151,6 +151,6 @@
         )
         return timedelta(seconds=(ahead + 1) / per_s) if per_s else None
 
-    def is_limited(self) -> bool:
-        """Return whether any usable upstream named a limit."""
-        return any(load.limit.per_s is not None for load in self.usable())
+    def is_limited(self, now: timedelta) -> bool:
+        """Return whether any usable upstream named a limit or is cold."""
+        return any(load.is_limited(now) for load in self.usable())
--- a/banyansail/gateway/decisions/upstream_load.py
+++ b/banyansail/gateway/decisions/upstream_load.py
@@ -5,6 +5,7 @@
 from datetime import timedelta
 from typing import TYPE_CHECKING
 
+from banyansail.gateway.decisions.cold_share import ColdShare
 from banyansail.gateway.decisions.prefix_cache import PrefixCache
 from banyansail.gateway.decisions.rate_limit import RateLimit
 
@@ -78,6 +79,7 @@
         "_recorded_at",
         "_sent_at_by_slot",
         "cache",
+        "cold",
         "in_flight",
         "is_brittle",
         "limit",
@@ -113,6 +115,7 @@
         self._sent_at_by_slot: dict[int, timedelta] = {}  # until the first byte
         self._paused_until = timedelta(0)
         self.limit = RateLimit(random)
+        self.cold = ColdShare()
         self.is_brittle = False
         self.slot_part = upstream.slots  # of a brittle one, that this router may use
 
@@ -122,6 +125,7 @@
         """Count an attempt that is sent to the upstream."""
         self.in_flight += 1
         self.limit.record_request(now)
+        self.cold.record_request(now)
         self.pending_prefill_tokens += prefill_tokens
         self._sent_at_by_slot[slot_number] = now
 
@@ -144,6 +148,14 @@
             return False
         return self.in_flight + self.peer_in_flight < self.upstream.slots
 
+    def capped(self, per_s: float, now: timedelta) -> float:
+        """Return a rate, at most as high as the upstream's limits allow this router."""
+        return self.cold.capped(self.limit.capped(per_s), now)
+
+    def is_limited(self, now: timedelta) -> bool:
+        """Return whether the upstream named a limit or is cold."""
+        return self.limit.per_s is not None or bool(self.cold.left(now))
+
     def is_awaiting_first_byte(self, slot_number: int) -> bool:
         """Return whether an attempt has not received its first byte yet."""
         return slot_number in self._sent_at_by_slot
--- a/banyansail/gateway/fleet_link.py
+++ b/banyansail/gateway/fleet_link.py
@@ -59,6 +59,7 @@
         incarnation = int(clock.now().timestamp() * 1000)
         authenticator = MessageAuthenticator(settings.shared_key)
         view = FleetView(settings.name, incarnation, clock)
+        self._view = view
         seeds = [Address(host, settings.peer.port) for host in settings.seeds]
         self._gossiper = Gossiper(view, settings.zone, settings.peer, seeds, random)
         self.protocol = GossipProtocol(
@@ -78,6 +79,10 @@
         members.pop(self._settings.name, None)
         return members
 
+    def known_routers(self) -> list[str]:
+        """Return the names of all routers heard of in the last hour, live or not."""
+        return self._view.names
+
     def zone_members(self) -> list[str]:
         """Return the live routers of this data centre, this one included."""
         return [
--- a/banyansail/gateway/limit_sharing.py
+++ b/banyansail/gateway/limit_sharing.py
@@ -12,6 +12,7 @@
 
     from banyansail.clock import Clock
     from banyansail.fleet.entries import Member
+    from banyansail.gateway.cold_sharing import ColdSharing
     from banyansail.gateway.decisions.dispatch import Dispatcher
     from banyansail.gateway.decisions.upstream_load import UpstreamLoad
     from banyansail.gateway.request_types import ReplyHead
@@ -34,6 +35,8 @@
         Limits that other routers were told.
     live_members : callable
         Returns the live routers by name.
+    cold : ColdSharing
+        Divides the allowances of cold upstreams.
     """
 
     def __init__(
@@ -43,16 +46,22 @@
         dispatcher: Dispatcher,
         fleet: FleetTraffic,
         live_members: Callable[[], dict[str, Member]],
+        cold: ColdSharing,
     ) -> None:
         self._name = name
         self._clock = clock
         self._dispatcher = dispatcher
         self._fleet = fleet
         self._live_members = live_members
+        self._cold = cold
 
     def record_answer(self, load: UpstreamLoad, head: ReplyHead) -> None:
         """Apply what an answer says of its upstream's limit and brittleness."""
-        is_changed = load.limit.record_answer(head.limit, self._clock.monotonic())
+        now = self._clock.monotonic()
+        if head.cold_left is not None:
+            load.cold.record_answer(head.cold_left, now)
+            self._cold.update([load], now)
+        is_changed = load.limit.record_answer(head.limit, now)
         if is_changed:
             self._log_change(load)
         state = self._dispatcher.state(load.upstream.service)
@@ -76,6 +85,9 @@
             named = named_by_upstream.get(load.upstream.incarnation_name)
             if named is not None and load.limit.merge(named, now):
                 self._log_change(load)
+        if self._fleet.has_traffic:
+            self._dispatcher.record_traffic()
+        self._cold.update(loads, now)
         self._share(loads)
 
     def own_limits(self) -> dict[str, NamedLimit]:
--- a/banyansail/gateway/request_types.py
+++ b/banyansail/gateway/request_types.py
@@ -110,6 +110,8 @@
         long as its answers name it; ``None`` for no limit.
     is_brittle : bool
         Whether the upstream ends if it has to reject more than a few requests.
+    cold_left : timedelta or None
+        How long the upstream stays cold; ``None`` if it does not say so.
     """
 
     status: int
@@ -123,6 +125,7 @@
     pause: timedelta | None = None
     limit: float | None = None
     is_brittle: bool = False
+    cold_left: timedelta | None = None
 
     @property
     def is_failure(self) -> bool:
--- a/banyansail/gateway/router.py
+++ b/banyansail/gateway/router.py
@@ -10,6 +10,7 @@
 
 from banyansail.clock import Clock, SystemClock
 from banyansail.fleet.entries import Entry, Topic
+from banyansail.gateway.cold_sharing import ColdSharing
 from banyansail.gateway.config_keeper import ConfigKeeper
 from banyansail.gateway.context import GatewayContext
 from banyansail.gateway.crash_check import CrashCheck
@@ -147,7 +148,14 @@
         )
         self.scaler = Scaler(clock, self.cloud, lease, self.dispatcher, self.fleet)
         self.limits = LimitSharing(
-            settings.name, clock, self.dispatcher, self.fleet, self.link.live_members
+            settings.name,
+            clock,
+            self.dispatcher,
+            self.fleet,
+            self.link.live_members,
+            ColdSharing(
+                settings, self.fleet, self.link.live_members, self.link.known_routers
+            ),
         )
         self.context = GatewayContext(
             reactor=self._reactor,
--- a/banyansail/gateway/site.py
+++ b/banyansail/gateway/site.py
@@ -120,6 +120,11 @@
         Connections that one upstream accepts in total.
     engine : EngineSpec or None
         Set for model services.
+    cold_start : timedelta
+        Time for which an upstream is cold after it started during traffic.
+    cold_per_s : float
+        Requests per second that an upstream bears while it is cold; 0 for a service
+        whose upstreams are never cold.
     """
 
     name: str
@@ -127,6 +132,8 @@
     max_connections: int
     engine: EngineSpec | None = None
     scaling: ScalingSpec | None = None
+    cold_start: timedelta = timedelta(0)
+    cold_per_s: float = 0.0
 
 
 @dataclass(slots=True, frozen=True)
--- a/banyansail/gateway/upstream.py
+++ b/banyansail/gateway/upstream.py
@@ -4,9 +4,13 @@
 
 from dataclasses import dataclass
 from datetime import timedelta
+from typing import TYPE_CHECKING
 
 from banyansail.config.fields import Address
 
+if TYPE_CHECKING:
+    from banyansail.platform.store import Revision
+
 
 @dataclass(slots=True, frozen=True)
 class Upstream:
@@ -28,6 +32,10 @@
         Time until a draining upstream stops, if announced.
     is_cold : bool
         Whether it has just started and is slower than later.
+    cold_left : timedelta
+        Time for which it stays cold, as of the writing of its entry.
+    entry_revision : Revision or None
+        Revision of its entry, if it was read from the store.
     """
 
     id: str
@@ -41,6 +49,8 @@
     started_at: int = 0
     time_left: timedelta | None = None
     is_cold: bool = False
+    cold_left: timedelta = timedelta(0)
+    entry_revision: Revision | None = None
 
     @property
     def incarnation(self) -> tuple[str, int]:
--- a/banyansail/gateway/upstream_table.py
+++ b/banyansail/gateway/upstream_table.py
@@ -43,7 +43,8 @@
         upstreams = []
         for stored in self.mirror.object_by_name.values():
             try:
-                upstreams.append(decode_upstream(stored.name, stored.spec))
+                upstream = decode_upstream(stored.name, stored.spec)
+                upstreams.append(replace(upstream, entry_revision=stored.revision))
             except WireError as error:
                 log_event("upstream_unreadable", error=error.message)
         presumed_stopped_ids = self._presumed_stopped_ids(upstreams)
--- a/banyansail/platform/calls.py
+++ b/banyansail/platform/calls.py
@@ -33,6 +33,7 @@
     }
 )
 MAX_DEADLINE_MS = 3_600_000  # 1 hour
+MAX_COLD_MS = 3_600_000
 MAX_PAUSE = timedelta(days=1)  # that an upstream may ask for
 
 
@@ -156,9 +157,21 @@
         pause=_decode_pause(status, first_value_by_name.get(header_names.RETRY_AFTER)),
         is_brittle=header_names.UPSTREAM_BRITTLE in first_value_by_name,
         limit=_decode_limit(first_value_by_name.get(header_names.UPSTREAM_LIMIT)),
+        cold_left=_decode_cold(first_value_by_name.get(header_names.UPSTREAM_COLD_MS)),
     )
 
 
+def _decode_cold(value: bytes | None) -> timedelta | None:
+    """Return how long the upstream stays cold; ``None`` if it does not say so."""
+    try:
+        milliseconds = math.nan if value is None else float(value)
+    except ValueError:
+        return None
+    if not 0 <= milliseconds <= MAX_COLD_MS:
+        return None
+    return timedelta(milliseconds=milliseconds)
+
+
 def _decode_pause(status: int, value: bytes | None) -> timedelta | None:
     """Return the pause that a 503 asks for.
 
--- a/banyansail/platform/header_names.py
+++ b/banyansail/platform/header_names.py
@@ -21,6 +21,7 @@
 UPSTREAM_LEAVING = b"server-leaving"
 UPSTREAM_BRITTLE = b"server-brittle"  # rejections a second that it bears
 UPSTREAM_LIMIT = b"server-limit"  # requests a second from all routers together
+UPSTREAM_COLD_MS = b"x-cold-ms"  # how long it stays cold
 STORE_ERA = b"store-era"  # rises when the store is restored from a copy
 
 # Attempts before a router relayed the request to another that may have run it. Our own.
--- a/banyansail/platform/site.py
+++ b/banyansail/platform/site.py
@@ -88,6 +88,8 @@
         int(item.get("maxConns") or 0),
         _decode_engine(engine) if engine else None,
         _decode_scaling(scaling) if scaling else None,
+        cold_start=timedelta(seconds=item.get("coldStartS") or 0),
+        cold_per_s=float(item.get("coldPerS") or 0),
     )
 
 
@@ -165,6 +167,7 @@
             started_at if isinstance(started_at, int) else 0,
             None if time_left_ms is None else _milliseconds(time_left_ms),
             is_cold=bool(item.get("coldLeftMs")),
+            cold_left=_milliseconds(max(0, item.get("coldLeftMs") or 0)),
         )
     except DECODE_ERRORS as error:
         raise WireError(f"malformed upstream {upstream_id}: {error!r}") from None
--- a/banyansail/standins/replica.py
+++ b/banyansail/standins/replica.py
@@ -17,6 +17,7 @@
 FIRST_EVENT_ID = 1
 SILENCE_CHECK_S = 0.05
 BRITTLE_WINDOW_S = 1.0
+COLD_WINDOW_S = 1.0
 
 
 @dataclass(slots=True)
@@ -49,6 +50,10 @@
     crashes_on_part : str
         Part of a prompt that ends the upstream once it begins to answer; empty for
         none.
+    cold_until : float
+        Time of the reactor's clock until which it is cold, as all answers say.
+    cold_limit : int
+        Requests in a second beyond which it ends while it is cold.
     """
 
     is_full: bool = False
@@ -62,6 +67,8 @@
     brittle: str = ""
     is_silent: bool = False
     crashes_on_part: str = ""
+    cold_until: float = 0.0
+    cold_limit: int = 0
 
 
 @dataclass(slots=True)
@@ -82,6 +89,8 @@
         Requests whose connection was closed before the answer was complete.
     slots, running : int
         Requests that it may run at a time, and those that it runs now.
+    accepted_at : list of float
+        When requests arrived that were not meant for another upstream.
     rejected_at : list of float
         When it rejected requests for want of a slot, in seconds of the reactor's clock.
     """
@@ -96,6 +105,7 @@
     disconnect_count: int = 0
     slots: int = 4
     running: int = 0
+    accepted_at: list[float] = field(default_factory=list)
     rejected_at: list[float] = field(default_factory=list)
 
 
@@ -129,6 +139,9 @@
         if expected not in (None, self.state.id):
             self._reject(request, 421)
             return
+        if self._is_overloaded_while_cold():
+            self.crash()
+            return
         if self.faults.is_full:
             self._reject(request, 503)
             return
@@ -169,6 +182,17 @@
             request.setHeader("server-limit", self.faults.limit)
         if self.faults.brittle:
             request.setHeader("server-brittle", self.faults.brittle)
+        cold_s = self.faults.cold_until - reactor.seconds()
+        if cold_s > 0:
+            request.setHeader("x-cold-ms", str(int(cold_s * 1000)))
+
+    def _is_overloaded_while_cold(self) -> bool:
+        now = reactor.seconds()
+        self.state.accepted_at.append(now)
+        if now >= self.faults.cold_until:
+            return False
+        recent = [at for at in self.state.accepted_at if now - at < COLD_WINDOW_S]
+        return len(recent) > self.faults.cold_limit
 
     async def _wait_while_silent(self) -> None:
         while self.faults.is_silent:
--- a/banyansail/traffic/fleet_traffic.py
+++ b/banyansail/traffic/fleet_traffic.py
@@ -120,6 +120,13 @@
         heard = self._heard_within(WORK_TIMEOUT)
         return heard.work_by_upstream if heard else {}
 
+    @property
+    def has_traffic(self) -> bool:
+        """Whether other routers were heard to have requests."""
+        if any(self._used.total.values()) or any(self._prefill.total.values()):
+            return True
+        return any(work.running > 0 for work in self.work_by_upstream().values())
+
     def limits(self) -> dict[str, NamedLimit]:
         """Return the limits that upstreams named to any router lately."""
         heard = self._heard_within(MEMBER_TIMEOUT)
--- a/tests/config/test_gateway_settings.py
+++ b/tests/config/test_gateway_settings.py
@@ -36,7 +36,11 @@
 usage_late_s: 10
 lease_ms: 3000
 expose_share: 0.1
+evacuate_ms: 5000
+cold_over: 1.5
+cold_slack: 5
 """
+OPTIONAL = ("evacuate_ms", "cold_over", "cold_slack")
 
 
 def test_valid_settings_are_parsed_with_their_units():
@@ -48,6 +52,24 @@
     assert settings.quota_slack == 190000
 
 
+def test_a_bound_that_a_deployment_does_not_have_is_off():
+    """Guards against a router that does not start where the template leaves gaps."""
+    assert parse_gateway_settings(VALID, "f").evacuate.total_seconds() == 5
+    assert parse_gateway_settings(VALID, "f").cold_over == 1.5
+    lines = VALID.splitlines()
+    for gap in ("", " ", ' ""'):
+        emptied = [
+            f"{name}:{gap}" if name in OPTIONAL else line
+            for line in lines
+            for name in [line.partition(":")[0]]
+        ]
+        settings = parse_gateway_settings("\n".join(emptied), "f")
+        assert settings.evacuate is None
+        assert (settings.cold_over, settings.cold_slack) == (1.0, 0.0)
+    absent = [line for line in lines if line.partition(":")[0] not in OPTIONAL]
+    assert parse_gateway_settings("\n".join(absent), "f").evacuate is None
+
+
 def test_all_findings_have_their_location():
     text = VALID.replace("ready: 10.0.0.1:81", "ready: nowhere")
     text = text.replace("grace_s: 8", "grace: 8")
--- a/tests/gateway/live_gateway.py
+++ b/tests/gateway/live_gateway.py
@@ -132,7 +132,7 @@
         self._running.append(running)
         return running
 
-    def announce(self, name, address, state="ready", born=1):
+    def announce(self, name, address, state="ready", born=1, **fields):
         """Write an upstream's entry to the store, as the upstream itself would."""
         spec = {
             "service": "depot" if name.startswith("d") else "engines",
@@ -143,6 +143,7 @@
             "state": state,
             "seq": 1,
             "born": born,
+            **fields,
         }
         self.store.state.put("servers", name, spec=spec)
 
@@ -174,6 +175,9 @@
             lease=timedelta(seconds=3),
             expose_share=0.1,
             metrics=address(),
+            evacuate=timedelta(seconds=5),
+            cold_over=1.5,
+            cold_slack=5.0,
         )
 
     def _stop(self):
