Send nothing to data centres that are evacuated

The gateway did not know the kind "evacuations", so requests went on to the upstreams of an evacuated data centre.

Routers follow the kind where evacuate_ms is set, and tell each other in their member entries which data centres are evacuated as of which revision; the newer (era, revision) wins. A restarted router takes no requests before it knows them. The list of a restored store decides alone, also over deletions that the mirror of other kinds remembers.

--- a/banyansail/fleet/entries.py
+++ b/banyansail/fleet/entries.py
@@ -37,6 +37,29 @@
 )
 
 
+@dataclass(slots=True, frozen=True)
+class EvacuationMark:
+    """Whether a data centre is evacuated, as of a revision of the store.
+
+    Parameters
+    ----------
+    era, revision : int
+        Of the store; the newer pair wins.
+    is_in_force : bool
+        Whether nothing may be sent to the data centre.
+    """
+
+    zone: str
+    era: int
+    revision: int
+    is_in_force: bool
+
+    @property
+    def precedence(self) -> tuple[int, int, bool]:
+        """Order of marks; an end wins at the same revision."""
+        return self.era, self.revision, not self.is_in_force
+
+
 @dataclass(slots=True, frozen=True)
 class Member:
     """State that a router publishes about itself.
@@ -59,6 +82,8 @@
         Port at which it serves requests for other routers; 0 for none.
     is_cut_off : bool
         Whether it reaches no upstream.
+    evacuations : tuple of EvacuationMark
+        Evacuations that it knows, those that ended included.
     """
 
     zone: str
@@ -71,6 +96,7 @@
     store_era: int = 0
     relay_port: int = 0
     is_cut_off: bool = False
+    evacuations: tuple[EvacuationMark, ...] = ()
 
     @property
     def relay(self) -> Address | None:
--- a/banyansail/gateway/decisions/dispatch.py
+++ b/banyansail/gateway/decisions/dispatch.py
@@ -65,10 +65,28 @@
         self.service_by_name: dict[str, ServiceState] = {}
         self._started_at = clock.monotonic()
         self._has_traffic = False
+        self._evacuated_zones: frozenset[str] = frozenset()
 
     def state(self, service: str) -> ServiceState:
         """Return the state of a service."""
-        return self.service_by_name.setdefault(service, ServiceState())
+        state = self.service_by_name.get(service)
+        if state is None:
+            state = ServiceState(evacuated_zones=self._evacuated_zones)
+            self.service_by_name[service] = state
+        return state
+
+    @property
+    def evacuated_zones(self) -> frozenset[str]:
+        """Data centres to which nothing is sent."""
+        return self._evacuated_zones
+
+    @evacuated_zones.setter
+    def evacuated_zones(self, zones: frozenset[str]) -> None:
+        """Reject at once the waiting requests that only these zones could serve."""
+        self._evacuated_zones = zones
+        for state in self.service_by_name.values():
+            state.evacuated_zones = zones
+        self.assign_waiting()
 
     def loads(self) -> list[UpstreamLoad]:
         """Return the loads of all known upstreams."""
--- a/banyansail/gateway/decisions/service_state.py
+++ b/banyansail/gateway/decisions/service_state.py
@@ -90,15 +90,19 @@
     version_share: VersionShare | None = None
     prefill_tokens_total: float = 0.0  # expected, of all requests assigned so far
     is_brittle: bool = False  # by the latest answer of an upstream
+    evacuated_zones: frozenset[str] = frozenset()
     # Removed upstreams that asked for a pause; their entries may return.
     paused_by_incarnation: dict[tuple[str, int], UpstreamLoad] = field(
         default_factory=dict
     )
 
     def usable(self) -> list[UpstreamLoad]:
-        """Return the upstreams that are not draining."""
+        """Return the upstreams that are neither draining nor evacuated."""
         return [
-            load for load in self.load_by_id.values() if not load.upstream.is_leaving
+            load
+            for load in self.load_by_id.values()
+            if not load.upstream.is_leaving
+            and load.upstream.zone not in self.evacuated_zones
         ]
 
     def has_free_slot(self, now: timedelta) -> bool:
--- a/banyansail/gateway/fleet_link.py
+++ b/banyansail/gateway/fleet_link.py
@@ -24,7 +24,7 @@
 
     from banyansail.clock import Clock
     from banyansail.config.gateway_settings import GatewaySettings
-    from banyansail.fleet.entries import Entry
+    from banyansail.fleet.entries import Entry, EvacuationMark
     from banyansail.platform.store import StoreClient
     from banyansail.wire.call_codec import PeerCall, PeerReply
 
@@ -105,6 +105,7 @@
         is_leaving: bool,
         store_era: int,
         is_cut_off: bool,
+        evacuations: tuple[EvacuationMark, ...] = (),
     ) -> None:
         """Publish this router's address and state.
 
@@ -122,6 +123,7 @@
             store_era,
             settings.relay.port,
             is_cut_off,
+            evacuations=evacuations,
         )
         self.publish(Topic.MEMBER, encode_member(member), urgent=True)
 
--- a/banyansail/gateway/ingress.py
+++ b/banyansail/gateway/ingress.py
@@ -283,6 +283,12 @@
     protocol = ReadyChannel
 
 
+EVACUATIONS_UNKNOWN = Rejection(
+    503,
+    Cause.NO_CONFIG,
+    "it is not known yet which data centres are evacuated",
+    timedelta(milliseconds=500),
+)
 NOT_CONFIGURED = Rejection(
     503,
     Cause.NO_CONFIG,
--- a/banyansail/gateway/metrics.py
+++ b/banyansail/gateway/metrics.py
@@ -56,6 +56,18 @@
             registry=self.registry,
         )
 
+        self._evacuated_zones = Gauge(
+            "banyansail_evacuated_zones",
+            "Data centres that are evacuated",
+            registry=self.registry,
+        )
+        self._cold_upstreams = Gauge(
+            "banyansail_cold_upstreams",
+            "Upstreams that are cold, by service",
+            ("service",),
+            registry=self.registry,
+        )
+
     def count_answer(self, route: str, outcome: str) -> None:
         """Count a final response."""
         self._requests.labels(route, outcome).inc()
@@ -76,6 +88,14 @@
         """Record the number of requests in progress."""
         self._in_progress.set(count)
 
+    def set_evacuated_zones(self, count: int) -> None:
+        """Record the number of evacuated data centres."""
+        self._evacuated_zones.set(count)
+
+    def set_cold_upstreams(self, service: str, count: int) -> None:
+        """Record the number of a service's cold upstreams."""
+        self._cold_upstreams.labels(service).set(count)
+
     def render(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
         return generate_latest(self.registry)
--- a/banyansail/gateway/mirror.py
+++ b/banyansail/gateway/mirror.py
@@ -35,6 +35,8 @@
     keeps_lapsed : bool
         Whether entries that may have expired because of an outage are kept, as lapsed
         ones, for `RETURN_GRACE`.
+    remembers_deleted : bool
+        Whether deleted objects stay so if a restored store has them again.
     """
 
     def __init__(
@@ -45,12 +47,14 @@
         on_change: Callable[[Mirror], None],
         *,
         keeps_lapsed: bool = False,
+        remembers_deleted: bool = True,
     ) -> None:
         self.kind = kind
         self._store = store
         self._clock = clock
         self._on_change = on_change
         self._keeps_lapsed = keeps_lapsed
+        self._remembers_deleted = remembers_deleted
         self._lapsed_at: dict[str, timedelta] = {}
         self._failing_since: timedelta | None = None
         self._recovered_at: timedelta | None = None
@@ -162,7 +166,8 @@
         self._lapsed_at.pop(name, None)
         self.missing_names.discard(name)
         self.object_by_name.pop(name, None)
-        self._deleted_names[name] = None
+        if self._remembers_deleted:
+            self._deleted_names[name] = None
         while len(self._deleted_names) > MAX_DELETED_NAMES:
             del self._deleted_names[next(iter(self._deleted_names))]
 
--- a/banyansail/gateway/request_handler.py
+++ b/banyansail/gateway/request_handler.py
@@ -8,6 +8,7 @@
 from banyansail.gateway.context import quota_cost
 from banyansail.gateway.exchange import Exchange
 from banyansail.gateway.ingress import (
+    EVACUATIONS_UNKNOWN,
     NOT_CONFIGURED,
     STOPPING,
     GatewayRequest,
@@ -46,6 +47,7 @@
         self.site = SiteConfig()
         self.is_leaving = False
         self.is_accepting = True
+        self.awaits_evacuations = False
 
     @property
     def in_progress(self) -> int:
@@ -97,6 +99,8 @@
         site = self.site
         if site.version == 0:
             return NOT_CONFIGURED
+        if self.awaits_evacuations:
+            return EVACUATIONS_UNKNOWN
         if not self.is_accepting:
             return STOPPING
         route = site.match(call.host, call.path)
--- a/banyansail/gateway/router.py
+++ b/banyansail/gateway/router.py
@@ -9,6 +9,7 @@
 from twisted.internet import defer, task
 
 from banyansail.clock import Clock, SystemClock
+from banyansail.exceptions import WireError
 from banyansail.fleet.entries import Entry, Topic
 from banyansail.gateway.cold_sharing import ColdSharing
 from banyansail.gateway.config_keeper import ConfigKeeper
@@ -22,6 +23,7 @@
 from banyansail.gateway.duties.usage import SteadyTime, UsageCounter
 from banyansail.gateway.duties.usage_exchange import UsageExchange
 from banyansail.gateway.duties.usage_reporter import UsageReporter
+from banyansail.gateway.evacuations import Evacuations
 from banyansail.gateway.fleet_link import ROUTERS_KIND, FleetLink
 from banyansail.gateway.ingress import GatewayFactory, ReadyFactory
 from banyansail.gateway.limit_sharing import LimitSharing
@@ -41,6 +43,7 @@
 from banyansail.gateway.upstream_table import UPSTREAMS_DOCUMENT, UpstreamTable
 from banyansail.log import log_event
 from banyansail.platform.cloud import CloudClient
+from banyansail.platform.evacuations import EVACUATIONS_KIND, decode_evacuations
 from banyansail.platform.moves import MOVES_KIND
 from banyansail.platform.store import StoreClient
 from banyansail.router.supervisor import Supervisor
@@ -53,6 +56,7 @@
     PeerReply,
     ReachUpstream,
 )
+from banyansail.wire.gossip_codec import decode_member
 
 if TYPE_CHECKING:
     from banyansail.config.gateway_settings import GatewaySettings
@@ -118,6 +122,15 @@
                 keeps_lapsed=True,
             )
         )
+        self.evacuation_mirror = Mirror(
+            EVACUATIONS_KIND,
+            self.store,
+            self.clock,
+            lambda mirror: self.evacuations.apply_store(
+                decode_evacuations(mirror.object_by_name), mirror.revision
+            ),
+            remembers_deleted=False,
+        )
         self.move_mirror = Mirror(
             MOVES_KIND,
             self.store,
@@ -137,6 +150,7 @@
         )
         self.fleet = FleetTraffic(settings.name, clock)
         self.dispatcher = Dispatcher(settings.zone, clock, self._random)
+        self.evacuations = Evacuations(self._apply_evacuations)
         self.quota = QuotaLimiter(clock, settings.quota_slack)
         usage = UsageCounter(SteadyTime(clock), settings.usage_window)
         self.reporter = UsageReporter(
@@ -206,6 +220,7 @@
 
     def _build_servers(self) -> None:
         self.request_handler = RequestHandler(self.context)
+        self.request_handler.awaits_evacuations = self.follows_evacuations
         self._caller_factory = GatewayFactory(
             self._reactor, self.request_handler.handle
         )
@@ -226,9 +241,15 @@
         return (
             not self.request_handler.is_leaving
             and self.site.version > 0
+            and not self.request_handler.awaits_evacuations
             and bool(self.dispatcher.service_by_name)
         )
 
+    @property
+    def follows_evacuations(self) -> bool:
+        """Whether data centres of this deployment may be evacuated."""
+        return self.settings.evacuate is not None
+
     @property
     def is_unfit_for_duties(self) -> bool:
         """Whether this router is draining or cannot reach the store."""
@@ -293,6 +314,11 @@
         metrics = self.context.metrics
         metrics.set_config_version(self.site.version)
         metrics.set_in_progress(self.request_handler.in_progress)
+        metrics.set_evacuated_zones(len(self.evacuations.zones))
+        now = self.clock.monotonic()
+        for name, state in self.dispatcher.service_by_name.items():
+            cold = [load for load in state.load_by_id.values() if load.cold.left(now)]
+            metrics.set_cold_upstreams(name, len(cold))
         return metrics.render()
 
     def _apply_config(self, site: SiteConfig) -> None:
@@ -312,11 +338,26 @@
             self.config_mirror,
             self.upstream_table.mirror,
             self.move_mirror,
+            self.evacuation_mirror,
         ):
             mirror.reset()
         self.quarantine_store.forget()
         self._publish_member()
 
+    def _apply_evacuations(self) -> None:
+        """Send nothing more to evacuated data centres, and tell the other routers."""
+        self.request_handler.awaits_evacuations = not self.evacuations.is_known
+        self.dispatcher.evacuated_zones = self.evacuations.zones
+        self._publish_member()
+
+    def _merge_evacuations(self, entry: Entry) -> None:
+        if not self.follows_evacuations:
+            return
+        try:
+            self.evacuations.merge(decode_member(entry.value), entry.origin)
+        except WireError as error:
+            log_event("member_unreadable", origin=entry.origin, error=error.message)
+
     async def follow_upstreams(self) -> None:
         """Wait for upstream changes, then pause so that further changes coalesce."""
         await self.upstream_table.mirror.follow()
@@ -395,6 +436,8 @@
     def _apply_entries(self, entries: list[Entry]) -> None:
         for entry in entries:
             match entry.topic:
+                case Topic.MEMBER:
+                    self._merge_evacuations(entry)
                 case Topic.LEAVING:
                     self.upstream_sync.merge_marks(entry)
                 case Topic.DEATHS:
@@ -412,6 +455,7 @@
             is_leaving=self.request_handler.is_leaving,
             store_era=self.store.era,
             is_cut_off=self.context.reach.is_cut_off,
+            evacuations=self.evacuations.marks(),
         )
 
     async def assign_waiting(self) -> None:
--- a/banyansail/gateway/tasks.py
+++ b/banyansail/gateway/tasks.py
@@ -39,6 +39,11 @@
         (gateway.move_mirror.kind, gateway.move_mirror.follow),
     ):
         gateway.add_task(f"{kind}.follow", follow, FOLLOW_PAUSE, MAX_FOLLOW_BACKOFF)
+    if gateway.follows_evacuations:
+        mirror = gateway.evacuation_mirror
+        gateway.add_task(
+            f"{mirror.kind}.follow", mirror.follow, FOLLOW_PAUSE, MAX_FOLLOW_BACKOFF
+        )
     gateway.add_task("config.catch_up", gateway.catch_up, CATCH_UP_INTERVAL)
     gateway.add_task("upstreams.lapse", gateway.expire_upstreams, EXPIRY_INTERVAL)
     gateway.add_task("reach", gateway.reach_check.run, REACH_INTERVAL)
--- a/banyansail/wire/gossip_codec.py
+++ b/banyansail/wire/gossip_codec.py
@@ -10,7 +10,14 @@
 
 from banyansail.config.fields import Address
 from banyansail.exceptions import WireError
-from banyansail.fleet.entries import Digest, Entry, Gossip, Member, Topic
+from banyansail.fleet.entries import (
+    Digest,
+    Entry,
+    EvacuationMark,
+    Gossip,
+    Member,
+    Topic,
+)
 from banyansail.rollout.evidence import Evidence, EvidenceCell, EvidenceKey
 from banyansail.routing.crash_history import UpstreamCrash
 from banyansail.routing.crash_reports import CrashReport
@@ -122,6 +129,15 @@
         storeEra=member.store_era,
         relayPort=member.relay_port,
         isCutOff=member.is_cut_off,
+        evacuations=[
+            {
+                "zone": mark.zone,
+                "era": mark.era,
+                "revision": mark.revision,
+                "isInForce": mark.is_in_force,
+            }
+            for mark in member.evacuations
+        ],
     )
     return message.to_bytes_packed()
 
@@ -140,6 +156,10 @@
         message.storeEra,
         message.relayPort,
         message.isCutOff,
+        evacuations=tuple(
+            EvacuationMark(mark.zone, mark.era, mark.revision, mark.isInForce)
+            for mark in message.evacuations
+        ),
     )
 
 
--- a/banyansail/wire/schema.capnp
+++ b/banyansail/wire/schema.capnp
@@ -39,6 +39,15 @@
   storeEra @8 :UInt32;
   relayPort @9 :UInt16;
   isCutOff @10 :Bool;  # the router reaches no upstream
+  features @11 :UInt64;
+  evacuations @12 :List(EvacuationMark);
+}
+
+struct EvacuationMark {
+  zone @0 :Text;
+  era @1 :UInt32;
+  revision @2 :UInt64;
+  isInForce @3 :Bool;
 }
 
 struct Names {
--- a/tests/gateway/decisions/test_dispatch.py
+++ b/tests/gateway/decisions/test_dispatch.py
@@ -329,3 +329,32 @@
     rejection = harness.rejections()[1]
     assert (rejection.status, rejection.cause) == (503, Cause.LIMITED)
     assert rejection.retry_after is not None
+
+
+def test_an_evacuated_data_centre_gets_no_request_and_waiting_ones_are_rejected():
+    """Guards against requests that wait for an upstream that may get nothing."""
+    harness = DispatcherHarness()
+    near = upstream("near", slots=1, zone="leeds")
+    harness.apply([near, upstream("far", slots=1)])
+    for number in range(3):
+        harness.request(number)
+    assert len(harness.slots()) == 2
+    harness.dispatcher.evacuated_zones = frozenset({"leeds", "glasgow"})
+    assert sorted(harness.rejections()) == [2]
+    assert harness.rejections()[2].cause is Cause.NO_UPSTREAM
+    assert harness.rejections()[2].retry_after is not None
+    for _, slot in harness.slots():
+        harness.dispatcher.release(slot)
+    harness.dispatcher.evacuated_zones = frozenset({"leeds"})
+    harness.request(4)
+    assert harness.slots()[-1][1].load.upstream.id == "far"
+    harness.dispatcher.evacuated_zones = frozenset()
+    harness.request(5)
+    assert harness.slots()[-1][1].load.upstream.id == "near"
+
+
+def test_a_service_seen_first_during_an_evacuation_is_not_sent_there():
+    harness = DispatcherHarness()
+    harness.dispatcher.evacuated_zones = frozenset({"leeds"})
+    harness.apply([upstream("e1", "engines", zone="leeds")])
+    assert harness.dispatcher.state("engines").usable() == []
--- a/tests/gateway/duties/test_scaler.py
+++ b/tests/gateway/duties/test_scaler.py
@@ -124,3 +124,14 @@
     assert fleet.scale(2) == []
     fleet.cloud.is_down = False
     assert fleet.scale()
+
+
+def test_an_evacuated_data_centre_counts_as_having_no_replica_that_serves():
+    """Guards against a load that is left to replicas that get no requests."""
+    fleet = Fleet()
+    fleet.announce(on_demand=4, reclaimable=4)
+    served = fleet.scaler._replicas_by_zone(fleet.site.service_by_name["engines"])
+    assert set(served) == set(ZONES)
+    fleet.dispatcher.evacuated_zones = frozenset({"b"})
+    served = fleet.scaler._replicas_by_zone(fleet.site.service_by_name["engines"])
+    assert set(served) == set(ZONES) - {"b"}
--- a/tests/gateway/live_gateway.py
+++ b/tests/gateway/live_gateway.py
@@ -73,10 +73,15 @@
     """
 
     def __init__(
-        self, replicas=("d1", "d2", "e1", "e2"), raw_upstreams=(), routers=1
+        self,
+        replicas=("d1", "d2", "e1", "e2"),
+        raw_upstreams=(),
+        routers=1,
+        evacuate=timedelta(seconds=5),
     ) -> None:
         run_reactor()
         self._raw_names = raw_upstreams
+        self._evacuate = evacuate
         self.raw_by_name: dict[str, RawUpstream] = {}
         self.replica_by_name = {name: ReplicaStandin(name) for name in replicas}
         self.store = StoreStandin()
@@ -175,7 +180,7 @@
             lease=timedelta(seconds=3),
             expose_share=0.1,
             metrics=address(),
-            evacuate=timedelta(seconds=5),
+            evacuate=self._evacuate,
             cold_over=1.5,
             cold_slack=5.0,
         )
