--- a/banyansail/gateway/cold_sharing.py
+++ b/banyansail/gateway/cold_sharing.py
@@ -17,6 +17,8 @@
     from banyansail.gateway.decisions.upstream_load import UpstreamLoad
     from banyansail.traffic.fleet_traffic import FleetTraffic
 
+MAX_PARTS = 4096  # that are kept; those of ended upstreams are dropped with the rest
+
 
 class ColdSharing:
     """Keeps this router to its part of the allowances of cold upstreams.
@@ -52,7 +54,7 @@
     def update(self, loads: list[UpstreamLoad], now: timedelta) -> None:
         """Divide the allowances of the cold upstreams anew."""
         fleet = self._observe(now)
-        if fleet != self._divided_among:
+        if fleet != self._divided_among or len(self._part_by_upstream) > MAX_PARTS:
             self._divided_among = fleet
             self._part_by_upstream.clear()
         for load in loads:
