--- a/banyansail/config/gateway_settings.py
+++ b/banyansail/config/gateway_settings.py
@@ -53,6 +53,12 @@
         Requests to such a version that are tolerated beyond that share.
     store_watchers : int
         Routers of each data centre that watch the store for the others; 0 if all do.
+    evacuate : timedelta or None
+        Time after which nothing more may be sent to an evacuated data centre; ``None``
+        if none is ever evacuated.
+    cold_over, cold_slack : float
+        Bound on the requests in any second to a cold upstream: factor of its allowance,
+        plus a constant.
     """
 
     name: str
@@ -78,6 +84,9 @@
     metrics: Address
     expose_slack: float = 0.0
     store_watchers: int = 0
+    evacuate: timedelta | None = None
+    cold_over: float = 1.0
+    cold_slack: float = 0.0
 
 
 def _seconds(value: Any) -> timedelta:
@@ -129,8 +138,15 @@
     "expose_slack": ("expose_slack", float),
     "metrics": ("metrics", _address),
     "store_watchers": ("store_watchers", int),
+    "evacuate_ms": ("evacuate", _milliseconds),
+    "cold_over": ("cold_over", float),
+    "cold_slack": ("cold_slack", float),
 }
-OPTIONAL_SETTINGS = frozenset({"expose_slack", "store_watchers"})
+# May be absent or empty: the platform's template leaves them so where a deployment has
+# no such bound.
+OPTIONAL_SETTINGS = frozenset(
+    {"expose_slack", "store_watchers", "evacuate_ms", "cold_over", "cold_slack"}
+)
 
 
 def parse_gateway_settings(text: str, file: str) -> GatewaySettings:
@@ -157,6 +173,8 @@
         if name not in FIELD_AND_PARSER_BY_SETTING:
             findings.append(Finding(*location, f"unknown setting {name!r}"))
             continue
+        if name in OPTIONAL_SETTINGS and values[name] in (None, ""):
+            continue
         field, parse = FIELD_AND_PARSER_BY_SETTING[name]
         try:
             fields[field] = parse(values[name])
--- a/banyansail/gateway/decisions/service_state.py
+++ b/banyansail/gateway/decisions/service_state.py
@@ -90,15 +90,19 @@
     version_share: VersionShare | None = None
     prefill_tokens_total: float = 0.0  # expected, of all requests assigned so far
     is_brittle: bool = False  # by the latest answer of an upstream
+    evacuated_zones: frozenset[str] = frozenset()
     # Removed upstreams that asked for a pause; their entries may return.
     paused_by_incarnation: dict[tuple[str, int], UpstreamLoad] = field(
         default_factory=dict
     )
 
     def usable(self) -> list[UpstreamLoad]:
-        """Return the upstreams that are not draining."""
+        """Return the upstreams that are neither draining nor evacuated."""
         return [
-            load for load in self.load_by_id.values() if not load.upstream.is_leaving
+            load
+            for load in self.load_by_id.values()
+            if not load.upstream.is_leaving
+            and load.upstream.zone not in self.evacuated_zones
         ]
 
     def has_free_slot(self, now: timedelta) -> bool:
@@ -136,14 +140,14 @@
             return others or target
         return others
 
-    def expected_wait(self, ticket: Ticket) -> timedelta | None:
+    def expected_wait(self, ticket: Ticket, now: timedelta) -> timedelta | None:
         """Return the expected queueing time, behind all requests served before.
 
         It is ``None`` if the upstreams' limits leave nothing to this router.
         """
         slot_time_s = self.mean_slot_time.total_seconds()
         per_s = sum(
-            load.limit.capped(load.upstream.slots / slot_time_s)
+            load.capped(load.upstream.slots / slot_time_s, now)
             for load in self.usable()
         )
         ahead = sum(
@@ -151,6 +155,6 @@
         )
         return timedelta(seconds=(ahead + 1) / per_s) if per_s else None
 
-    def is_limited(self) -> bool:
-        """Return whether any usable upstream named a limit."""
-        return any(load.limit.per_s is not None for load in self.usable())
+    def is_limited(self, now: timedelta) -> bool:
+        """Return whether any usable upstream named a limit or is cold."""
+        return any(load.is_limited(now) for load in self.usable())
--- a/banyansail/gateway/fleet_link.py
+++ b/banyansail/gateway/fleet_link.py
@@ -28,7 +28,7 @@
 
     from banyansail.clock import Clock
     from banyansail.config.gateway_settings import GatewaySettings
-    from banyansail.fleet.entries import Entry
+    from banyansail.fleet.entries import Entry, EvacuationMark
     from banyansail.platform.store import StoreClient, StoredObject
     from banyansail.wire.call_codec import PeerCall, PeerReply
 
@@ -68,6 +68,7 @@
         incarnation = int(clock.now().timestamp() * 1000)
         authenticator = MessageAuthenticator(settings.shared_key)
         view = FleetView(settings.name, incarnation, clock)
+        self._view = view
         seeds = [Address(host, settings.peer.port) for host in settings.seeds]
         self._gossiper = Gossiper(view, settings.zone, settings.peer, seeds, random)
         self.protocol = GossipProtocol(
@@ -87,6 +88,10 @@
         members.pop(self._settings.name, None)
         return members
 
+    def known_routers(self) -> list[str]:
+        """Return the names of all routers heard of in the last hour, live or not."""
+        return self._view.names
+
     def zone_members(self) -> list[str]:
         """Return the live routers of this data centre, this one included."""
         return [
@@ -109,6 +114,7 @@
         is_leaving: bool,
         store_era: int,
         is_cut_off: bool,
+        evacuations: tuple[EvacuationMark, ...] = (),
     ) -> None:
         """Publish this router's address and state.
 
@@ -127,6 +133,7 @@
             settings.relay.port,
             is_cut_off,
             FEATURES,
+            evacuations=evacuations,
         )
         self.publish(Topic.MEMBER, encode_member(member), urgent=True)
 
--- a/banyansail/gateway/mirror.py
+++ b/banyansail/gateway/mirror.py
@@ -46,6 +46,8 @@
     is_minor_change : callable
         Returns whether two contents of an object differ only in what may be learned
         late.
+    remembers_deleted : bool
+        Whether deleted objects stay so if a restored store has them again.
     """
 
     def __init__(
@@ -57,6 +59,7 @@
         *,
         keeps_lapsed: bool = False,
         is_minor_change: Callable[[Any, Any], bool] = lambda before, after: False,
+        remembers_deleted: bool = True,
     ) -> None:
         self.kind = kind
         self._store = store
@@ -65,6 +68,7 @@
         self._is_minor_change = is_minor_change
         self.has_minor_changes_only = False  # in the last answer of the store
         self._keeps_lapsed = keeps_lapsed
+        self._remembers_deleted = remembers_deleted
         self._lapsed_at: dict[str, timedelta] = {}
         self._failing_since: timedelta | None = None
         self._recovered_at: timedelta | None = None
@@ -334,7 +338,8 @@
         self._lapsed_at.pop(name, None)
         self.missing_names.discard(name)
         self.object_by_name.pop(name, None)
-        self._deleted_names[name] = None
+        if self._remembers_deleted:
+            self._deleted_names[name] = None
         while len(self._deleted_names) > MAX_DELETED_NAMES:
             del self._deleted_names[next(iter(self._deleted_names))]
 
--- a/banyansail/gateway/tasks.py
+++ b/banyansail/gateway/tasks.py
@@ -44,6 +44,14 @@
         ("store.follow.2", gateway.follow_second_watcher),
     ):
         gateway.add_task(name, follow, FOLLOW_PAUSE, MAX_FOLLOW_BACKOFF)
+    if gateway.follows_evacuations:
+        kind = gateway.evacuation_mirror.kind
+        gateway.add_task(
+            f"{kind}.follow",
+            gateway.follow_evacuations,
+            FOLLOW_PAUSE,
+            MAX_FOLLOW_BACKOFF,
+        )
     gateway.add_task("config.catch_up", gateway.catch_up, CATCH_UP_INTERVAL)
     gateway.add_task("upstreams.lapse", gateway.expire_upstreams, EXPIRY_INTERVAL)
     gateway.add_task("reach", gateway.reach_check.run, REACH_INTERVAL)
--- a/banyansail/wire/gossip_codec.py
+++ b/banyansail/wire/gossip_codec.py
@@ -11,6 +11,7 @@
 from banyansail.fleet.entries import (
     Digest,
     Entry,
+    EvacuationMark,
     Feature,
     Gossip,
     Member,
@@ -135,6 +136,15 @@
         relayPort=member.relay_port,
         isCutOff=member.is_cut_off,
         features=int(member.features),
+        evacuations=[
+            {
+                "zone": mark.zone,
+                "era": mark.era,
+                "revision": mark.revision,
+                "isInForce": mark.is_in_force,
+            }
+            for mark in member.evacuations
+        ],
     )
     return message.to_bytes_packed()
 
@@ -155,6 +165,10 @@
         message.relayPort,
         message.isCutOff,
         Feature(message.features),
+        evacuations=tuple(
+            EvacuationMark(mark.zone, mark.era, mark.revision, mark.isInForce)
+            for mark in message.evacuations
+        ),
     )
 
 
--- a/tests/gateway/live_gateway.py
+++ b/tests/gateway/live_gateway.py
@@ -78,9 +78,11 @@
         raw_upstreams=(),
         routers=1,
         store_watchers=0,
+        evacuate=timedelta(seconds=5),
     ) -> None:
         run_reactor()
         self._raw_names = raw_upstreams
+        self._evacuate = evacuate
         self.raw_by_name: dict[str, RawUpstream] = {}
         self.replica_by_name = {name: ReplicaStandin(name) for name in replicas}
         self.store = StoreStandin()
@@ -137,7 +139,7 @@
         self._running.append(running)
         return running
 
-    def announce(self, name, address, state="ready", born=1):
+    def announce(self, name, address, state="ready", born=1, **fields):
         """Write an upstream's entry to the store, as the upstream itself would."""
         spec = {
             "service": "depot" if name.startswith("d") else "engines",
@@ -148,6 +150,7 @@
             "state": state,
             "seq": 1,
             "born": born,
+            **fields,
         }
         self.store.state.put("servers", name, spec=spec)
 
@@ -180,6 +183,9 @@
             expose_share=0.1,
             metrics=address(),
             store_watchers=self._store_watchers,
+            evacuate=self._evacuate,
+            cold_over=1.5,
+            cold_slack=5.0,
         )
 
     def _stop(self):
