Replace our own routers by another build under keyed orders

The ledger passes operations between routers over the connections that an unknown call used to close, and no test ran it between two builds.

--- a/tests/processes.py
+++ b/tests/processes.py
@@ -112,6 +112,7 @@
         peer: int | None = None,
         listen: int | None = None,
         wait: bool = True,
+        cwd: Path | None = None,
         **settings: object,
     ) -> tuple[int, int, int]:
         """Start a router; return its ports for callers, peers and administration."""
@@ -134,7 +135,7 @@
         lines += [f"{key}: {value}" for key, value in settings.items()]
         path = self.folder / f"{name}.yaml"
         path.write_text("\n".join(lines) + "\n")
-        self.start(name, "banyansail.router", f"--settings={path}")
+        self.start(name, "banyansail.router", f"--settings={path}", cwd=cwd)
         if wait:
             self.wait_for_start(name, listen, "/health")
         return listen, peer, admin
