--- a/tests/gateway/mixed_fleet.py
+++ b/tests/gateway/mixed_fleet.py
@@ -92,6 +92,7 @@
     def restart_replica(self, name: str) -> None:
         """End an upstream unannounced, and start it again at its address."""
         running = self._running_by_replica[name]
+        wait_until(lambda: self.replica_by_name[name].state.running > 0)
         in_reactor(running.kill)
         time.sleep(DOWN_S)
         in_reactor(running.listen, running.address)
