Share the measured speeds of upstreams and use them in choices

Cause: a router knows an upstream only by its own few requests, and a service has one prefill rate, so equal slots of unequal upstreams count alike. Change: each router keeps the decayed mean logarithm of the expected over the measured time to the first byte, by incarnation; reports and sums carry it with its count and age.

--- a/banyansail/config/gateway_settings.py
+++ b/banyansail/config/gateway_settings.py
@@ -49,6 +49,8 @@
         Listener that serves counters and histograms.
     expose_share : float
         Maximum share of a service's requests that an unproven version may get.
+    uneven_upstreams : bool
+        Whether choices and orders of replicas use the measured speeds of upstreams.
     """
 
     name: str
@@ -72,6 +74,7 @@
     lease: timedelta
     expose_share: float
     metrics: Address
+    uneven_upstreams: bool = False
 
 
 def _seconds(value: Any) -> timedelta:
@@ -98,6 +101,12 @@
     return parse_address(str(value))
 
 
+def _flag(value: Any) -> bool:
+    if not isinstance(value, bool):
+        raise ValueError(f"{value!r} is neither true nor false")
+    return value
+
+
 # Field of `GatewaySettings` and value parser for each setting of the file.
 FIELD_AND_PARSER_BY_SETTING: dict[str, tuple[str, Any]] = {
     "name": ("name", _text),
@@ -121,7 +130,9 @@
     "lease_ms": ("lease", _milliseconds),
     "expose_share": ("expose_share", float),
     "metrics": ("metrics", _address),
+    "uneven_upstreams": ("uneven_upstreams", _flag),
 }
+OPTIONAL_SETTINGS = frozenset({"uneven_upstreams"})
 
 
 def parse_gateway_settings(text: str, file: str) -> GatewaySettings:
@@ -156,7 +167,7 @@
     findings += [
         Finding(file, 1, 1, f"setting {name!r} is missing")
         for name, (field, _) in FIELD_AND_PARSER_BY_SETTING.items()
-        if name not in values
+        if name not in values and name not in OPTIONAL_SETTINGS
     ]
     if findings:
         raise ConfigError(findings)
--- a/banyansail/gateway/context.py
+++ b/banyansail/gateway/context.py
@@ -33,6 +33,7 @@
     from banyansail.gateway.limit_sharing import LimitSharing
     from banyansail.gateway.request_types import CallerCall, ReplyHead
     from banyansail.gateway.site import Workspace
+    from banyansail.gateway.speed_sharing import SpeedSharing
     from banyansail.gateway.upstream import Upstream
     from banyansail.traffic.fleet_traffic import FleetTraffic
 
@@ -63,6 +64,8 @@
         Called with an upstream that said in an answer that it is draining.
     limits : LimitSharing
         Limits that upstreams name in their answers.
+    speeds : SpeedSharing
+        Measured speeds of upstreams.
     live_peers : callable
         Returns the other live routers by name.
     confirm_reach : callable
@@ -84,6 +87,7 @@
     check_crash: Callable[[Upstream, CallerCall], Coroutine[Any, Any, None]]
     mark_leaving: Callable[[Upstream], None]
     limits: LimitSharing
+    speeds: SpeedSharing
     live_peers: Callable[[], dict[str, Member]]
     confirm_reach: Callable[[], Coroutine[Any, Any, None]]
     answer_budget: ByteBudget = field(
--- a/banyansail/gateway/decisions/choice.py
+++ b/banyansail/gateway/decisions/choice.py
@@ -39,12 +39,16 @@
         Prompt tokens that the upstream is expected to prefill.
     expected_latency : timedelta
         Expected time to the first byte.
+    nominal_latency : timedelta
+        The same for an upstream of speed 1 without failures, as the speed is measured
+        against it.
     """
 
     load: UpstreamLoad
     prefill_tokens: int
     expected_latency: timedelta
     reason: str
+    nominal_latency: timedelta = timedelta(0)
 
 
 def affinity_key(prompt: Prompt | None) -> str:
@@ -101,23 +105,35 @@
 def _choose_plain(
     loads: list[UpstreamLoad], zone: str, now: timedelta, random: Random
 ) -> Chosen:
+    is_uneven = any(load.speed != 1 for load in loads)
     return _choose_fastest(
-        [
-            Chosen(
-                load,
-                0,
-                _expected_plain_latency(load, zone, now),
-                "shortest expected time",
-            )
-            for load in loads
-        ],
+        [_plain_candidate(load, zone, now, is_uneven=is_uneven) for load in loads],
         random,
     )
 
 
-def _expected_plain_latency(load: UpstreamLoad, zone: str, now: timedelta) -> timedelta:
+def _plain_candidate(
+    load: UpstreamLoad, zone: str, now: timedelta, *, is_uneven: bool
+) -> Chosen:
+    """Return an upstream of a plain service with its expected time.
+
+    If the speeds of the service's upstreams differ, they are compared by the mean time
+    of the service and their speeds, which all routers know alike; else by the times
+    that this router measured lately.
+    """
     utilisation = (load.in_flight + load.peer_in_flight) / load.upstream.slots
-    return load.mean_latency(now) * (1 + utilisation) + _penalty(load, zone, now)
+    service_time = load.answer_time.mean
+    if is_uneven:
+        latency = service_time / load.speed * (1 + utilisation / load.speed)
+    else:
+        latency = load.mean_latency(now) * (1 + utilisation)
+    return Chosen(
+        load,
+        0,
+        latency + _penalty(load, zone, now),
+        "shortest expected time",
+        service_time,
+    )
 
 
 def _choose_engine(
@@ -144,11 +160,15 @@
         )
         running = load.in_flight + load.peer_in_flight
         # Decode steps take longer with a larger batch, and prefill runs between them.
-        slowdown = 1 + running / load.upstream.slots
-        expected_latency = (
-            ENGINE_BASE_LATENCY
-            + tokens / load.prefill_rate.tokens_per_ms * MS * slowdown
-        )
+        utilisation = running / load.upstream.slots
+        prefill_time = tokens / load.prefill_rate.tokens_per_ms * MS
+        nominal_latency = ENGINE_BASE_LATENCY + prefill_time * (1 + utilisation)
+        expected_latency = nominal_latency
+        if load.speed != 1:
+            slowdown = 1 + utilisation / load.speed
+            expected_latency = (
+                ENGINE_BASE_LATENCY + prefill_time / load.speed * slowdown
+            )
         reason = "preferred for its prefix" if load is preferred else "less loaded"
         candidates.append(
             Chosen(
@@ -156,6 +176,7 @@
                 prefill_tokens,
                 expected_latency + _penalty(load, zone, now),
                 reason,
+                nominal_latency,
             )
         )
     return _choose_fastest(candidates, random)
--- a/banyansail/gateway/decisions/dispatch.py
+++ b/banyansail/gateway/decisions/dispatch.py
@@ -255,7 +255,11 @@
             load = state.load_by_id.get(upstream_id)
             if load is None or load.upstream.incarnation != upstream.incarnation:
                 load = UpstreamLoad(
-                    upstream, kv_tokens, state.prefill_rate, self._random
+                    upstream,
+                    kv_tokens,
+                    state.prefill_rate,
+                    self._random,
+                    state.answer_time,
                 )
                 state.load_by_id[upstream_id] = load
                 removed = state.paused_by_incarnation.pop(upstream.incarnation, None)
--- a/banyansail/gateway/decisions/service_state.py
+++ b/banyansail/gateway/decisions/service_state.py
@@ -7,7 +7,11 @@
 from typing import TYPE_CHECKING
 
 from banyansail.gateway.decisions.choice import has_free_slot
-from banyansail.gateway.decisions.upstream_load import PrefillRate, UpstreamLoad
+from banyansail.gateway.decisions.upstream_load import (
+    AnswerTime,
+    PrefillRate,
+    UpstreamLoad,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -87,6 +91,7 @@
     waiting: list[QueueEntry] = field(default_factory=list)
     mean_slot_time: timedelta = INITIAL_SLOT_TIME
     prefill_rate: PrefillRate = field(default_factory=PrefillRate)
+    answer_time: AnswerTime = field(default_factory=AnswerTime)
     version_share: VersionShare | None = None
     prefill_tokens_total: float = 0.0  # expected, of all requests assigned so far
     is_brittle: bool = False  # by the latest answer of an upstream
--- a/banyansail/gateway/decisions/upstream_load.py
+++ b/banyansail/gateway/decisions/upstream_load.py
@@ -7,15 +7,18 @@
 
 from banyansail.gateway.decisions.prefix_cache import PrefixCache
 from banyansail.gateway.decisions.rate_limit import RateLimit
+from banyansail.gateway.decisions.speed import SpeedEstimate
 
 if TYPE_CHECKING:
     from random import Random
 
     from banyansail.gateway.request_types import Prompt
     from banyansail.gateway.upstream import Upstream
+    from banyansail.traffic.speed_evidence import SpeedEvidence
 
 FAILURE_WEIGHT = 0.15  # of a new sample in the moving average
 LATENCY_WEIGHT = 0.15
+ANSWER_TIME_WEIGHT = 0.02  # of a new sample in the mean of a service
 INITIAL_LATENCY = timedelta(milliseconds=40)
 HEALTH_HALF_LIFE = timedelta(seconds=3)  # so that an avoided upstream is tried again
 SUSPECT_TIME = timedelta(milliseconds=500)  # after the first failure, then doubled
@@ -56,6 +59,19 @@
         self._ms += (prefill_ms - self._ms) * PREFILL_RATE_WEIGHT
 
 
+class AnswerTime:
+    """Mean time of the answers of a plain service, over all of its upstreams."""
+
+    __slots__ = ("mean",)
+
+    def __init__(self) -> None:
+        self.mean = INITIAL_LATENCY
+
+    def record(self, latency: timedelta) -> None:
+        """Add the time of an answer."""
+        self.mean += (latency - self.mean) * ANSWER_TIME_WEIGHT
+
+
 class UpstreamLoad:
     """Load and health of one upstream.
 
@@ -69,6 +85,8 @@
         Shared by the engines of a service.
     random : Random
         Source of random draws of a named limit.
+    answer_time : AnswerTime or None
+        Shared by the upstreams of a plain service.
     """
 
     __slots__ = (
@@ -77,6 +95,7 @@
         "_paused_until",
         "_recorded_at",
         "_sent_at_by_slot",
+        "answer_time",
         "cache",
         "in_flight",
         "is_brittle",
@@ -86,6 +105,9 @@
         "pending_prefill_tokens",
         "prefill_rate",
         "slot_part",
+        "speed",
+        "speed_estimate",
+        "speed_evidence",
         "suspect_until",
         "suspicions",
         "upstream",
@@ -97,6 +119,7 @@
         kv_tokens: int,
         prefill_rate: PrefillRate,
         random: Random,
+        answer_time: AnswerTime | None = None,
     ) -> None:
         self.upstream = upstream
         self.cache = PrefixCache(kv_tokens) if kv_tokens else None
@@ -115,6 +138,10 @@
         self.limit = RateLimit(random)
         self.is_brittle = False
         self.slot_part = upstream.slots  # of a brittle one, that this router may use
+        self.answer_time = answer_time or AnswerTime()
+        self.speed_estimate = SpeedEstimate()  # by the samples of this router
+        self.speed_evidence: SpeedEvidence | None = None  # of the fleet
+        self.speed = 1.0  # that counts in choices
 
     def start_attempt(
         self, slot_number: int, prefill_tokens: int, now: timedelta
--- a/banyansail/gateway/exchange.py
+++ b/banyansail/gateway/exchange.py
@@ -252,6 +252,8 @@
             self._count_usage(head)
             latency = context.clock.monotonic() - sent_at
             context.metrics.observe_first_byte(self._ticket.service, latency)
+            if not head.is_failure and head.run_status is not RunStatus.NOT_RUN:
+                self._record_speed(slot, latency)
             if self._call.prompt is not None:
                 backlog = load.pending_prefill_tokens + load.peer_pending_prefill_tokens
                 load.prefill_rate.record(slot.chosen.prefill_tokens + backlog, latency)
@@ -312,6 +314,8 @@
                 return
             if self._context.withdraw_retry(self._ticket.service):
                 self._is_retry_charged = True
+                # The answer would have taken at least as long.
+                self._record_speed(slot, timeout)
                 attempt.abort(
                     f"no answer within {timeout.total_seconds():.2f} s",
                     is_timeout=True,
@@ -319,6 +323,15 @@
 
         return self._context.reactor.callLater(timeout.total_seconds(), on_timeout)
 
+    def _record_speed(self, slot: Slot, latency: timedelta) -> None:
+        """Add the time to the first byte to the estimated speed of the upstream."""
+        load = slot.load
+        if self._call.prompt is None:
+            load.answer_time.record(latency)
+        load.speed_estimate.record(
+            slot.chosen.nominal_latency, latency, self._context.clock.monotonic()
+        )
+
     def _count_usage(self, head: ReplyHead) -> None:
         if head.run_status is RunStatus.NOT_RUN or self._is_usage_counted:
             return
--- a/banyansail/gateway/router.py
+++ b/banyansail/gateway/router.py
@@ -29,6 +29,7 @@
 from banyansail.gateway.quarantine_store import QuarantineStore
 from banyansail.gateway.reach_check import ReachCheck
 from banyansail.gateway.request_handler import RequestHandler
+from banyansail.gateway.speed_sharing import SpeedSharing
 from banyansail.gateway.store_probe import StoreProbe
 from banyansail.gateway.tasks import add_tasks
 from banyansail.gateway.traffic_report import (
@@ -149,6 +150,12 @@
         self.limits = LimitSharing(
             settings.name, clock, self.dispatcher, self.fleet, self.link.live_members
         )
+        self.speeds = SpeedSharing(
+            clock,
+            self.dispatcher,
+            self.fleet,
+            is_active=settings.uneven_upstreams,
+        )
         self.context = GatewayContext(
             reactor=self._reactor,
             clock=clock,
@@ -166,6 +173,7 @@
             check_crash=lambda upstream, call: self.crash_check.run(upstream, call),
             mark_leaving=lambda upstream: self.upstream_sync.mark_leaving(upstream),
             limits=self.limits,
+            speeds=self.speeds,
             live_peers=self.link.live_peers,
             confirm_reach=lambda: self.reach_check.confirm(),
         )
@@ -358,6 +366,7 @@
         self._publish_member()
         self.upstream_sync.publish_due_marks()
         self.limits.update()
+        self.speeds.update()
 
     async def report_cleared(self) -> None:
         """Tell other routers of suspected parts of prompts that were answered here."""
--- a/banyansail/gateway/traffic_report.py
+++ b/banyansail/gateway/traffic_report.py
@@ -35,6 +35,7 @@
         context.quota.has_urgent_use,
         holds_duties,
         context.limits.own_limits(),
+        speeds=context.speeds.own_speeds(),
     )
 
 
@@ -50,6 +51,7 @@
     )
     context.moves.set_fleet_tallies(fleet.tallies)
     context.limits.update()
+    context.speeds.update()
     apply_fleet_work(context)
 
 
--- a/banyansail/traffic/aggregator.py
+++ b/banyansail/traffic/aggregator.py
@@ -18,10 +18,12 @@
     merge_limits,
     merge_max_tallies,
 )
+from banyansail.traffic.speed_evidence import add_speeds
 
 if TYPE_CHECKING:
     from banyansail.clock import Clock
     from banyansail.traffic.report import NamedLimit, TallyKey
+    from banyansail.traffic.speed_evidence import SpeedEvidence
     from banyansail.traffic.tally import Tally
 
 WORK_TIMEOUT = timedelta(seconds=2.5)  # after which reported work does not count
@@ -140,11 +142,13 @@
         tallies: dict[TallyKey, Tally] = {}
         add_tallies(tallies, self._ended_tallies)
         limits: dict[str, NamedLimit] = {}
+        speeds: dict[str, SpeedEvidence] = {}
         candidates, holders = [], []
         for name, reporter in self._reporter_by_name.items():
             report = reporter.report
             add_tallies(tallies, report.tallies)
             merge_limits(limits, report.limits, now - reporter.received_at)
+            add_speeds(speeds, report.speeds, now - reporter.received_at)
             if now - reporter.received_at > WORK_TIMEOUT:
                 continue
             add_work(work, report.work_by_upstream)
@@ -163,6 +167,7 @@
             tuple(holders),
             is_urgent=self._is_urgent,
             limits=limits,
+            speeds=speeds,
         )
 
     def fleet_sum(self, zone_sum: TrafficSum) -> TrafficSum:
@@ -176,6 +181,7 @@
         candidates = list(zone_sum.duty_candidates)
         holders = list(zone_sum.duty_holders)
         limits = dict(zone_sum.limits)
+        speeds = dict(zone_sum.speeds)
         routers, silent_routers = zone_sum.routers, zone_sum.silent_routers
         for remote in self._remote_by_zone.values():
             add_increase(used, remote.used.total, {})
@@ -185,6 +191,7 @@
             if age > MEMBER_TIMEOUT:
                 continue
             merge_limits(limits, remote.last.limits, age)
+            add_speeds(speeds, remote.last.speeds, age)
             last = remote.last
             routers += last.routers
             is_silent = age > SILENT_AFTER
@@ -206,6 +213,7 @@
             self._sequence_by_router(),
             zone_sum.is_urgent,
             limits,
+            speeds=speeds,
         )
 
     def _sequence_by_router(self) -> dict[int, int]:
--- a/banyansail/traffic/fleet_traffic.py
+++ b/banyansail/traffic/fleet_traffic.py
@@ -18,6 +18,7 @@
     UpstreamWork,
     merge_max_tallies,
 )
+from banyansail.traffic.speed_evidence import MAX_AGE, SpeedEvidence, add_speeds
 
 if TYPE_CHECKING:
     from banyansail.clock import Clock
@@ -129,6 +130,15 @@
         limits = heard.fleet_sum.limits
         return {upstream: named.aged(time) for upstream, named in limits.items()}
 
+    def speeds(self) -> dict[str, SpeedEvidence]:
+        """Return the speeds that all routers measured, this one included."""
+        heard = self._heard_within(MAX_AGE)
+        speeds: dict[str, SpeedEvidence] = {}
+        if heard is not None:
+            time = self._clock.monotonic() - heard.received_at
+            add_speeds(speeds, heard.fleet_sum.speeds, time)
+        return speeds
+
     def duty_candidates(self) -> list[str]:
         """Return the routers that rank first for duties, and this one."""
         heard = self._heard_within(WORK_TIMEOUT)
--- a/banyansail/traffic/report.py
+++ b/banyansail/traffic/report.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 from datetime import timedelta
 
+from banyansail.traffic.speed_evidence import SpeedEvidence
 from banyansail.traffic.tally import Tally
 
 TallyKey = tuple[str, int, bool]  # service, number of the move, is_target
@@ -83,6 +84,8 @@
         Whether the router holds the lease on the duties of the fleet.
     limits : dict
         Limits that upstreams named to the router, by the upstream's incarnation.
+    speeds : dict
+        Speeds that the router measured, by the upstream's incarnation.
     """
 
     used_by_workspace: dict[str, float] = field(default_factory=dict)
@@ -93,6 +96,7 @@
     is_urgent: bool = False
     holds_duties: bool = False
     limits: dict[str, NamedLimit] = field(default_factory=dict)
+    speeds: dict[str, SpeedEvidence] = field(default_factory=dict)
 
 
 @dataclass(slots=True, frozen=True)
@@ -126,6 +130,8 @@
         Whether one of the reports was urgent.
     limits : dict
         Latest limits that upstreams named to the routers, by upstream's incarnation.
+    speeds : dict
+        Speeds that the routers measured, by the upstream's incarnation.
     """
 
     used_by_workspace: dict[str, float] = field(default_factory=dict)
@@ -139,6 +145,7 @@
     sequence_by_router: dict[int, int] = field(default_factory=dict)
     is_urgent: bool = False
     limits: dict[str, NamedLimit] = field(default_factory=dict)
+    speeds: dict[str, SpeedEvidence] = field(default_factory=dict)
 
 
 def merge_limits(
--- a/banyansail/wire/schema.capnp
+++ b/banyansail/wire/schema.capnp
@@ -108,6 +108,7 @@
   isUrgent @5 :Bool;  # a quota is nearly used up
   holdsDuties @6 :Bool;  # the router holds the lease on the duties
   limits @7 :List(NamedLimit);
+  speeds @8 :List(UpstreamSpeed);
 }
 
 struct TrafficSum {
@@ -123,6 +124,14 @@
   isUrgent @9 :Bool;
   dutyHolders @10 :List(Text);
   limits @11 :List(NamedLimit);
+  speeds @12 :List(UpstreamSpeed);
+}
+
+struct UpstreamSpeed {
+  upstream @0 :Text;  # name of its incarnation
+  samples @1 :UInt32;
+  logSum @2 :Float32;  # of the ratios of expected to measured time, decayed
+  ageMs @3 :UInt32;  # since the last sample
 }
 
 struct NamedLimit {
--- a/banyansail/wire/traffic_codec.py
+++ b/banyansail/wire/traffic_codec.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import Any
 
 from banyansail.traffic.report import (
@@ -11,6 +12,7 @@
     TrafficSum,
     UpstreamWork,
 )
+from banyansail.traffic.speed_evidence import SpeedEvidence
 from banyansail.traffic.tally import Tally
 from banyansail.wire.gossip_codec import MILLISECOND, age_ms, unpack
 from banyansail.wire.schema import schema
@@ -29,6 +31,7 @@
         isUrgent=report.is_urgent,
         holdsDuties=report.holds_duties,
         limits=_limits(report.limits),
+        speeds=_speeds(report.speeds),
     )
     return message.to_bytes_packed()
 
@@ -51,6 +54,7 @@
         message.isUrgent,
         message.holdsDuties,
         _decode_limits(message.limits),
+        speeds=_decode_speeds(message.speeds),
     )
 
 
@@ -72,6 +76,7 @@
         ],
         isUrgent=traffic_sum.is_urgent,
         limits=_limits(traffic_sum.limits),
+        speeds=_speeds(traffic_sum.speeds),
     )
     return message.to_bytes_packed()
 
@@ -104,6 +109,7 @@
         {item.router: item.sequence for item in message.included},
         message.isUrgent,
         _decode_limits(message.limits),
+        speeds=_decode_speeds(message.speeds),
     )
 
 
@@ -175,6 +181,32 @@
     }
 
 
+def _speeds(speeds: dict[str, SpeedEvidence]) -> list[dict[str, Any]]:
+    items = []
+    for name, evidence in speeds.items():
+        samples = round(evidence.samples)
+        if samples:
+            items.append(
+                {
+                    "upstream": name,
+                    "samples": samples,
+                    "logSum": evidence.mean_log * samples,
+                    "ageMs": age_ms(evidence.age),
+                }
+            )
+    return items
+
+
+def _decode_speeds(items: Any) -> dict[str, SpeedEvidence]:
+    return {
+        item.upstream: SpeedEvidence(
+            item.samples, item.logSum, item.ageMs * MILLISECOND
+        )
+        for item in items
+        if math.isfinite(item.logSum)
+    }
+
+
 def _tallies(tallies: dict[TallyKey, Tally]) -> list[dict[str, Any]]:
     return [
         {
--- a/tests/config/test_gateway_settings.py
+++ b/tests/config/test_gateway_settings.py
@@ -36,6 +36,7 @@
 usage_late_s: 10
 lease_ms: 3000
 expose_share: 0.1
+uneven_upstreams: true
 """
 
 
@@ -48,6 +49,14 @@
     assert settings.quota_slack == 190000
 
 
+def test_speeds_of_upstreams_are_not_used_unless_the_settings_ask_for_it():
+    text = VALID.replace("uneven_upstreams: true\n", "")
+    assert not parse_gateway_settings(text, "f").uneven_upstreams
+    assert parse_gateway_settings(VALID, "f").uneven_upstreams
+    with pytest.raises(ConfigError):
+        parse_gateway_settings(VALID.replace("true", "often"), "f")
+
+
 def test_all_findings_have_their_location():
     text = VALID.replace("ready: 10.0.0.1:81", "ready: nowhere")
     text = text.replace("grace_s: 8", "grace: 8")
--- a/tests/traffic/simulated_fleet.py
+++ b/tests/traffic/simulated_fleet.py
@@ -33,6 +33,7 @@
         self.is_frozen = False
         self.is_urgent = False
         self.holds_duties = False
+        self.speeds = {}
         self.sequence = Counter()
         self.received = 0
         self.sent = 0
@@ -51,6 +52,7 @@
             self.is_unfit,
             self.is_urgent,
             self.holds_duties,
+            speeds=dict(self.speeds),
         )
 
     def _on_sum(self):
