Spread choices made by the same report, and hot prefixes over engines

Cause: reports are 0.4 to 0.8 s old, many times a prefill, so all routers that read one chose the same best engine; a prefix had one preferred engine however often it was asked for. Change: with uneven_upstreams, reported work is reduced by what was prefilled since, and an upstream is drawn with probabilities that fill all of them to one level with the work that others have probably added. The route decision logs speed, samples, age and next best.

--- a/banyansail/gateway/decisions/dispatch.py
+++ b/banyansail/gateway/decisions/dispatch.py
@@ -9,7 +9,7 @@
 from datetime import timedelta
 from typing import TYPE_CHECKING
 
-from banyansail.gateway.decisions.choice import choose, has_free_slot
+from banyansail.gateway.decisions.choice import affinity_key, choose, has_free_slot
 from banyansail.gateway.decisions.service_state import (
     QueueEntry,
     ServiceState,
@@ -58,6 +58,7 @@
         self._clock = clock
         self._random = random
         self._last_slot_number = 0
+        self.is_uneven = False  # whether upstreams may differ, by the settings
         self.service_by_name: dict[str, ServiceState] = {}
 
     def state(self, service: str) -> ServiceState:
@@ -233,12 +234,16 @@
             now=now,
             random=self._random,
             excluded=frozenset(ticket.excluded),
+            demand=state.demand if self.is_uneven else None,
         )
         if chosen is None:
             return None
         self._last_slot_number += 1
         chosen.load.start_attempt(self._last_slot_number, chosen.prefill_tokens, now)
         state.prefill_tokens_total += chosen.prefill_tokens
+        if self.is_uneven and ticket.prompt is not None:
+            key = affinity_key(ticket.prompt)
+            state.demand.spread.record(key, chosen.prefill_tokens, now)
         if ticket.prompt is not None and chosen.load.cache is not None:
             chosen.load.cache.record(ticket.prompt)
         return Slot(self._last_slot_number, chosen, now)
--- a/banyansail/gateway/decisions/service_state.py
+++ b/banyansail/gateway/decisions/service_state.py
@@ -6,7 +6,9 @@
 from datetime import timedelta
 from typing import TYPE_CHECKING
 
-from banyansail.gateway.decisions.choice import has_free_slot
+from banyansail.gateway.decisions.choice import ServiceDemand, has_free_slot
+from banyansail.gateway.decisions.peer_demand import PeerDemand
+from banyansail.gateway.decisions.prefix_spread import PrefixSpread
 from banyansail.gateway.decisions.upstream_load import (
     AnswerTime,
     PrefillRate,
@@ -92,6 +94,9 @@
     mean_slot_time: timedelta = INITIAL_SLOT_TIME
     prefill_rate: PrefillRate = field(default_factory=PrefillRate)
     answer_time: AnswerTime = field(default_factory=AnswerTime)
+    demand: ServiceDemand = field(
+        default_factory=lambda: ServiceDemand(PeerDemand(), PrefixSpread())
+    )
     version_share: VersionShare | None = None
     prefill_tokens_total: float = 0.0  # expected, of all requests assigned so far
     is_brittle: bool = False  # by the latest answer of an upstream
--- a/banyansail/gateway/decisions/upstream_load.py
+++ b/banyansail/gateway/decisions/upstream_load.py
@@ -27,6 +27,7 @@
 INITIAL_PREFILL_MS = 150.0
 PREFILL_RATE_WEIGHT = 0.05
 MIN_PREFILL_SAMPLE_TOKENS = 4000  # shorter prompts are poor samples of the rate
+MIN_PREFILL_SAMPLE_TIME = timedelta(milliseconds=10)  # shorter ones vary too much
 ENGINE_BASE_LATENCY = timedelta(milliseconds=40)  # to the first token, without prefill
 
 
@@ -200,6 +201,8 @@
 
     def failure_rate(self, now: timedelta) -> float:
         """Return the fraction of recent attempts that failed; it decays to 0."""
+        if not self._failure_rate:
+            return 0.0
         return self._failure_rate * self._decay(now)
 
     def mean_latency(self, now: timedelta) -> timedelta:
@@ -227,6 +230,26 @@
     def _decay(self, now: timedelta) -> float:
         return 0.5 ** ((now - self._recorded_at) / HEALTH_HALF_LIFE)
 
+    def record_speed(
+        self, nominal: timedelta, latency: timedelta, now: timedelta
+    ) -> None:
+        """Add the time to a first byte to the estimated speed.
+
+        Parameters
+        ----------
+        nominal : timedelta
+            Time that an upstream of speed 1 was expected to take.
+        """
+        if self.cache is None:
+            self.answer_time.record(latency)
+        else:
+            # The time besides prefill does not depend on the speed of prefill.
+            nominal -= ENGINE_BASE_LATENCY
+            latency -= ENGINE_BASE_LATENCY
+            if nominal < MIN_PREFILL_SAMPLE_TIME:
+                return
+        self.speed_estimate.record(nominal, latency, now)
+
     def uncached_tokens(self, prompt: Prompt | None) -> int:
         """Return the number of a prompt's tokens that the upstream has to prefill."""
         if prompt is None:
--- a/banyansail/gateway/exchange.py
+++ b/banyansail/gateway/exchange.py
@@ -324,13 +324,8 @@
         return self._context.reactor.callLater(timeout.total_seconds(), on_timeout)
 
     def _record_speed(self, slot: Slot, latency: timedelta) -> None:
-        """Add the time to the first byte to the estimated speed of the upstream."""
-        load = slot.load
-        if self._call.prompt is None:
-            load.answer_time.record(latency)
-        load.speed_estimate.record(
-            slot.chosen.nominal_latency, latency, self._context.clock.monotonic()
-        )
+        now = self._context.clock.monotonic()
+        slot.load.record_speed(slot.chosen.nominal_latency, latency, now)
 
     def _count_usage(self, head: ReplyHead) -> None:
         if head.run_status is RunStatus.NOT_RUN or self._is_usage_counted:
@@ -409,9 +404,22 @@
                 expected_ms=int(slot.chosen.expected_latency.total_seconds() * 1000),
                 in_flight=slot.load.in_flight,
                 peers_in_flight=slot.load.peer_in_flight,
+                **self._speed_fields(slot),
                 left_out=self._context.route_log_limit.pop_suppressed_count(),
             )
 
+    def _speed_fields(self, slot: Slot) -> dict[str, Any]:
+        """Return the estimated speed, its evidence and age, and the next best."""
+        if not self._context.dispatcher.is_uneven:
+            return {}
+        evidence = slot.load.speed_evidence
+        return {
+            "speed": round(slot.load.speed, 2),
+            "speed_samples": round(evidence.samples) if evidence else 0,
+            "speed_age_ms": int(evidence.age.total_seconds() * 1000) if evidence else 0,
+            "next_best": slot.chosen.next_best,
+        }
+
     def _log(self, decision: str, reason: str, **fields: Any) -> None:
         log_decision(
             decision,
--- a/banyansail/gateway/speed_sharing.py
+++ b/banyansail/gateway/speed_sharing.py
@@ -44,6 +44,22 @@
         self._dispatcher = dispatcher
         self._fleet = fleet
         self._is_active = is_active
+        dispatcher.is_uneven = is_active
+
+    def record_peer_demand(self) -> None:
+        """Use a new sum of the work that the other routers assigned."""
+        now = self._clock.monotonic()
+        for name, state in self._dispatcher.service_by_name.items():
+            peers = state.demand.peers
+            tokens = self._fleet.prefill_tokens_total(name)
+            if tokens:
+                peers.record_total(tokens / state.prefill_rate.tokens_per_ms, now)
+                continue
+            # Plain requests are not counted; those in flight are replaced once in the
+            # time that each takes, and each one lengthens others by a slot's part.
+            loads = state.load_by_id.values()
+            busy = sum(load.peer_in_flight / load.upstream.slots for load in loads)
+            peers.record_rate(busy, now)
 
     def own_speeds(self) -> dict[str, SpeedEvidence]:
         """Return the speeds that this router measured last, by incarnation."""
--- a/banyansail/gateway/traffic_report.py
+++ b/banyansail/gateway/traffic_report.py
@@ -53,6 +53,7 @@
     context.limits.update()
     context.speeds.update()
     apply_fleet_work(context)
+    context.speeds.record_peer_demand()
 
 
 def apply_fleet_work(context: GatewayContext) -> None:
