--- a/tests/gateway/duties/test_scaler.py
+++ b/tests/gateway/duties/test_scaler.py
@@ -124,3 +124,20 @@
     assert fleet.scale(2) == []
     fleet.cloud.is_down = False
     assert fleet.scale()
+
+
+def test_replicas_that_were_measured_as_slow_raise_the_need():
+    """Guards against orders by number alone, when replicas run at half of the speed."""
+    needs = {}
+    for is_uneven in (False, True):
+        fleet = Fleet()
+        fleet.dispatcher.is_uneven = is_uneven
+        fleet.announce(reclaimable=8)
+        for load in fleet.dispatcher.loads():
+            load.in_flight = 7
+            load.speed = 0.5
+        fleet.scale(10)
+        needs[is_uneven] = fleet.scaler._count_engines_needed(
+            fleet.site.service_by_name["engines"]
+        )
+    assert 2 * needs[False] - 1 <= needs[True] <= 2 * needs[False]
