--- a/banyansail/gateway/metrics.py
+++ b/banyansail/gateway/metrics.py
@@ -17,6 +17,8 @@
 if TYPE_CHECKING:
     from datetime import timedelta
 
+    from banyansail.gateway.decisions.upstream_load import UpstreamLoad
+
 METRICS_PATH = b"/metrics"
 LATENCY_BUCKETS_S = (0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3.0, 6.0, 12.0)
 
@@ -50,12 +52,42 @@
             "Version of the configuration in force",
             registry=self.registry,
         )
+        self._speed = Gauge(
+            "banyansail_upstream_speed",
+            "Speed of an upstream that counts in choices",
+            ("upstream",),
+            registry=self.registry,
+        )
+        self._room = Gauge(
+            "banyansail_upstream_room",
+            "Free slots of an upstream, by own and reported requests",
+            ("upstream",),
+            registry=self.registry,
+        )
+        self._work_ahead = Gauge(
+            "banyansail_upstream_work_ahead_tokens",
+            "Prompt tokens that an upstream has yet to prefill",
+            ("upstream",),
+            registry=self.registry,
+        )
         self._in_progress = Gauge(
             "banyansail_requests_in_progress",
             "Requests without a final answer",
             registry=self.registry,
         )
 
+    def set_upstreams(self, loads: list[UpstreamLoad]) -> None:
+        """Record speed, room and work ahead of the upstreams that are known now."""
+        for gauge in (self._speed, self._room, self._work_ahead):
+            gauge.clear()
+        for load in loads:
+            name = load.upstream.id
+            running = load.in_flight + load.peer_in_flight
+            tokens = load.pending_prefill_tokens + load.peer_pending_prefill_tokens
+            self._speed.labels(name).set(load.speed)
+            self._room.labels(name).set(max(0, load.upstream.slots - running))
+            self._work_ahead.labels(name).set(tokens)
+
     def count_answer(self, route: str, outcome: str) -> None:
         """Count a final response."""
         self._requests.labels(route, outcome).inc()
--- a/banyansail/gateway/router.py
+++ b/banyansail/gateway/router.py
@@ -293,6 +293,7 @@
         metrics = self.context.metrics
         metrics.set_config_version(self.site.version)
         metrics.set_in_progress(self.request_handler.in_progress)
+        metrics.set_upstreams(self.dispatcher.loads())
         return metrics.render()
 
     def _apply_config(self, site: SiteConfig) -> None:
