--- a/tests/gateway/decisions/test_uneven_upstreams.py
+++ b/tests/gateway/decisions/test_uneven_upstreams.py
@@ -19,17 +19,20 @@
 
 # Orders of replicas keep the share of prefill in an engine's time near this.
 UTILISATION = 0.3
-# Reports are 0.4 to 0.8 s old at 77 routers, several times as long as a prefill, and a
-# router has less than one request in that time.
-MAX_LOSS_BY_ROUTERS = {1: 0.03, 9: 0.03, 77: 0.045}
+MAX_LOSS = 0.03
 
 
 @pytest.mark.parametrize("routers", [1, 9, 77])
-def test_choices_are_near_an_oracle_and_better_than_simple_ones(routers):
+def test_choices_are_near_an_oracle(routers):
+    options = {"utilisation": UTILISATION}
+    share = mean_share(by_choice, routers, **options)
+    assert share >= mean_share(by_oracle, routers, **options) - MAX_LOSS
+
+
+@pytest.mark.parametrize("routers", [1, 9, 77])
+def test_choices_are_better_than_simple_ones(routers):
     options = {"utilisation": UTILISATION}
-    oracle = mean_share(by_oracle, routers, **options)
     share = mean_share(by_choice, routers, **options)
-    assert share >= oracle - MAX_LOSS_BY_ROUTERS[routers]
     for pick in (by_round_robin, by_least_requests, by_two_choices):
         assert share > mean_share(pick, routers, is_active=False, **options)
     assert share > mean_share(by_choice, routers, is_active=False, **options)
