--- a/banyansail/config/gateway_settings.py
+++ b/banyansail/config/gateway_settings.py
@@ -59,6 +59,8 @@
     cold_over, cold_slack : float
         Bound on the requests in any second to a cold upstream: factor of its allowance,
         plus a constant.
+    uneven_upstreams : bool
+        Whether choices and orders of replicas use the measured speeds of upstreams.
     """
 
     name: str
@@ -87,6 +89,7 @@
     evacuate: timedelta | None = None
     cold_over: float = 1.0
     cold_slack: float = 0.0
+    uneven_upstreams: bool = False
 
 
 def _seconds(value: Any) -> timedelta:
@@ -113,6 +116,12 @@
     return parse_address(str(value))
 
 
+def _flag(value: Any) -> bool:
+    if not isinstance(value, bool):
+        raise ValueError(f"{value!r} is neither true nor false")
+    return value
+
+
 # Field of `GatewaySettings` and value parser for each setting of the file.
 FIELD_AND_PARSER_BY_SETTING: dict[str, tuple[str, Any]] = {
     "name": ("name", _text),
@@ -141,11 +150,19 @@
     "evacuate_ms": ("evacuate", _milliseconds),
     "cold_over": ("cold_over", float),
     "cold_slack": ("cold_slack", float),
+    "uneven_upstreams": ("uneven_upstreams", _flag),
 }
 # May be absent or empty: the platform's template leaves them so where a deployment has
 # no such bound.
 OPTIONAL_SETTINGS = frozenset(
-    {"expose_slack", "store_watchers", "evacuate_ms", "cold_over", "cold_slack"}
+    {
+        "expose_slack",
+        "store_watchers",
+        "evacuate_ms",
+        "cold_over",
+        "cold_slack",
+        "uneven_upstreams",
+    }
 )
 
 
--- a/banyansail/gateway/decisions/upstream_load.py
+++ b/banyansail/gateway/decisions/upstream_load.py
@@ -8,15 +8,18 @@
 from banyansail.gateway.decisions.cold_share import ColdShare
 from banyansail.gateway.decisions.prefix_cache import PrefixCache
 from banyansail.gateway.decisions.rate_limit import RateLimit
+from banyansail.gateway.decisions.speed import SpeedEstimate
 
 if TYPE_CHECKING:
     from random import Random
 
     from banyansail.gateway.request_types import Prompt
     from banyansail.gateway.upstream import Upstream
+    from banyansail.traffic.speed_evidence import SpeedEvidence
 
 FAILURE_WEIGHT = 0.15  # of a new sample in the moving average
 LATENCY_WEIGHT = 0.15
+ANSWER_TIME_WEIGHT = 0.02  # of a new sample in the mean of a service
 INITIAL_LATENCY = timedelta(milliseconds=40)
 HEALTH_HALF_LIFE = timedelta(seconds=3)  # so that an avoided upstream is tried again
 SUSPECT_TIME = timedelta(milliseconds=500)  # after the first failure, then doubled
@@ -25,6 +28,7 @@
 INITIAL_PREFILL_MS = 150.0
 PREFILL_RATE_WEIGHT = 0.05
 MIN_PREFILL_SAMPLE_TOKENS = 4000  # shorter prompts are poor samples of the rate
+MIN_PREFILL_SAMPLE_TIME = timedelta(milliseconds=10)  # shorter ones vary too much
 ENGINE_BASE_LATENCY = timedelta(milliseconds=40)  # to the first token, without prefill
 
 
@@ -57,6 +61,19 @@
         self._ms += (prefill_ms - self._ms) * PREFILL_RATE_WEIGHT
 
 
+class AnswerTime:
+    """Mean time of the answers of a plain service, over all of its upstreams."""
+
+    __slots__ = ("mean",)
+
+    def __init__(self) -> None:
+        self.mean = INITIAL_LATENCY
+
+    def record(self, latency: timedelta) -> None:
+        """Add the time of an answer."""
+        self.mean += (latency - self.mean) * ANSWER_TIME_WEIGHT
+
+
 class UpstreamLoad:
     """Load and health of one upstream.
 
@@ -70,6 +87,8 @@
         Shared by the engines of a service.
     random : Random
         Source of random draws of a named limit.
+    answer_time : AnswerTime or None
+        Shared by the upstreams of a plain service.
     """
 
     __slots__ = (
@@ -78,6 +97,7 @@
         "_paused_until",
         "_recorded_at",
         "_sent_at_by_slot",
+        "answer_time",
         "cache",
         "cold",
         "in_flight",
@@ -88,6 +108,9 @@
         "pending_prefill_tokens",
         "prefill_rate",
         "slot_part",
+        "speed",
+        "speed_estimate",
+        "speed_evidence",
         "suspect_until",
         "suspicions",
         "upstream",
@@ -99,6 +122,7 @@
         kv_tokens: int,
         prefill_rate: PrefillRate,
         random: Random,
+        answer_time: AnswerTime | None = None,
     ) -> None:
         self.upstream = upstream
         self.cache = PrefixCache(kv_tokens) if kv_tokens else None
@@ -118,6 +142,10 @@
         self.cold = ColdShare()
         self.is_brittle = False
         self.slot_part = upstream.slots  # of a brittle one, that this router may use
+        self.answer_time = answer_time or AnswerTime()
+        self.speed_estimate = SpeedEstimate()  # by the samples of this router
+        self.speed_evidence: SpeedEvidence | None = None  # of the fleet
+        self.speed = 1.0  # that counts in choices
 
     def start_attempt(
         self, slot_number: int, prefill_tokens: int, now: timedelta
@@ -185,6 +213,8 @@
 
     def failure_rate(self, now: timedelta) -> float:
         """Return the fraction of recent attempts that failed; it decays to 0."""
+        if not self._failure_rate:
+            return 0.0
         return self._failure_rate * self._decay(now)
 
     def mean_latency(self, now: timedelta) -> timedelta:
@@ -212,6 +242,26 @@
     def _decay(self, now: timedelta) -> float:
         return 0.5 ** ((now - self._recorded_at) / HEALTH_HALF_LIFE)
 
+    def record_speed(
+        self, nominal: timedelta, latency: timedelta, now: timedelta
+    ) -> None:
+        """Add the time to a first byte to the estimated speed.
+
+        Parameters
+        ----------
+        nominal : timedelta
+            Time that an upstream of speed 1 was expected to take.
+        """
+        if self.cache is None:
+            self.answer_time.record(latency)
+        else:
+            # The time besides prefill does not depend on the speed of prefill.
+            nominal -= ENGINE_BASE_LATENCY
+            latency -= ENGINE_BASE_LATENCY
+            if nominal < MIN_PREFILL_SAMPLE_TIME:
+                return
+        self.speed_estimate.record(nominal, latency, now)
+
     def uncached_tokens(self, prompt: Prompt | None) -> int:
         """Return the number of a prompt's tokens that the upstream has to prefill."""
         if prompt is None:
--- a/banyansail/gateway/router.py
+++ b/banyansail/gateway/router.py
@@ -33,6 +33,7 @@
 from banyansail.gateway.quarantine_store import QuarantineStore
 from banyansail.gateway.reach_check import ReachCheck
 from banyansail.gateway.request_handler import RequestHandler
+from banyansail.gateway.speed_sharing import SpeedSharing
 from banyansail.gateway.store_following import StoreFollowing
 from banyansail.gateway.store_probe import StoreProbe
 from banyansail.gateway.tasks import add_tasks
@@ -187,6 +188,12 @@
                 settings, self.fleet, self.link.live_members, self.link.known_routers
             ),
         )
+        self.speeds = SpeedSharing(
+            clock,
+            self.dispatcher,
+            self.fleet,
+            is_active=settings.uneven_upstreams,
+        )
         self.context = GatewayContext(
             reactor=self._reactor,
             clock=clock,
@@ -204,6 +211,7 @@
             check_crash=lambda upstream, call: self.crash_check.run(upstream, call),
             mark_leaving=lambda upstream: self.upstream_sync.mark_leaving(upstream),
             limits=self.limits,
+            speeds=self.speeds,
             live_peers=self.link.live_peers,
             confirm_reach=lambda: self.reach_check.confirm(),
         )
@@ -353,6 +361,7 @@
         for name, state in self.dispatcher.service_by_name.items():
             cold = [load for load in state.load_by_id.values() if load.cold.left(now)]
             metrics.set_cold_upstreams(name, len(cold))
+        metrics.set_upstreams(self.dispatcher.loads())
         return metrics.render()
 
     def _apply_config(self, site: SiteConfig) -> None:
@@ -477,6 +486,7 @@
         self.link.publish(Topic.STATEMENTS, self.moves.encode_bad_moves(), urgent=True)
         self.store_following.update()
         self.limits.update()
+        self.speeds.update()
 
     async def report_cleared(self) -> None:
         """Tell other routers of suspected parts of prompts that were answered here."""
--- a/tests/config/test_gateway_settings.py
+++ b/tests/config/test_gateway_settings.py
@@ -41,6 +41,7 @@
 evacuate_ms: 5000
 cold_over: 1.5
 cold_slack: 5
+uneven_upstreams: true
 """
 OPTIONAL = ("evacuate_ms", "cold_over", "cold_slack")
 
@@ -78,6 +79,14 @@
     assert parse_gateway_settings("\n".join(absent), "f").evacuate is None
 
 
+def test_speeds_of_upstreams_are_not_used_unless_the_settings_ask_for_it():
+    text = VALID.replace("uneven_upstreams: true\n", "")
+    assert not parse_gateway_settings(text, "f").uneven_upstreams
+    assert parse_gateway_settings(VALID, "f").uneven_upstreams
+    with pytest.raises(ConfigError):
+        parse_gateway_settings(VALID.replace("true", "often"), "f")
+
+
 def test_all_findings_have_their_location():
     text = VALID.replace("ready: 10.0.0.1:81", "ready: nowhere")
     text = text.replace("grace_s: 8", "grace: 8")
--- a/tests/gateway/duties/test_scaler.py
+++ b/tests/gateway/duties/test_scaler.py
@@ -135,3 +135,20 @@
     fleet.dispatcher.evacuated_zones = frozenset({"b"})
     served = fleet.scaler._replicas_by_zone(fleet.site.service_by_name["engines"])
     assert set(served) == set(ZONES) - {"b"}
+
+
+def test_replicas_that_were_measured_as_slow_raise_the_need():
+    """Guards against orders by number alone, when replicas run at half of the speed."""
+    needs = {}
+    for is_uneven in (False, True):
+        fleet = Fleet()
+        fleet.dispatcher.is_uneven = is_uneven
+        fleet.announce(reclaimable=8)
+        for load in fleet.dispatcher.loads():
+            load.in_flight = 7
+            load.speed = 0.5
+        fleet.scale(10)
+        needs[is_uneven] = fleet.scaler._count_engines_needed(
+            fleet.site.service_by_name["engines"]
+        )
+    assert 2 * needs[False] - 1 <= needs[True] <= 2 * needs[False]
