Add a fair order of waiting requests over workspaces, off by default

Cause: the queue of each router is ordered by priority and arrival, so a workspace takes capacity in proportion to what it sends. Change: work units, virtual times of workspaces (start-time fair queueing with the work of other routers), a queue over workspaces and callers with a floor for lower priorities, rejection by share, and rejection of waiting requests whose deadline can't be met. The dispatcher uses them only with fair_queue_min_routers, which nothing sets yet; the order is (priority, arrival) otherwise.

--- a/banyansail/gateway/decisions/dispatch.py
+++ b/banyansail/gateway/decisions/dispatch.py
@@ -6,10 +6,18 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from datetime import timedelta
 from typing import TYPE_CHECKING
 
 from banyansail.gateway.decisions.choice import choose, has_free_slot
+from banyansail.gateway.decisions.fair_order import FairOrder
+from banyansail.gateway.decisions.rejections import (
+    NO_UPSTREAM_LEFT,
+    check_pauses,
+    overload_rejection,
+    share_rejection,
+)
 from banyansail.gateway.decisions.service_state import (
     QueueEntry,
     ServiceState,
@@ -18,10 +26,11 @@
     VersionShare,
 )
 from banyansail.gateway.decisions.upstream_load import UpstreamLoad
-from banyansail.gateway.request_types import Cause, Rejection
+from banyansail.gateway.decisions.work import assigned_work, expected_answer_time
+from banyansail.gateway.request_types import Rejection
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable
+    from collections.abc import Callable, Iterable, Mapping
     from random import Random
 
     from banyansail.clock import Clock
@@ -30,14 +39,7 @@
 
 SLOT_TIME_WEIGHT = 0.1  # of a new sample in the moving average
 MAX_WAIT_SHARE = 0.5  # of a request's time until its deadline
-NO_UPSTREAM_RETRY_DELAY = timedelta(milliseconds=400)
-MIN_RETRY_DELAY = timedelta(milliseconds=100)
-# Other routers may have a larger part of the limits.
-LIMITED_RETRY_DELAY = timedelta(milliseconds=500)
 MAX_QUEUE_LENGTH = 500  # requests of one service
-NO_UPSTREAM_LEFT = Rejection(
-    503, Cause.NO_UPSTREAM, "no usable upstream is left", NO_UPSTREAM_RETRY_DELAY
-)
 
 
 class Dispatcher:
@@ -51,14 +53,24 @@
         Source of time.
     random : Random
         Source of random choices.
+    fair_queue_min_routers : int or None
+        Size of the fleet from which on waiting requests are taken by the shares of
+        their workspaces; ``None`` for never.
     """
 
-    def __init__(self, zone: str, clock: Clock, random: Random) -> None:
+    def __init__(
+        self,
+        zone: str,
+        clock: Clock,
+        random: Random,
+        fair_queue_min_routers: int | None = None,
+    ) -> None:
         self._zone = zone
         self._clock = clock
         self._random = random
         self._last_slot_number = 0
         self.service_by_name: dict[str, ServiceState] = {}
+        self.fair = FairOrder(clock, fair_queue_min_routers)
 
     def state(self, service: str) -> ServiceState:
         """Return the state of a service."""
@@ -107,6 +119,20 @@
             if load.upstream.version != version
         )
 
+    def record_fleet(
+        self, routers: int, assigned_by_name: Mapping[str, float] | None = None
+    ) -> None:
+        """Use the size of the fleet and the work that other routers assigned.
+
+        Parameters
+        ----------
+        assigned_by_name : mapping or None
+            Totals by service and workspace; ``None`` if nothing new was heard.
+        """
+        self.fair.record_fleet_size(routers)
+        for name, state in self.service_by_name.items():
+            self.fair.apply_to(name, state, assigned_by_name)
+
     def request_slot(
         self, ticket: Ticket, on_result: Callable[[Slot | Rejection], None]
     ) -> Callable[[], None]:
@@ -117,20 +143,22 @@
         state = self.state(ticket.service)
         now = self._clock.monotonic()
         entry = QueueEntry(ticket, on_result)
+        self.fair.observe(state, ticket)
         rejection = self._check_admission(state, ticket, now)
         if rejection is not None:
+            self.fair.record_rejection(ticket.fingerprint, rejection)
             on_result(rejection)
             return lambda: None
         slot = None if state.waiting else self._assign_slot(state, ticket, now)
         if slot is not None:
             on_result(slot)
             return lambda: None
-        state.waiting.append(entry)
-        state.waiting.sort(
-            key=lambda item: (item.ticket.priority, item.ticket.arrived_at)
-        )
+        self.fair.prepare_to_wait(ticket)
+        state.waiting.push(entry)
         self._assign_free_slots(state, now)
-        return lambda: _remove_entry(state.waiting, entry)
+        if state.is_fair and not entry.is_resolved:
+            self._reject_excess(state, entry, now)
+        return lambda: _withdraw(state, entry)
 
     def release(self, slot: Slot) -> None:
         """Release a slot after its attempt and assign it to a waiting request."""
@@ -150,22 +178,28 @@
 
     def _assign_free_slots(self, state: ServiceState, now: timedelta) -> None:
         """Assign free slots to waiting requests; it ends with the last free slot."""
-        for entry in list(state.waiting):
-            if not state.has_free_slot(now):
+        candidates = state.waiting.candidates()
+        while state.waiting and state.has_free_slot(now):
+            entry = next(candidates, None)
+            if entry is None:
                 return
             if not entry.is_resolved:  # by a result that was delivered meanwhile
                 slot = self._assign_slot(state, entry.ticket, now)
                 if slot is not None:
+                    if state.is_fair:
+                        slot.share = state.shares.share_use(entry.ticket.workspace)
                     _resolve(state, entry, slot)
 
     def _reject_waiting(self, state: ServiceState, now: timedelta) -> None:
         """Reject the requests that waited too long or can't be served any more."""
         usable = state.usable()
-        for entry in list(state.waiting):
+        for entry in state.waiting.entries():
             if not entry.is_resolved:
                 rejection = self._check_waiting(state, usable, entry.ticket, now)
                 if rejection is not None:
-                    _resolve(state, entry, rejection)
+                    self._reject(state, entry, rejection)
+        if state.is_fair:
+            self._reject_late(state, now)
 
     def _check_waiting(
         self,
@@ -180,9 +214,11 @@
         if not usable:
             return NO_UPSTREAM_LEFT
         wait_end = ticket.arrived_at + _max_wait(ticket)
+        if state.is_fair and ticket.deadline - now < self._answer_time(state, ticket):
+            return self._share_rejection(state, ticket, is_late=True)
         if now >= wait_end:
             return self._overload_rejection(state, ticket)
-        return _check_pauses(usable, wait_end - now, now)
+        return check_pauses(usable, wait_end - now, now)
 
     def _check_admission(
         self, state: ServiceState, ticket: Ticket, now: timedelta
@@ -191,11 +227,13 @@
         if not usable:
             return NO_UPSTREAM_LEFT
         remaining = ticket.deadline - now
-        paused = _check_pauses(usable, remaining * MAX_WAIT_SHARE, now)
+        paused = check_pauses(usable, remaining * MAX_WAIT_SHARE, now)
         if paused is not None:
             return paused
         if ticket.is_retry or any(has_free_slot(load, now) for load in usable):
             return None
+        if state.is_fair:  # it may take the place of another request
+            return None
         wait = state.expected_wait(ticket)
         if (
             wait is None
@@ -205,24 +243,68 @@
             return self._overload_rejection(state, ticket)
         return None
 
-    def _overload_rejection(self, state: ServiceState, ticket: Ticket) -> Rejection:
-        wait = state.expected_wait(ticket)
-        jitter = 0.5 + self._random.random()
-        if state.is_limited():
-            delay = LIMITED_RETRY_DELAY if wait is None else wait
-            return Rejection(
-                503,
-                Cause.LIMITED,
-                "this router's part of the upstreams' limits is used up",
-                min(LIMITED_RETRY_DELAY, delay) * jitter,
-            )
-        return Rejection(
-            503,
-            Cause.OVERLOADED,
-            f"no upstream has room; the expected wait is {wait.total_seconds():.2f} s",
-            max(MIN_RETRY_DELAY, wait * jitter),
+    def _reject_excess(
+        self, state: ServiceState, entry: QueueEntry, now: timedelta
+    ) -> None:
+        """Reject one request if a new one makes the queue or a wait too long.
+
+        The workspace with the most waiting work per weight loses its last request. If
+        that one can be served in time and the new one can't, the new one is rejected.
+        """
+        ticket = entry.ticket
+        if len(state.waiting) > MAX_QUEUE_LENGTH:
+            victim = state.waiting.heaviest_last() or entry
+        elif ticket.is_retry or not self._waits_too_long(state, ticket, now):
+            return
+        else:
+            victim = state.waiting.heaviest_last(ticket.priority) or entry
+            if not self._waits_too_long(state, victim.ticket, now):
+                victim = entry
+        self._reject(state, victim, self._share_rejection(state, victim.ticket))
+
+    def _waits_too_long(
+        self, state: ServiceState, ticket: Ticket, now: timedelta
+    ) -> bool:
+        """Return whether a waiting request is expected to get no slot in time."""
+        wait = state.fair_wait(ticket, self.fair.routers, is_waiting=True)
+        if wait is None or now + wait > ticket.arrived_at + _max_wait(ticket):
+            return True
+        return now + wait + self._answer_time(state, ticket) > ticket.deadline
+
+    def _reject_late(self, state: ServiceState, now: timedelta) -> None:
+        """Reject the last request of each workspace if it gets no slot in time."""
+        for entry in state.waiting.lasts():
+            ticket = entry.ticket
+            wait = state.fair_wait(ticket, self.fair.routers, is_waiting=True)
+            time_left = ticket.deadline - now
+            if wait is not None and wait + self._answer_time(state, ticket) > time_left:
+                rejection = self._share_rejection(state, ticket, is_late=True)
+                self._reject(state, entry, rejection)
+
+    def _answer_time(self, state: ServiceState, ticket: Ticket) -> timedelta:
+        return expected_answer_time(
+            ticket.prompt, state.prefill_rate.tokens_per_ms, state.mean_slot_time
         )
 
+    def _overload_rejection(self, state: ServiceState, ticket: Ticket) -> Rejection:
+        if state.is_fair:
+            return self._share_rejection(state, ticket)
+        return overload_rejection(state, state.expected_wait(ticket), self._random)
+
+    def _share_rejection(
+        self, state: ServiceState, ticket: Ticket, *, is_late: bool = False
+    ) -> Rejection:
+        # A repeat before that time goes behind the first tries.
+        ticket = replace(ticket, is_retry=False, is_repeat=False)
+        wait = state.fair_wait(ticket, self.fair.routers, is_waiting=False)
+        return share_rejection(state, ticket, wait, self._random, is_late=is_late)
+
+    def _reject(
+        self, state: ServiceState, entry: QueueEntry, rejection: Rejection
+    ) -> None:
+        self.fair.record_rejection(entry.ticket.fingerprint, rejection)
+        _resolve(state, entry, rejection)
+
     def _assign_slot(
         self, state: ServiceState, ticket: Ticket, now: timedelta
     ) -> Slot | None:
@@ -239,6 +321,9 @@
         self._last_slot_number += 1
         chosen.load.start_attempt(self._last_slot_number, chosen.prefill_tokens, now)
         state.prefill_tokens_total += chosen.prefill_tokens
+        if state.shares is not None:
+            work = assigned_work(ticket.prompt, chosen.prefill_tokens)
+            state.record_assigned(ticket, work)
         if ticket.prompt is not None and chosen.load.cache is not None:
             chosen.load.cache.record(ticket.prompt)
         return Slot(self._last_slot_number, chosen, now)
@@ -269,27 +354,12 @@
     return (ticket.deadline - ticket.arrived_at) * MAX_WAIT_SHARE
 
 
-def _check_pauses(
-    usable: list[UpstreamLoad], max_wait: timedelta, now: timedelta
-) -> Rejection | None:
-    """Return a rejection if all upstreams want nothing for longer than a request waits.
-
-    It tells the caller when the first of them takes requests again.
-    """
-    if not all(load.pause_left(now) > max_wait for load in usable):
-        return None
-    shortest = min(load.pause_left(now) for load in usable)
-    return Rejection(
-        503, Cause.PAUSED, "all usable upstreams asked for a pause", shortest
-    )
-
-
 def _resolve(state: ServiceState, entry: QueueEntry, result: Slot | Rejection) -> None:
     entry.is_resolved = True
-    _remove_entry(state.waiting, entry)
+    state.waiting.discard(entry)
     entry.on_result(result)
 
 
-def _remove_entry(entries: list[QueueEntry], entry: QueueEntry) -> None:
-    if entry in entries:
-        entries.remove(entry)
+def _withdraw(state: ServiceState, entry: QueueEntry) -> None:
+    entry.is_resolved = True
+    state.waiting.discard(entry)
--- /dev/null
+++ b/banyansail/gateway/decisions/fair_queue.py
@@ -0,0 +1,366 @@
+"""Waiting requests of one service, taken by start-time fair queueing.
+
+Within a priority, the workspace with the lowest virtual time is served next, and within
+a workspace the caller with the lowest one. A lower priority keeps a share of the slots.
+No decision depends on the number of routers; the estimates of waiting times and the
+choice of the heaviest workspace take time in the number of workspaces that wait.
+"""
+
+from __future__ import annotations
+
+import heapq
+from collections import OrderedDict
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterator, Mapping
+
+    from banyansail.gateway.decisions.service_state import QueueEntry, Ticket
+    from banyansail.gateway.decisions.work_shares import WorkShares
+
+# Of the slots, for a lower priority while it waits. Less urgent requests must be served
+# at least a quarter as often as all, and they are a minority of the kinds.
+MIN_PRIORITY_SHARE = 1 / 8
+
+
+class _TagHeap:
+    """Names by tag, for tags that never decrease."""
+
+    __slots__ = ("_heap", "_names", "_next_number")
+
+    def __init__(self) -> None:
+        self._heap: list[tuple[float, int, str]] = []
+        self._names: set[str] = set()  # in the heap; some of them may wait no longer
+        self._next_number = 0
+
+    def push(self, name: str, tag: float) -> None:
+        if name not in self._names:
+            self._names.add(name)
+            self._next_number += 1
+            heapq.heappush(self._heap, (tag, self._next_number, name))
+
+    def first(self, names: Mapping[str, object], tag_of: Callable[[str], float]) -> str:
+        """Return the name with the lowest tag, of those that are in `names`."""
+        while True:
+            tag, number, name = self._heap[0]
+            if name not in names:
+                heapq.heappop(self._heap)
+                self._names.discard(name)
+                continue
+            current = tag_of(name)
+            if current <= tag:
+                return name
+            heapq.heapreplace(self._heap, (current, number, name))
+
+
+@dataclass(slots=True)
+class _CallerQueue:
+    """Waiting first tries of one caller, in the order of arrival."""
+
+    entries: OrderedDict[QueueEntry, None] = field(default_factory=OrderedDict)
+    work: float = 0.0
+
+
+class _WorkspaceQueue:
+    """Waiting requests of one workspace and one priority.
+
+    Retries of failed attempts come first, then first tries, then requests that were
+    repeated too early.
+    """
+
+    __slots__ = (
+        "_heap",
+        "_tag_by_caller",
+        "_virtual_time",
+        "callers",
+        "count",
+        "repeats",
+        "retries",
+        "weight",
+        "work",
+    )
+
+    def __init__(self, weight: float) -> None:
+        self.weight = weight
+        self.count = 0
+        self.work = 0.0
+        self.retries: OrderedDict[QueueEntry, None] = OrderedDict()
+        self.repeats: OrderedDict[QueueEntry, None] = OrderedDict()
+        self.callers: dict[str, _CallerQueue] = {}
+        self._heap = _TagHeap()
+        self._tag_by_caller: dict[str, float] = {}
+        self._virtual_time = 0.0
+
+    def push(self, entry: QueueEntry, *, is_first: bool = False) -> None:
+        """Add a request at the end of its group, or at its beginning."""
+        ticket = entry.ticket
+        self.count += 1
+        self.work += ticket.work
+        group = self._group(ticket)
+        if group is None:
+            name = ticket.caller
+            group = self.callers.setdefault(name, _CallerQueue()).entries
+            self._heap.push(name, self._tag(name))
+        if group is not self.retries and group is not self.repeats:
+            self.callers[ticket.caller].work += ticket.work
+        group[entry] = None
+        group.move_to_end(entry, last=not is_first)
+
+    def first(self) -> QueueEntry:
+        """Return the request that is served next."""
+        if self.retries:
+            return next(iter(self.retries))
+        if self.callers:
+            name = self._heap.first(self.callers, self._tag)
+            return next(iter(self.callers[name].entries))
+        return next(iter(self.repeats))
+
+    def last(self) -> QueueEntry | None:
+        """Return the request that is given up first; ``None`` if only retries wait."""
+        if self.repeats:
+            return next(reversed(self.repeats))
+        if not self.callers:
+            return None
+        heaviest = max(self.callers.values(), key=lambda caller: caller.work)
+        return next(reversed(heaviest.entries))
+
+    def charge(self, ticket: Ticket, work: float) -> None:
+        """Advance the virtual time of the caller whose request got a slot."""
+        self._virtual_time = self._tag(ticket.caller)
+        self._tag_by_caller[ticket.caller] = self._virtual_time + work
+
+    def remove(self, entry: QueueEntry) -> None:
+        """Remove a request."""
+        ticket = entry.ticket
+        group = self._group(ticket)
+        del group[entry]
+        self.count -= 1
+        self.work -= ticket.work
+        if group is self.retries or group is self.repeats:
+            return
+        caller = self.callers[ticket.caller]
+        caller.work -= ticket.work
+        if not caller.entries:
+            del self.callers[ticket.caller]
+
+    def count_before(self, ticket: Ticket, *, is_waiting: bool) -> int:
+        """Return how many requests of the workspace precede one.
+
+        Callers are served in turn, so a caller waits for no more requests of another
+        than it has itself.
+        """
+        if ticket.is_retry:
+            return len(self.retries) - is_waiting
+        if ticket.is_repeat:
+            return self.count - is_waiting
+        first_tries = self.count - len(self.retries) - len(self.repeats) - is_waiting
+        caller = self.callers.get(ticket.caller)
+        own = len(caller.entries) - is_waiting if caller else 0
+        turns = (own + 1) * (len(self.callers) + (caller is None)) - 1
+        return len(self.retries) + min(first_tries, turns)
+
+    def _tag(self, caller: str) -> float:
+        return max(self._virtual_time, self._tag_by_caller.get(caller, 0.0))
+
+    def _group(self, ticket: Ticket) -> OrderedDict[QueueEntry, None] | None:
+        if ticket.is_retry:
+            return self.retries
+        if ticket.is_repeat:
+            return self.repeats
+        caller = self.callers.get(ticket.caller)
+        return caller.entries if caller else None
+
+
+class _Level:
+    """Waiting requests of one priority."""
+
+    __slots__ = ("_heap", "count", "passed", "queues")
+
+    def __init__(self) -> None:
+        self.count = 0
+        self.passed = 0  # slots that a higher priority got while this one waited
+        self.queues: dict[str, _WorkspaceQueue] = {}
+        self._heap = _TagHeap()
+
+    def push(self, entry: QueueEntry, tag: float, *, is_first: bool = False) -> None:
+        name = entry.ticket.workspace
+        queue = self.queues.get(name)
+        if queue is None:
+            queue = self.queues[name] = _WorkspaceQueue(entry.ticket.weight)
+            self._heap.push(name, tag)
+        queue.push(entry, is_first=is_first)
+        self.count += 1
+
+    def first(self, shares: WorkShares) -> QueueEntry:
+        return self.queues[self._heap.first(self.queues, shares.tag)].first()
+
+    def remove(self, entry: QueueEntry) -> None:
+        name = entry.ticket.workspace
+        queue = self.queues[name]
+        queue.remove(entry)
+        self.count -= 1
+        if not queue.count:
+            del self.queues[name]
+        if not self.count:
+            self.passed = 0
+
+    @property
+    def is_due(self) -> bool:
+        """Whether the next slot belongs to this priority, though a higher one waits."""
+        return self.count > 0 and self.passed >= 1 / MIN_PRIORITY_SHARE - 1
+
+
+class FairQueue:
+    """Queue by priority, then by the shares of workspaces and of their callers.
+
+    Parameters
+    ----------
+    shares : WorkShares
+        Virtual times of the workspaces.
+    """
+
+    __slots__ = ("_entries", "_levels", "shares")
+
+    def __init__(self, shares: WorkShares) -> None:
+        self.shares = shares
+        self._entries: dict[QueueEntry, None] = {}
+        self._levels: dict[int, _Level] = {}
+
+    def __len__(self) -> int:
+        return len(self._entries)
+
+    def push(self, entry: QueueEntry) -> None:
+        """Add a request."""
+        self._push(entry, is_first=False)
+
+    def pop_next(self) -> QueueEntry | None:
+        """Remove and return the request that is served next."""
+        level = self._next_level()
+        if level is None:
+            return None
+        entry = level.first(self.shares)
+        self.discard(entry)
+        return entry
+
+    def restore(self, entry: QueueEntry) -> None:
+        """Return a request to the head of its caller's, as no upstream took it."""
+        self._push(entry, is_first=True)
+
+    def candidates(self) -> Iterator[QueueEntry]:
+        """Yield each request as the next one; those left unresolved wait on."""
+        unresolved: list[QueueEntry] = []
+        try:
+            while (entry := self.pop_next()) is not None:
+                # Precedes the `yield`, at which the generator may be closed.
+                unresolved.append(entry)
+                yield entry
+                if entry.is_resolved:
+                    unresolved.pop()
+        finally:
+            for entry in reversed(unresolved):
+                if not entry.is_resolved:
+                    self.restore(entry)
+
+    def discard(self, entry: QueueEntry) -> None:
+        """Remove a request, if it waits."""
+        if entry in self._entries:
+            del self._entries[entry]
+            self._levels[entry.ticket.priority].remove(entry)
+
+    def entries(self) -> list[QueueEntry]:
+        """Return all waiting requests, in no particular order."""
+        return list(self._entries)
+
+    def record_assigned(self, ticket: Ticket, work: float) -> None:
+        """Charge a request that got a slot to its workspace and its priority."""
+        self.shares.charge(ticket.workspace, work)
+        for priority, level in self._levels.items():
+            if priority == ticket.priority:
+                level.passed = 0
+                if ticket.workspace in level.queues:
+                    level.queues[ticket.workspace].charge(ticket, work)
+            elif priority > ticket.priority and level.count:
+                level.passed += 1
+
+    def record_fleet_work(self, total_by_workspace: Mapping[str, float]) -> None:
+        """Advance the virtual times by the work that other routers assigned."""
+        self.shares.record_fleet_work(total_by_workspace)
+
+    def count_before(self, ticket: Ticket, *, is_waiting: bool) -> float:
+        """Return how many slots are assigned before a request gets one."""
+        level = self._levels.get(ticket.priority)
+        ahead = self._count_in_level(level, ticket, is_waiting) if level else 0
+        higher = sum(
+            item.count
+            for priority, item in self._levels.items()
+            if priority < ticket.priority
+        )
+        # The floor of the priority bounds what the higher ones take before it.
+        return ahead + min(higher, (ahead + 1) * (1 / MIN_PRIORITY_SHARE - 1))
+
+    def heaviest_last(self, priority: int | None = None) -> QueueEntry | None:
+        """Return the last request of the workspace with the most work per weight.
+
+        It is ``None`` if only retries wait.
+
+        Parameters
+        ----------
+        priority : int or None
+            Priority of the requests that are considered; ``None`` for all, of which
+            the least urgent request of the workspace is returned.
+        """
+        work: dict[str, float] = {}
+        last_by_workspace: dict[str, QueueEntry] = {}
+        for level_priority in sorted(self._levels):
+            if priority is not None and level_priority != priority:
+                continue
+            for name, queue in self._levels[level_priority].queues.items():
+                work[name] = work.get(name, 0.0) + queue.work / queue.weight
+                last = queue.last()
+                if last is not None:
+                    last_by_workspace[name] = last
+        if not last_by_workspace:
+            return None
+        return last_by_workspace[max(last_by_workspace, key=work.__getitem__)]
+
+    def lasts(self) -> list[QueueEntry]:
+        """Return the last request of each workspace and priority."""
+        lasts = (
+            queue.last()
+            for level in self._levels.values()
+            for queue in level.queues.values()
+        )
+        return [last for last in lasts if last is not None]
+
+    def _count_in_level(self, level: _Level, ticket: Ticket, is_waiting: bool) -> int:
+        """Return the requests whose virtual start is not after that of a request."""
+        own = level.queues.get(ticket.workspace)
+        own_count = own.count_before(ticket, is_waiting=is_waiting) if own else 0
+        own_work = own_count * own.work / own.count if own else 0.0
+        start = self.shares.tag(ticket.workspace) + own_work / ticket.weight
+        ahead = own_count
+        for name, queue in level.queues.items():
+            lead = start - self.shares.tag(name)
+            if name != ticket.workspace and lead >= 0:
+                started = lead * queue.weight * queue.count / max(queue.work, 1e-9)
+                ahead += min(queue.count, int(started) + 1)
+        return ahead
+
+    def _next_level(self) -> _Level | None:
+        waiting = [
+            self._levels[priority]
+            for priority in sorted(self._levels)
+            if self._levels[priority].count
+        ]
+        if not waiting:
+            return None
+        return next((level for level in waiting[1:] if level.is_due), waiting[0])
+
+    def _push(self, entry: QueueEntry, *, is_first: bool) -> None:
+        ticket = entry.ticket
+        level = self._levels.get(ticket.priority)
+        if level is None:
+            level = self._levels[ticket.priority] = _Level()
+        level.push(entry, self.shares.tag(ticket.workspace), is_first=is_first)
+        self._entries[entry] = None
--- a/banyansail/gateway/decisions/service_state.py
+++ b/banyansail/gateway/decisions/service_state.py
@@ -6,13 +6,16 @@
 from datetime import timedelta
 from typing import TYPE_CHECKING
 
+from banyansail.gateway.decisions.arrival_queue import ArrivalQueue
 from banyansail.gateway.decisions.choice import has_free_slot
+from banyansail.gateway.decisions.fair_queue import FairQueue
 from banyansail.gateway.decisions.upstream_load import PrefillRate, UpstreamLoad
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from banyansail.gateway.decisions.choice import Chosen
+    from banyansail.gateway.decisions.work_shares import ShareUse, WorkShares
     from banyansail.gateway.request_types import Prompt, Rejection
 
 INITIAL_SLOT_TIME = timedelta(milliseconds=60)
@@ -36,6 +39,18 @@
         Random number from 0 to 1; below a version's share, that version is chosen.
     is_retry : bool
         Whether an attempt failed before; a retry is always admitted to the queue.
+    workspace : str
+        Workspace of the caller; empty for a public route.
+    weight : float
+        Weight of the workspace in the fair order.
+    caller : str
+        API key of the caller.
+    work : float
+        Expected work; set when the request starts to wait in the fair order.
+    fingerprint : int
+        Hash that is equal for identical requests of one caller; 0 if unknown.
+    is_repeat : bool
+        Whether the caller repeats it before its Retry-After has passed.
     """
 
     service: str
@@ -46,15 +61,28 @@
     excluded: set[str] = field(default_factory=set)
     version_draw: float = 0.0
     is_retry: bool = False
+    workspace: str = ""
+    weight: float = 1.0
+    caller: str = ""
+    work: float = 1.0
+    fingerprint: int = 0
+    is_repeat: bool = False
 
 
 @dataclass(slots=True, eq=False)
 class Slot:
-    """Slot at an upstream that is assigned to a request."""
+    """Slot at an upstream that is assigned to a request.
+
+    Parameters
+    ----------
+    share : ShareUse or None
+        Use of the workspace, if the request waited in the fair order.
+    """
 
     number: int
     chosen: Chosen
     assigned_at: timedelta
+    share: ShareUse | None = None
 
     @property
     def load(self) -> UpstreamLoad:
@@ -84,7 +112,8 @@
     """Upstreams and waiting requests of one service."""
 
     load_by_id: dict[str, UpstreamLoad] = field(default_factory=dict)
-    waiting: list[QueueEntry] = field(default_factory=list)
+    waiting: ArrivalQueue | FairQueue = field(default_factory=ArrivalQueue)
+    shares: WorkShares | None = None  # only while the fair order may be used
     mean_slot_time: timedelta = INITIAL_SLOT_TIME
     prefill_rate: PrefillRate = field(default_factory=PrefillRate)
     version_share: VersionShare | None = None
@@ -146,11 +175,40 @@
             load.limit.capped(load.upstream.slots / slot_time_s)
             for load in self.usable()
         )
-        ahead = sum(
-            1 for entry in self.waiting if entry.ticket.priority <= ticket.priority
+        ahead = self.waiting.count_before(ticket.priority)
+        return timedelta(seconds=(ahead + 1) / per_s) if per_s else None
+
+    def fair_wait(
+        self, ticket: Ticket, routers: int, *, is_waiting: bool
+    ) -> timedelta | None:
+        """Return the expected queueing time of a request in the fair order.
+
+        The slots that this router holds become free for it again; its part of all
+        slots is the least that it expects. The wait is ``None`` if the upstreams'
+        limits leave nothing to this router.
+        """
+        slot_time_s = self.mean_slot_time.total_seconds()
+        per_s = sum(
+            load.limit.capped(
+                max(load.in_flight, load.upstream.slots / routers) / slot_time_s
+            )
+            for load in self.usable()
         )
+        ahead = self.waiting.count_before(ticket, is_waiting=is_waiting)
         return timedelta(seconds=(ahead + 1) / per_s) if per_s else None
 
+    def record_assigned(self, ticket: Ticket, work: float) -> None:
+        """Charge a request that got a slot to its workspace."""
+        if self.is_fair:
+            self.waiting.record_assigned(ticket, work)
+        else:
+            self.shares.charge(ticket.workspace, work)
+
+    @property
+    def is_fair(self) -> bool:
+        """Whether waiting requests are taken by the shares of workspaces."""
+        return isinstance(self.waiting, FairQueue)
+
     def is_limited(self) -> bool:
         """Return whether any usable upstream named a limit."""
         return any(load.limit.per_s is not None for load in self.usable())
--- a/banyansail/gateway/request_types.py
+++ b/banyansail/gateway/request_types.py
@@ -5,6 +5,10 @@
 from dataclasses import dataclass
 from datetime import timedelta
 from enum import Enum
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from banyansail.gateway.decisions.work_shares import ShareUse
 
 HeaderList = list[tuple[bytes, bytes]]
 
@@ -160,9 +164,12 @@
         HTTP status; 429 and 503 mean that the request did not run.
     retry_after : timedelta or None
         Delay before the caller may retry; ``None`` if a retry is pointless.
+    share : ShareUse or None
+        Use of the caller's workspace, if the order of workspaces led to the rejection.
     """
 
     status: int
     cause: Cause
     detail: str
     retry_after: timedelta | None = None
+    share: ShareUse | None = None
