--- a/banyansail/config/gateway_settings.py
+++ b/banyansail/config/gateway_settings.py
@@ -49,6 +49,9 @@
         Listener that serves counters and histograms.
     expose_share : float
         Maximum share of a service's requests that an unproven version may get.
+    fair_queue_min_routers : int or None
+        Size of the fleet from which on waiting requests are taken by the shares of
+        their workspaces; ``None`` for never.
     """
 
     name: str
@@ -72,6 +75,7 @@
     lease: timedelta
     expose_share: float
     metrics: Address
+    fair_queue_min_routers: int | None = None
 
 
 def _seconds(value: Any) -> timedelta:
@@ -82,6 +86,12 @@
     return timedelta(milliseconds=float(value))
 
 
+def _positive_int(value: Any) -> int:
+    if not isinstance(value, int) or isinstance(value, bool) or value < 1:
+        raise ValueError(f"{value!r} is not a positive whole number")
+    return value
+
+
 def _text(value: Any) -> str:
     if not isinstance(value, str) or not value:
         raise ValueError(f"{value!r} is not a non-empty string")
@@ -121,7 +131,9 @@
     "lease_ms": ("lease", _milliseconds),
     "expose_share": ("expose_share", float),
     "metrics": ("metrics", _address),
+    "fair_queue_min_routers": ("fair_queue_min_routers", _positive_int),
 }
+OPTIONAL_SETTINGS = frozenset({"fair_queue_min_routers"})
 
 
 def parse_gateway_settings(text: str, file: str) -> GatewaySettings:
@@ -156,7 +168,7 @@
     findings += [
         Finding(file, 1, 1, f"setting {name!r} is missing")
         for name, (field, _) in FIELD_AND_PARSER_BY_SETTING.items()
-        if name not in values
+        if name not in values and name not in OPTIONAL_SETTINGS
     ]
     if findings:
         raise ConfigError(findings)
--- a/banyansail/gateway/decisions/dispatch.py
+++ b/banyansail/gateway/decisions/dispatch.py
@@ -40,6 +40,7 @@
 SLOT_TIME_WEIGHT = 0.1  # of a new sample in the moving average
 MAX_WAIT_SHARE = 0.5  # of a request's time until its deadline
 MAX_QUEUE_LENGTH = 500  # requests of one service
+LATE_CHECK_INTERVAL = timedelta(milliseconds=200)  # of the expected waits
 
 
 class Dispatcher:
@@ -70,7 +71,7 @@
         self._random = random
         self._last_slot_number = 0
         self.service_by_name: dict[str, ServiceState] = {}
-        self.fair = FairOrder(clock, fair_queue_min_routers)
+        self.fair = FairOrder(clock, random, fair_queue_min_routers)
 
     def state(self, service: str) -> ServiceState:
         """Return the state of a service."""
@@ -149,11 +150,16 @@
             self.fair.record_rejection(ticket.fingerprint, rejection)
             on_result(rejection)
             return lambda: None
-        slot = None if state.waiting else self._assign_slot(state, ticket, now)
+        slot = None
+        if not state.waiting and state.has_budget(is_waiting=False):
+            slot = self._assign_slot(state, ticket, now)
         if slot is not None:
             on_result(slot)
             return lambda: None
         self.fair.prepare_to_wait(ticket)
+        if state.is_fair and not ticket.excluded:
+            last_start = ticket.deadline - self._answer_time(state, ticket)
+            entry.check_at = min(ticket.arrived_at + _max_wait(ticket), last_start)
         state.waiting.push(entry)
         self._assign_free_slots(state, now)
         if state.is_fair and not entry.is_resolved:
@@ -165,6 +171,8 @@
         slot.load.end_attempt(slot.number, slot.chosen.prefill_tokens)
         state = self.state(slot.load.upstream.service)
         now = self._clock.monotonic()
+        if state.budget is not None:
+            state.budget.record_released()
         slot_time = now - slot.assigned_at
         state.mean_slot_time += (slot_time - state.mean_slot_time) * SLOT_TIME_WEIGHT
         self._assign_free_slots(state, now)
@@ -179,7 +187,11 @@
     def _assign_free_slots(self, state: ServiceState, now: timedelta) -> None:
         """Assign free slots to waiting requests; it ends with the last free slot."""
         candidates = state.waiting.candidates()
-        while state.waiting and state.has_free_slot(now):
+        while (
+            state.waiting
+            and state.has_budget(is_waiting=True)
+            and state.has_free_slot(now)
+        ):
             entry = next(candidates, None)
             if entry is None:
                 return
@@ -193,12 +205,17 @@
     def _reject_waiting(self, state: ServiceState, now: timedelta) -> None:
         """Reject the requests that waited too long or can't be served any more."""
         usable = state.usable()
+        is_fair = state.is_fair
+        is_open = any(not load.pause_left(now) for load in usable)
         for entry in state.waiting.entries():
+            if is_fair and is_open and now < entry.check_at:
+                continue
             if not entry.is_resolved:
                 rejection = self._check_waiting(state, usable, entry.ticket, now)
                 if rejection is not None:
                     self._reject(state, entry, rejection)
-        if state.is_fair:
+        if is_fair and now - state.late_checked_at >= LATE_CHECK_INTERVAL:
+            state.late_checked_at = now
             self._reject_late(state, now)
 
     def _check_waiting(
--- a/banyansail/gateway/decisions/fair_order.py
+++ b/banyansail/gateway/decisions/fair_order.py
@@ -13,15 +13,18 @@
 from banyansail.gateway.decisions.arrival_queue import ArrivalQueue
 from banyansail.gateway.decisions.fair_queue import FairQueue
 from banyansail.gateway.decisions.repeats import Repeats
-from banyansail.gateway.decisions.work import expected_work
+from banyansail.gateway.decisions.slot_budget import SlotBudget
+from banyansail.gateway.decisions.work import expected_work, workspace_weights
 from banyansail.gateway.decisions.work_shares import WorkShares
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping
+    from collections.abc import Iterable, Mapping
+    from random import Random
 
     from banyansail.clock import Clock
     from banyansail.gateway.decisions.service_state import ServiceState, Ticket
     from banyansail.gateway.request_types import Rejection
+    from banyansail.gateway.site import Workspace
 
 MIN_WORKSPACES = 2
 # A data centre that is cut off sees fewer routers than the fleet has.
@@ -35,6 +38,8 @@
     ----------
     clock : Clock
         Source of time.
+    random : Random
+        Source of random choices.
     min_routers : int or None
         Size of the fleet from which on the fair order is used; ``None`` for never.
     """
@@ -43,20 +48,30 @@
         "_clock",
         "_large_at",
         "_min_routers",
+        "_random",
         "_repeats",
         "is_on",
         "routers",
         "weight_by_workspace",
     )
 
-    def __init__(self, clock: Clock, min_routers: int | None = None) -> None:
+    def __init__(
+        self, clock: Clock, random: Random, min_routers: int | None = None
+    ) -> None:
         self._clock = clock
+        self._random = random
         self._min_routers = min_routers
         self._large_at: timedelta | None = None
         self._repeats = Repeats(clock)
         self.is_on = False
         self.routers = 1
-        self.weight_by_workspace: Mapping[str, float] = {}  # of the configuration
+        self.weight_by_workspace: dict[str, float] = {}  # of the configuration
+
+    def set_workspaces(self, workspaces: Iterable[Workspace]) -> None:
+        """Take the weights of the workspaces from a new configuration."""
+        weights = workspace_weights(workspaces)
+        self.weight_by_workspace.clear()
+        self.weight_by_workspace.update(weights)
 
     def weight_of(self, workspace: str) -> float:
         """Return the weight of a workspace."""
@@ -88,17 +103,19 @@
         """
         if self.is_on and state.shares is None:
             state.shares = WorkShares(self._clock, self.weight_by_workspace)
+            state.budget = SlotBudget(self._clock, self._random)
         if state.shares is None:
             return
-        if assigned_by_name is not None:
-            prefix = f"{name}/"
-            state.shares.record_fleet_work(
-                {
-                    key.removeprefix(prefix): total
-                    for key, total in assigned_by_name.items()
-                    if key.startswith(prefix)
-                }
-            )
+        state.shares.routers = self.routers
+        prefix = f"{name}/"
+        total_by_workspace = {
+            key.removeprefix(prefix): total
+            for key, total in (assigned_by_name or {}).items()
+            if key.startswith(prefix)
+        }
+        if total_by_workspace:
+            state.shares.record_fleet_work(total_by_workspace)
+            state.renew_budget(self.routers)
         is_fair = self.is_on and state.shares.workspaces >= MIN_WORKSPACES
         if is_fair != state.is_fair:
             queue = FairQueue(state.shares) if is_fair else ArrivalQueue()
--- a/banyansail/gateway/decisions/fair_queue.py
+++ b/banyansail/gateway/decisions/fair_queue.py
@@ -2,8 +2,8 @@
 
 Within a priority, the workspace with the lowest virtual time is served next, and within
 a workspace the caller with the lowest one. A lower priority keeps a share of the slots.
-No decision depends on the number of routers; the estimates of waiting times and the
-choice of the heaviest workspace take time in the number of workspaces that wait.
+No decision depends on the number of routers. Choices between workspaces take time in
+the number of those that wait, all others at most in the logarithm of the requests.
 """
 
 from __future__ import annotations
@@ -175,25 +175,23 @@
 class _Level:
     """Waiting requests of one priority."""
 
-    __slots__ = ("_heap", "count", "passed", "queues")
+    __slots__ = ("count", "passed", "queues")
 
     def __init__(self) -> None:
         self.count = 0
         self.passed = 0  # slots that a higher priority got while this one waited
         self.queues: dict[str, _WorkspaceQueue] = {}
-        self._heap = _TagHeap()
 
-    def push(self, entry: QueueEntry, tag: float, *, is_first: bool = False) -> None:
+    def push(self, entry: QueueEntry, *, is_first: bool = False) -> None:
         name = entry.ticket.workspace
         queue = self.queues.get(name)
         if queue is None:
             queue = self.queues[name] = _WorkspaceQueue(entry.ticket.weight)
-            self._heap.push(name, tag)
         queue.push(entry, is_first=is_first)
         self.count += 1
 
     def first(self, shares: WorkShares) -> QueueEntry:
-        return self.queues[self._heap.first(self.queues, shares.tag)].first()
+        return self.queues[min(self.queues, key=shares.tag)].first()
 
     def remove(self, entry: QueueEntry) -> None:
         name = entry.ticket.workspace
@@ -362,5 +360,5 @@
         level = self._levels.get(ticket.priority)
         if level is None:
             level = self._levels[ticket.priority] = _Level()
-        level.push(entry, self.shares.tag(ticket.workspace), is_first=is_first)
+        level.push(entry, is_first=is_first)
         self._entries[entry] = None
--- a/banyansail/gateway/decisions/service_state.py
+++ b/banyansail/gateway/decisions/service_state.py
@@ -15,6 +15,7 @@
     from collections.abc import Callable
 
     from banyansail.gateway.decisions.choice import Chosen
+    from banyansail.gateway.decisions.slot_budget import SlotBudget
     from banyansail.gateway.decisions.work_shares import ShareUse, WorkShares
     from banyansail.gateway.request_types import Prompt, Rejection
 
@@ -92,11 +93,18 @@
 
 @dataclass(slots=True, eq=False)
 class QueueEntry:
-    """A waiting request and the receiver of its slot or rejection."""
+    """A waiting request and the receiver of its slot or rejection.
+
+    Parameters
+    ----------
+    check_at : timedelta
+        Monotonic time before which it has not waited too long, in the fair order.
+    """
 
     ticket: Ticket
     on_result: Callable[[Slot | Rejection], None]
     is_resolved: bool = False
+    check_at: timedelta = timedelta(0)
 
 
 @dataclass(slots=True, frozen=True)
@@ -113,7 +121,10 @@
 
     load_by_id: dict[str, UpstreamLoad] = field(default_factory=dict)
     waiting: ArrivalQueue | FairQueue = field(default_factory=ArrivalQueue)
-    shares: WorkShares | None = None  # only while the fair order may be used
+    # Only where the fair order may be used.
+    shares: WorkShares | None = None
+    budget: SlotBudget | None = None
+    late_checked_at: timedelta = timedelta(0)
     mean_slot_time: timedelta = INITIAL_SLOT_TIME
     prefill_rate: PrefillRate = field(default_factory=PrefillRate)
     version_share: VersionShare | None = None
@@ -199,11 +210,26 @@
 
     def record_assigned(self, ticket: Ticket, work: float) -> None:
         """Charge a request that got a slot to its workspace."""
+        self.budget.record_assigned()
         if self.is_fair:
             self.waiting.record_assigned(ticket, work)
         else:
             self.shares.charge(ticket.workspace, work)
 
+    def has_budget(self, *, is_waiting: bool) -> bool:
+        """Return whether this router may take a free slot of a loaded fleet."""
+        return not self.is_fair or self.budget.allows(is_waiting=is_waiting)
+
+    def renew_budget(self, routers: int) -> None:
+        """Take the reported load of the other routers into account."""
+        usable = self.usable()
+        self.budget.renew(
+            sum(load.upstream.slots for load in usable),
+            sum(load.in_flight for load in usable),
+            sum(load.peer_in_flight for load in usable),
+            routers,
+        )
+
     @property
     def is_fair(self) -> bool:
         """Whether waiting requests are taken by the shares of workspaces."""
--- a/banyansail/gateway/decisions/work_shares.py
+++ b/banyansail/gateway/decisions/work_shares.py
@@ -22,6 +22,9 @@
 # the two are served alike. Reports take 0.4 to 0.8 s.
 CREDIT_TIME = timedelta(seconds=1)
 SNAPSHOT_INTERVAL = timedelta(milliseconds=200)
+# Own work that may not be in the reports of the others yet is multiplied by the number
+# of routers, as all of them serve the same workspace next after the same report.
+REPORT_INTERVAL = timedelta(milliseconds=400)
 USE_HALF_LIFE = timedelta(seconds=2)  # of the use that is shown to operators
 MIN_ACTIVE_USE = 0.01  # of the total use; workspaces below it have no part in shares
 
@@ -51,13 +54,18 @@
     Parameters
     ----------
     tag : float
-        Virtual time at which its next request starts.
+        Virtual time at which its next request starts, by the work that all routers may
+        know of.
+    new_work, earlier_work : float
+        Own work of the current and of the previous interval of reports.
     recent, recent_at
         Decayed work, and the time as of which it is decayed.
     """
 
     weight: float
     tag: float = 0.0
+    new_work: float = 0.0
+    earlier_work: float = 0.0
     recent: float = 0.0
     recent_at: timedelta = timedelta(0)
 
@@ -80,10 +88,12 @@
         "_fleet_at",
         "_fleet_totals",
         "_max_tag",
+        "_rolled_at",
         "_snapshots",
         "_virtual_time",
         "_weight_by_workspace",
         "assigned_by_workspace",
+        "routers",
     )
 
     def __init__(self, clock: Clock, weight_by_workspace: Mapping[str, float]) -> None:
@@ -93,7 +103,8 @@
         self._snapshots: deque[tuple[timedelta, float]] = deque()
         self._virtual_time = 0.0
         self._max_tag = 0.0
-        self._changed_at = clock.monotonic()
+        self._changed_at = self._rolled_at = clock.monotonic()
+        self.routers = 1  # of the fleet
         self._fleet_totals: dict[str, float] = {}
         self._fleet_at: timedelta | None = None
         # Work that this router assigned since it started.
@@ -118,12 +129,16 @@
     def tag(self, workspace: str) -> float:
         """Return the virtual time at which the workspace's next request starts."""
         self._advance()
-        return max(self._virtual_time, self._account(workspace).tag)
+        account = self._account(workspace)
+        new = (account.new_work + account.earlier_work) * self.routers / account.weight
+        return max(self._virtual_time, account.tag) + new
 
     def charge(self, workspace: str, work: float) -> None:
         """Record work that this router assigned."""
         self._advance()
-        self._add(workspace, work)
+        account = self._account(workspace)
+        account.new_work += work
+        self._record_recent(account, work)
         assigned = self.assigned_by_workspace.get(workspace, 0.0)
         self.assigned_by_workspace[workspace] = assigned + work
 
@@ -141,7 +156,9 @@
             added = total - self._fleet_totals.get(workspace, 0.0)
             self._fleet_totals[workspace] = total
             if added > 0 and not is_first:
-                self._add(workspace, added)
+                account = self._account(workspace)
+                self._add(account, added)
+                self._record_recent(account, added)
             else:
                 self._account(workspace)
         self._fleet_at = self._clock.monotonic()
@@ -176,18 +193,30 @@
             for name in active
         ]
 
-    def _add(self, workspace: str, work: float) -> None:
-        now = self._clock.monotonic()
-        account = self._account(workspace)
+    def _add(self, account: _Account, work: float) -> None:
         account.tag = max(self._virtual_time, account.tag) + work / account.weight
+        self._max_tag = max(self._max_tag, account.tag)
+        self._changed_at = self._clock.monotonic()
+
+    def _record_recent(self, account: _Account, work: float) -> None:
+        now = self._clock.monotonic()
         account.recent = _decayed(account, now) + work
         account.recent_at = now
-        self._max_tag = max(self._max_tag, account.tag)
-        self._changed_at = now
+
+    def _roll(self, now: timedelta) -> None:
+        """Count own work as known to all once it is two intervals of reports old."""
+        self._rolled_at = now
+        for account in self._account_by_workspace.values():
+            if account.earlier_work:
+                self._add(account, account.earlier_work)
+            account.earlier_work = account.new_work
+            account.new_work = 0.0
 
     def _advance(self) -> None:
         """Set the virtual time to the highest tag as of `CREDIT_TIME` ago."""
         now = self._clock.monotonic()
+        if now - self._rolled_at >= REPORT_INTERVAL:
+            self._roll(now)
         snapshots = self._snapshots
         if now - self._changed_at >= CREDIT_TIME:
             snapshots.clear()
--- a/banyansail/gateway/exchange.py
+++ b/banyansail/gateway/exchange.py
@@ -24,6 +24,7 @@
 from banyansail.gateway.decisions.service_state import Slot, Ticket
 from banyansail.gateway.outcome_recorder import OutcomeRecorder
 from banyansail.gateway.request_types import Cause, Rejection, RunStatus
+from banyansail.gateway.share_fields import share_fields
 from banyansail.gateway.site import RouteKind
 from banyansail.log import log_decision
 from banyansail.platform.calls import encode_attempt
@@ -31,6 +32,7 @@
 if TYPE_CHECKING:
     from banyansail.config.fields import Address
     from banyansail.gateway.context import GatewayContext
+    from banyansail.gateway.decisions.work_shares import ShareUse
     from banyansail.gateway.events import StreamEvent
     from banyansail.gateway.request_types import CallerCall, ReplyHead
     from banyansail.gateway.response_writer import ResponseWriter
@@ -87,6 +89,12 @@
             now,
             now + timeout,
             version_draw=context.random.random(),
+            workspace=workspace.name if workspace is not None else "",
+            weight=context.dispatcher.fair.weight_of(
+                workspace.name if workspace is not None else ""
+            ),
+            caller=call.key,
+            fingerprint=call.fingerprint,
         )
         self._recorder = OutcomeRecorder(context, call, route)
         self._is_relayed = earlier_runs is not None
@@ -142,6 +150,8 @@
                     return
                 continue
             assigned = await self._wait_for_slot()
+            if assigned.share is not None:
+                self._observe_wait(assigned.share)
             if isinstance(assigned, Rejection):
                 self._finish(self._fallback or assigned)
                 return
@@ -231,6 +241,13 @@
             case Rejection():
                 self._reject(step)
 
+    def _observe_wait(self, share: ShareUse) -> None:
+        """Record the time that a request waited in the fair order."""
+        waited = self._context.clock.monotonic() - self._arrived_at
+        self._context.metrics.observe_wait(
+            self._ticket.service, share.workspace, waited
+        )
+
     def _wait_for_slot(self) -> defer.Deferred[Slot | Rejection]:
         cancel: list[Any] = []
         assigned: defer.Deferred[Slot | Rejection] = defer.Deferred(
@@ -355,6 +372,7 @@
             status=rejection.status,
             cause=rejection.cause.value,
             is_begun=self._progress.is_stream_started,
+            **share_fields(rejection.share),
         )
         if not self._progress.may_have_run:
             self._context.refund_quota(self._workspace, self._call)
@@ -397,8 +415,19 @@
                 in_flight=slot.load.in_flight,
                 peers_in_flight=slot.load.peer_in_flight,
                 left_out=self._context.route_log_limit.pop_suppressed_count(),
+                **self._wait_fields(slot),
             )
 
+    def _wait_fields(self, slot: Slot) -> dict[str, Any]:
+        """Return log fields of a request that waited in the fair order."""
+        if slot.share is None:
+            return {}
+        waited = slot.assigned_at - self._arrived_at
+        return {
+            "waited_ms": int(waited.total_seconds() * 1000),
+            **share_fields(slot.share),
+        }
+
     def _log(self, decision: str, reason: str, **fields: Any) -> None:
         log_decision(
             decision,
--- a/banyansail/gateway/metrics.py
+++ b/banyansail/gateway/metrics.py
@@ -15,8 +15,11 @@
 from twisted.web import http
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
     from datetime import timedelta
 
+    from banyansail.gateway.decisions.work_shares import ShareUse
+
 METRICS_PATH = b"/metrics"
 LATENCY_BUCKETS_S = (0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3.0, 6.0, 12.0)
 
@@ -56,6 +59,21 @@
             registry=self.registry,
         )
 
+        self._share, self._use = (
+            Gauge(name, text, ("service", "workspace"), registry=self.registry)
+            for name, text in (
+                ("banyansail_workspace_share", "Share of a service's work"),
+                ("banyansail_workspace_use", "Part of a service's work that was got"),
+            )
+        )
+        self._wait = Histogram(
+            "banyansail_workspace_wait_seconds",
+            "Time that requests waited in the order of workspaces",
+            ("service", "workspace"),
+            buckets=LATENCY_BUCKETS_S,
+            registry=self.registry,
+        )
+
     def count_answer(self, route: str, outcome: str) -> None:
         """Count a final response."""
         self._requests.labels(route, outcome).inc()
@@ -68,6 +86,16 @@
         """Record the time from an attempt to its first byte."""
         self._latency.labels(service).observe(latency.total_seconds())
 
+    def observe_wait(self, service: str, workspace: str, waited: timedelta) -> None:
+        """Record the time that a request waited in the order of workspaces."""
+        self._wait.labels(service, workspace).observe(waited.total_seconds())
+
+    def set_shares(self, service: str, share_uses: Iterable[ShareUse]) -> None:
+        """Record the shares of a service's work and the use of them by workspace."""
+        for item in share_uses:
+            self._share.labels(service, item.workspace).set(item.share)
+            self._use.labels(service, item.workspace).set(item.use)
+
     def set_config_version(self, version: int) -> None:
         """Record the version of the active configuration."""
         self._config_version.set(version)
--- a/banyansail/gateway/request_handler.py
+++ b/banyansail/gateway/request_handler.py
@@ -134,6 +134,7 @@
             fingerprint=f"{call.fingerprint:016x}",
             config=self.site.version,
         )
+        self._context.dispatcher.fair.record_rejection(call.fingerprint, rejection)
         writer.reject(rejection)
 
     def _choose_service(self, route: Route) -> str:
--- a/banyansail/gateway/router.py
+++ b/banyansail/gateway/router.py
@@ -135,7 +135,9 @@
             self._handle_peer_call,
         )
         self.fleet = FleetTraffic(settings.name, clock)
-        self.dispatcher = Dispatcher(settings.zone, clock, self._random)
+        self.dispatcher = Dispatcher(
+            settings.zone, clock, self._random, settings.fair_queue_min_routers
+        )
         self.quota = QuotaLimiter(clock, settings.quota_slack)
         usage = UsageCounter(SteadyTime(clock), settings.usage_window)
         self.reporter = UsageReporter(
@@ -285,11 +287,15 @@
         metrics = self.context.metrics
         metrics.set_config_version(self.site.version)
         metrics.set_in_progress(self.request_handler.in_progress)
+        for service, state in self.dispatcher.service_by_name.items():
+            if state.is_fair:
+                metrics.set_shares(service, state.shares.share_uses())
         return metrics.render()
 
     def _apply_config(self, site: SiteConfig) -> None:
         self.request_handler.site = site
         self.quota.workspace_by_name = site.workspace_by_name
+        self.dispatcher.fair.set_workspaces(site.workspace_by_name.values())
         self._caller_factory.set_limits(site.limits)
         self._relay_factory.set_limits(site.limits)
         self.upstream_sync.site = site
@@ -375,6 +381,7 @@
         self.traffic_exchange.send_sums()
         if self.fleet.is_silent:
             apply_fleet_work(self.context)
+            self.dispatcher.record_fleet(self.fleet.fleet_size())
         self.usage_exchange.send()
 
     def _make_report(self) -> TrafficReport:
--- a/banyansail/gateway/traffic_report.py
+++ b/banyansail/gateway/traffic_report.py
@@ -35,6 +35,7 @@
         context.quota.has_urgent_use,
         holds_duties,
         context.limits.own_limits(),
+        assigned_by_name=context.dispatcher.fair.assigned_by_name(services),
     )
 
 
@@ -51,6 +52,7 @@
     context.moves.set_fleet_tallies(fleet.tallies)
     context.limits.update()
     apply_fleet_work(context)
+    context.dispatcher.record_fleet(fleet.fleet_size(), fleet.assigned_by_name())
 
 
 def apply_fleet_work(context: GatewayContext) -> None:
--- a/banyansail/traffic/aggregator.py
+++ b/banyansail/traffic/aggregator.py
@@ -47,6 +47,7 @@
 
     used: FollowedCounters
     prefill: FollowedCounters
+    assigned: FollowedCounters
     last: TrafficSum = field(default_factory=TrafficSum)  # of the followed aggregator
     received_at: timedelta = timedelta(0)
     tallies: dict[TallyKey, Tally] = field(default_factory=dict)
@@ -64,6 +65,7 @@
     """
 
     __slots__ = (
+        "_assigned",
         "_clock",
         "_ended_tallies",
         "_is_urgent",
@@ -81,6 +83,7 @@
         self._remote_by_zone: dict[str, _RemoteZone] = {}
         self._used = ProcessCounters()
         self._prefill = ProcessCounters()
+        self._assigned = ProcessCounters()
         # Of processes that have ended.
         self._ended_tallies: dict[TallyKey, Tally] = {}
         self._is_urgent = False
@@ -99,6 +102,7 @@
             add_tallies(self._ended_tallies, known.report.tallies)
         self._used.update(name, incarnation, report.used_by_workspace)
         self._prefill.update(name, incarnation, report.prefill_tokens_by_service)
+        self._assigned.update(name, incarnation, report.assigned_by_name)
         self._reporter_by_name[name] = _Reporter(
             incarnation, sequence, self._clock.monotonic(), report
         )
@@ -111,12 +115,15 @@
         remote = self._remote_by_zone.get(zone)
         if remote is None:
             remote = self._remote_by_zone[zone] = _RemoteZone(
-                FollowedCounters(self._clock), FollowedCounters(self._clock)
+                FollowedCounters(self._clock),
+                FollowedCounters(self._clock),
+                FollowedCounters(self._clock),
             )
         remote.used.update(aggregator, incarnation, zone_sum.used_by_workspace)
         remote.prefill.update(
             aggregator, incarnation, zone_sum.prefill_tokens_by_service
         )
+        remote.assigned.update(aggregator, incarnation, zone_sum.assigned_by_name)
         merge_max_tallies(remote.tallies, zone_sum.tallies)
         if remote.used.followed == aggregator:
             remote.last = zone_sum
@@ -163,6 +170,7 @@
             tuple(holders),
             is_urgent=self._is_urgent,
             limits=limits,
+            assigned_by_name=dict(self._assigned.total),
         )
 
     def fleet_sum(self, zone_sum: TrafficSum) -> TrafficSum:
@@ -170,6 +178,7 @@
         now = self._clock.monotonic()
         used = dict(zone_sum.used_by_workspace)
         prefill = dict(zone_sum.prefill_tokens_by_service)
+        assigned = dict(zone_sum.assigned_by_name)
         work = dict(zone_sum.work_by_upstream)
         tallies: dict[TallyKey, Tally] = {}
         add_tallies(tallies, zone_sum.tallies)
@@ -180,6 +189,7 @@
         for remote in self._remote_by_zone.values():
             add_increase(used, remote.used.total, {})
             add_increase(prefill, remote.prefill.total, {})
+            add_increase(assigned, remote.assigned.total, {})
             add_tallies(tallies, remote.tallies)
             age = now - remote.received_at
             if age > MEMBER_TIMEOUT:
@@ -206,6 +216,7 @@
             self._sequence_by_router(),
             zone_sum.is_urgent,
             limits,
+            assigned_by_name=assigned,
         )
 
     def _sequence_by_router(self) -> dict[int, int]:
@@ -228,3 +239,4 @@
                 add_tallies(self._ended_tallies, reporter.report.tallies)
                 self._used.remove(name)
                 self._prefill.remove(name)
+                self._assigned.remove(name)
--- a/banyansail/traffic/fleet_traffic.py
+++ b/banyansail/traffic/fleet_traffic.py
@@ -50,6 +50,7 @@
     """
 
     __slots__ = (
+        "_assigned",
         "_clock",
         "_heard",
         "_key",
@@ -68,6 +69,7 @@
         self._heard: _Heard | None = None
         self._used = FollowedCounters(clock)
         self._prefill = FollowedCounters(clock)
+        self._assigned = FollowedCounters(clock)
         # Answers counted by all routers, this one included.
         self.tallies: dict[TallyKey, Tally] = {}
 
@@ -93,6 +95,7 @@
                 fleet_sum.prefill_tokens_by_service,
                 own.prefill_tokens_by_service,
             ),
+            (self._assigned, fleet_sum.assigned_by_name, own.assigned_by_name),
         ):
             foreign: Counters = {}
             add_increase(foreign, total, own_counters)
@@ -115,6 +118,10 @@
         """Return the prompt tokens that other routers sent for prefill."""
         return self._prefill.total.get(service, 0.0)
 
+    def assigned_by_name(self) -> Counters:
+        """Return the work that other routers assigned, by service and workspace."""
+        return self._assigned.total
+
     def work_by_upstream(self) -> dict[str, UpstreamWork]:
         """Return the load that other routers have in flight."""
         heard = self._heard_within(WORK_TIMEOUT)
--- a/banyansail/traffic/report.py
+++ b/banyansail/traffic/report.py
@@ -83,6 +83,8 @@
         Whether the router holds the lease on the duties of the fleet.
     limits : dict
         Limits that upstreams named to the router, by the upstream's incarnation.
+    assigned_by_name : dict
+        Work assigned since the process started, by `service/workspace`.
     """
 
     used_by_workspace: dict[str, float] = field(default_factory=dict)
@@ -93,13 +95,14 @@
     is_urgent: bool = False
     holds_duties: bool = False
     limits: dict[str, NamedLimit] = field(default_factory=dict)
+    assigned_by_name: dict[str, float] = field(default_factory=dict)
 
 
 @dataclass(slots=True, frozen=True)
 class TrafficSum:
     """Traffic of the routers of a data centre, or of the fleet.
 
-    The two counters start at an arbitrary value with each process of the aggregator, so
+    The counters start at an arbitrary value with each process of the aggregator, so
     that only their increase has a meaning.
 
     Parameters
@@ -126,6 +129,8 @@
         Whether one of the reports was urgent.
     limits : dict
         Latest limits that upstreams named to the routers, by upstream's incarnation.
+    assigned_by_name : dict
+        Counters of assigned work, see `TrafficReport`.
     """
 
     used_by_workspace: dict[str, float] = field(default_factory=dict)
@@ -139,6 +144,7 @@
     sequence_by_router: dict[int, int] = field(default_factory=dict)
     is_urgent: bool = False
     limits: dict[str, NamedLimit] = field(default_factory=dict)
+    assigned_by_name: dict[str, float] = field(default_factory=dict)
 
 
 def merge_limits(
--- a/banyansail/wire/schema.capnp
+++ b/banyansail/wire/schema.capnp
@@ -108,6 +108,15 @@
   isUrgent @5 :Bool;  # a quota is nearly used up
   holdsDuties @6 :Bool;  # the router holds the lease on the duties
   limits @7 :List(NamedLimit);
+  speeds @8 :List(UpstreamSpeed);
+  assigned @9 :List(Counter);  # work by service/workspace since the process started
+}
+
+struct UpstreamSpeed {
+  upstream @0 :Text;
+  samples @1 :UInt32;
+  logSum @2 :Float32;
+  ageMs @3 :UInt32;
 }
 
 struct TrafficSum {
@@ -123,6 +132,8 @@
   isUrgent @9 :Bool;
   dutyHolders @10 :List(Text);
   limits @11 :List(NamedLimit);
+  speeds @12 :List(UpstreamSpeed);
+  assigned @13 :List(Counter);
 }
 
 struct NamedLimit {
--- a/banyansail/wire/traffic_codec.py
+++ b/banyansail/wire/traffic_codec.py
@@ -29,6 +29,7 @@
         isUrgent=report.is_urgent,
         holdsDuties=report.holds_duties,
         limits=_limits(report.limits),
+        assigned=_counters(report.assigned_by_name),
     )
     return message.to_bytes_packed()
 
@@ -51,6 +52,7 @@
         message.isUrgent,
         message.holdsDuties,
         _decode_limits(message.limits),
+        assigned_by_name=_decode_counters(message.assigned),
     )
 
 
@@ -72,6 +74,7 @@
         ],
         isUrgent=traffic_sum.is_urgent,
         limits=_limits(traffic_sum.limits),
+        assigned=_counters(traffic_sum.assigned_by_name),
     )
     return message.to_bytes_packed()
 
@@ -104,6 +107,7 @@
         {item.router: item.sequence for item in message.included},
         message.isUrgent,
         _decode_limits(message.limits),
+        assigned_by_name=_decode_counters(message.assigned),
     )
 
 
--- a/tests/config/test_gateway_settings.py
+++ b/tests/config/test_gateway_settings.py
@@ -36,6 +36,7 @@
 usage_late_s: 10
 lease_ms: 3000
 expose_share: 0.1
+fair_queue_min_routers: 33
 """
 
 
@@ -48,6 +49,16 @@
     assert settings.quota_slack == 190000
 
 
+def test_the_fair_order_is_off_unless_a_positive_number_of_routers_is_given():
+    """Guards against a change of the order where a deployment does not ask for it."""
+    line = "fair_queue_min_routers: 33\n"
+    assert parse_gateway_settings(VALID, "f").fair_queue_min_routers == 33
+    without = parse_gateway_settings(VALID.replace(line, ""), "f")
+    assert without.fair_queue_min_routers is None
+    with pytest.raises(ConfigError):
+        parse_gateway_settings(VALID.replace(line, line.replace("33", "0")), "f")
+
+
 def test_all_findings_have_their_location():
     text = VALID.replace("ready: 10.0.0.1:81", "ready: nowhere")
     text = text.replace("grace_s: 8", "grace: 8")
--- a/tests/traffic/simulated_fleet.py
+++ b/tests/traffic/simulated_fleet.py
@@ -51,6 +51,7 @@
             self.is_unfit,
             self.is_urgent,
             self.holds_duties,
+            assigned_by_name={"depot/w": self.used * 3},
         )
 
     def _on_sum(self):
--- a/tests/traffic/test_exchange.py
+++ b/tests/traffic/test_exchange.py
@@ -60,6 +60,25 @@
     check_settled(fleet)
 
 
+def test_every_router_learns_the_work_that_all_others_assigned():
+    """Guards against virtual times that leave out other data centres."""
+    fleet = SimulatedFleet()
+    fleet.run(3)  # what is counted before the first sums is not known
+    before = {
+        name: (
+            router.known.assigned_by_name().get("depot/w", 0.0),
+            fleet.foreign_use(name),
+        )
+        for name, router in fleet.router_by_name.items()
+    }
+    fleet.run(5, spend(USE_PER_STEP))
+    fleet.run(4)
+    for name, router in fleet.router_by_name.items():
+        heard, used = before[name]
+        expected = heard + 3 * (fleet.foreign_use(name) - used)
+        assert router.known.assigned_by_name()["depot/w"] == pytest.approx(expected)
+
+
 def test_lost_datagrams_cost_only_freshness():
     fleet = started_fleet(loss=0.05, seed=3)
     fleet.run(10, spend(USE_PER_STEP))
