Let a router use its equal part of slots before a report shows them free

Cause: routers below their equal part waited up to 0.8 s for a report that showed a slot of another router as free, so slots stayed empty and calm workspaces were rejected. Change: in the fair order a router takes a slot below its whole equal part of an upstream whatever the reports say, except of brittle ones; the use of shares is computed every 200 ms at most.

--- a/banyansail/gateway/decisions/service_state.py
+++ b/banyansail/gateway/decisions/service_state.py
@@ -223,6 +223,8 @@
     def renew_budget(self, routers: int) -> None:
         """Take the reported load of the other routers into account."""
         usable = self.usable()
+        for load in usable:
+            load.equal_part = load.upstream.slots / routers if self.is_fair else 0.0
         self.budget.renew(
             sum(load.upstream.slots for load in usable),
             sum(load.in_flight for load in usable),
--- a/banyansail/gateway/decisions/upstream_load.py
+++ b/banyansail/gateway/decisions/upstream_load.py
@@ -78,6 +78,7 @@
         "_recorded_at",
         "_sent_at_by_slot",
         "cache",
+        "equal_part",
         "in_flight",
         "is_brittle",
         "limit",
@@ -115,6 +116,7 @@
         self.limit = RateLimit(random)
         self.is_brittle = False
         self.slot_part = upstream.slots  # of a brittle one, that this router may use
+        self.equal_part = 0.0  # slots that this router may use whatever reports say
 
     def start_attempt(
         self, slot_number: int, prefill_tokens: int, now: timedelta
@@ -138,10 +140,13 @@
     def has_room(self) -> bool:
         """Return whether a slot is free, by own and reported requests.
 
-        The slots of a brittle upstream are divided among the routers.
+        The slots of a brittle upstream are divided among the routers. In the fair order
+        a router below its equal part does not wait until a report shows a free slot.
         """
         if self.is_brittle and self.in_flight >= self.slot_part:
             return False
+        if not self.is_brittle and self.in_flight + 1 <= self.equal_part:
+            return True
         return self.in_flight + self.peer_in_flight < self.upstream.slots
 
     def is_awaiting_first_byte(self, slot_number: int) -> bool:
--- a/banyansail/gateway/decisions/work_shares.py
+++ b/banyansail/gateway/decisions/work_shares.py
@@ -83,6 +83,8 @@
 
     __slots__ = (
         "_account_by_workspace",
+        "_cached_at",
+        "_cached_use",
         "_changed_at",
         "_clock",
         "_fleet_at",
@@ -106,6 +108,8 @@
         self._changed_at = self._rolled_at = clock.monotonic()
         self.routers = 1  # of the fleet
         self._fleet_totals: dict[str, float] = {}
+        self._cached_at: timedelta | None = None
+        self._cached_use: dict[str, ShareUse] = {}
         self._fleet_at: timedelta | None = None
         # Work that this router assigned since it started.
         self.assigned_by_workspace: dict[str, float] = {}
@@ -164,11 +168,13 @@
         self._fleet_at = self._clock.monotonic()
 
     def share_use(self, workspace: str) -> ShareUse:
-        """Return a workspace's use and share among those that are active."""
-        return next(
-            (item for item in self.share_uses() if item.workspace == workspace),
-            ShareUse(workspace, 0.0, 0.0, self.fleet_age),
-        )
+        """Return a workspace's use and share, at most `SNAPSHOT_INTERVAL` old."""
+        now = self._clock.monotonic()
+        if self._cached_at is None or now - self._cached_at >= SNAPSHOT_INTERVAL:
+            self._cached_at = now
+            self._cached_use = {item.workspace: item for item in self.share_uses()}
+        use = self._cached_use.get(workspace)
+        return use or ShareUse(workspace, 0.0, 0.0, self.fleet_age)
 
     def share_uses(self) -> list[ShareUse]:
         """Return the use and share of each workspace that was active recently."""
