--- a/banyansail/config/gateway_settings.py
+++ b/banyansail/config/gateway_settings.py
@@ -61,6 +61,9 @@
         plus a constant.
     uneven_upstreams : bool
         Whether choices and orders of replicas use the measured speeds of upstreams.
+    fair_queue_min_routers : int or None
+        Size of the fleet from which on waiting requests are taken by the shares of
+        their workspaces; ``None`` for never.
     """
 
     name: str
@@ -90,6 +93,7 @@
     cold_over: float = 1.0
     cold_slack: float = 0.0
     uneven_upstreams: bool = False
+    fair_queue_min_routers: int | None = None
 
 
 def _seconds(value: Any) -> timedelta:
@@ -100,6 +104,12 @@
     return timedelta(milliseconds=float(value))
 
 
+def _positive_int(value: Any) -> int:
+    if not isinstance(value, int) or isinstance(value, bool) or value < 1:
+        raise ValueError(f"{value!r} is not a positive whole number")
+    return value
+
+
 def _text(value: Any) -> str:
     if not isinstance(value, str) or not value:
         raise ValueError(f"{value!r} is not a non-empty string")
@@ -151,6 +161,7 @@
     "cold_over": ("cold_over", float),
     "cold_slack": ("cold_slack", float),
     "uneven_upstreams": ("uneven_upstreams", _flag),
+    "fair_queue_min_routers": ("fair_queue_min_routers", _positive_int),
 }
 # May be absent or empty: the platform's template leaves them so where a deployment has
 # no such bound.
@@ -162,6 +173,7 @@
         "cold_over",
         "cold_slack",
         "uneven_upstreams",
+        "fair_queue_min_routers",
     }
 )
 
--- a/banyansail/gateway/decisions/service_state.py
+++ b/banyansail/gateway/decisions/service_state.py
@@ -6,7 +6,9 @@
 from datetime import timedelta
 from typing import TYPE_CHECKING
 
+from banyansail.gateway.decisions.arrival_queue import ArrivalQueue
 from banyansail.gateway.decisions.choice import ServiceDemand, has_free_slot
+from banyansail.gateway.decisions.fair_queue import FairQueue
 from banyansail.gateway.decisions.peer_demand import PeerDemand
 from banyansail.gateway.decisions.prefix_spread import PrefixSpread
 from banyansail.gateway.decisions.upstream_load import (
@@ -19,6 +21,8 @@
     from collections.abc import Callable
 
     from banyansail.gateway.decisions.choice import Chosen
+    from banyansail.gateway.decisions.slot_budget import SlotBudget
+    from banyansail.gateway.decisions.work_shares import ShareUse, WorkShares
     from banyansail.gateway.request_types import Prompt, Rejection
 
 INITIAL_SLOT_TIME = timedelta(milliseconds=60)
@@ -42,6 +46,18 @@
         Random number from 0 to 1; below a version's share, that version is chosen.
     is_retry : bool
         Whether an attempt failed before; a retry is always admitted to the queue.
+    workspace : str
+        Workspace of the caller; empty for a public route.
+    weight : float
+        Weight of the workspace in the fair order.
+    caller : str
+        API key of the caller.
+    work : float
+        Expected work; set when the request starts to wait in the fair order.
+    fingerprint : int
+        Hash that is equal for identical requests of one caller; 0 if unknown.
+    is_repeat : bool
+        Whether the caller repeats it before its Retry-After has passed.
     """
 
     service: str
@@ -52,15 +68,28 @@
     excluded: set[str] = field(default_factory=set)
     version_draw: float = 0.0
     is_retry: bool = False
+    workspace: str = ""
+    weight: float = 1.0
+    caller: str = ""
+    work: float = 1.0
+    fingerprint: int = 0
+    is_repeat: bool = False
 
 
 @dataclass(slots=True, eq=False)
 class Slot:
-    """Slot at an upstream that is assigned to a request."""
+    """Slot at an upstream that is assigned to a request.
+
+    Parameters
+    ----------
+    share : ShareUse or None
+        Use of the workspace, if the request waited in the fair order.
+    """
 
     number: int
     chosen: Chosen
     assigned_at: timedelta
+    share: ShareUse | None = None
 
     @property
     def load(self) -> UpstreamLoad:
@@ -70,11 +99,18 @@
 
 @dataclass(slots=True, eq=False)
 class QueueEntry:
-    """A waiting request and the receiver of its slot or rejection."""
+    """A waiting request and the receiver of its slot or rejection.
+
+    Parameters
+    ----------
+    check_at : timedelta
+        Monotonic time before which it has not waited too long, in the fair order.
+    """
 
     ticket: Ticket
     on_result: Callable[[Slot | Rejection], None]
     is_resolved: bool = False
+    check_at: timedelta = timedelta(0)
 
 
 @dataclass(slots=True, frozen=True)
@@ -90,7 +126,11 @@
     """Upstreams and waiting requests of one service."""
 
     load_by_id: dict[str, UpstreamLoad] = field(default_factory=dict)
-    waiting: list[QueueEntry] = field(default_factory=list)
+    waiting: ArrivalQueue | FairQueue = field(default_factory=ArrivalQueue)
+    # Only where the fair order may be used.
+    shares: WorkShares | None = None
+    budget: SlotBudget | None = None
+    late_checked_at: timedelta = timedelta(0)
     mean_slot_time: timedelta = INITIAL_SLOT_TIME
     prefill_rate: PrefillRate = field(default_factory=PrefillRate)
     answer_time: AnswerTime = field(default_factory=AnswerTime)
@@ -160,11 +200,57 @@
             load.capped(load.upstream.slots / slot_time_s, now)
             for load in self.usable()
         )
-        ahead = sum(
-            1 for entry in self.waiting if entry.ticket.priority <= ticket.priority
+        ahead = self.waiting.count_before(ticket.priority)
+        return timedelta(seconds=(ahead + 1) / per_s) if per_s else None
+
+    def fair_wait(
+        self, ticket: Ticket, routers: int, now: timedelta, *, is_waiting: bool
+    ) -> timedelta | None:
+        """Return the expected queueing time of a request in the fair order.
+
+        The slots that this router holds become free for it again; its part of all
+        slots is the least that it expects. The wait is ``None`` if the upstreams'
+        limits leave nothing to this router.
+        """
+        slot_time_s = self.mean_slot_time.total_seconds()
+        per_s = sum(
+            load.capped(
+                max(load.in_flight, load.upstream.slots / routers) / slot_time_s, now
+            )
+            for load in self.usable()
         )
+        ahead = self.waiting.count_before(ticket, is_waiting=is_waiting)
         return timedelta(seconds=(ahead + 1) / per_s) if per_s else None
 
+    def record_assigned(self, ticket: Ticket, work: float) -> None:
+        """Charge a request that got a slot to its workspace."""
+        self.budget.record_assigned()
+        if self.is_fair:
+            self.waiting.record_assigned(ticket, work)
+        else:
+            self.shares.charge(ticket.workspace, work)
+
+    def has_budget(self, *, is_waiting: bool) -> bool:
+        """Return whether this router may take a free slot of a loaded fleet."""
+        return not self.is_fair or self.budget.allows(is_waiting=is_waiting)
+
+    def renew_budget(self, routers: int) -> None:
+        """Take the reported load of the other routers into account."""
+        usable = self.usable()
+        for load in usable:
+            load.equal_part = load.upstream.slots / routers if self.is_fair else 0.0
+        self.budget.renew(
+            sum(load.upstream.slots for load in usable),
+            sum(load.in_flight for load in usable),
+            sum(load.peer_in_flight for load in usable),
+            routers,
+        )
+
+    @property
+    def is_fair(self) -> bool:
+        """Whether waiting requests are taken by the shares of workspaces."""
+        return isinstance(self.waiting, FairQueue)
+
     def is_limited(self, now: timedelta) -> bool:
         """Return whether any usable upstream named a limit or is cold."""
         return any(load.is_limited(now) for load in self.usable())
--- a/banyansail/gateway/decisions/upstream_load.py
+++ b/banyansail/gateway/decisions/upstream_load.py
@@ -100,6 +100,7 @@
         "answer_time",
         "cache",
         "cold",
+        "equal_part",
         "in_flight",
         "is_brittle",
         "limit",
@@ -146,6 +147,7 @@
         self.speed_estimate = SpeedEstimate()  # by the samples of this router
         self.speed_evidence: SpeedEvidence | None = None  # of the fleet
         self.speed = 1.0  # that counts in choices
+        self.equal_part = 0.0  # slots that this router may use whatever reports say
 
     def start_attempt(
         self, slot_number: int, prefill_tokens: int, now: timedelta
@@ -170,10 +172,13 @@
     def has_room(self) -> bool:
         """Return whether a slot is free, by own and reported requests.
 
-        The slots of a brittle upstream are divided among the routers.
+        The slots of a brittle upstream are divided among the routers. In the fair order
+        a router below its equal part does not wait until a report shows a free slot.
         """
         if self.is_brittle and self.in_flight >= self.slot_part:
             return False
+        if not self.is_brittle and self.in_flight + 1 <= self.equal_part:
+            return True
         return self.in_flight + self.peer_in_flight < self.upstream.slots
 
     def capped(self, per_s: float, now: timedelta) -> float:
--- a/banyansail/gateway/router.py
+++ b/banyansail/gateway/router.py
@@ -162,7 +162,9 @@
             self._handle_peer_call,
         )
         self.fleet = FleetTraffic(settings.name, clock)
-        self.dispatcher = Dispatcher(settings.zone, clock, self._random)
+        self.dispatcher = Dispatcher(
+            settings.zone, clock, self._random, settings.fair_queue_min_routers
+        )
         self.evacuations = Evacuations(self._apply_evacuations)
         self.quota = QuotaLimiter(clock, settings.quota_slack)
         usage = UsageCounter(SteadyTime(clock), settings.usage_window)
@@ -361,12 +363,15 @@
         for name, state in self.dispatcher.service_by_name.items():
             cold = [load for load in state.load_by_id.values() if load.cold.left(now)]
             metrics.set_cold_upstreams(name, len(cold))
+            if state.is_fair:
+                metrics.set_shares(name, state.shares.share_uses())
         metrics.set_upstreams(self.dispatcher.loads())
         return metrics.render()
 
     def _apply_config(self, site: SiteConfig) -> None:
         self.request_handler.site = site
         self.quota.workspace_by_name = site.workspace_by_name
+        self.dispatcher.fair.set_workspaces(site.workspace_by_name.values())
         self._caller_factory.set_limits(site.limits)
         self._relay_factory.set_limits(site.limits)
         self.upstream_sync.site = site
@@ -504,6 +509,7 @@
         self.traffic_exchange.send_sums()
         if self.fleet.is_silent:
             apply_fleet_work(self.context)
+            self.dispatcher.record_fleet(self.fleet.fleet_size())
         self.usage_exchange.send()
 
     def _make_report(self) -> TrafficReport:
--- a/banyansail/gateway/traffic_report.py
+++ b/banyansail/gateway/traffic_report.py
@@ -36,6 +36,7 @@
         holds_duties,
         context.limits.own_limits(),
         speeds=context.speeds.own_speeds(),
+        assigned_by_name=context.dispatcher.fair.assigned_by_name(services),
     )
 
 
@@ -54,6 +55,7 @@
     context.speeds.update()
     apply_fleet_work(context)
     context.speeds.record_peer_demand()
+    context.dispatcher.record_fleet(fleet.fleet_size(), fleet.assigned_by_name())
 
 
 def apply_fleet_work(context: GatewayContext) -> None:
--- a/banyansail/traffic/report.py
+++ b/banyansail/traffic/report.py
@@ -86,6 +86,8 @@
         Limits that upstreams named to the router, by the upstream's incarnation.
     speeds : dict
         Speeds that the router measured, by the upstream's incarnation.
+    assigned_by_name : dict
+        Work assigned since the process started, by `service/workspace`.
     """
 
     used_by_workspace: dict[str, float] = field(default_factory=dict)
@@ -97,13 +99,14 @@
     holds_duties: bool = False
     limits: dict[str, NamedLimit] = field(default_factory=dict)
     speeds: dict[str, SpeedEvidence] = field(default_factory=dict)
+    assigned_by_name: dict[str, float] = field(default_factory=dict)
 
 
 @dataclass(slots=True, frozen=True)
 class TrafficSum:
     """Traffic of the routers of a data centre, or of the fleet.
 
-    The two counters start at an arbitrary value with each process of the aggregator, so
+    The counters start at an arbitrary value with each process of the aggregator, so
     that only their increase has a meaning.
 
     Parameters
@@ -132,6 +135,8 @@
         Latest limits that upstreams named to the routers, by upstream's incarnation.
     speeds : dict
         Speeds that the routers measured, by the upstream's incarnation.
+    assigned_by_name : dict
+        Counters of assigned work, see `TrafficReport`.
     """
 
     used_by_workspace: dict[str, float] = field(default_factory=dict)
@@ -146,6 +151,7 @@
     is_urgent: bool = False
     limits: dict[str, NamedLimit] = field(default_factory=dict)
     speeds: dict[str, SpeedEvidence] = field(default_factory=dict)
+    assigned_by_name: dict[str, float] = field(default_factory=dict)
 
 
 def merge_limits(
--- a/banyansail/wire/schema.capnp
+++ b/banyansail/wire/schema.capnp
@@ -118,6 +118,7 @@
   holdsDuties @6 :Bool;  # the router holds the lease on the duties
   limits @7 :List(NamedLimit);
   speeds @8 :List(UpstreamSpeed);
+  assigned @9 :List(Counter);  # work by service/workspace since the process started
 }
 
 struct TrafficSum {
@@ -134,6 +135,7 @@
   dutyHolders @10 :List(Text);
   limits @11 :List(NamedLimit);
   speeds @12 :List(UpstreamSpeed);
+  assigned @13 :List(Counter);
 }
 
 struct UpstreamSpeed {
--- a/banyansail/wire/traffic_codec.py
+++ b/banyansail/wire/traffic_codec.py
@@ -33,6 +33,7 @@
         holdsDuties=report.holds_duties,
         limits=_limits(report.limits),
         speeds=_speeds(report.speeds),
+        assigned=_counters(report.assigned_by_name),
     )
     return message.to_bytes_packed()
 
@@ -57,6 +58,7 @@
         message.holdsDuties,
         _decode_limits(message.limits),
         speeds=_decode_speeds(message.speeds),
+        assigned_by_name=_decode_counters(message.assigned),
     )
 
 
@@ -79,6 +81,7 @@
         isUrgent=traffic_sum.is_urgent,
         limits=_limits(traffic_sum.limits),
         speeds=_speeds(traffic_sum.speeds),
+        assigned=_counters(traffic_sum.assigned_by_name),
     )
     return message.to_bytes_packed()
 
@@ -113,6 +116,7 @@
         message.isUrgent,
         _decode_limits(message.limits),
         speeds=_decode_speeds(message.speeds),
+        assigned_by_name=_decode_counters(message.assigned),
     )
 
 
--- a/tests/config/test_gateway_settings.py
+++ b/tests/config/test_gateway_settings.py
@@ -42,6 +42,7 @@
 cold_over: 1.5
 cold_slack: 5
 uneven_upstreams: true
+fair_queue_min_routers: 33
 """
 OPTIONAL = ("evacuate_ms", "cold_over", "cold_slack")
 
@@ -87,6 +88,16 @@
         parse_gateway_settings(VALID.replace("true", "often"), "f")
 
 
+def test_the_fair_order_is_off_unless_a_positive_number_of_routers_is_given():
+    """Guards against a change of the order where a deployment does not ask for it."""
+    line = "fair_queue_min_routers: 33\n"
+    assert parse_gateway_settings(VALID, "f").fair_queue_min_routers == 33
+    without = parse_gateway_settings(VALID.replace(line, ""), "f")
+    assert without.fair_queue_min_routers is None
+    with pytest.raises(ConfigError):
+        parse_gateway_settings(VALID.replace(line, line.replace("33", "0")), "f")
+
+
 def test_all_findings_have_their_location():
     text = VALID.replace("ready: 10.0.0.1:81", "ready: nowhere")
     text = text.replace("grace_s: 8", "grace: 8")
--- a/tests/traffic/simulated_fleet.py
+++ b/tests/traffic/simulated_fleet.py
@@ -53,6 +53,7 @@
             self.is_urgent,
             self.holds_duties,
             speeds=dict(self.speeds),
+            assigned_by_name={"depot/w": self.used * 3},
         )
 
     def _on_sum(self):
