--- a/banyansail/gateway/duties/scaler.py
+++ b/banyansail/gateway/duties/scaler.py
@@ -11,7 +11,6 @@
     ReplicaOrder,
     ZoneReplicas,
     engines_needed,
-    engines_needed_by_speed,
     plan_replicas,
 )
 from banyansail.log import log_decision, log_event
@@ -108,15 +107,14 @@
         loads = state.usable()
         in_flight = sum(load.in_flight + load.peer_in_flight for load in loads)
         engine_prefill_rate = state.prefill_rate.tokens_per_ms * MS_PER_S
-        mean_speed = sum(load.speed for load in loads) / len(loads) if loads else 1.0
+        mean_speed = 1.0
+        if self._dispatcher.is_uneven and loads:
+            mean_speed = sum(load.speed for load in loads) / len(loads)
         demand = Demand(
             rate.update(prefill_total, now), in_flight, engine_prefill_rate, mean_speed
         )
         recent_needs = self._recent_needs_by_service.setdefault(service.name, [])
-        if self._dispatcher.is_uneven:
-            needed = engines_needed_by_speed(demand, service.engine)
-        else:
-            needed = engines_needed(demand, service.engine)
+        needed = engines_needed(demand, service.engine)
         if prefill_total > 0:
             self._traffic_since_by_service.setdefault(service.name, now)
         traffic_since = self._traffic_since_by_service.get(service.name, now)
--- a/banyansail/gateway/duties/scaling.py
+++ b/banyansail/gateway/duties/scaling.py
@@ -17,13 +17,10 @@
     from banyansail.gateway.site import EngineSpec, ScalingSpec
 
 # The reserve: when two data centres are preempted at once, the engines of the others
-# carry the load within the shares below, as none can be ordered for up to 15 s. Bursts
-# use the same engines. The only other margin is the peak of 15 s, in the scaler.
+# carry the load, as none can be ordered for up to 15 s. Engines are counted for prefill
+# and for running requests separately and added, which leaves room for bursts.
 TOLERATED_ZONE_LOSSES = 2
-# Of an engine's time, as prefill delays its running streams. Although 77 routers choose
-# by old reports, 96 of 100 first tokens are in time at 0.3; at 0.4 only 93 are
-# (docs/design/uneven-load.md).
-MAX_PREFILL_SHARE = 0.3
+MAX_PREFILL_SHARE = 0.3  # of an engine's time, as prefill delays its running streams
 MAX_SLOT_SHARE = 0.35  # of an engine's slots that the load may occupy
 MIN_MEAN_SPEED = 0.25  # a lower one is more likely a wrong expectation
 URGENT_SHARE = 0.6  # of the need; below it, on-demand replicas are ordered at once
@@ -69,28 +66,13 @@
 
 
 def engines_needed(demand: Demand, engine: EngineSpec) -> int:
-    """Return how many engines serve a load within the objectives."""
+    """Return how many engines of the mean speed serve a load within the objectives."""
     prefilling = demand.prompt_token_rate / (
         max(1.0, demand.engine_prefill_rate) * MAX_PREFILL_SHARE
     )
     running = demand.in_flight / (engine.slots * MAX_SLOT_SHARE)
-    return max(1, math.ceil(prefilling + running))
-
-
-def engines_needed_by_speed(demand: Demand, engine: EngineSpec) -> int:
-    """Return how many engines of the measured mean speed serve a load.
-
-    Both shares are kept, each for its own reason; `engines_needed` adds them up, so
-    that a load of both kinds gets engines for each. Prefill takes longer with a larger
-    batch, by the model that `choice` uses: with `p` engines' worth of prefill and `b`
-    of running requests on `n` engines, its share is ``p / n * (1 + b / n)``.
-    """
     speed = max(MIN_MEAN_SPEED, demand.mean_speed)
-    prefill = demand.prompt_token_rate / (max(1.0, demand.engine_prefill_rate) * speed)
-    running = demand.in_flight / (engine.slots * speed)
-    root = math.sqrt(prefill**2 + 4 * MAX_PREFILL_SHARE * prefill * running)
-    for_prefill = (prefill + root) / (2 * MAX_PREFILL_SHARE)
-    return max(1, math.ceil(max(for_prefill, running / MAX_SLOT_SHARE)))
+    return max(1, math.ceil((prefilling + running) / speed))
 
 
 def plan_replicas(
