--- a/tests/gateway/test_share_fields.py
+++ b/tests/gateway/test_share_fields.py
@@ -61,6 +61,7 @@
         item for item in state.waiting.entries() if item.ticket.workspace == "busy"
     )
     entry.ticket.fingerprint = 7
-    dispatcher._reject(state, entry, dispatcher._share_rejection(state, entry.ticket, seconds(0)))
+    rejection = dispatcher._share_rejection(state, entry.ticket, seconds(0))
+    dispatcher._reject(state, entry, rejection)
     dispatcher.fair.prepare_to_wait(entry.ticket)
     assert entry.ticket.is_repeat
