Tell moves of a restored store apart, and turn pages by listed names

Verdicts of other routers named a move by its service and number, which a restored store may give to another move. A page of a list whose objects are all unreadable was asked for again. Change: a verdict names the target too and is forgotten with a restore; the next page starts after the last listed name.

--- a/banyansail/fleet/entries.py
+++ b/banyansail/fleet/entries.py
@@ -28,7 +28,7 @@
 
 
 class Feature(IntFlag):
-    """What a router understands beyond the messages of the first build, c1e6479.
+    """What a router understands beyond the messages of the build c1e6479.
 
     Bits of newer builds are kept.
     """
--- a/banyansail/fleet/peer_calls.py
+++ b/banyansail/fleet/peer_calls.py
@@ -39,7 +39,7 @@
 NONCE_BYTES = 16
 CONNECT_TIMEOUT_S = 1.0
 CALL_TIMEOUT = timedelta(seconds=3)
-# Calls that the first build, c1e6479, does not know; it closes the connection that
+# Calls that the build c1e6479 does not know; it closes the connection that
 # brings one.
 FEATURE_BY_CALL: dict[type, Feature] = {
     FollowStore: Feature.RELAYS_STORE_CHANGES,
--- a/banyansail/gateway/duties/move_controller.py
+++ b/banyansail/gateway/duties/move_controller.py
@@ -87,8 +87,12 @@
         self._fleet_tallies: Mapping[TallyKey, Tally] = {}
 
     def encode_bad_moves(self) -> bytes:
-        """Return the encoded names of the moves whose target is known to be bad."""
-        return encode_names(_bad_move_name(*key) for key in self._bad_moves)
+        """Return the encoded names of the present moves whose target is bad."""
+        return encode_names(
+            _bad_move_name(move)
+            for move in self._move_by_service.values()
+            if (move.service, move.number) in self._bad_moves
+        )
 
     def merge_bad_moves(self, entry: Entry) -> None:
         """Apply the verdicts of another router, whose evidence may be newer."""
@@ -103,6 +107,8 @@
     def record_restore(self) -> None:
         """Remember the present moves, as the store was restored from a copy."""
         self._moves_before_restore.update(self._move_by_service)
+        # A restored store may give the number of a move to another one.
+        self._bad_names_by_origin.clear()
         self._restored_at = self._clock.monotonic()
 
     def apply_orders(self, mirror: Mirror) -> None:
@@ -247,7 +253,7 @@
         key = (move.service, move.number)
         if key in self._bad_moves:
             return Verdict.BAD
-        judges = self._other_judges(*key)
+        judges = self._other_judges(move)
         if judges:
             self._record_bad_move(key, f"router {judges[0]} found the target bad")
             return Verdict.BAD
@@ -260,9 +266,9 @@
             self._record_bad_move(key, "too many bad answers of the target")
         return verdict
 
-    def _other_judges(self, service: str, number: int) -> list[str]:
+    def _other_judges(self, move: Move) -> list[str]:
         """Return the other routers that found the target of a move bad."""
-        name = _bad_move_name(service, number)
+        name = _bad_move_name(move)
         return [
             origin
             for origin, names in self._bad_names_by_origin.items()
@@ -281,5 +287,5 @@
         return Tally(max(own.good, fleet.good), max(own.bad, fleet.bad))
 
 
-def _bad_move_name(service: str, number: int) -> str:
-    return f"bad/{service}/{number}"
+def _bad_move_name(move: Move) -> str:
+    return f"bad/{move.service}/{move.target}/{move.number}"
--- a/banyansail/platform/store.py
+++ b/banyansail/platform/store.py
@@ -200,7 +200,7 @@
                 raise HistoryLostError("the store was restored between two pages")
             if not body.get("hasMore") or not items:
                 return first_page_revision, stored_objects
-            last_name = stored_objects[-1].name if stored_objects else last_name
+            last_name = _name_of(items[-1])
         raise PlatformUnavailableError(
             f"the list of {kind} has more than {MAX_PAGES} pages"
         )
@@ -378,6 +378,16 @@
     return answer.json()
 
 
+def _name_of(item: Any) -> str:
+    """Return the name of a listed object, which need not be readable otherwise."""
+    try:
+        return str(item["metadata"]["name"])
+    except (KeyError, TypeError) as error:
+        raise PlatformUnavailableError(
+            f"the store listed an object without a name: {error!r}"
+        ) from None
+
+
 def _decode_listed(items: list[Any], era: int) -> list[StoredObject]:
     """Return the readable objects of a list; log and skip the others."""
     decoded = []
--- a/banyansail/wire/gossip_codec.py
+++ b/banyansail/wire/gossip_codec.py
@@ -173,7 +173,7 @@
 
 
 def encode_names(names: Iterable[str]) -> bytes:
-    """Encode a value of `Topic.STATEMENTS`: each name is a state and a move's ID."""
+    """Encode a value of `Topic.STATEMENTS`: each name is a state and a move."""
     return schema.Names.new_message(names=sorted(names)).to_bytes_packed()
 
 
