Make the tests of calls in the handshake fail without the fix

Both tests passed on the earlier code too, as the calls came before the connection was made. The server now takes its part in the handshake late, and the cancelled call is cancelled after the handshake has begun.

--- a/tests/fleet/test_peer_calls.py
+++ b/tests/fleet/test_peer_calls.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-from twisted.internet import defer, protocol, reactor
+from twisted.internet import defer, protocol, reactor, task
 
 from banyansail.config.fields import Address
-from banyansail.fleet.peer_calls import PeerCaller, PeerServerFactory
+from banyansail.fleet.peer_calls import PeerCaller, PeerServerProtocol
 from banyansail.wire.call_codec import EmptyReply, FetchDocument
 from banyansail.wire.message_auth import MessageAuthenticator
 from tests.live import in_reactor, run_reactor
@@ -13,21 +13,33 @@
 KEY = "0123456789abcdef"
 
 
-async def call_twice_at_once():
+HANDSHAKE_S = 0.2
+
+
+class SlowServer(PeerServerProtocol):
+    """A router that takes its part in the handshake late."""
+
+    def connectionMade(self):
+        reactor.callLater(HANDSHAKE_S, super().connectionMade)
+
+
+async def call_in_handshake():
+    """Return the replies to two calls, the second one made during the handshake."""
+
     async def handle(call):
         return EmptyReply()
 
-    factory = PeerServerFactory(MessageAuthenticator(KEY), handle)
+    authenticator = MessageAuthenticator(KEY)
+    factory = protocol.Factory()
+    factory.buildProtocol = lambda address: SlowServer(authenticator, handle)
     port = reactor.listenTCP(0, factory, interface="127.0.0.1")
     address = Address("127.0.0.1", port.getHost().port)
+    call = FetchDocument("config", 0)
     with PeerCaller(reactor, MessageAuthenticator(KEY)) as caller:
-        calls = [
-            defer.Deferred.fromCoroutine(
-                caller.call(address, FetchDocument("config", 0))
-            )
-            for _ in range(5)
-        ]
-        replies = await defer.gatherResults(calls)
+        first = defer.Deferred.fromCoroutine(caller.call(address, call))
+        await task.deferLater(reactor, HANDSHAKE_S / 2)
+        second = defer.Deferred.fromCoroutine(caller.call(address, call))
+        replies = await defer.gatherResults([first, second], consumeErrors=True)
     await defer.maybeDeferred(port.stopListening)
     return replies
 
@@ -35,7 +47,7 @@
 def test_calls_made_while_the_connection_is_made_are_answered():
     """A call sent before the handshake has a wrong code, which ends the connection."""
     run_reactor()
-    assert in_reactor(call_twice_at_once) == [EmptyReply()] * 5
+    assert in_reactor(call_in_handshake) == [EmptyReply()] * 2
 
 
 async def cancel_in_handshake():
@@ -44,7 +56,7 @@
     closed: defer.Deferred = defer.Deferred()
 
     class Silent(protocol.Protocol):
-        def connectionMade(self):
+        def dataReceived(self, data):
             connected.callback(None)
 
         def connectionLost(self, reason=None):
