Open the socket for callers before the rest of a gateway is loaded

Ruled out: the garbage collector while loading (0.432 s with it, 0.434 s without). Change: the gateway opens the socket first and loads the rest afterwards; connections wait in its queue until the configuration and the upstreams are known, for at most 0.5 s from the start of the service.

--- a/banyansail/daemon.py
+++ b/banyansail/daemon.py
@@ -7,14 +7,12 @@
 from typing import TYPE_CHECKING, Any, Protocol
 
 import eliot
-from docopt import docopt
 from twisted.internet import defer, reactor
 
-from banyansail.exceptions import BanyansailError
 from banyansail.log import log_event
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Coroutine
+    from collections.abc import Coroutine
 
 START_FAILED_EXIT_STATUS = 1
 
@@ -29,32 +27,6 @@
         """Finish the requests in progress, then close the sockets."""
 
 
-def run_command(
-    usage: str,
-    argv: list[str] | None,
-    load: Callable[[str], Any],
-    run: Callable[[Any], None],
-) -> None:
-    """Parse a daemon's command line, then run it or only check its settings.
-
-    Parameters
-    ----------
-    usage : str
-        Docopt usage text with ``--settings`` and ``--check``.
-    load : callable
-        Loads settings from a path; raises `ConfigError` if they are invalid.
-    run : callable
-        Runs with the settings until a signal stops it.
-    """
-    arguments = docopt(usage, argv)
-    try:
-        settings = load(arguments["--settings"])
-    except BanyansailError as error:
-        sys.exit(error.message)
-    if not arguments["--check"]:
-        run(settings)
-
-
 def run_daemon(daemon: Daemon, name: str) -> None:
     """Run a daemon; SIGTERM and SIGINT stop it gracefully, SIGHUP is only logged.
 
--- a/banyansail/exceptions.py
+++ b/banyansail/exceptions.py
@@ -34,6 +34,12 @@
         self.findings = findings
 
 
+class ListenError(BanyansailError):
+    """An address cannot be listened on, for example because it is in use."""
+
+    code = "cannot_listen"
+
+
 class PlatformUnavailableError(BanyansailError):
     """A call failed: no answer of the platform, a rejection, or no call budget left."""
 
--- a/banyansail/gateway/__main__.py
+++ b/banyansail/gateway/__main__.py
@@ -10,12 +10,9 @@
 
 from __future__ import annotations
 
-from twisted.internet import reactor
-
+from banyansail.command_line import run_command
 from banyansail.config.gateway_settings import GatewaySettings, load_gateway_settings
-from banyansail.daemon import run_command, run_daemon
-from banyansail.gateway.router import Gateway
-from banyansail.log import open_log
+from banyansail.gateway.caller_listener import open_listener
 
 
 def main(argv: list[str] | None = None) -> None:
@@ -24,9 +21,12 @@
 
 
 def run(settings: GatewaySettings) -> None:
-    """Run a gateway; SIGHUP has no effect yet."""
-    with open_log(None):
-        run_daemon(Gateway(settings, reactor), settings.name)
+    """Open the socket for callers, then load and run the gateway."""
+    with open_listener(settings.listen) as listener:
+        # Loading takes longer than all else at the start; callers wait meanwhile.
+        from banyansail.gateway.process import run_gateway
+
+        run_gateway(settings, listener)
 
 
 if __name__ == "__main__":
--- a/banyansail/gateway/router.py
+++ b/banyansail/gateway/router.py
@@ -11,6 +11,11 @@
 from banyansail.clock import Clock, SystemClock
 from banyansail.exceptions import WireError
 from banyansail.fleet.entries import Entry, Topic
+from banyansail.gateway.caller_listener import (
+    LISTEN_BACKLOG,
+    CallerListener,
+    open_listener,
+)
 from banyansail.gateway.cold_sharing import ColdSharing
 from banyansail.gateway.config_keeper import ConfigKeeper
 from banyansail.gateway.context import GatewayContext
@@ -65,6 +70,8 @@
 from banyansail.wire.gossip_codec import decode_member
 
 if TYPE_CHECKING:
+    import socket
+
     from banyansail.config.gateway_settings import GatewaySettings
     from banyansail.gateway.site import SiteConfig
     from banyansail.traffic.report import TrafficReport
@@ -73,7 +80,6 @@
 STOP_MARGIN = timedelta(milliseconds=400)  # left before the platform kills the process
 # The load balancer sends no new connections this long after readiness ends.
 BALANCER_REMOVAL_TIME = timedelta(seconds=2.6)
-LISTEN_BACKLOG = 512
 CONFIRM_DELAY = timedelta(milliseconds=100)  # from the end of a pause; a watch is sent
 CONFIG_DOCUMENT = "config"
 
@@ -91,6 +97,8 @@
         Source of time.
     random : Random
         Source of jitter and random choices.
+    listener : socket.socket or None
+        Socket that callers connect to; ``None`` to open one at the start.
     """
 
     def __init__(
@@ -99,9 +107,11 @@
         reactor: Any,
         clock: Clock | None = None,
         random: Random | None = None,
+        listener: socket.socket | None = None,
     ) -> None:
         super().__init__(reactor, random or Random())
         self.settings = settings
+        self._listener = listener
         self.clock = clock or SystemClock()
         self.config = ConfigKeeper(self.clock, self._apply_config)
         self._ports: list[Any] = []
@@ -309,7 +319,6 @@
         ]
         for address, factory in (
             (peer, self.link.server),
-            (settings.listen, self._caller_factory),
             (settings.relay, self._relay_factory),
             (settings.ready, self._readiness_factory),
             (settings.metrics, self._metrics_factory),
@@ -318,8 +327,19 @@
                 address.port, factory, LISTEN_BACKLOG, address.host
             )
             self._ports.append(port)
+        self._ports.append(self._start_caller_listener())
         super().startService()
 
+    def _start_caller_listener(self) -> CallerListener:
+        listener = CallerListener(
+            self._reactor,
+            self._listener or open_listener(self.settings.listen),
+            self._caller_factory,
+            lambda: self.is_ready,
+        )
+        listener.start()
+        return listener
+
     async def stop_gracefully(self) -> None:
         """Let the load balancer remove this router, drain its requests, then stop."""
         stop_started_at = self.clock.monotonic()
--- a/banyansail/router/__main__.py
+++ b/banyansail/router/__main__.py
@@ -13,8 +13,9 @@
 
 from twisted.internet import reactor
 
+from banyansail.command_line import run_command
 from banyansail.config.settings import Settings, load_settings
-from banyansail.daemon import run_command, run_daemon
+from banyansail.daemon import run_daemon
 from banyansail.log import open_log
 from banyansail.router.router import Router
 
