--- a/banyansail/gateway/migration/run.py
+++ b/banyansail/gateway/migration/run.py
@@ -68,6 +68,7 @@
         "_source",
         "_started_at",
         "_state",
+        "_stopped_at",
         "_target",
     )
 
@@ -90,12 +91,19 @@
         self._continue: Continue | None = None
         self._end_timer: Any = None
         self._started_at = context.clock.monotonic()
+        self._stopped_at = self._started_at
 
     @property
     def is_finished(self) -> bool:
         """Whether it was decided where the run goes on."""
         return isinstance(self._state, Finished)
 
+    @property
+    def paused_ms(self) -> int:
+        """Milliseconds since the source was told to stop the run."""
+        paused = self._context.clock.monotonic() - self._stopped_at
+        return int(paused.total_seconds() * 1000)
+
     def start(self) -> defer.Deferred[None]:
         """Copy the run, then stop it; the deferred fires after the last call."""
         self._log("migrate", "the engine leaves")
@@ -155,6 +163,7 @@
             if self._apply(reply) is None:
                 return
             is_stop = True
+            self._stopped_at = self._context.clock.monotonic()
 
     def _target_address(self) -> Any:
         return self._target.load.upstream.address
