Hand the counts of ended routers over to the next one that reports usage

Ruled out: the early report of a window; the same windows were off before it. Change: the holder leaves the counts of ended processes with the lease that it releases, at no further call; a router that started just now waits until it has heard of the others; a new holder waits 1.5 s for the counts of all, unless a window gets late; a router that stops sends its last counts. A window no longer waits for routers that were restarted, or were silent all through it.

--- a/banyansail/gateway/duties/duty_lease.py
+++ b/banyansail/gateway/duties/duty_lease.py
@@ -9,7 +9,7 @@
 from __future__ import annotations
 
 from datetime import timedelta
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 from banyansail.exceptions import StoreConflictError
 from banyansail.log import log_event
@@ -75,6 +75,7 @@
         self._record_lost_at = clock.monotonic()
         if is_first_start:
             self._record_lost_at -= lease_time
+        self.handover: Any = None  # what the holder before left with its lease
         self._was_holder = False  # when the record was lost
         self._was_restored = False
 
@@ -121,12 +122,22 @@
         if stored is not None:
             self._record_revision(stored)
 
-    async def release(self) -> None:
-        """Release the lease, so that the next holder need not wait for its expiry."""
+    async def release(self, handover: Any = None) -> None:
+        """Release the lease, so that the next holder need not wait for its expiry.
+
+        Parameters
+        ----------
+        handover : object
+            What the next holder shall know, as JSON.
+        """
         if self.fencing_token() is None:
             return
         self._renewed_at = None
-        spec = {"holder": "", "fence": self._fencing_token}
+        spec = {
+            "holder": "",
+            "fence": self._fencing_token,
+            "handover": handover,
+        }
         try:
             await self._store.replace(KIND, self._name, spec, self._last_revision)
         except StoreConflictError:
@@ -148,6 +159,7 @@
             int(stored.spec["fence"]) + 1, first_fencing_token(self._store.era)
         )
         await self._write(next_token, stored.revision)
+        self.handover = stored.spec.get("handover")
         log_event("lease_taken", lease=self._name, fence=self._fencing_token)
 
     def _may_be_held_without_record(self, stored: StoredObject | None) -> bool:
--- a/banyansail/gateway/duties/usage.py
+++ b/banyansail/gateway/duties/usage.py
@@ -14,8 +14,12 @@
     from banyansail.clock import Clock
 
 MAX_WINDOWS = 12  # the oldest ones beyond it are removed
+HANDOVER_WINDOWS = 3  # most recent ones
+# All routers send their counts more often; one that does not has ended or is cut off.
+MAX_SILENCE = timedelta(seconds=2)
 
 Counts = dict[int, dict[str, int]]
+Handover = dict[str, dict[str, dict[str, int]]]  # by process, window and workspace
 
 
 class SteadyTime:
@@ -52,6 +56,7 @@
     __slots__ = (
         "_counts_by_process",
         "_first_window",
+        "_heard_at_by_process",
         "_time",
         "_window",
         "own_counts",
@@ -62,6 +67,7 @@
         self._window = window
         self.own_counts: Counts = {}
         self._counts_by_process: dict[str, Counts] = {}
+        self._heard_at_by_process: dict[str, datetime] = {}
         self._first_window = self.current_window()
 
     def current_window(self) -> int:
@@ -89,6 +95,7 @@
         process : str
             Name and incarnation of the router; a restarted one counts from zero.
         """
+        self._heard_at_by_process[process] = self._time.now()
         known = self._counts_by_process.setdefault(process, {})
         for window, count_by_workspace in counts.items():
             known[window] = dict(count_by_workspace)
@@ -97,27 +104,64 @@
     def is_complete(self, window: int, peers: int) -> bool:
         """Return whether the counts of a window are known of all routers.
 
-        They are once each process that counted lately has counted in a later window. A
-        process that is killed keeps the window open, as does one without requests.
+        They are once each router that counted in it has counted in a later one. One
+        that is killed or cut off in the window keeps it open, as does one without
+        requests. One that was restarted meanwhile sends nothing more of before.
 
         Parameters
         ----------
         window : int
             Number of a window that has ended.
         peers : int
-            Number of the other routers.
+            Number of the other routers that are heard.
         """
         if window <= self._first_window:  # this process may not know all its peers yet
             return False
-        newest_by_process = {
-            process: max(counts)
+        newest_by_router: dict[str, int] = {}
+        for process, counts in self._counts_by_process.items():
+            router = process.rpartition(".")[0]
+            newest = max(counts, default=0)
+            if newest >= window:
+                newest_by_router[router] = max(
+                    newest, newest_by_router.get(router, newest)
+                )
+        is_open = any(newest <= window for newest in newest_by_router.values())
+        return not is_open and len(newest_by_router) >= peers
+
+    def handover(self) -> Handover:
+        """Return the recent counts of processes that are not heard any more.
+
+        The others send their counts to the next router that reports usage themselves.
+        """
+        now = self._time.now()
+        oldest = self.current_window() - HANDOVER_WINDOWS
+        return {
+            process: {
+                str(window): count_by_workspace
+                for window, count_by_workspace in counts.items()
+                if window >= oldest
+            }
             for process, counts in self._counts_by_process.items()
-            if counts and max(counts) >= window - 1
+            if now - self._heard_at_by_process[process] > MAX_SILENCE
+            and max(counts, default=oldest - 1) >= oldest
         }
-        if any(newest <= window for newest in newest_by_process.values()):
-            return False
-        routers = {process.rpartition(".")[0] for process in newest_by_process}
-        return len(routers) >= peers
+
+    def merge_handover(self, handover: Handover) -> None:
+        """Merge the counts that another router left.
+
+        Raises
+        ------
+        ValueError, TypeError, AttributeError
+            If they are malformed.
+        """
+        for process, counts in handover.items():
+            known = self._counts_by_process.get(process, {})
+            by_window = {
+                int(window): {name: int(count) for name, count in by_name.items()}
+                for window, by_name in counts.items()
+                if int(window) not in known
+            }
+            self.merge_peer_counts(process, by_window)
 
     def total(self, window: int, workspaces: list[str]) -> dict[str, int]:
         """Return the known counts of the whole fleet for a window."""
--- a/banyansail/gateway/duties/usage_exchange.py
+++ b/banyansail/gateway/duties/usage_exchange.py
@@ -48,11 +48,11 @@
         self._reporter = reporter
         self._sent_at = clock.monotonic() - MIN_INTERVAL
 
-    def send(self) -> None:
-        """Send this router's counts if they are due."""
+    def send(self, *, is_urgent: bool = False) -> None:
+        """Send this router's counts if they are due or urgent."""
         now = self._clock.monotonic()
         interval = max(MIN_INTERVAL, INTERVAL_PER_ROUTER * self._fleet.fleet_size())
-        if now - self._sent_at < interval:
+        if now - self._sent_at < interval and not is_urgent:
             return
         self._sent_at = now
         # The lease may be held by a router that does not rank first any more.
--- a/banyansail/gateway/duties/usage_reporter.py
+++ b/banyansail/gateway/duties/usage_reporter.py
@@ -32,6 +32,10 @@
 OBSERVE_INTERVAL = timedelta(seconds=1.5)  # of the lease, by the next candidate
 # Of the time until a report is due; a window with missing counts is reported then.
 REPORT_DELAY_SHARE = 0.5
+# From the start, until a router has heard of the others and of who comes first.
+HEARING_TIME = timedelta(seconds=2)
+# After the lease was taken, until the counts of all routers have arrived here.
+GATHERING_TIME = timedelta(seconds=1.5)
 LOOKBACK_WINDOWS = 2  # that a new holder of the lease reports again
 KEPT_WINDOWS = 6  # whose stored counts are remembered
 
@@ -55,6 +59,7 @@
         self._fleet = fleet
         holder = f"{settings.name}.{int(clock.now().timestamp() * 1000)}"
         lease_time = settings.lease + LEASE_MARGIN
+        self._usage_late = settings.usage_late
         self._report_delay = settings.usage_late * REPORT_DELAY_SHARE
         self.lease = DutyLease(
             store,
@@ -65,6 +70,10 @@
             is_first_start=settings.is_first_start,
         )
         self._clock = clock
+        self._started_at = clock.monotonic()
+        self._is_first_start = settings.is_first_start
+        self._taken_at: timedelta | None = None
+        self._last_token: int | None = None
         self._observed_at: timedelta | None = None
         self._last_reported_window: int | None = None
         self._has_seen_traffic = False
@@ -98,24 +107,52 @@
             if rank == 1:
                 await self._observe_lease()
             return
+        if self._may_not_know_others():
+            return
         fencing_token = await self.lease.acquire()
         if fencing_token is None or not workspaces:
             return
+        if fencing_token != self._last_token:
+            self._begin(fencing_token)
         newest = self._newest_due_window()
         if self._last_reported_window is None:
             self._last_reported_window = newest - LOOKBACK_WINDOWS
         for window in range(
             max(self._last_reported_window + 1, newest - LOOKBACK_WINDOWS), newest + 1
         ):
+            if self._is_gathering(window):
+                return
             if not await self._report_window(window, workspaces):
                 return
             self._last_reported_window = window
 
+    def _may_not_know_others(self) -> bool:
+        """Return whether this router started just now and another may come first."""
+        if self._is_first_start or not self._fleet.is_silent:
+            return False
+        return self._clock.monotonic() - self._started_at < HEARING_TIME
+
+    def _begin(self, fencing_token: int) -> None:
+        """Begin to report, with the counts that the holder before left."""
+        self._last_token = fencing_token
+        self._taken_at = self._clock.monotonic()
+        try:
+            self._usage.merge_handover(self.lease.handover or {})
+        except (ValueError, TypeError, AttributeError) as error:
+            log_event("handover_unreadable", error=repr(error))
+
+    def _is_gathering(self, window: int) -> bool:
+        """Return whether counts of a window may still arrive here in time."""
+        if self._usage.age_of(window) > self._usage_late - GATHERING_TIME * 2:
+            return False
+        return self._clock.monotonic() - self._taken_at < GATHERING_TIME
+
     def _newest_due_window(self) -> int:
         newest = self._usage.current_window() - 1
         if self._usage.age_of(newest) >= self._report_delay:
             return newest
-        if self._usage.is_complete(newest, self._fleet.others()):
+        peers = self._fleet.others() - self._fleet.silent_others()
+        if self._usage.is_complete(newest, peers):
             return newest
         return newest - 1
 
@@ -129,7 +166,7 @@
     async def release(self) -> None:
         """Release the lease before a planned stop."""
         try:
-            await self.lease.release()
+            await self.lease.release(self._usage.handover())
         except PlatformUnavailableError as error:
             log_event("lease_not_released", error=error.message)
 
--- a/banyansail/gateway/router.py
+++ b/banyansail/gateway/router.py
@@ -362,6 +362,7 @@
             ):
                 break
             await self._sleep(DRAIN_POLL_INTERVAL)
+        self.usage_exchange.send(is_urgent=True)
         self.stop_listening()
         log_event("stopped", in_progress=self.request_handler.in_progress)
 
--- a/tests/gateway/duties/test_usage_reporter.py
+++ b/tests/gateway/duties/test_usage_reporter.py
@@ -205,3 +205,65 @@
     fleet.stopped.update(NAMES)
     (counts,) = reported_counts(fleet)[newest]
     assert counts == {"w": len(NAMES) * WINDOW_S}
+
+
+class LoneRouter:
+    """A router that hears of no other, in the same data centre as a store."""
+
+    def __init__(self, name, clock, store, cloud):
+        usage = UsageCounter(SteadyTime(clock), timedelta(seconds=WINDOW_S))
+        fleet = FleetTraffic(name, clock)
+        self.usage = usage
+        self.reporter = UsageReporter(
+            ReporterSettings(name), clock, store, cloud, usage, fleet
+        )
+
+
+def test_a_router_that_just_started_does_not_take_a_free_lease():
+    """Guards against reports by a router that knows no counts but its own."""
+    clock, store = FakeClock(), FakeStore()
+    cloud = FakeCloud(clock)
+    holder = LoneRouter("a", clock, store, cloud)
+    clock.advance(10)
+    run_now(holder.reporter.report(["w"]))
+    run_now(holder.reporter.release())
+    fresh = LoneRouter("b", clock, store, cloud)
+    run_now(fresh.reporter.report(["w"]))
+    assert fresh.reporter.lease.fencing_token() is None
+    clock.advance(2)
+    run_now(fresh.reporter.report(["w"]))
+    assert fresh.reporter.lease.fencing_token() == 2
+
+
+def test_the_next_holder_reports_the_counts_that_were_handed_over():
+    """Guards against windows without the routers that were restarted in them."""
+    clock, store = FakeClock(), FakeStore()
+    cloud = FakeCloud(clock)
+    holder = LoneRouter("a", clock, store, cloud)
+    clock.advance(10)
+    run_now(holder.reporter.report(["w"]))
+    window = holder.usage.current_window()
+    holder.usage.merge_peer_counts("ended.1", {window: {"w": 7}})
+    clock.advance(3)
+    run_now(holder.reporter.release())
+    fresh = LoneRouter("b", clock, store, cloud)
+    for _ in range(15):
+        clock.advance(1)
+        run_now(fresh.reporter.report(["w"]))
+    counts = {number: found for _, number, found, _ in cloud.reports}
+    assert counts[window] == {"w": 7}
+
+
+def test_a_handover_that_can_not_be_read_stops_no_report():
+    clock, store = FakeClock(), FakeStore()
+    cloud = FakeCloud(clock)
+    holder = LoneRouter("a", clock, store, cloud)
+    clock.advance(10)
+    run_now(holder.reporter.report(["w"]))
+    run_now(holder.reporter.lease.release({"p": {"x": 1}}))
+    fresh = LoneRouter("b", clock, store, cloud)
+    for _ in range(15):
+        clock.advance(1)
+        fresh.usage.count("w")
+        run_now(fresh.reporter.report(["w"]))
+    assert cloud.reports
