Split periodic work and peer messages from the gateway's life cycle

Cause: router.py had grown to 590 lines: start, tasks, store, peers and stop in one class. Change: PeriodicWork has the coroutines of the tasks, PeerMessages answers other routers and applies what they publish; the supervisor's reactor and source of random numbers are public, as both use them. Behaviour stays.

--- /dev/null
+++ b/banyansail/gateway/periodic.py
@@ -0,0 +1,170 @@
+"""Work that a gateway repeats: following the store, gossip, reports and duties."""
+
+from __future__ import annotations
+
+from datetime import timedelta
+from typing import TYPE_CHECKING
+
+from twisted.internet import defer
+
+from banyansail.fleet.entries import Topic
+from banyansail.gateway.peer_messages import CONFIG_DOCUMENT
+from banyansail.gateway.traffic_report import apply_fleet_work
+from banyansail.gateway.upstream_sync import MAX_COALESCE_TIME
+from banyansail.gateway.upstream_table import UPSTREAMS_DOCUMENT
+
+if TYPE_CHECKING:
+    from banyansail.gateway.router import Gateway
+
+CONFIRM_DELAY = timedelta(milliseconds=100)  # from the end of a pause; a watch is sent
+
+
+class PeriodicWork:
+    """Coroutines of a gateway's tasks.
+
+    Parameters
+    ----------
+    gateway : Gateway
+        Gateway whose components they use.
+    """
+
+    __slots__ = ("_gateway",)
+
+    def __init__(self, gateway: Gateway) -> None:
+        self._gateway = gateway
+
+    async def follow_upstreams(self) -> None:
+        """Wait for upstream changes, then pause so that further changes coalesce."""
+        gateway = self._gateway
+        mirror = gateway.upstream_table.mirror
+        if not await gateway.store_following.follow(mirror):
+            return
+        if mirror.has_minor_changes_only and gateway.store_following.role.is_shared:
+            await gateway.sleep(MAX_COALESCE_TIME)
+            # Followers rely on the age of the last contact, which the pause delays.
+            gateway.reactor.callLater(
+                CONFIRM_DELAY.total_seconds(), self._confirm_store
+            )
+        else:
+            await gateway.sleep(gateway.upstream_sync.coalesce_time)
+
+    async def follow_config(self) -> None:
+        """Wait for changes of the configuration."""
+        gateway = self._gateway
+        await gateway.store_following.follow(gateway.config_mirror)
+
+    async def follow_moves(self) -> None:
+        """Wait for changes of the orders to move traffic."""
+        gateway = self._gateway
+        await gateway.store_following.follow(gateway.move_mirror)
+
+    async def follow_evacuations(self) -> None:
+        """Wait for changes of the evacuations."""
+        gateway = self._gateway
+        await gateway.store_following.follow(gateway.evacuation_mirror)
+
+    async def follow_first_watcher(self) -> None:
+        """Learn of changes in the store from the first router that is followed."""
+        gateway = self._gateway
+        await gateway.store_following.follow_watcher(0)
+
+    async def follow_second_watcher(self) -> None:
+        """Learn of changes in the store from the second router that is followed."""
+        gateway = self._gateway
+        await gateway.store_following.follow_watcher(1)
+
+    async def probe_store(self) -> None:
+        """Check whether the store answers."""
+        gateway = self._gateway
+        sent_at = gateway.clock.monotonic()
+        await gateway.store_probe.probe()
+        is_reached = not gateway.store_probe.is_unreachable
+        gateway.store_following.record_probe(sent_at, is_reached=is_reached)
+
+    def _confirm_store(self) -> None:
+        defer.Deferred.fromCoroutine(self.probe_store())
+
+    async def expire_upstreams(self) -> None:
+        """Remove lapsed upstreams that did not reappear in the store in time."""
+        gateway = self._gateway
+        gateway.upstream_table.mirror.expire_lapsed()
+
+    async def catch_up(self) -> None:
+        """Fetch newer configurations and missing upstreams from other routers."""
+        gateway = self._gateway
+        for name, member in gateway.link.live_peers().items():
+            gateway.store.observe_era(member.store_era)
+            if member.rules_version > gateway.site.version:
+                document = await gateway.link.fetch(member, CONFIG_DOCUMENT)
+                if document is not None:
+                    gateway.config.apply_document(document, name)
+            if gateway.upstream_table.needs_seed and member.is_ready:
+                document = await gateway.link.fetch(member, UPSTREAMS_DOCUMENT)
+                if document is not None:
+                    gateway.upstream_table.seed(document, name)
+
+    async def join(self) -> None:
+        """Register this router in the store, once, so that others can find it."""
+        gateway = self._gateway
+        await gateway.link.join(gateway.store)
+
+    async def push_gossip(self) -> None:
+        """Push new gossip entries to other routers."""
+        gateway = self._gateway
+        gateway.link.push()
+
+    async def exchange_digests(self) -> None:
+        """Exchange digests with other routers to repair missed entries."""
+        gateway = self._gateway
+        gateway.link.exchange_digests()
+
+    async def publish_state(self) -> None:
+        """Publish this router's state, and leaving marks that no other published."""
+        gateway = self._gateway
+        gateway.publish_member()
+        gateway.upstream_sync.publish_due_marks()
+        gateway.link.publish(
+            Topic.STATEMENTS, gateway.moves.encode_bad_moves(), urgent=True
+        )
+        gateway.store_following.update()
+        gateway.limits.update()
+        gateway.speeds.update()
+        gateway.context.migrations.update()
+
+    async def report_cleared(self) -> None:
+        """Tell other routers of suspected parts of prompts that were answered here."""
+        gateway = self._gateway
+        value = gateway.context.crash_guard.draw_report(
+            gateway.random, gateway.fleet.fleet_size()
+        )
+        if value is not None:
+            gateway.context.publish_crashes(value)
+
+    async def exchange_traffic(self) -> None:
+        """Send this router's traffic report, sums and usage counts that are due."""
+        gateway = self._gateway
+        is_urgent = gateway.quota.has_urgent_use
+        if gateway.traffic_exchange.send_report(is_urgent=is_urgent):
+            gateway.quota.has_urgent_use = False
+        gateway.traffic_exchange.send_sums()
+        if gateway.fleet.is_silent:
+            apply_fleet_work(gateway.context)
+            gateway.dispatcher.record_fleet(gateway.fleet.fleet_size())
+        gateway.usage_exchange.send()
+
+    async def assign_waiting(self) -> None:
+        """Assign queued requests to upstreams with a free slot."""
+        gateway = self._gateway
+        gateway.dispatcher.assign_waiting()
+
+    async def report_usage(self) -> None:
+        """Report usage to the platform if this router is fit for duties."""
+        gateway = self._gateway
+        if not gateway.is_unfit_for_duties:
+            await gateway.reporter.report(list(gateway.site.workspace_by_name))
+
+    async def scale(self) -> None:
+        """Scale the replicas unless this router is draining."""
+        gateway = self._gateway
+        if not gateway.request_handler.is_leaving:
+            await gateway.scaler.scale(gateway.site)
--- a/banyansail/gateway/router.py
+++ b/banyansail/gateway/router.py
@@ -9,8 +9,7 @@
 from twisted.internet import defer, task
 
 from banyansail.clock import Clock, SystemClock
-from banyansail.exceptions import WireError
-from banyansail.fleet.entries import Entry, Topic
+from banyansail.fleet.entries import Topic
 from banyansail.gateway.caller_listener import (
     LISTEN_BACKLOG,
     CallerListener,
@@ -35,6 +34,8 @@
 from banyansail.gateway.limit_sharing import LimitSharing
 from banyansail.gateway.metrics import MetricsFactory
 from banyansail.gateway.mirror import Mirror
+from banyansail.gateway.peer_messages import PeerMessages
+from banyansail.gateway.periodic import PeriodicWork
 from banyansail.gateway.quarantine_store import QuarantineStore
 from banyansail.gateway.reach_check import ReachCheck
 from banyansail.gateway.request_handler import RequestHandler
@@ -44,11 +45,10 @@
 from banyansail.gateway.tasks import add_tasks
 from banyansail.gateway.traffic_report import (
     apply_fleet_traffic,
-    apply_fleet_work,
     make_report,
 )
-from banyansail.gateway.upstream_sync import MAX_COALESCE_TIME, UpstreamSync
-from banyansail.gateway.upstream_table import UPSTREAMS_DOCUMENT, UpstreamTable
+from banyansail.gateway.upstream_sync import UpstreamSync
+from banyansail.gateway.upstream_table import UpstreamTable
 from banyansail.log import log_event
 from banyansail.platform.cloud import CloudClient
 from banyansail.platform.evacuations import EVACUATIONS_KIND, decode_evacuations
@@ -58,16 +58,6 @@
 from banyansail.router.supervisor import Supervisor
 from banyansail.traffic.exchange import TrafficExchange
 from banyansail.traffic.fleet_traffic import FleetTraffic
-from banyansail.wire.call_codec import (
-    EmptyReply,
-    FetchDocument,
-    FollowStore,
-    PeerCall,
-    PeerReply,
-    ReachIncarnation,
-    ReachUpstream,
-)
-from banyansail.wire.gossip_codec import decode_member
 
 if TYPE_CHECKING:
     import socket
@@ -80,8 +70,6 @@
 STOP_MARGIN = timedelta(milliseconds=400)  # left before the platform kills the process
 # The load balancer sends no new connections this long after readiness ends.
 BALANCER_REMOVAL_TIME = timedelta(seconds=2.6)
-CONFIRM_DELAY = timedelta(milliseconds=100)  # from the end of a pause; a watch is sent
-CONFIG_DOCUMENT = "config"
 
 
 class Gateway(Supervisor):
@@ -115,6 +103,8 @@
         self.clock = clock or SystemClock()
         self.config = ConfigKeeper(self.clock, self._apply_config)
         self._ports: list[Any] = []
+        self.work = PeriodicWork(self)
+        self.peer_messages = PeerMessages(self)
         self._build_platform()
         self._build_state()
         self._build_servers()
@@ -123,14 +113,14 @@
     def _build_platform(self) -> None:
         settings = self.settings
         self.store = StoreClient(
-            self._reactor,
+            self.reactor,
             self.clock,
             settings.store,
             lambda record: self.context.metrics.count_store_call(record),
         )
         self.store_probe = StoreProbe(self.store, ROUTERS_KIND, settings.name)
         self.cloud = CloudClient(
-            self._reactor, self.clock, settings.cloud, settings.name
+            self.reactor, self.clock, settings.cloud, settings.name
         )
         self.config_mirror = Mirror(
             "config", self.store, self.clock, self.config.apply_mirror
@@ -165,15 +155,15 @@
         settings, clock = self.settings, self.clock
         self.link = FleetLink(
             settings,
-            self._reactor,
+            self.reactor,
             clock,
-            self._random,
-            self._apply_entries,
-            self._handle_peer_call,
+            self.random,
+            self.peer_messages.apply_entries,
+            self.peer_messages.answer,
         )
         self.fleet = FleetTraffic(settings.name, clock)
         self.dispatcher = Dispatcher(
-            settings.zone, clock, self._random, settings.fair_queue_min_routers
+            settings.zone, clock, self.random, settings.fair_queue_min_routers
         )
         self.evacuations = Evacuations(self._apply_evacuations)
         self.quota = QuotaLimiter(clock, settings.quota_slack)
@@ -207,9 +197,9 @@
             is_active=settings.uneven_upstreams,
         )
         self.context = GatewayContext(
-            reactor=self._reactor,
+            reactor=self.reactor,
             clock=clock,
-            random=self._random,
+            random=self.random,
             settings=settings,
             dispatcher=self.dispatcher,
             quota=self.quota,
@@ -228,11 +218,11 @@
             confirm_reach=lambda: self.reach_check.confirm(),
         )
         self.crash_check = CrashCheck(self.context, self.link)
-        self.reach_check = ReachCheck(self.context, clock, self._publish_member)
+        self.reach_check = ReachCheck(self.context, clock, self.publish_member)
         self.quarantine_store = QuarantineStore(
             self.store,
             clock,
-            self._random,
+            self.random,
             self.context.crash_guard,
             is_cleaner=lambda: lease.fencing_token() is not None,
         )
@@ -255,9 +245,9 @@
         self.store.add_restore_listener(self._apply_restore)
         self.store_following = StoreFollowing(
             settings,
-            self._reactor,
+            self.reactor,
             clock,
-            self._random,
+            self.random,
             self.store,
             self._mirrors,
             self.link.live_members,
@@ -268,14 +258,12 @@
     def _build_servers(self) -> None:
         self.request_handler = RequestHandler(self.context)
         self.request_handler.awaits_evacuations = self.follows_evacuations
-        self._caller_factory = GatewayFactory(
-            self._reactor, self.request_handler.handle
-        )
+        self._caller_factory = GatewayFactory(self.reactor, self.request_handler.handle)
         self._relay_factory = GatewayFactory(
-            self._reactor, self.request_handler.handle_relayed
+            self.reactor, self.request_handler.handle_relayed
         )
-        self._metrics_factory = MetricsFactory(self._reactor, self._render_metrics)
-        self._readiness_factory = ReadyFactory(self._reactor, lambda: self.is_ready)
+        self._metrics_factory = MetricsFactory(self.reactor, self._render_metrics)
+        self._readiness_factory = ReadyFactory(self.reactor, lambda: self.is_ready)
 
     @property
     def _mirrors(self) -> tuple[Mirror, ...]:
@@ -312,18 +300,16 @@
     def startService(self) -> None:
         """Open the listening sockets and start all tasks."""
         settings = self.settings
-        self._publish_member()
+        self.publish_member()
         peer = settings.peer
-        self._ports = [
-            self._reactor.listenUDP(peer.port, self.link.protocol, peer.host)
-        ]
+        self._ports = [self.reactor.listenUDP(peer.port, self.link.protocol, peer.host)]
         for address, factory in (
             (peer, self.link.server),
             (settings.relay, self._relay_factory),
             (settings.ready, self._readiness_factory),
             (settings.metrics, self._metrics_factory),
         ):
-            port = self._reactor.listenTCP(
+            port = self.reactor.listenTCP(
                 address.port, factory, LISTEN_BACKLOG, address.host
             )
             self._ports.append(port)
@@ -332,7 +318,7 @@
 
     def _start_caller_listener(self) -> CallerListener:
         listener = CallerListener(
-            self._reactor,
+            self.reactor,
             self._listener or open_listener(self.settings.listen),
             self._caller_factory,
             lambda: self.is_ready,
@@ -344,12 +330,12 @@
         """Let the load balancer remove this router, drain its requests, then stop."""
         stop_started_at = self.clock.monotonic()
         self.request_handler.is_leaving = True
-        self._publish_member()
+        self.publish_member()
         log_event("leaving", in_progress=self.request_handler.in_progress)
         # Lets other routers take over its duties at once.
         self.traffic_exchange.send_report(is_urgent=True)
         await self.reporter.release()
-        await self._sleep(BALANCER_REMOVAL_TIME)
+        await self.sleep(BALANCER_REMOVAL_TIME)
         self.request_handler.is_accepting = False
         drain_timeout = self.settings.grace - STOP_MARGIN
         while self.clock.monotonic() - stop_started_at < drain_timeout:
@@ -361,7 +347,7 @@
                 or self._relay_factory.channels
             ):
                 break
-            await self._sleep(DRAIN_POLL_INTERVAL)
+            await self.sleep(DRAIN_POLL_INTERVAL)
         self.usage_exchange.send(is_urgent=True)
         self.stop_listening()
         log_event("stopped", in_progress=self.request_handler.in_progress)
@@ -372,8 +358,9 @@
         for port in ports:
             port.stopListening()
 
-    def _sleep(self, duration: timedelta) -> defer.Deferred[None]:
-        return task.deferLater(self._reactor, duration.total_seconds())
+    def sleep(self, duration: timedelta) -> defer.Deferred[None]:
+        """Return a deferred that fires after a time."""
+        return task.deferLater(self.reactor, duration.total_seconds())
 
     def _render_metrics(self) -> bytes:
         metrics = self.context.metrics
@@ -400,7 +387,7 @@
         self.upstream_sync.apply()
 
     def _on_upstreams_applied(self) -> None:
-        self._publish_member()
+        self.publish_member()
         self.context.migrations.update()
 
     def _apply_restore(self) -> None:
@@ -411,133 +398,13 @@
         for mirror in self._mirrors:
             mirror.reset()
         self.quarantine_store.forget()
-        self._publish_member()
+        self.publish_member()
 
     def _apply_evacuations(self) -> None:
         """Send nothing more to evacuated data centres, and tell the other routers."""
         self.request_handler.awaits_evacuations = not self.evacuations.is_known
         self.dispatcher.evacuated_zones = self.evacuations.zones
-        self._publish_member()
-
-    def _merge_evacuations(self, entry: Entry) -> None:
-        if not self.follows_evacuations:
-            return
-        try:
-            self.evacuations.merge(decode_member(entry.value), entry.origin)
-        except WireError as error:
-            log_event("member_unreadable", origin=entry.origin, error=error.message)
-
-    async def follow_upstreams(self) -> None:
-        """Wait for upstream changes, then pause so that further changes coalesce."""
-        mirror = self.upstream_table.mirror
-        if not await self.store_following.follow(mirror):
-            return
-        if mirror.has_minor_changes_only and self.store_following.role.is_shared:
-            await self._sleep(MAX_COALESCE_TIME)
-            # Followers rely on the age of the last contact, which the pause delays.
-            self._reactor.callLater(CONFIRM_DELAY.total_seconds(), self._confirm_store)
-        else:
-            await self._sleep(self.upstream_sync.coalesce_time)
-
-    async def follow_config(self) -> None:
-        """Wait for changes of the configuration."""
-        await self.store_following.follow(self.config_mirror)
-
-    async def follow_moves(self) -> None:
-        """Wait for changes of the orders to move traffic."""
-        await self.store_following.follow(self.move_mirror)
-
-    async def follow_evacuations(self) -> None:
-        """Wait for changes of the evacuations."""
-        await self.store_following.follow(self.evacuation_mirror)
-
-    async def follow_first_watcher(self) -> None:
-        """Learn of changes in the store from the first router that is followed."""
-        await self.store_following.follow_watcher(0)
-
-    async def follow_second_watcher(self) -> None:
-        """Learn of changes in the store from the second router that is followed."""
-        await self.store_following.follow_watcher(1)
-
-    async def probe_store(self) -> None:
-        """Check whether the store answers."""
-        sent_at = self.clock.monotonic()
-        await self.store_probe.probe()
-        is_reached = not self.store_probe.is_unreachable
-        self.store_following.record_probe(sent_at, is_reached=is_reached)
-
-    def _confirm_store(self) -> None:
-        defer.Deferred.fromCoroutine(self.probe_store())
-
-    async def expire_upstreams(self) -> None:
-        """Remove lapsed upstreams that did not reappear in the store in time."""
-        self.upstream_table.mirror.expire_lapsed()
-
-    async def catch_up(self) -> None:
-        """Fetch newer configurations and missing upstreams from other routers."""
-        for name, member in self.link.live_peers().items():
-            self.store.observe_era(member.store_era)
-            if member.rules_version > self.site.version:
-                document = await self.link.fetch(member, CONFIG_DOCUMENT)
-                if document is not None:
-                    self.config.apply_document(document, name)
-            if self.upstream_table.needs_seed and member.is_ready:
-                document = await self.link.fetch(member, UPSTREAMS_DOCUMENT)
-                if document is not None:
-                    self.upstream_table.seed(document, name)
-
-    async def _handle_peer_call(self, call: PeerCall) -> PeerReply:
-        match call:
-            case FetchDocument(name) if name == CONFIG_DOCUMENT:
-                return self.config.document() or EmptyReply()
-            case FetchDocument(name) if name == UPSTREAMS_DOCUMENT:
-                return self.upstream_table.document() or EmptyReply()
-            case ReachUpstream() | ReachIncarnation():
-                return await self.crash_check.answer(call)
-            case FollowStore():
-                return await self.store_following.answer(call)
-        return EmptyReply()
-
-    async def join(self) -> None:
-        """Register this router in the store, once, so that others can find it."""
-        await self.link.join(self.store)
-
-    async def push_gossip(self) -> None:
-        """Push new gossip entries to other routers."""
-        self.link.push()
-
-    async def exchange_digests(self) -> None:
-        """Exchange digests with other routers to repair missed entries."""
-        self.link.exchange_digests()
-
-    async def publish_state(self) -> None:
-        """Publish this router's state, and leaving marks that no other published."""
-        self._publish_member()
-        self.upstream_sync.publish_due_marks()
-        self.link.publish(Topic.STATEMENTS, self.moves.encode_bad_moves(), urgent=True)
-        self.store_following.update()
-        self.limits.update()
-        self.speeds.update()
-        self.context.migrations.update()
-
-    async def report_cleared(self) -> None:
-        """Tell other routers of suspected parts of prompts that were answered here."""
-        value = self.context.crash_guard.draw_report(
-            self._random, self.fleet.fleet_size()
-        )
-        if value is not None:
-            self.context.publish_crashes(value)
-
-    async def exchange_traffic(self) -> None:
-        """Send this router's traffic report, sums and usage counts that are due."""
-        is_urgent = self.quota.has_urgent_use
-        if self.traffic_exchange.send_report(is_urgent=is_urgent):
-            self.quota.has_urgent_use = False
-        self.traffic_exchange.send_sums()
-        if self.fleet.is_silent:
-            apply_fleet_work(self.context)
-            self.dispatcher.record_fleet(self.fleet.fleet_size())
-        self.usage_exchange.send()
+        self.publish_member()
 
     def _make_report(self) -> TrafficReport:
         return make_report(
@@ -546,23 +413,8 @@
             holds_duties=self.reporter.lease.fencing_token() is not None,
         )
 
-    def _apply_entries(self, entries: list[Entry]) -> None:
-        for entry in entries:
-            match entry.topic:
-                case Topic.MEMBER:
-                    self._merge_evacuations(entry)
-                case Topic.LEAVING:
-                    self.upstream_sync.merge_marks(entry)
-                case Topic.DEATHS:
-                    self.context.crash_guard.merge_peer_crashes(entry.value)
-                case Topic.STATEMENTS:
-                    self.moves.merge_bad_moves(entry)
-                case Topic.USAGE:
-                    self.usage_exchange.apply_entry(entry)
-                case Topic.TRAFFIC | Topic.ZONE_TRAFFIC | Topic.FLEET_TRAFFIC:
-                    self.traffic_exchange.apply_entry(entry)
-
-    def _publish_member(self) -> None:
+    def publish_member(self) -> None:
+        """Publish the state of this router to the others."""
         self.link.publish_member(
             self.site.version,
             self.config.active_since,
@@ -572,17 +424,3 @@
             is_cut_off=self.context.reach.is_cut_off,
             evacuations=self.evacuations.marks(),
         )
-
-    async def assign_waiting(self) -> None:
-        """Assign queued requests to upstreams with a free slot."""
-        self.dispatcher.assign_waiting()
-
-    async def report_usage(self) -> None:
-        """Report usage to the platform if this router is fit for duties."""
-        if not self.is_unfit_for_duties:
-            await self.reporter.report(list(self.site.workspace_by_name))
-
-    async def scale(self) -> None:
-        """Scale the replicas unless this router is draining."""
-        if not self.request_handler.is_leaving:
-            await self.scaler.scale(self.site)
--- a/banyansail/gateway/tasks.py
+++ b/banyansail/gateway/tasks.py
@@ -28,36 +28,37 @@
 
 def add_tasks(gateway: Gateway) -> None:
     """Add a gateway's tasks to its supervisor tree."""
-    gateway.add_task("gossip.push", gateway.push_gossip, PUSH_INTERVAL)
-    gateway.add_task("gossip.state", gateway.publish_state, STATE_INTERVAL)
-    gateway.add_task("gossip.cleared", gateway.report_cleared, STATE_INTERVAL)
-    gateway.add_task("gossip.traffic", gateway.exchange_traffic, TRAFFIC_INTERVAL)
-    gateway.add_task("gossip.exchange", gateway.exchange_digests, DIGEST_INTERVAL)
+    work = gateway.work
+    gateway.add_task("gossip.push", work.push_gossip, PUSH_INTERVAL)
+    gateway.add_task("gossip.state", work.publish_state, STATE_INTERVAL)
+    gateway.add_task("gossip.cleared", work.report_cleared, STATE_INTERVAL)
+    gateway.add_task("gossip.traffic", work.exchange_traffic, TRAFFIC_INTERVAL)
+    gateway.add_task("gossip.exchange", work.exchange_digests, DIGEST_INTERVAL)
     for kind, follow in (
-        (gateway.config_mirror.kind, gateway.follow_config),
-        (gateway.upstream_table.mirror.kind, gateway.follow_upstreams),
-        (gateway.move_mirror.kind, gateway.follow_moves),
+        (gateway.config_mirror.kind, work.follow_config),
+        (gateway.upstream_table.mirror.kind, work.follow_upstreams),
+        (gateway.move_mirror.kind, work.follow_moves),
     ):
         gateway.add_task(f"{kind}.follow", follow, FOLLOW_PAUSE, MAX_FOLLOW_BACKOFF)
     for name, follow in (
-        ("store.follow.1", gateway.follow_first_watcher),
-        ("store.follow.2", gateway.follow_second_watcher),
+        ("store.follow.1", work.follow_first_watcher),
+        ("store.follow.2", work.follow_second_watcher),
     ):
         gateway.add_task(name, follow, FOLLOW_PAUSE, MAX_FOLLOW_BACKOFF)
     if gateway.follows_evacuations:
         kind = gateway.evacuation_mirror.kind
         gateway.add_task(
             f"{kind}.follow",
-            gateway.follow_evacuations,
+            work.follow_evacuations,
             FOLLOW_PAUSE,
             MAX_FOLLOW_BACKOFF,
         )
-    gateway.add_task("config.catch_up", gateway.catch_up, CATCH_UP_INTERVAL)
-    gateway.add_task("upstreams.lapse", gateway.expire_upstreams, EXPIRY_INTERVAL)
+    gateway.add_task("config.catch_up", work.catch_up, CATCH_UP_INTERVAL)
+    gateway.add_task("upstreams.lapse", work.expire_upstreams, EXPIRY_INTERVAL)
     gateway.add_task("reach", gateway.reach_check.run, REACH_INTERVAL)
-    gateway.add_task("pump", gateway.assign_waiting, ASSIGN_INTERVAL)
-    gateway.add_task("duties.usage", gateway.report_usage, DUTY_INTERVAL)
-    gateway.add_task("duties.replicas", gateway.scale, DUTY_INTERVAL)
+    gateway.add_task("pump", work.assign_waiting, ASSIGN_INTERVAL)
+    gateway.add_task("duties.usage", work.report_usage, DUTY_INTERVAL)
+    gateway.add_task("duties.replicas", work.scale, DUTY_INTERVAL)
     gateway.add_task("moves", gateway.moves.publish_states, MOVE_INTERVAL)
     gateway.add_task(
         "quarantines.refresh", gateway.quarantine_store.refresh, REFRESH_INTERVAL
@@ -65,5 +66,5 @@
     gateway.add_task(
         "quarantines", gateway.quarantine_store.synchronize, QUARANTINE_INTERVAL
     )
-    gateway.add_task("store.probe", gateway.probe_store, PROBE_INTERVAL)
-    gateway.add_task("join", gateway.join, JOIN_INTERVAL)
+    gateway.add_task("store.probe", work.probe_store, PROBE_INTERVAL)
+    gateway.add_task("join", work.join, JOIN_INTERVAL)
--- a/banyansail/router/router.py
+++ b/banyansail/router/router.py
@@ -101,21 +101,21 @@
         self.authenticator = MessageAuthenticator(settings.shared_key)
         self.view = FleetView(settings.name, incarnation, self.clock)
         self.gossiper = Gossiper(
-            self.view, settings.zone, settings.peer, settings.peers, self._random
+            self.view, settings.zone, settings.peer, settings.peers, self.random
         )
         self.gossip = GossipProtocol(
             self.gossiper, self.authenticator, self.metrics, self._on_new_entries
         )
         self.duties = Duties(settings.name, settings.zone, self.gossiper)
         self.peers = self._resources.enter_context(
-            PeerCaller(self._reactor, self.authenticator)
+            PeerCaller(self.reactor, self.authenticator)
         )
         self.zone_latency = RegionZoneLatency(settings.zone, settings.region)
 
     def _build_platform(self) -> None:
         budget = CallBudget(PLATFORM_CALLS_PER_S, PLATFORM_BURST, self.clock)
         self.platform = self._resources.enter_context(
-            PlatformClient(self._reactor, self.settings.platform, budget)
+            PlatformClient(self.reactor, self.settings.platform, budget)
         )
         self.rules_keeper = RulesKeeper(
             self.settings.name,
@@ -138,16 +138,16 @@
         )
         self.peer_service = PeerService()
         self.ledger = self._resources.enter_context(
-            LedgerClient(self._reactor, self.platform, self.clock, self.duties, self)
+            LedgerClient(self.reactor, self.platform, self.clock, self.duties, self)
         )
 
     def _build_routing(self) -> None:
         self.dispatcher = Dispatcher(
-            self.settings.zone, self.zone_latency, self.clock, self._random
+            self.settings.zone, self.zone_latency, self.clock, self.random
         )
         self.scheduler = Scheduler(self.dispatcher, self.metrics)
         self.upstream_clients = self._resources.enter_context(
-            UpstreamClients(self._reactor, UpstreamTlsPolicy(self.settings.upstream_ca))
+            UpstreamClients(self.reactor, UpstreamTlsPolicy(self.settings.upstream_ca))
         )
         self.quarantine = Quarantine(self.clock)
         self.registry = ExchangeRegistry()
@@ -210,9 +210,9 @@
         )
         self.streams = StreamStore(self.gossiper, self.peers, self.duties)
         self.context = ExchangeContext(
-            reactor=self._reactor,
+            reactor=self.reactor,
             clock=self.clock,
-            random=self._random,
+            random=self.random,
             metrics=self.metrics,
             scheduler=self.scheduler,
             upstream_clients=self.upstream_clients,
@@ -225,7 +225,7 @@
             rules=self.rules_keeper.rules,
         )
         self.lifecycle = Lifecycle(
-            self._reactor, self.clock, self.streams, self.settings.stop_notice
+            self.reactor, self.clock, self.streams, self.settings.stop_notice
         )
         self.peer_service.connect(
             self.ledger, self.rules_keeper, self.catalog, self.streams
--- a/banyansail/router/supervisor.py
+++ b/banyansail/router/supervisor.py
@@ -114,8 +114,8 @@
 
     def __init__(self, reactor: Any, random: Random) -> None:
         super().__init__()
-        self._reactor = reactor
-        self._random = random
+        self.reactor = reactor
+        self.random = random
 
     def add_task(
         self,
@@ -125,5 +125,5 @@
         max_backoff: timedelta = MAX_RETRY_BACKOFF,
     ) -> None:
         """Add a child that runs a coroutine function repeatedly."""
-        child = RepeatedTask(self._reactor, self._random, name, run, pause, max_backoff)
+        child = RepeatedTask(self.reactor, self.random, name, run, pause, max_backoff)
         child.setServiceParent(self)
