Split the servers and the store's mirrors from the gateway

Change: Servers has the listening sockets and what answers behind them, StoreMirrors has what is followed in the store. Behaviour stays.

--- a/banyansail/gateway/peer_messages.py
+++ b/banyansail/gateway/peer_messages.py
@@ -46,7 +46,7 @@
             case FetchDocument(name) if name == CONFIG_DOCUMENT:
                 return gateway.config.document() or EmptyReply()
             case FetchDocument(name) if name == UPSTREAMS_DOCUMENT:
-                return gateway.upstream_table.document() or EmptyReply()
+                return gateway.mirrors.upstreams.document() or EmptyReply()
             case ReachUpstream() | ReachIncarnation():
                 return await gateway.crash_check.answer(call)
             case FollowStore():
--- a/banyansail/gateway/periodic.py
+++ b/banyansail/gateway/periodic.py
@@ -36,7 +36,7 @@
     async def follow_upstreams(self) -> None:
         """Wait for upstream changes, then pause so that further changes coalesce."""
         gateway = self._gateway
-        mirror = gateway.upstream_table.mirror
+        mirror = gateway.mirrors.upstreams.mirror
         if not await gateway.store_following.follow(mirror):
             return
         if mirror.has_minor_changes_only and gateway.store_following.role.is_shared:
@@ -51,17 +51,17 @@
     async def follow_config(self) -> None:
         """Wait for changes of the configuration."""
         gateway = self._gateway
-        await gateway.store_following.follow(gateway.config_mirror)
+        await gateway.store_following.follow(gateway.mirrors.config)
 
     async def follow_moves(self) -> None:
         """Wait for changes of the orders to move traffic."""
         gateway = self._gateway
-        await gateway.store_following.follow(gateway.move_mirror)
+        await gateway.store_following.follow(gateway.mirrors.moves)
 
     async def follow_evacuations(self) -> None:
         """Wait for changes of the evacuations."""
         gateway = self._gateway
-        await gateway.store_following.follow(gateway.evacuation_mirror)
+        await gateway.store_following.follow(gateway.mirrors.evacuations)
 
     async def follow_first_watcher(self) -> None:
         """Learn of changes in the store from the first router that is followed."""
@@ -87,7 +87,7 @@
     async def expire_upstreams(self) -> None:
         """Remove lapsed upstreams that did not reappear in the store in time."""
         gateway = self._gateway
-        gateway.upstream_table.mirror.expire_lapsed()
+        gateway.mirrors.upstreams.mirror.expire_lapsed()
 
     async def catch_up(self) -> None:
         """Fetch newer configurations and missing upstreams from other routers."""
@@ -98,10 +98,10 @@
                 document = await gateway.link.fetch(member, CONFIG_DOCUMENT)
                 if document is not None:
                     gateway.config.apply_document(document, name)
-            if gateway.upstream_table.needs_seed and member.is_ready:
+            if gateway.mirrors.upstreams.needs_seed and member.is_ready:
                 document = await gateway.link.fetch(member, UPSTREAMS_DOCUMENT)
                 if document is not None:
-                    gateway.upstream_table.seed(document, name)
+                    gateway.mirrors.upstreams.seed(document, name)
 
     async def join(self) -> None:
         """Register this router in the store, once, so that others can find it."""
--- a/banyansail/gateway/router.py
+++ b/banyansail/gateway/router.py
@@ -10,11 +10,6 @@
 
 from banyansail.clock import Clock, SystemClock
 from banyansail.fleet.entries import Topic
-from banyansail.gateway.caller_listener import (
-    LISTEN_BACKLOG,
-    CallerListener,
-    open_listener,
-)
 from banyansail.gateway.cold_sharing import ColdSharing
 from banyansail.gateway.config_keeper import ConfigKeeper
 from banyansail.gateway.context import GatewayContext
@@ -30,17 +25,16 @@
 from banyansail.gateway.duties.usage_reporter import UsageReporter
 from banyansail.gateway.evacuations import Evacuations
 from banyansail.gateway.fleet_link import ROUTERS_KIND, FleetLink
-from banyansail.gateway.ingress import GatewayFactory, ReadyFactory
 from banyansail.gateway.limit_sharing import LimitSharing
-from banyansail.gateway.metrics import MetricsFactory
-from banyansail.gateway.mirror import Mirror
 from banyansail.gateway.peer_messages import PeerMessages
 from banyansail.gateway.periodic import PeriodicWork
 from banyansail.gateway.quarantine_store import QuarantineStore
 from banyansail.gateway.reach_check import ReachCheck
 from banyansail.gateway.request_handler import RequestHandler
+from banyansail.gateway.servers import Servers
 from banyansail.gateway.speed_sharing import SpeedSharing
 from banyansail.gateway.store_following import StoreFollowing
+from banyansail.gateway.store_mirrors import StoreMirrors
 from banyansail.gateway.store_probe import StoreProbe
 from banyansail.gateway.tasks import add_tasks
 from banyansail.gateway.traffic_report import (
@@ -48,12 +42,8 @@
     make_report,
 )
 from banyansail.gateway.upstream_sync import UpstreamSync
-from banyansail.gateway.upstream_table import UpstreamTable
 from banyansail.log import log_event
 from banyansail.platform.cloud import CloudClient
-from banyansail.platform.evacuations import EVACUATIONS_KIND, decode_evacuations
-from banyansail.platform.moves import MOVES_KIND
-from banyansail.platform.site import differs_in_cold_time_only
 from banyansail.platform.store import StoreClient
 from banyansail.router.supervisor import Supervisor
 from banyansail.traffic.exchange import TrafficExchange
@@ -102,7 +92,6 @@
         self._listener = listener
         self.clock = clock or SystemClock()
         self.config = ConfigKeeper(self.clock, self._apply_config)
-        self._ports: list[Any] = []
         self.work = PeriodicWork(self)
         self.peer_messages = PeerMessages(self)
         self._build_platform()
@@ -122,34 +111,7 @@
         self.cloud = CloudClient(
             self.reactor, self.clock, settings.cloud, settings.name
         )
-        self.config_mirror = Mirror(
-            "config", self.store, self.clock, self.config.apply_mirror
-        )
-        self.upstream_table = UpstreamTable(
-            Mirror(
-                "servers",
-                self.store,
-                self.clock,
-                lambda mirror: self.upstream_sync.apply(),
-                keeps_lapsed=True,
-                is_minor_change=differs_in_cold_time_only,
-            )
-        )
-        self.evacuation_mirror = Mirror(
-            EVACUATIONS_KIND,
-            self.store,
-            self.clock,
-            lambda mirror: self.evacuations.apply_store(
-                decode_evacuations(mirror.object_by_name), mirror.revision
-            ),
-            remembers_deleted=False,
-        )
-        self.move_mirror = Mirror(
-            MOVES_KIND,
-            self.store,
-            self.clock,
-            lambda mirror: self.moves.apply_orders(mirror),
-        )
+        self.mirrors = StoreMirrors(self, self.store, self.clock)
 
     def _build_state(self) -> None:
         settings, clock = self.settings, self.clock
@@ -227,7 +189,7 @@
             is_cleaner=lambda: lease.fencing_token() is not None,
         )
         self.upstream_sync = UpstreamSync(
-            self.upstream_table, self.link, self.context, self._on_upstreams_applied
+            self.mirrors.upstreams, self.link, self.context, self._on_upstreams_applied
         )
         self.usage_exchange = UsageExchange(
             settings.name, clock, self.link, usage, self.fleet, self.reporter
@@ -249,7 +211,7 @@
             clock,
             self.random,
             self.store,
-            self._mirrors,
+            self.mirrors.followed(),
             self.link.live_members,
             self.link.call,
             lambda: self.context.metrics,
@@ -258,19 +220,13 @@
     def _build_servers(self) -> None:
         self.request_handler = RequestHandler(self.context)
         self.request_handler.awaits_evacuations = self.follows_evacuations
-        self._caller_factory = GatewayFactory(self.reactor, self.request_handler.handle)
-        self._relay_factory = GatewayFactory(
-            self.reactor, self.request_handler.handle_relayed
+        self.servers = Servers(
+            self.reactor,
+            self.settings,
+            self.request_handler,
+            is_ready=lambda: self.is_ready,
+            render_metrics=self._render_metrics,
         )
-        self._metrics_factory = MetricsFactory(self.reactor, self._render_metrics)
-        self._readiness_factory = ReadyFactory(self.reactor, lambda: self.is_ready)
-
-    @property
-    def _mirrors(self) -> tuple[Mirror, ...]:
-        mirrors = (self.config_mirror, self.upstream_table.mirror, self.move_mirror)
-        if self.follows_evacuations:
-            mirrors += (self.evacuation_mirror,)
-        return mirrors
 
     @property
     def site(self) -> SiteConfig:
@@ -299,33 +255,10 @@
 
     def startService(self) -> None:
         """Open the listening sockets and start all tasks."""
-        settings = self.settings
         self.publish_member()
-        peer = settings.peer
-        self._ports = [self.reactor.listenUDP(peer.port, self.link.protocol, peer.host)]
-        for address, factory in (
-            (peer, self.link.server),
-            (settings.relay, self._relay_factory),
-            (settings.ready, self._readiness_factory),
-            (settings.metrics, self._metrics_factory),
-        ):
-            port = self.reactor.listenTCP(
-                address.port, factory, LISTEN_BACKLOG, address.host
-            )
-            self._ports.append(port)
-        self._ports.append(self._start_caller_listener())
+        self.servers.start(self.link, self._listener)
         super().startService()
 
-    def _start_caller_listener(self) -> CallerListener:
-        listener = CallerListener(
-            self.reactor,
-            self._listener or open_listener(self.settings.listen),
-            self._caller_factory,
-            lambda: self.is_ready,
-        )
-        listener.start()
-        return listener
-
     async def stop_gracefully(self) -> None:
         """Let the load balancer remove this router, drain its requests, then stop."""
         stop_started_at = self.clock.monotonic()
@@ -339,13 +272,8 @@
         self.request_handler.is_accepting = False
         drain_timeout = self.settings.grace - STOP_MARGIN
         while self.clock.monotonic() - stop_started_at < drain_timeout:
-            self._caller_factory.close_idle_connections()
-            self._relay_factory.close_idle_connections()
-            if not (
-                self.request_handler.in_progress
-                or self._caller_factory.channels
-                or self._relay_factory.channels
-            ):
+            self.servers.close_idle_connections()
+            if not (self.request_handler.in_progress or self.servers.has_connections):
                 break
             await self.sleep(DRAIN_POLL_INTERVAL)
         self.usage_exchange.send(is_urgent=True)
@@ -354,9 +282,7 @@
 
     def stop_listening(self) -> None:
         """Close the listening sockets."""
-        ports, self._ports = self._ports, []
-        for port in ports:
-            port.stopListening()
+        self.servers.stop()
 
     def sleep(self, duration: timedelta) -> defer.Deferred[None]:
         """Return a deferred that fires after a time."""
@@ -381,8 +307,7 @@
         self.context.site = site
         self.quota.workspace_by_name = site.workspace_by_name
         self.dispatcher.fair.set_workspaces(site.workspace_by_name.values())
-        self._caller_factory.set_limits(site.limits)
-        self._relay_factory.set_limits(site.limits)
+        self.servers.set_limits(site.limits)
         self.upstream_sync.site = site
         self.upstream_sync.apply()
 
@@ -395,7 +320,7 @@
         self.reporter.record_restore()
         self.moves.record_restore()
         self.link.forget_registration()
-        for mirror in self._mirrors:
+        for mirror in self.mirrors.followed():
             mirror.reset()
         self.quarantine_store.forget()
         self.publish_member()
--- a/banyansail/gateway/tasks.py
+++ b/banyansail/gateway/tasks.py
@@ -35,9 +35,9 @@
     gateway.add_task("gossip.traffic", work.exchange_traffic, TRAFFIC_INTERVAL)
     gateway.add_task("gossip.exchange", work.exchange_digests, DIGEST_INTERVAL)
     for kind, follow in (
-        (gateway.config_mirror.kind, work.follow_config),
-        (gateway.upstream_table.mirror.kind, work.follow_upstreams),
-        (gateway.move_mirror.kind, work.follow_moves),
+        (gateway.mirrors.config.kind, work.follow_config),
+        (gateway.mirrors.upstreams.mirror.kind, work.follow_upstreams),
+        (gateway.mirrors.moves.kind, work.follow_moves),
     ):
         gateway.add_task(f"{kind}.follow", follow, FOLLOW_PAUSE, MAX_FOLLOW_BACKOFF)
     for name, follow in (
@@ -46,7 +46,7 @@
     ):
         gateway.add_task(name, follow, FOLLOW_PAUSE, MAX_FOLLOW_BACKOFF)
     if gateway.follows_evacuations:
-        kind = gateway.evacuation_mirror.kind
+        kind = gateway.mirrors.evacuations.kind
         gateway.add_task(
             f"{kind}.follow",
             work.follow_evacuations,
--- a/tests/gateway/test_evacuations.py
+++ b/tests/gateway/test_evacuations.py
@@ -118,7 +118,7 @@
 def test_a_router_whose_watch_is_silent_learns_an_evacuation_from_another(live):
     """Guards against a router that the store serves slowly, which would send on."""
     deaf = live.gateways[1]
-    in_reactor(lambda: setattr(deaf.evacuation_mirror, "_store", SilentStore(deaf)))
+    in_reactor(lambda: setattr(deaf.mirrors.evacuations, "_store", SilentStore(deaf)))
     in_reactor(deaf.store.cancel_watches)
     time.sleep(0.5)  # until the next watch
     evacuate(live)
--- a/tests/gateway/test_restored_store.py
+++ b/tests/gateway/test_restored_store.py
@@ -45,7 +45,7 @@
     wait_until(lambda: live.gateway.store.era == 2)
     assert live.gateway.dispatcher.load_of("d2") is not None
     in_reactor(live.announce, "d2", running.address, "ready", 2)
-    wait_until(lambda: not live.gateway.upstream_table.mirror.missing_names)
+    wait_until(lambda: not live.gateway.mirrors.upstreams.mirror.missing_names)
     assert live.gateway.dispatcher.load_of("d2") is not None
 
 
