Ask only engines that say so to copy the memory of runs

Cause: migrations were tried at every engine; one that does not offer copies answers 404, after a retry has been charged to the budget for nothing. Change: the configured engine says whether it copies runs. Result: the new test failed before with a copy made at such an engine; it passes.

--- a/banyansail/gateway/decisions/dispatch.py
+++ b/banyansail/gateway/decisions/dispatch.py
@@ -133,6 +133,7 @@
             service = site.service_by_name.get(name)
             engine = service.engine if service else None
             kv_tokens = engine.kv_tokens if engine else 0
+            self.state(name).engine = engine
             self._apply_to_service(
                 self.state(name), upstreams_by_service.get(name, {}), kv_tokens
             )
--- a/banyansail/gateway/decisions/service_state.py
+++ b/banyansail/gateway/decisions/service_state.py
@@ -24,6 +24,7 @@
     from banyansail.gateway.decisions.slot_budget import SlotBudget
     from banyansail.gateway.decisions.work_shares import ShareUse, WorkShares
     from banyansail.gateway.request_types import Prompt, Rejection
+    from banyansail.gateway.site import EngineSpec
 
 INITIAL_SLOT_TIME = timedelta(milliseconds=60)
 
@@ -140,6 +141,7 @@
     version_share: VersionShare | None = None
     prefill_tokens_total: float = 0.0  # expected, of all requests assigned so far
     is_brittle: bool = False  # by the latest answer of an upstream
+    engine: EngineSpec | None = None
     evacuated_zones: frozenset[str] = frozenset()
     # Removed upstreams that asked for a pause; their entries may return.
     paused_by_incarnation: dict[tuple[str, int], UpstreamLoad] = field(
--- a/banyansail/gateway/migration/scheduler.py
+++ b/banyansail/gateway/migration/scheduler.py
@@ -72,7 +72,7 @@
         runs_by_source: dict[UpstreamLoad, list[StreamRun]] = {}
         for run in self.runs:
             source = run.source
-            if source is not None and source.cache is not None:
+            if source is not None and self._copies_runs(source):
                 runs_by_source.setdefault(source, []).append(run)
         leaving = {
             source: runs
@@ -85,6 +85,10 @@
         for source, runs in leaving.items():
             self._migrate_from(source, runs)
 
+    def _copies_runs(self, source: UpstreamLoad) -> bool:
+        engine = self._context.dispatcher.state(source.upstream.service).engine
+        return engine is not None and engine.copies_runs
+
     def _is_leaving(self, source: UpstreamLoad) -> bool:
         """Return whether an engine drains or has withdrawn its entry."""
         upstream = source.upstream
--- a/banyansail/gateway/site.py
+++ b/banyansail/gateway/site.py
@@ -80,11 +80,14 @@
         KV cache capacity for running requests and cached prefixes, in tokens.
     stride : int
         Tokens per stream event.
+    copies_runs : bool
+        Whether the memory of a run can be copied to another engine.
     """
 
     slots: int
     kv_tokens: int
     stride: int = 1
+    copies_runs: bool = False
 
 
 @dataclass(slots=True, frozen=True)
--- a/banyansail/platform/site.py
+++ b/banyansail/platform/site.py
@@ -99,7 +99,10 @@
 
 def _decode_engine(item: dict[str, Any]) -> EngineSpec:
     return EngineSpec(
-        int(item["slots"]), int(item["kvTokens"]), int(item.get("stride") or 1)
+        int(item["slots"]),
+        int(item["kvTokens"]),
+        int(item.get("stride") or 1),
+        copies_runs=bool(item.get("moves")),
     )
 
 
--- a/tests/gateway/test_migration_live.py
+++ b/tests/gateway/test_migration_live.py
@@ -26,9 +26,9 @@
 class Engines(LiveGateway):
     """A gateway before two engines, one of which leaves."""
 
-    def __init__(self, replicas=("e1", "e2"), **options):
+    def __init__(self, replicas=("e1", "e2"), moves=True, **options):
         super().__init__(replicas=replicas, **options)
-        self.config["services"][1]["engine"] = ENGINE
+        self.config["services"][1]["engine"] = {**ENGINE, "moves": moves}
         for replica in self.replica_by_name.values():
             replica.state.events = EVENTS
             replica.state.pause_s = 0.025
@@ -200,3 +200,12 @@
         for number, answer in enumerate(answers):
             check_one_run(live, answer.result(), f"a-draft-{number}")
         assert live.continued()
+
+
+def test_engines_that_can_not_copy_are_asked_for_nothing():
+    """Guards against calls that another kind of engine does not know."""
+    with Engines(moves=False) as live:
+        stream = live.begin()
+        live.leave(live.engine_of("a-draft-1"))
+        check_one_run(live, stream.result())
+        assert not live.memory.copy_by_handle
