Split admission from the assignment of slots; shorten the exchange

Change: Admission has the checks of arriving and waiting requests; the exchange names its request once a method. Behaviour stays.

--- a/banyansail/gateway/active_request.py
+++ b/banyansail/gateway/active_request.py
@@ -13,6 +13,7 @@
     from datetime import timedelta
 
     from banyansail.gateway.context import GatewayContext
+    from banyansail.gateway.decisions.work_shares import ShareUse
     from banyansail.gateway.request_types import CallerCall
     from banyansail.gateway.site import Route, Workspace
 
@@ -58,6 +59,12 @@
         """Return the time until the deadline."""
         return self.ticket.deadline - self.context.clock.monotonic()
 
+    def record_wait(self, share: ShareUse) -> None:
+        """Record the time that the request waited in the fair order."""
+        waited = self.context.clock.monotonic() - self.ticket.arrived_at
+        service = self.ticket.service
+        self.context.metrics.observe_wait(service, share.workspace, waited)
+
     def write_log(self, decision: str, reason: str, **fields: Any) -> None:
         """Log a decision about the request."""
         self.request_log.write(decision, reason, self.progress.attempts, **fields)
--- a/banyansail/gateway/decisions/dispatch.py
+++ b/banyansail/gateway/decisions/dispatch.py
@@ -10,19 +10,13 @@
 from datetime import UTC, datetime, timedelta
 from typing import TYPE_CHECKING
 
+from banyansail.gateway.decisions.admission import Admission, max_wait, resolve
 from banyansail.gateway.decisions.choice import (
     Chosen,
     affinity_key,
     choose,
-    has_free_slot,
 )
 from banyansail.gateway.decisions.fair_order import FairOrder
-from banyansail.gateway.decisions.rejections import (
-    NO_UPSTREAM_LEFT,
-    check_pauses,
-    overload_rejection,
-    share_rejection,
-)
 from banyansail.gateway.decisions.service_state import (
     QueueEntry,
     ServiceState,
@@ -31,7 +25,7 @@
     VersionShare,
 )
 from banyansail.gateway.decisions.upstream_load import UpstreamLoad
-from banyansail.gateway.decisions.work import assigned_work, expected_answer_time
+from banyansail.gateway.decisions.work import assigned_work
 from banyansail.gateway.request_types import Rejection
 
 if TYPE_CHECKING:
@@ -43,8 +37,6 @@
     from banyansail.gateway.upstream import Upstream
 
 SLOT_TIME_WEIGHT = 0.1  # of a new sample in the moving average
-MAX_WAIT_SHARE = 0.5  # of a request's time until its deadline
-MAX_QUEUE_LENGTH = 500  # requests of one service
 EPOCH = datetime.fromtimestamp(0, UTC)
 MILLISECOND = timedelta(milliseconds=1)
 # After its start, a router hears of the traffic of others within a few seconds.
@@ -85,6 +77,7 @@
         self._has_traffic = False
         self._evacuated_zones: frozenset[str] = frozenset()
         self.fair = FairOrder(clock, random, fair_queue_min_routers)
+        self._admission = Admission(self.fair, random)
 
     def state(self, service: str) -> ServiceState:
         """Return the state of a service."""
@@ -208,7 +201,7 @@
         now = self._clock.monotonic()
         entry = QueueEntry(ticket, on_result)
         self.fair.observe(state, ticket)
-        rejection = self._check_admission(state, ticket, now)
+        rejection = self._admission.check(state, ticket, now)
         if rejection is not None:
             self.fair.record_rejection(ticket.fingerprint, rejection)
             on_result(rejection)
@@ -221,12 +214,12 @@
             return lambda: None
         self.fair.prepare_to_wait(ticket)
         if state.is_fair and not ticket.excluded:
-            last_start = ticket.deadline - self._answer_time(state, ticket)
-            entry.check_at = min(ticket.arrived_at + _max_wait(ticket), last_start)
+            last_start = ticket.deadline - self._admission.answer_time(state, ticket)
+            entry.check_at = min(ticket.arrived_at + max_wait(ticket), last_start)
         state.waiting.push(entry)
         self._assign_free_slots(state, now)
         if state.is_fair and not entry.is_resolved:
-            self._reject_excess(state, entry, now)
+            self._admission.reject_excess(state, entry, now)
         return lambda: _withdraw(state, entry)
 
     def try_slot(self, ticket: Ticket) -> Slot | None:
@@ -279,7 +272,7 @@
                 if slot is not None:
                     if state.is_fair:
                         slot.share = state.shares.share_use(entry.ticket.workspace)
-                    _resolve(state, entry, slot)
+                    resolve(state, entry, slot)
 
     def _reject_waiting(self, state: ServiceState, now: timedelta) -> None:
         """Reject the requests that waited too long or can't be served any more."""
@@ -290,124 +283,14 @@
             if is_fair and is_open and now < entry.check_at:
                 continue
             if not entry.is_resolved:
-                rejection = self._check_waiting(state, usable, entry.ticket, now)
+                rejection = self._admission.check_waiting(
+                    state, usable, entry.ticket, now
+                )
                 if rejection is not None:
-                    self._reject(state, entry, rejection)
+                    self._admission.reject(state, entry, rejection)
         if is_fair and now - state.late_checked_at >= LATE_CHECK_INTERVAL:
             state.late_checked_at = now
-            self._reject_late(state, now)
-
-    def _check_waiting(
-        self,
-        state: ServiceState,
-        usable: list[UpstreamLoad],
-        ticket: Ticket,
-        now: timedelta,
-    ) -> Rejection | None:
-        """Return a rejection if a request waited too long or can't be served."""
-        if ticket.excluded:
-            usable = state.usable_by(ticket)
-        if not usable:
-            return NO_UPSTREAM_LEFT
-        wait_end = ticket.arrived_at + _max_wait(ticket)
-        if state.is_fair and ticket.deadline - now < self._answer_time(state, ticket):
-            return self._share_rejection(state, ticket, now, is_late=True)
-        if now >= wait_end:
-            return self._overload_rejection(state, ticket, now)
-        return check_pauses(usable, wait_end - now, now)
-
-    def _check_admission(
-        self, state: ServiceState, ticket: Ticket, now: timedelta
-    ) -> Rejection | None:
-        usable = state.usable_by(ticket)
-        if not usable:
-            return NO_UPSTREAM_LEFT
-        remaining = ticket.deadline - now
-        paused = check_pauses(usable, remaining * MAX_WAIT_SHARE, now)
-        if paused is not None:
-            return paused
-        if ticket.is_retry or any(has_free_slot(load, now) for load in usable):
-            return None
-        if state.is_fair:  # it may take the place of another request
-            return None
-        wait = state.expected_wait(ticket, now)
-        if (
-            wait is None
-            or wait > remaining * MAX_WAIT_SHARE
-            or len(state.waiting) >= MAX_QUEUE_LENGTH
-        ):
-            return self._overload_rejection(state, ticket, now)
-        return None
-
-    def _reject_excess(
-        self, state: ServiceState, entry: QueueEntry, now: timedelta
-    ) -> None:
-        """Reject one request if a new one makes the queue or a wait too long.
-
-        The workspace with the most waiting work per weight loses its last request. If
-        that one can be served in time and the new one can't, the new one is rejected.
-        """
-        ticket = entry.ticket
-        if len(state.waiting) > MAX_QUEUE_LENGTH:
-            victim = state.waiting.heaviest_last() or entry
-        elif ticket.is_retry or not self._waits_too_long(state, ticket, now):
-            return
-        else:
-            victim = state.waiting.heaviest_last(ticket.priority) or entry
-            if not self._waits_too_long(state, victim.ticket, now):
-                victim = entry
-        self._reject(state, victim, self._share_rejection(state, victim.ticket, now))
-
-    def _waits_too_long(
-        self, state: ServiceState, ticket: Ticket, now: timedelta
-    ) -> bool:
-        """Return whether a waiting request is expected to get no slot in time."""
-        wait = state.fair_wait(ticket, self.fair.routers, now, is_waiting=True)
-        if wait is None or now + wait > ticket.arrived_at + _max_wait(ticket):
-            return True
-        return now + wait + self._answer_time(state, ticket) > ticket.deadline
-
-    def _reject_late(self, state: ServiceState, now: timedelta) -> None:
-        """Reject the last request of each workspace if it gets no slot in time."""
-        for entry in state.waiting.lasts():
-            ticket = entry.ticket
-            wait = state.fair_wait(ticket, self.fair.routers, now, is_waiting=True)
-            time_left = ticket.deadline - now
-            if wait is not None and wait + self._answer_time(state, ticket) > time_left:
-                rejection = self._share_rejection(state, ticket, now, is_late=True)
-                self._reject(state, entry, rejection)
-
-    def _answer_time(self, state: ServiceState, ticket: Ticket) -> timedelta:
-        return expected_answer_time(
-            ticket.prompt, state.prefill_rate.tokens_per_ms, state.mean_slot_time
-        )
-
-    def _overload_rejection(
-        self, state: ServiceState, ticket: Ticket, now: timedelta
-    ) -> Rejection:
-        if state.is_fair:
-            return self._share_rejection(state, ticket, now)
-        wait = state.expected_wait(ticket, now)
-        return overload_rejection(state, wait, self._random, now)
-
-    def _share_rejection(
-        self,
-        state: ServiceState,
-        ticket: Ticket,
-        now: timedelta,
-        *,
-        is_late: bool = False,
-    ) -> Rejection:
-        # A repeat before that time goes behind the first tries.
-        ticket = replace(ticket, is_retry=False, is_repeat=False)
-        wait = state.fair_wait(ticket, self.fair.routers, now, is_waiting=False)
-        return share_rejection(state, ticket, wait, self._random, now, is_late=is_late)
-
-    def _reject(
-        self, state: ServiceState, entry: QueueEntry, rejection: Rejection
-    ) -> None:
-        self.fair.record_rejection(entry.ticket.fingerprint, rejection)
-        _resolve(state, entry, rejection)
+            self._admission.reject_late(state, now)
 
     def _assign_slot(
         self,
@@ -476,16 +359,6 @@
                 load.upstream = upstream
 
 
-def _max_wait(ticket: Ticket) -> timedelta:
-    return (ticket.deadline - ticket.arrived_at) * MAX_WAIT_SHARE
-
-
-def _resolve(state: ServiceState, entry: QueueEntry, result: Slot | Rejection) -> None:
-    entry.is_resolved = True
-    state.waiting.discard(entry)
-    entry.on_result(result)
-
-
 def _withdraw(state: ServiceState, entry: QueueEntry) -> None:
     entry.is_resolved = True
     state.waiting.discard(entry)
--- a/banyansail/gateway/exchange.py
+++ b/banyansail/gateway/exchange.py
@@ -26,7 +26,6 @@
     from banyansail.config.fields import Address
     from banyansail.gateway.context import GatewayContext
     from banyansail.gateway.decisions.service_state import Slot
-    from banyansail.gateway.decisions.work_shares import ShareUse
     from banyansail.gateway.events import StreamEvent
     from banyansail.gateway.request_types import CallerCall, ReplyHead
     from banyansail.gateway.response_writer import ResponseWriter
@@ -70,7 +69,7 @@
         self._request = start_request(
             context, call, route, service, workspace, earlier_runs or 0
         )
-        self._run = UpstreamRun(self._request, self._forward)
+        self._upstream_run = UpstreamRun(self._request, self._forward)
         self._is_relayed = earlier_runs is not None
         self._failed_relays: set[Address] = set()
         self._fallback: Deliver | Rejection | None = None
@@ -115,7 +114,8 @@
         self._writer.write(event.raw)
 
     async def _serve(self) -> None:
-        while not self._request.is_finished:
+        request = self._request
+        while not request.is_finished:
             relay = self._choose_relay()
             if relay is not None:
                 if not await self._serve_through(relay):
@@ -123,19 +123,19 @@
                 continue
             assigned = await self._wait_for_slot()
             if assigned.share is not None:
-                self._observe_wait(assigned.share)
+                request.record_wait(assigned.share)
             if isinstance(assigned, Rejection):
                 self._finish(self._fallback or assigned)
                 return
-            quarantined = self._context.crash_guard.rejection(self._request.call)
+            quarantined = self._context.crash_guard.rejection(request.call)
             if quarantined is not None:
                 self._context.dispatcher.release(assigned)
                 self._finish(self._fallback or quarantined)
                 return
-            outcome, slot = await self._run.run(assigned)
-            if isinstance(outcome, NotSent) and not self._request.is_finished:
+            outcome, slot = await self._upstream_run.run(assigned)
+            if isinstance(outcome, NotSent) and not request.is_finished:
                 await self._context.confirm_reach()
-            if self._request.is_finished:
+            if request.is_finished:
                 return
             if not self._handle_outcome(outcome, slot):
                 return
@@ -147,29 +147,30 @@
 
     async def _serve_through(self, relay: Address) -> bool:
         """Let another router serve the request; return whether to try again."""
-        self._request.write_log(
+        request = self._request
+        request.write_log(
             "relay", "no upstream can be reached from here", router=str(relay)
         )
         # The other router charges the quota itself.
-        self._context.refund_quota(self._request.workspace, self._request.call)
-        earlier_runs = self._request.progress.possible_runs
-        self._request.progress.attempts += 1
-        self._request.progress.possible_runs += 1
+        self._context.refund_quota(request.workspace, request.call)
+        earlier_runs = request.progress.possible_runs
+        request.progress.attempts += 1
+        request.progress.possible_runs += 1
         outcome = await self._context.relays.send(
             relay,
-            self._request.call,
+            request.call,
             self._sink(),
-            remaining=self._request.remaining(),
-            last_event_id=self._request.last_event_id,
+            remaining=request.remaining(),
+            last_event_id=request.last_event_id,
             possible_runs=earlier_runs,
         )
-        if self._request.is_finished:
+        if request.is_finished:
             return False
         match outcome:
             case NotSent():
-                self._request.progress.possible_runs = earlier_runs
+                request.progress.possible_runs = earlier_runs
                 self._failed_relays.add(relay)
-                self._context.charge_quota(self._request.workspace, self._request.call)
+                self._context.charge_quota(request.workspace, request.call)
                 return True
             case Answered(head):
                 if earlier_runs and not head.is_stamped and self._fallback is not None:
@@ -178,17 +179,12 @@
                 else:
                     self._deliver(outcome)
                 return False
-        step = next_step(
-            outcome,
-            self._request.route,
-            self._request.progress,
-            self._request.remaining(),
-        )
+        step = next_step(outcome, request.route, request.progress, request.remaining())
         if isinstance(step, Retry) and self._context.withdraw_retry(
-            self._request.ticket.service
+            request.ticket.service
         ):
             self._fallback = step.fallback
-            self._context.charge_quota(self._request.workspace, self._request.call)
+            self._context.charge_quota(request.workspace, request.call)
             return True
         self._finish(step.fallback if isinstance(step, Retry) else step)
         return False
@@ -198,21 +194,17 @@
 
     def _handle_outcome(self, outcome: Outcome, slot: Slot) -> bool:
         """Finish the request or prepare a retry; return whether to try again."""
-        step = next_step(
-            outcome,
-            self._request.route,
-            self._request.progress,
-            self._request.remaining(),
-        )
+        request = self._request
+        step = next_step(outcome, request.route, request.progress, request.remaining())
         if isinstance(step, Retry):
-            is_allowed = step.is_free or self._run.is_retry_charged
-            if is_allowed or self._context.withdraw_retry(self._request.ticket.service):
-                self._run.is_retry_charged = False
+            is_allowed = step.is_free or self._upstream_run.is_retry_charged
+            if is_allowed or self._context.withdraw_retry(request.ticket.service):
+                self._upstream_run.is_retry_charged = False
                 self._fallback = step.fallback
-                self._request.ticket.excluded.add(slot.load.upstream.id)
-                self._request.ticket.is_retry = True
-                self._context.metrics.count_retry(self._request.ticket.service)
-                self._request.write_log(
+                request.ticket.excluded.add(slot.load.upstream.id)
+                request.ticket.is_retry = True
+                self._context.metrics.count_retry(request.ticket.service)
+                request.write_log(
                     "retry", describe(outcome), upstream=slot.load.upstream.id
                 )
                 return True
@@ -227,13 +219,6 @@
             case Rejection():
                 self._reject(step)
 
-    def _observe_wait(self, share: ShareUse) -> None:
-        """Record the time that a request waited in the fair order."""
-        waited = self._context.clock.monotonic() - self._request.ticket.arrived_at
-        self._context.metrics.observe_wait(
-            self._request.ticket.service, share.workspace, waited
-        )
-
     def _wait_for_slot(self) -> defer.Deferred[Slot | Rejection]:
         cancel: list[Any] = []
         assigned: defer.Deferred[Slot | Rejection] = defer.Deferred(
@@ -247,18 +232,19 @@
         return assigned
 
     def _deliver(self, answer: Answered) -> None:
-        self._request.is_finished = True
+        request = self._request
+        request.is_finished = True
         self._context.metrics.count_answer(
-            self._request.route.name, f"upstream_{answer.head.status}"
+            request.route.name, f"upstream_{answer.head.status}"
         )
         if answer.head.is_failure:
-            self._request.write_log(
+            request.write_log(
                 "pass_failure_on",
                 "the upstream reported a failure and no retry is allowed",
-                upstream=self._request.upstream_id,
+                upstream=request.upstream_id,
                 status=answer.head.status,
             )
-        if not self._request.progress.is_stream_started:
+        if not request.progress.is_stream_started:
             self._writer.write_response(answer.head, answer.body)
         elif answer.head.is_success:
             self._writer.end_stream()
@@ -266,24 +252,23 @@
             self._writer.abort_stream()
 
     def _reject(self, rejection: Rejection) -> None:
-        if self._request.is_finished:
+        request = self._request
+        if request.is_finished:
             return
-        self._request.is_finished = True
-        self._context.metrics.count_answer(
-            self._request.route.name, rejection.cause.value
-        )
-        self._request.write_log(
+        request.is_finished = True
+        self._context.metrics.count_answer(request.route.name, rejection.cause.value)
+        request.write_log(
             "reject",
             rejection.detail,
-            upstream=self._request.upstream_id,
+            upstream=request.upstream_id,
             status=rejection.status,
             cause=rejection.cause.value,
-            is_begun=self._request.progress.is_stream_started,
+            is_begun=request.progress.is_stream_started,
             **share_fields(rejection.share),
         )
-        if not self._request.progress.may_have_run:
-            self._context.refund_quota(self._request.workspace, self._request.call)
-        if self._request.progress.is_stream_started:
+        if not request.progress.may_have_run:
+            self._context.refund_quota(request.workspace, request.call)
+        if request.progress.is_stream_started:
             self._writer.abort_stream()
         else:
             self._writer.reject(rejection)
@@ -299,15 +284,16 @@
         self._serving.cancel()
 
     def _on_error(self, failure: Any) -> None:
-        if failure.check(defer.CancelledError) and self._request.is_finished:
+        request = self._request
+        if failure.check(defer.CancelledError) and request.is_finished:
             return
-        self._request.write_log("failed", failure.getTraceback())
-        if not self._request.is_finished:
-            status = 502 if self._request.progress.may_have_run else 503
+        request.write_log("failed", failure.getTraceback())
+        if not request.is_finished:
+            status = 502 if request.progress.may_have_run else 503
             self._reject(Rejection(status, Cause.INTERNAL, str(failure.value)))
 
     def _clean_up(self) -> None:
         self._request.is_finished = True
-        self._run.close()
+        self._upstream_run.close()
         if self._deadline_timer is not None and self._deadline_timer.active():
             self._deadline_timer.cancel()
--- a/tests/gateway/test_share_fields.py
+++ b/tests/gateway/test_share_fields.py
@@ -21,7 +21,7 @@
     entry = next(
         item for item in state.waiting.entries() if item.ticket.workspace == "busy"
     )
-    rejection = dispatcher._share_rejection(state, entry.ticket, seconds(0))
+    rejection = dispatcher._admission._share_rejection(state, entry.ticket, seconds(0))
     assert rejection.status == 503
     assert "workspace busy used 0." in rejection.detail
     assert seconds(0.1) <= rejection.retry_after <= seconds(7.5)
@@ -61,7 +61,7 @@
         item for item in state.waiting.entries() if item.ticket.workspace == "busy"
     )
     entry.ticket.fingerprint = 7
-    rejection = dispatcher._share_rejection(state, entry.ticket, seconds(0))
-    dispatcher._reject(state, entry, rejection)
+    rejection = dispatcher._admission._share_rejection(state, entry.ticket, seconds(0))
+    dispatcher._admission.reject(state, entry, rejection)
     dispatcher.fair.prepare_to_wait(entry.ticket)
     assert entry.ticket.is_repeat
