Treat a failed call of a migration as unanswered

Cause: an unexpected error while a run was copied or stopped was logged and left the migration undecided, so that its slot was kept and the caller of a stopped run waited until its deadline. Change: such an error counts as a call without an answer.

--- a/banyansail/gateway/migration/run.py
+++ b/banyansail/gateway/migration/run.py
@@ -11,6 +11,7 @@
     Continue,
     Copied,
     Copying,
+    CopyUnanswered,
     Event,
     Finished,
     GiveUp,
@@ -108,9 +109,7 @@
         """Copy the run, then stop it; the deferred fires after the last call."""
         self._log("migrate", "the engine leaves")
         done = defer.Deferred.fromCoroutine(self._copy())
-        done.addErrback(
-            lambda failure: log_event("migration_failed", error=str(failure.value))
-        )
+        done.addErrback(self._on_error)
         return done
 
     async def settle(self, *, is_complete: bool) -> bool:
@@ -165,6 +164,15 @@
             is_stop = True
             self._stopped_at = self._context.clock.monotonic()
 
+    def _on_error(self, failure: Any) -> None:
+        """Treat a failed call as unanswered, so that the run does not wait for it."""
+        log_event(
+            "migration_failed",
+            request=self._call.attempt_id,
+            error=str(failure.value),
+        )
+        self._apply(CopyUnanswered())
+
     def _target_address(self) -> Any:
         return self._target.load.upstream.address
 
