Use the gateway directly where periodic work needs it once

Cause: reading the change: a local name for one use. Change: six coroutines name the gateway directly. Behaviour stays.

--- a/banyansail/gateway/periodic.py
+++ b/banyansail/gateway/periodic.py
@@ -65,13 +65,11 @@
 
     async def follow_first_watcher(self) -> None:
         """Learn of changes in the store from the first router that is followed."""
-        gateway = self._gateway
-        await gateway.store_following.follow_watcher(0)
+        await self._gateway.store_following.follow_watcher(0)
 
     async def follow_second_watcher(self) -> None:
         """Learn of changes in the store from the second router that is followed."""
-        gateway = self._gateway
-        await gateway.store_following.follow_watcher(1)
+        await self._gateway.store_following.follow_watcher(1)
 
     async def probe_store(self) -> None:
         """Check whether the store answers."""
@@ -86,8 +84,7 @@
 
     async def expire_upstreams(self) -> None:
         """Remove lapsed upstreams that did not reappear in the store in time."""
-        gateway = self._gateway
-        gateway.mirrors.upstreams.mirror.expire_lapsed()
+        self._gateway.mirrors.upstreams.mirror.expire_lapsed()
 
     async def catch_up(self) -> None:
         """Fetch newer configurations and missing upstreams from other routers."""
@@ -110,13 +107,11 @@
 
     async def push_gossip(self) -> None:
         """Push new gossip entries to other routers."""
-        gateway = self._gateway
-        gateway.link.push()
+        self._gateway.link.push()
 
     async def exchange_digests(self) -> None:
         """Exchange digests with other routers to repair missed entries."""
-        gateway = self._gateway
-        gateway.link.exchange_digests()
+        self._gateway.link.exchange_digests()
 
     async def publish_state(self) -> None:
         """Publish this router's state, and leaving marks that no other published."""
@@ -154,8 +149,7 @@
 
     async def assign_waiting(self) -> None:
         """Assign queued requests to upstreams with a free slot."""
-        gateway = self._gateway
-        gateway.dispatcher.assign_waiting()
+        self._gateway.dispatcher.assign_waiting()
 
     async def report_usage(self) -> None:
         """Report usage to the platform if this router is fit for duties."""
