--- a/tests/gateway/live_gateway.py
+++ b/tests/gateway/live_gateway.py
@@ -213,6 +213,8 @@
             for name, running in self.running_by_name.items()
             if names is None or name in names
         }
+        if names is None:
+            ports |= {raw.port for raw in self.raw_by_name.values()}
         in_reactor(lambda: self.reactor.begin(cut, ports))
 
     def heal(self) -> None:
--- a/tests/gateway/raw_upstream.py
+++ b/tests/gateway/raw_upstream.py
@@ -50,8 +50,8 @@
         if b"\r\n\r\n" not in self._received:
             return
         found = re.search(rb"(?i)x-attempt-id: *(\S+)", self._received)
+        script = self.factory.script_for(self._received)
         self._received = b""
-        script = self.factory.script
         self.transport.write(script.answer.replace(b"{id}", found.group(1)))
         match script.end:
             case End.CLOSE:
@@ -76,12 +76,25 @@
 
     def __init__(self):
         self.script = Script()
+        self.continuation: Script | None = None  # of a stream; None: as any request
+        self.continuations = 0  # requests that continue a stream
         self.connections = set()
         self._port = reactor.listenTCP(0, self, interface="127.0.0.1")
 
+    def script_for(self, request):
+        """Return what answers a request."""
+        if b"last-event-id:" not in request.lower():
+            return self.script
+        self.continuations += 1
+        return self.continuation or self.script
+
+    @property
+    def port(self):
+        return self._port.getHost().port
+
     @property
     def address(self):
-        return f"127.0.0.1:{self._port.getHost().port}"
+        return f"127.0.0.1:{self.port}"
 
     def stop(self):
         self._port.stopListening()
