Log how a continued stream ended, and whether its upstream told the end

Cause: no log line said how a response that was begun had ended, so that a failed continuation could not be told from an answer without a length. Change: a line end_stream for streams of several attempts or without a length; what ends a body is decided in one place from method, status and headers, and is a part of the head.

--- a/banyansail/gateway/attempt.py
+++ b/banyansail/gateway/attempt.py
@@ -15,6 +15,7 @@
 )
 from banyansail.gateway.events import EventParser, StreamEvent
 from banyansail.platform.calls import decode_reply
+from banyansail.upstreams.body_end import NO_BODY_STATUSES, BodyEnd, expected_end
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -28,7 +29,6 @@
 # Each piece costs processor time, however small it is.
 MAX_BODY_PIECES = 16 * 1024
 MAX_EVENT_PIECES = 4 * 1024
-FRAMING_HEADERS = (b"content-length", b"transfer-encoding")
 
 
 class StreamSink(Protocol):
@@ -80,7 +80,7 @@
         self._stream_bytes = 0
         self._piece_count = 0  # of the body, or of the present event
         self._has_events = False
-        self.is_framed = False  # whether the end of the answer can be told from a break
+        self._method = b""
         self.is_sent = False
 
     async def run(
@@ -95,6 +95,7 @@
                 return NotSent(error.message)
         self._connection = connection
         self._done = defer.Deferred()
+        self._method = method
         self.is_sent = True
         connection.send_request(method, target, headers, body, self)
         try:
@@ -120,8 +121,8 @@
         self, status: int, reason: bytes, headers: list[tuple[bytes, bytes]]
     ) -> None:
         """Process the head of the answer."""
-        self._head = decode_reply(status, reason, headers)
-        self.is_framed = any(name.lower() in FRAMING_HEADERS for name, _ in headers)
+        end = expected_end(self._method, status, headers)
+        self._head = decode_reply(status, reason, headers, end)
         self._on_head(self._head)
         if self._sink is None or not self._head.is_success:
             self._sink = None
@@ -160,14 +161,22 @@
 
     def answer_complete(self) -> None:
         """End the attempt with a complete answer."""
-        if self._sink is not None and self._parser.has_partial_event:
-            self._finish(Incomplete("the stream ended in the middle of an event"))
-            return
-        if self._sink is not None and not (self.is_framed or self._has_events):
-            self._finish(Incomplete("the stream ended before its first event"))
+        reason = None if self._sink is None else self._stream_fault()
+        if reason is not None:
+            self._finish(Incomplete(reason))
             return
         self._finish(Answered(self._head, bytes(self._body)))
 
+    def _stream_fault(self) -> str | None:
+        """Return why a stream that has ended is not complete."""
+        if self._head.status in NO_BODY_STATUSES:
+            return f"the status of the stream was {self._head.status}"
+        if self._parser.has_partial_event:
+            return "the stream ended in the middle of an event"
+        if self._head.end is BodyEnd.CLOSE and not self._has_events:
+            return "the stream ended before its first event"
+        return None
+
     def exchange_failed(self, reason: str) -> None:
         """End the attempt after a connection failure."""
         self._finish(Incomplete(reason))
--- a/banyansail/gateway/exchange.py
+++ b/banyansail/gateway/exchange.py
@@ -21,6 +21,7 @@
 from banyansail.gateway.share_fields import share_fields
 from banyansail.gateway.site import RouteKind
 from banyansail.gateway.upstream_run import UpstreamRun
+from banyansail.upstreams.body_end import BodyEnd
 
 if TYPE_CHECKING:
     from banyansail.config.fields import Address
@@ -247,10 +248,26 @@
         if not request.progress.is_stream_started:
             self._writer.write_response(answer.head, answer.body)
         elif answer.head.is_success:
+            self._log_end("complete", answer.head)
             self._writer.end_stream()
         else:  # of an upstream that did not continue the stream
+            self._log_end("broken_off", answer.head)
             self._writer.abort_stream()
 
+    def _log_end(self, end: str, head: ReplyHead) -> None:
+        """Log how a stream ended that several attempts or no length brought to it."""
+        request = self._request
+        if request.progress.attempts == 1 and head.end is BodyEnd.STATED:
+            return
+        request.write_log(
+            "end_stream",
+            f"the last answer was {head.status}",
+            end=end,
+            body_end=head.end.value,
+            upstream=request.upstream_id,
+            last_event=request.last_event_id,
+        )
+
     def _reject(self, rejection: Rejection) -> None:
         request = self._request
         if request.is_finished:
--- a/banyansail/gateway/request_types.py
+++ b/banyansail/gateway/request_types.py
@@ -7,6 +7,8 @@
 from enum import Enum
 from typing import TYPE_CHECKING
 
+from banyansail.upstreams.body_end import BodyEnd
+
 if TYPE_CHECKING:
     from banyansail.gateway.decisions.work_shares import ShareUse
 
@@ -117,6 +119,8 @@
         Whether the upstream ends if it has to reject more than a few requests.
     cold_left : timedelta or None
         How long the upstream stays cold; ``None`` if it does not say so.
+    end : BodyEnd
+        What ends the body.
     """
 
     status: int
@@ -131,6 +135,7 @@
     limit: float | None = None
     is_brittle: bool = False
     cold_left: timedelta | None = None
+    end: BodyEnd = BodyEnd.STATED
 
     @property
     def is_success(self) -> bool:
--- a/banyansail/gateway/upstream_run.py
+++ b/banyansail/gateway/upstream_run.py
@@ -20,6 +20,7 @@
 from banyansail.gateway.request_types import RunStatus
 from banyansail.gateway.site import RouteKind
 from banyansail.platform.calls import encode_attempt
+from banyansail.upstreams.body_end import BodyEnd
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -186,7 +187,7 @@
             request.progress.possible_runs += 1
         request.request_log.write_route(slot, request.progress.attempts)
         outcome = await self._send(attempt, slot, self._headers(load, memory), sent_at)
-        if await self._settle_migration(outcome, attempt):
+        if await self._settle_migration(outcome):
             return outcome
         if memory is None and not may_have_run(outcome):
             request.progress.possible_runs -= 1
@@ -227,11 +228,13 @@
         )
         return headers if memory is None else [*headers, memory]
 
-    async def _settle_migration(self, outcome: Outcome, attempt: Attempt) -> bool:
+    async def _settle_migration(self, outcome: Outcome) -> bool:
         """Return whether the run stopped in order to continue elsewhere."""
         if self._migration is None:
             return False
-        is_complete = isinstance(outcome, Answered) and attempt.is_framed
+        is_complete = (
+            isinstance(outcome, Answered) and outcome.head.end is BodyEnd.STATED
+        )
         if await self._migration.settle(is_complete=is_complete):
             return True
         self._migration = None
--- a/banyansail/platform/calls.py
+++ b/banyansail/platform/calls.py
@@ -17,6 +17,7 @@
     RunStatus,
 )
 from banyansail.platform import header_names
+from banyansail.upstreams.body_end import BodyEnd
 
 # Hop-by-hop headers, and headers that the HTTP client or server sets itself.
 HOP_BY_HOP_HEADERS = frozenset(
@@ -139,8 +140,10 @@
     return headers
 
 
-def decode_reply(status: int, reason: bytes, headers: HeaderList) -> ReplyHead:
-    """Decode the head of an upstream's answer."""
+def decode_reply(
+    status: int, reason: bytes, headers: HeaderList, end: BodyEnd = BodyEnd.STATED
+) -> ReplyHead:
+    """Decode the head of an upstream's answer, whose body ends with `end`."""
     first_value_by_name: dict[bytes, bytes] = {}
     for name, value in headers:
         first_value_by_name.setdefault(name.lower(), value)
@@ -158,6 +161,7 @@
         is_brittle=header_names.UPSTREAM_BRITTLE in first_value_by_name,
         limit=_decode_limit(first_value_by_name.get(header_names.UPSTREAM_LIMIT)),
         cold_left=_decode_cold(first_value_by_name.get(header_names.UPSTREAM_COLD_MS)),
+        end=end,
     )
 
 
