Decide in one place how a started response ends

Callers saw a broken stream end as complete if its continuation had no length and its connection was closed after an event, as an upstream that dies closes it. Cause: four places knew a part of how a response ends: what was delivered, what was rejected, the writer and the relay. An answer without a length counted as complete in all of them. Change: what a caller has been given and the result of the request are types; one pure decision ends each response, and only one class writes to the caller. A continuation that failed, or has no length where the response states its end, is an incomplete attempt, so that it goes on elsewhere where it may, and else breaks off.

--- /dev/null
+++ b/banyansail/gateway/caller_response.py
@@ -0,0 +1,127 @@
+"""Response to one request, from its first byte to its end."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from banyansail.gateway.decisions.response_end import (
+    BreakOff,
+    Complete,
+    ResponseEnd,
+    WriteRejection,
+    WriteResponse,
+    WriteUntilClose,
+    decide_end,
+)
+from banyansail.gateway.decisions.response_state import NotStarted, Started
+from banyansail.gateway.decisions.retry_policy import Deliver
+from banyansail.gateway.request_types import Rejection
+from banyansail.gateway.share_fields import share_fields
+from banyansail.upstreams.body_end import BodyEnd
+
+if TYPE_CHECKING:
+    from banyansail.gateway.active_request import ActiveRequest
+    from banyansail.gateway.events import StreamEvent
+    from banyansail.gateway.request_types import ReplyHead
+    from banyansail.gateway.response_writer import ResponseWriter
+
+
+class CallerResponse:
+    """The only writer to a caller: it alone starts a response and ends it, once.
+
+    Parameters
+    ----------
+    request : ActiveRequest
+        Request that is answered.
+    writer : ResponseWriter
+        Writer to the caller's connection.
+    """
+
+    __slots__ = ("_request", "_writer")
+
+    def __init__(self, request: ActiveRequest, writer: ResponseWriter) -> None:
+        self._request = request
+        self._writer = writer
+
+    def forward(self, head: ReplyHead, event: StreamEvent) -> None:
+        """Write an event of a stream, after the head if it is the first one."""
+        request = self._request
+        if request.is_finished:
+            return
+        if isinstance(request.progress.response, NotStarted):
+            request.progress.response = Started(head.end)
+            self._writer.start_stream(head)
+        if event.id:
+            request.last_event_id = event.id
+        self._writer.write(event.raw)
+
+    def end(self, result: Deliver | Rejection) -> None:
+        """End the response with the result of the request, unless it has ended."""
+        if self._request.is_finished:
+            return
+        self._request.is_finished = True
+        self._record(result)
+        end = decide_end(self._request.progress.response, result)
+        self._log_end(end)
+        self._write(end)
+
+    def _write(self, end: ResponseEnd) -> None:
+        match end:
+            case WriteResponse(answer) | WriteUntilClose(answer):
+                self._writer.write_response(answer.head, answer.body)
+            case WriteRejection(rejection):
+                self._writer.reject(rejection)
+            case Complete():
+                self._writer.end_stream()
+            case BreakOff():
+                self._writer.abort_stream()
+
+    def _record(self, result: Deliver | Rejection) -> None:
+        match result:
+            case Deliver(answer):
+                self._count(f"upstream_{answer.head.status}")
+                if answer.head.is_failure:
+                    self._log_failure(answer.head)
+            case Rejection():
+                self._count(result.cause.value)
+                self._log_rejection(result)
+
+    def _count(self, outcome: str) -> None:
+        request = self._request
+        request.context.metrics.count_answer(request.route.name, outcome)
+
+    def _log_failure(self, head: ReplyHead) -> None:
+        self._request.write_log(
+            "pass_failure_on",
+            "the upstream reported a failure and no retry is allowed",
+            upstream=self._request.upstream_id,
+            status=head.status,
+        )
+
+    def _log_rejection(self, rejection: Rejection) -> None:
+        self._request.write_log(
+            "reject",
+            rejection.detail,
+            upstream=self._request.upstream_id,
+            status=rejection.status,
+            cause=rejection.cause.value,
+            is_begun=isinstance(self._request.progress.response, Started),
+            **share_fields(rejection.share),
+        )
+
+    def _log_end(self, end: ResponseEnd) -> None:
+        """Log the end of a stream that needed several attempts or has no length."""
+        request = self._request
+        if not isinstance(request.progress.response, Started):
+            return
+        has_length = request.progress.response.end is BodyEnd.STATED
+        if request.progress.attempts == 1 and has_length:
+            return
+        request.write_log(
+            "end_stream",
+            end.reason if isinstance(end, BreakOff) else "the upstream ended it",
+            end=type(end).__name__,
+            body_end=request.progress.response.end.value,
+            upstream=request.upstream_id,
+            last_event=request.last_event_id,
+        )
--- a/banyansail/gateway/decisions/retry_policy.py
+++ b/banyansail/gateway/decisions/retry_policy.py
@@ -2,10 +2,15 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from datetime import timedelta
 from typing import TYPE_CHECKING
 
+from banyansail.gateway.decisions.response_state import (
+    NotStarted,
+    ResponseState,
+    continuation_fault,
+)
 from banyansail.gateway.request_types import Cause, Rejection, ReplyHead, RunStatus
 from banyansail.gateway.site import RouteKind
 
@@ -85,13 +90,13 @@
         Attempts that may have run the request, including the current one.
     attempts : int
         Attempts so far, including those that sent nothing.
-    is_stream_started : bool
-        Whether a part of a stream was forwarded to the caller.
+    response : ResponseState
+        What the caller has been given of the response.
     """
 
     possible_runs: int = 0
     attempts: int = 0
-    is_stream_started: bool = False
+    response: ResponseState = field(default_factory=NotStarted)
 
     @property
     def may_have_run(self) -> bool:
@@ -145,6 +150,8 @@
         case Answered(head) if head.run_status is RunStatus.NOT_RUN:
             rejection = build_rejection(progress, describe(outcome))
             return Retry(False, rejection) if has_time else rejection
+        case Answered(head) if fault := continuation_fault(progress.response, head):
+            return next_step(Incomplete(fault), route, progress, remaining)
         case Answered(head):
             deliver = Deliver(outcome)
             if head.is_failure and has_time and _may_run_again(route, progress):
--- a/banyansail/gateway/exchange.py
+++ b/banyansail/gateway/exchange.py
@@ -7,6 +7,7 @@
 from twisted.internet import defer
 
 from banyansail.gateway.active_request import start_request
+from banyansail.gateway.caller_response import CallerResponse
 from banyansail.gateway.decisions.retry_policy import (
     Answered,
     Deliver,
@@ -18,10 +19,8 @@
     next_step,
 )
 from banyansail.gateway.request_types import Cause, Rejection
-from banyansail.gateway.share_fields import share_fields
 from banyansail.gateway.site import RouteKind
 from banyansail.gateway.upstream_run import UpstreamRun
-from banyansail.upstreams.body_end import BodyEnd
 
 if TYPE_CHECKING:
     from banyansail.config.fields import Address
@@ -66,11 +65,11 @@
         earlier_runs: int | None = None,
     ) -> None:
         self._context = context
-        self._writer = writer
         self._request = start_request(
             context, call, route, service, workspace, earlier_runs or 0
         )
-        self._upstream_run = UpstreamRun(self._request, self._forward)
+        self._response = CallerResponse(self._request, writer)
+        self._upstream_run = UpstreamRun(self._request, self._response.forward)
         self._is_relayed = earlier_runs is not None
         self._failed_relays: set[Address] = set()
         self._fallback: Deliver | Rejection | None = None
@@ -100,19 +99,7 @@
     def event_received(self, head: ReplyHead, event: StreamEvent) -> None:
         """Forward an event of a stream that another router relays."""
         self._context.reach.record_bytes()
-        self._forward(head, event)
-
-    def _forward(self, head: ReplyHead, event: StreamEvent) -> None:
-        """Forward an event of a stream to the caller."""
-        request = self._request
-        if request.is_finished:
-            return
-        if not request.progress.is_stream_started:
-            request.progress.is_stream_started = True
-            self._writer.start_stream(head)
-        if event.id:
-            request.last_event_id = event.id
-        self._writer.write(event.raw)
+        self._response.forward(head, event)
 
     async def _serve(self) -> None:
         request = self._request
@@ -178,7 +165,7 @@
                     # Its rejection says nothing of the earlier attempts here.
                     self._finish(self._fallback)
                 else:
-                    self._deliver(outcome)
+                    self._finish(Deliver(outcome))
                 return False
         step = next_step(outcome, request.route, request.progress, request.remaining())
         if isinstance(step, Retry) and self._context.withdraw_retry(
@@ -213,13 +200,6 @@
         self._finish(step)
         return False
 
-    def _finish(self, step: Deliver | Rejection) -> None:
-        match step:
-            case Deliver(answer):
-                self._deliver(answer)
-            case Rejection():
-                self._reject(step)
-
     def _wait_for_slot(self) -> defer.Deferred[Slot | Rejection]:
         cancel: list[Any] = []
         assigned: defer.Deferred[Slot | Rejection] = defer.Deferred(
@@ -232,68 +212,17 @@
         )
         return assigned
 
-    def _deliver(self, answer: Answered) -> None:
-        request = self._request
-        request.is_finished = True
-        self._context.metrics.count_answer(
-            request.route.name, f"upstream_{answer.head.status}"
-        )
-        if answer.head.is_failure:
-            request.write_log(
-                "pass_failure_on",
-                "the upstream reported a failure and no retry is allowed",
-                upstream=request.upstream_id,
-                status=answer.head.status,
-            )
-        if not request.progress.is_stream_started:
-            self._writer.write_response(answer.head, answer.body)
-        elif answer.head.is_success:
-            self._log_end("complete", answer.head)
-            self._writer.end_stream()
-        else:  # of an upstream that did not continue the stream
-            self._log_end("broken_off", answer.head)
-            self._writer.abort_stream()
-
-    def _log_end(self, end: str, head: ReplyHead) -> None:
-        """Log how a stream ended that several attempts or no length brought to it."""
+    def _finish(self, result: Deliver | Rejection) -> None:
         request = self._request
-        if request.progress.attempts == 1 and head.end is BodyEnd.STATED:
-            return
-        request.write_log(
-            "end_stream",
-            f"the last answer was {head.status}",
-            end=end,
-            body_end=head.end.value,
-            upstream=request.upstream_id,
-            last_event=request.last_event_id,
-        )
-
-    def _reject(self, rejection: Rejection) -> None:
-        request = self._request
-        if request.is_finished:
-            return
-        request.is_finished = True
-        self._context.metrics.count_answer(request.route.name, rejection.cause.value)
-        request.write_log(
-            "reject",
-            rejection.detail,
-            upstream=request.upstream_id,
-            status=rejection.status,
-            cause=rejection.cause.value,
-            is_begun=request.progress.is_stream_started,
-            **share_fields(rejection.share),
-        )
-        if not request.progress.may_have_run:
+        is_free = isinstance(result, Rejection) and not request.progress.may_have_run
+        if is_free and not request.is_finished:
             self._context.refund_quota(request.workspace, request.call)
-        if request.progress.is_stream_started:
-            self._writer.abort_stream()
-        else:
-            self._writer.reject(rejection)
+        self._response.end(result)
 
     def _on_deadline(self) -> None:
         if self._request.is_finished:
             return
-        self._reject(
+        self._finish(
             build_rejection(
                 self._request.progress, "the deadline has passed", is_timeout=True
             )
@@ -307,7 +236,7 @@
         request.write_log("failed", failure.getTraceback())
         if not request.is_finished:
             status = 502 if request.progress.may_have_run else 503
-            self._reject(Rejection(status, Cause.INTERNAL, str(failure.value)))
+            self._finish(Rejection(status, Cause.INTERNAL, str(failure.value)))
 
     def _clean_up(self) -> None:
         self._request.is_finished = True
