Give an answer without a length no end that its upstream did not state

Callers got a last chunk, or a length that the gateway computed, for an answer that ended with its upstream's connection; a broken-off one looked complete, also through a relay. Cause: the writer framed each response anew, whatever the upstream's head said.

--- a/banyansail/gateway/caller_response.py
+++ b/banyansail/gateway/caller_response.py
@@ -67,8 +67,10 @@
 
     def _write(self, end: ResponseEnd) -> None:
         match end:
-            case WriteResponse(answer) | WriteUntilClose(answer):
+            case WriteResponse(answer):
                 self._writer.write_response(answer.head, answer.body)
+            case WriteUntilClose(answer):
+                self._writer.write_until_close(answer.head, answer.body)
             case WriteRejection(rejection):
                 self._writer.reject(rejection)
             case Complete():
--- a/banyansail/gateway/ingress.py
+++ b/banyansail/gateway/ingress.py
@@ -12,6 +12,7 @@
 from banyansail.gateway.request_types import Cause, Rejection
 from banyansail.gateway.site import CallerLimits
 from banyansail.log import log_event
+from banyansail.upstreams.body_end import BodyEnd
 from banyansail.upstreams.connection import set_socket_timeouts
 
 if TYPE_CHECKING:
@@ -46,6 +47,15 @@
         """Pass the complete request to the factory's handler."""
         self.channel.factory.handle(self)
 
+    def start_unframed(self) -> None:
+        """Write the head of a response that ends by the close of its connection."""
+        self.setHeader(b"connection", b"close")
+        self.channel.persistent = False
+        self.startedWriting = 1
+        self.channel.writeHeaders(
+            self.clientproto, b"%d" % self.code, self.code_message, self.responseHeaders
+        )
+
     @property
     def _max_body_bytes(self) -> int:
         if self.channel is None:
@@ -85,10 +95,22 @@
         self._request.write(body)
         self._finish()
 
+    def write_until_close(self, head: ReplyHead, body: bytes) -> None:
+        """Write a response without a length; its connection is closed at its end."""
+        if self._is_closed():
+            return
+        self._write_head(head)
+        self._request.start_unframed()
+        self._request.write(body)
+        self._finish()
+
     def start_stream(self, head: ReplyHead) -> None:
-        """Write the head of a streamed response."""
-        if not self._is_closed():
-            self._write_head(head)
+        """Write the head of a streamed response, which ends as the upstream's does."""
+        if self._is_closed():
+            return
+        self._write_head(head)
+        if head.end is BodyEnd.CLOSE:
+            self._request.start_unframed()
 
     def write(self, data: bytes) -> None:
         """Write a chunk of a streamed response."""
--- a/banyansail/gateway/response_writer.py
+++ b/banyansail/gateway/response_writer.py
@@ -14,6 +14,9 @@
     def write_response(self, head: ReplyHead, body: bytes) -> None:
         """Write an upstream's complete response."""
 
+    def write_until_close(self, head: ReplyHead, body: bytes) -> None:
+        """Write a response without a length; its connection is closed at its end."""
+
     def start_stream(self, head: ReplyHead) -> None:
         """Write the head of a streamed response."""
 
