Break a stream off whose continuation begins anew

Callers got events twice, and then the end, from an upstream that ignored the id of the last event that they had. Cause: ids were passed on and never compared. Change: an event of a continuation whose id does not come after the last one of the response ends the attempt, so that the stream goes on elsewhere where it may, and else breaks off. Ids that are not decimal numbers can't be compared and are passed on. A continuation that leaves a gap is not recognised, as ids need not be consecutive.

--- a/banyansail/gateway/active_request.py
+++ b/banyansail/gateway/active_request.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
 
+from banyansail.gateway.decisions.response_state import Started
 from banyansail.gateway.decisions.retry_policy import Progress
 from banyansail.gateway.decisions.service_state import Ticket
 from banyansail.gateway.request_log import RequestLog
@@ -59,6 +60,12 @@
         """Return the time until the deadline."""
         return self.ticket.deadline - self.context.clock.monotonic()
 
+    @property
+    def continues_after(self) -> str:
+        """Id of the last event of a response that was started; empty if none was."""
+        is_started = isinstance(self.progress.response, Started)
+        return self.last_event_id if is_started else ""
+
     def record_wait(self, share: ShareUse) -> None:
         """Record the time that the request waited in the fair order."""
         waited = self.context.clock.monotonic() - self.ticket.arrived_at
--- a/banyansail/gateway/attempt.py
+++ b/banyansail/gateway/attempt.py
@@ -13,7 +13,7 @@
     NotSent,
     Outcome,
 )
-from banyansail.gateway.events import EventParser, StreamEvent
+from banyansail.gateway.events import EventParser, StreamEvent, may_follow
 from banyansail.platform.calls import decode_reply
 from banyansail.upstreams.body_end import NO_BODY_STATUSES, BodyEnd, expected_end
 
@@ -55,6 +55,9 @@
         Called once with the answer's head; for a stream, at its first event.
     budget : ByteBudget
         Bytes that all attempts together may buffer.
+    last_event_id : str
+        Id of the last event that the caller has of a stream that is continued; empty
+        for an answer that begins anew.
     """
 
     def __init__(
@@ -65,6 +68,7 @@
         on_head: Callable[[ReplyHead], None],
         on_first_byte: Callable[[ReplyHead], None],
         budget: ByteBudget,
+        last_event_id: str = "",
     ) -> None:
         self._pool = pool
         self._attempt_id = attempt_id
@@ -75,6 +79,7 @@
         self._done: defer.Deferred[Outcome] | None = None
         self._head: ReplyHead | None = None
         self._budget = budget
+        self._last_event_id = last_event_id
         self._body = bytearray()
         self._parser = EventParser()
         self._stream_bytes = 0
@@ -144,6 +149,9 @@
             self.abort(str(error))
             return
         for event in events:
+            if not may_follow(event.id, self._last_event_id):
+                self.abort(f"event {event.id} follows {self._last_event_id}")
+                return
             self._piece_count = 0
             self._forward_event(event)
         if self._piece_count > MAX_EVENT_PIECES:
--- a/banyansail/gateway/events.py
+++ b/banyansail/gateway/events.py
@@ -67,6 +67,17 @@
         return events
 
 
+def may_follow(event_id: str, last_id: str) -> bool:
+    """Return whether an event may come after another one of its stream.
+
+    Ids of streams increase; those that are not decimal numbers can't be compared.
+    """
+    if not (event_id.isdecimal() and last_id.isdecimal()):
+        return True
+    number, last = event_id.lstrip("0"), last_id.lstrip("0")
+    return (len(number), number) > (len(last), last)
+
+
 def _parse_id(raw: bytes) -> str:
     for line in raw.splitlines():
         if line.startswith(b"id:"):
--- a/banyansail/gateway/exchange.py
+++ b/banyansail/gateway/exchange.py
@@ -150,6 +150,7 @@
             self._sink(),
             remaining=request.remaining(),
             last_event_id=request.last_event_id,
+            continues_after=request.continues_after,
             possible_runs=earlier_runs,
         )
         if request.is_finished:
--- a/banyansail/gateway/relay.py
+++ b/banyansail/gateway/relay.py
@@ -63,6 +63,7 @@
         *,
         remaining: timedelta,
         last_event_id: str,
+        continues_after: str,
         possible_runs: int,
     ) -> Outcome:
         """Send a request through a router and return the outcome.
@@ -73,6 +74,8 @@
             Receiver of the events of a stream.
         remaining : timedelta
             Time until the request's deadline.
+        last_event_id, continues_after : str
+            Ids of the last events that the caller and its present response have.
         possible_runs : int
             Earlier attempts that may have run the request.
         """
@@ -83,6 +86,7 @@
             _ignore_head,
             _ignore_head,
             self._context.answer_budget,
+            continues_after,
         )
         headers = encode_relayed(
             call,
--- a/banyansail/gateway/upstream_run.py
+++ b/banyansail/gateway/upstream_run.py
@@ -180,6 +180,7 @@
                 slot, head, sent_at, has_memory=memory is not None
             ),
             context.answer_budget,
+            request.continues_after,
         )
         request.upstream_id = load.upstream.id
         request.progress.attempts += 1
--- a/tests/gateway/test_events.py
+++ b/tests/gateway/test_events.py
@@ -6,7 +6,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from banyansail.gateway.events import MAX_EVENT_BYTES, EventParser
+from banyansail.gateway.events import MAX_EVENT_BYTES, EventParser, may_follow
 
 RAW = b"id: 1\ndata: a\n\nid: 2\ndata: b\n\nx-weight-versions: 3\nid: 3\ndata: c\n\n"
 
@@ -35,3 +35,22 @@
 def test_an_event_above_the_size_limit_is_an_error():
     with pytest.raises(ValueError, match="more than"):
         EventParser().feed(b"x" * (MAX_EVENT_BYTES + 1))
+
+
+@pytest.mark.parametrize(
+    "event_id, last_id, may",
+    [
+        ("3", "2", True),
+        ("10", "9", True),
+        ("2", "2", False),
+        ("1", "2", False),
+        ("9", "10", False),
+        ("0010", "9", True),
+        ("9" * 5000, "8", True),
+        ("", "2", True),
+        ("b", "a", True),
+        ("1", "", True),
+    ],
+)
+def test_ids_of_a_stream_increase(event_id, last_id, may):
+    assert may_follow(event_id, last_id) is may
