Reset the streams without chunks of a router that ends

Callers that know no chunks (HTTP/1.0), and all callers of an answer without a length, saw a stream end in order when its router was killed, or stopped while the stream went on. Cause: the kernel, and the reactor as it stops, close the sockets of a process in order; for such a response that is its end. Change: these connections are set to be reset by any close but the one that ends the response, which closes the router's half first and waits for the caller. A stop ends what is still in progress at the end of its time: started streams are broken off, other requests get their final answer instead of a closed connection.

--- a/banyansail/gateway/exchange.py
+++ b/banyansail/gateway/exchange.py
@@ -96,6 +96,13 @@
             self._request.write_log("abandoned", "the caller disconnected")
             self._serving.cancel()
 
+    def stop(self) -> None:
+        """End the request, as the router stops."""
+        if self._request.is_finished:
+            return
+        self._finish(build_rejection(self._request.progress, "the router stops"))
+        self._serving.cancel()
+
     def event_received(self, head: ReplyHead, event: StreamEvent) -> None:
         """Forward an event of a stream that another router relays."""
         self._context.reach.record_bytes()
--- a/banyansail/gateway/ingress.py
+++ b/banyansail/gateway/ingress.py
@@ -4,6 +4,8 @@
 
 import io
 import json
+import socket
+import struct
 from datetime import timedelta
 from typing import TYPE_CHECKING, Any
 
@@ -25,6 +27,7 @@
 IDLE_TIMEOUT_MARGIN_S = 2.0  # connections stay open beyond the published timeout
 # Until a configuration is applied: the default timeout of 15 s plus the margin.
 INITIAL_IDLE_TIMEOUT_S = 17.0
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # SO_LINGER: on, for 0 s
 
 
 class GatewayRequest(http.Request):
@@ -55,6 +58,12 @@
         self.channel.writeHeaders(
             self.clientproto, b"%d" % self.code, self.code_message, self.responseHeaders
         )
+        self.channel.reset_unless_ended()
+
+    @property
+    def accepts_chunks(self) -> bool:
+        """Whether the caller can tell the end of a body without a length."""
+        return self.clientproto == b"HTTP/1.1"
 
     @property
     def _max_body_bytes(self) -> int:
@@ -109,7 +118,7 @@
         if self._is_closed():
             return
         self._write_head(head)
-        if head.end is BodyEnd.CLOSE:
+        if head.end is BodyEnd.CLOSE or not self._request.accepts_chunks:
             self._request.start_unframed()
 
     def write(self, data: bytes) -> None:
@@ -180,6 +189,7 @@
         super().__init__()
         self._header_timer: Any = None
         self._awaits_headers = True
+        self._resets_on_close = False
 
     def connectionMade(self) -> None:
         """Set TCP options that detect dead connections."""
@@ -215,6 +225,27 @@
         self._awaits_headers = True
         super().requestDone(request)
 
+    def reset_unless_ended(self) -> None:
+        """Let each close of the socket reset the connection, also that by the kernel.
+
+        A response that ends with its connection would otherwise look complete if this
+        process ended before it.
+        """
+        self._resets_on_close = True
+        self.transport.getHandle().setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE
+        )
+
+    def loseConnection(self) -> None:
+        """Close the connection after the written bytes have been sent."""
+        if not self._resets_on_close:
+            super().loseConnection()
+            return
+        # The caller closes the other half; until then, a close would be a reset.
+        self._networkProducer.unregisterProducer()
+        self.setTimeout(self.timeOut)
+        self.transport.loseWriteConnection()
+
     def reject_and_close(self, status: bytes) -> None:
         """Answer a request that was not read completely, and close the connection."""
         self.transport.write(
--- a/banyansail/gateway/request_handler.py
+++ b/banyansail/gateway/request_handler.py
@@ -54,6 +54,11 @@
         """Number of requests without a final answer."""
         return len(self._exchanges)
 
+    def stop(self) -> None:
+        """Give the requests in progress their final answers; the router stops."""
+        for exchange in list(self._exchanges):
+            exchange.stop()
+
     def handle(self, request: GatewayRequest) -> None:
         """Reject a request at once or start its exchange."""
         self._handle(request, lambda headers: None)
--- a/banyansail/gateway/router.py
+++ b/banyansail/gateway/router.py
@@ -57,6 +57,7 @@
     from banyansail.traffic.report import TrafficReport
 
 DRAIN_POLL_INTERVAL = timedelta(milliseconds=50)
+ANSWER_SEND_TIME = timedelta(milliseconds=20)  # for the last answers of a stop
 STOP_MARGIN = timedelta(milliseconds=400)  # left before the platform kills the process
 # The load balancer sends no new connections this long after readiness ends.
 BALANCER_REMOVAL_TIME = timedelta(seconds=2.6)
@@ -276,9 +277,11 @@
             if not (self.request_handler.in_progress or self.servers.has_connections):
                 break
             await self.sleep(DRAIN_POLL_INTERVAL)
+        log_event("stopped", in_progress=self.request_handler.in_progress)
+        self.request_handler.stop()
         self.usage_exchange.send(is_urgent=True)
         self.stop_listening()
-        log_event("stopped", in_progress=self.request_handler.in_progress)
+        await self.sleep(ANSWER_SEND_TIME)
 
     def stop_listening(self) -> None:
         """Close the listening sockets."""
--- a/tests/gateway/mixed_fleet.py
+++ b/tests/gateway/mixed_fleet.py
@@ -181,6 +181,10 @@
         finally:
             connection.close()
 
+    def caller_address(self, name: str) -> tuple[str, int]:
+        """Return where a gateway listens for callers."""
+        return "127.0.0.1", self._port_by_name[name]["listen"]
+
     def call(self, name: str, method: str, path: str, attempt: str, key: str = KEY):
         """Send a request to a gateway; return its status and body."""
         port = self._port_by_name[name]["listen"]
