Split the gateway's modules by job into rooms

Cause: 45 modules in one folder did not tell the way of a request, and one module held the HTTP server, the writer of responses, the readiness server and rejections. The HTTP module is split into server, response, readiness and rejections. Moves only, no change of behaviour.

--- a/banyansail/gateway/__main__.py
+++ b/banyansail/gateway/__main__.py
@@ -12,7 +12,7 @@
 
 from banyansail.command_line import run_command
 from banyansail.config.gateway_settings import GatewaySettings, load_gateway_settings
-from banyansail.gateway.caller_listener import open_listener
+from banyansail.gateway.callers.caller_listener import open_listener
 
 
 def main(argv: list[str] | None = None) -> None:
--- /dev/null
+++ b/banyansail/gateway/callers/__init__.py
@@ -0,0 +1,1 @@
+"""Server for callers: sockets, HTTP, admission of requests."""
--- a/banyansail/gateway/request_handler.py
+++ b/banyansail/gateway/callers/request_handler.py
@@ -5,21 +5,20 @@
 from typing import TYPE_CHECKING
 
 from banyansail.exceptions import CallError
-from banyansail.gateway.context import quota_cost
-from banyansail.gateway.exchange import Exchange
-from banyansail.gateway.ingress import (
+from banyansail.gateway.callers.http_response import HttpResponseWriter
+from banyansail.gateway.callers.rejections import (
     EVACUATIONS_UNKNOWN,
     NOT_CONFIGURED,
     STOPPING,
-    GatewayRequest,
-    HttpResponseWriter,
 )
+from banyansail.gateway.context import quota_cost
 from banyansail.gateway.request_types import (
     CallerCall,
     Cause,
     HeaderList,
     Rejection,
 )
+from banyansail.gateway.requests.exchange import Exchange
 from banyansail.gateway.site import Route, SiteConfig, Workspace
 from banyansail.log import log_decision
 from banyansail.platform.calls import decode_call, decode_possible_runs
@@ -27,6 +26,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from banyansail.gateway.callers.http_server import GatewayRequest
     from banyansail.gateway.context import GatewayContext
 
 UNKNOWN_ROUTE = ""
--- a/banyansail/gateway/servers.py
+++ b/banyansail/gateway/callers/servers.py
@@ -4,12 +4,13 @@
 
 from typing import TYPE_CHECKING, Any
 
-from banyansail.gateway.caller_listener import (
+from banyansail.gateway.callers.caller_listener import (
     LISTEN_BACKLOG,
     CallerListener,
     open_listener,
 )
-from banyansail.gateway.ingress import GatewayFactory, ReadyFactory
+from banyansail.gateway.callers.http_server import GatewayFactory
+from banyansail.gateway.callers.readiness import ReadyFactory
 from banyansail.gateway.metrics import MetricsFactory
 
 if TYPE_CHECKING:
@@ -17,8 +18,8 @@
     from collections.abc import Callable
 
     from banyansail.config.gateway_settings import GatewaySettings
-    from banyansail.gateway.fleet_link import FleetLink
-    from banyansail.gateway.request_handler import RequestHandler
+    from banyansail.gateway.callers.request_handler import RequestHandler
+    from banyansail.gateway.sharing.fleet_link import FleetLink
     from banyansail.gateway.site import CallerLimits
 
 
--- a/banyansail/gateway/context.py
+++ b/banyansail/gateway/context.py
@@ -6,14 +6,14 @@
 from datetime import timedelta
 from typing import TYPE_CHECKING, Any
 
-from banyansail.gateway.byte_budget import ByteBudget
 from banyansail.gateway.decisions.quota import cost_of
 from banyansail.gateway.decisions.retry_budget import WindowedRetryBudget
 from banyansail.gateway.decisions.upstream_reach import UpstreamReach
 from banyansail.gateway.log_rate_limit import LogRateLimit
 from banyansail.gateway.metrics import GatewayMetrics
 from banyansail.gateway.migration.scheduler import MigrationScheduler
-from banyansail.gateway.relay import Relays
+from banyansail.gateway.requests.byte_budget import ByteBudget
+from banyansail.gateway.requests.relay import Relays
 from banyansail.gateway.site import SiteConfig
 from banyansail.log import log_event
 from banyansail.upstreams.pool import ConnectionPool
@@ -32,10 +32,10 @@
     from banyansail.gateway.decisions.upstream_load import UpstreamLoad
     from banyansail.gateway.duties.move_controller import MoveController
     from banyansail.gateway.duties.usage import UsageCounter
-    from banyansail.gateway.limit_sharing import LimitSharing
     from banyansail.gateway.request_types import CallerCall, ReplyHead
+    from banyansail.gateway.sharing.limit_sharing import LimitSharing
+    from banyansail.gateway.sharing.speed_sharing import SpeedSharing
     from banyansail.gateway.site import Workspace
-    from banyansail.gateway.speed_sharing import SpeedSharing
     from banyansail.gateway.upstream import Upstream
     from banyansail.traffic.fleet_traffic import FleetTraffic
 
--- a/banyansail/gateway/duties/move_controller.py
+++ b/banyansail/gateway/duties/move_controller.py
@@ -30,7 +30,7 @@
     from banyansail.fleet.entries import Entry
     from banyansail.gateway.decisions.dispatch import Dispatcher
     from banyansail.gateway.duties.duty_lease import DutyLease
-    from banyansail.gateway.mirror import Mirror
+    from banyansail.gateway.store.mirror import Mirror
     from banyansail.gateway.upstream import Upstream
     from banyansail.platform.store import Revision, StoreClient
     from banyansail.traffic.report import TallyKey
--- a/banyansail/gateway/duties/usage_exchange.py
+++ b/banyansail/gateway/duties/usage_exchange.py
@@ -14,7 +14,7 @@
     from banyansail.clock import Clock
     from banyansail.gateway.duties.usage import UsageCounter
     from banyansail.gateway.duties.usage_reporter import UsageReporter
-    from banyansail.gateway.fleet_link import FleetLink
+    from banyansail.gateway.sharing.fleet_link import FleetLink
     from banyansail.traffic.fleet_traffic import FleetTraffic
 
 MIN_INTERVAL = timedelta(milliseconds=400)
--- a/banyansail/gateway/periodic.py
+++ b/banyansail/gateway/periodic.py
@@ -8,10 +8,10 @@
 from twisted.internet import defer
 
 from banyansail.fleet.entries import Topic
-from banyansail.gateway.peer_messages import CONFIG_DOCUMENT
-from banyansail.gateway.traffic_report import apply_fleet_work
-from banyansail.gateway.upstream_sync import MAX_COALESCE_TIME
-from banyansail.gateway.upstream_table import UPSTREAMS_DOCUMENT
+from banyansail.gateway.sharing.peer_messages import CONFIG_DOCUMENT
+from banyansail.gateway.sharing.traffic_report import apply_fleet_work
+from banyansail.gateway.store.upstream_sync import MAX_COALESCE_TIME
+from banyansail.gateway.store.upstream_table import UPSTREAMS_DOCUMENT
 
 if TYPE_CHECKING:
     from banyansail.gateway.router import Gateway
--- /dev/null
+++ b/banyansail/gateway/requests/__init__.py
@@ -0,0 +1,1 @@
+"""Life cycle of a request: attempts at upstreams, relays, the response."""
--- a/banyansail/gateway/active_request.py
+++ b/banyansail/gateway/requests/active_request.py
@@ -8,7 +8,7 @@
 from banyansail.gateway.decisions.response_state import Started
 from banyansail.gateway.decisions.retry_policy import Progress
 from banyansail.gateway.decisions.service_state import Ticket
-from banyansail.gateway.request_log import RequestLog
+from banyansail.gateway.requests.request_log import RequestLog
 
 if TYPE_CHECKING:
     from datetime import timedelta
--- a/banyansail/gateway/attempt.py
+++ b/banyansail/gateway/requests/attempt.py
@@ -13,15 +13,15 @@
     NotSent,
     Outcome,
 )
-from banyansail.gateway.events import EventParser, StreamEvent, may_follow
+from banyansail.gateway.requests.events import EventParser, StreamEvent, may_follow
 from banyansail.platform.calls import decode_reply
 from banyansail.upstreams.body_end import NO_BODY_STATUSES, BodyEnd, expected_end
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from banyansail.gateway.byte_budget import ByteBudget
     from banyansail.gateway.request_types import HeaderList, ReplyHead
+    from banyansail.gateway.requests.byte_budget import ByteBudget
     from banyansail.upstreams.connection import HttpConnection
     from banyansail.upstreams.pool import ConnectionPool
 
--- a/banyansail/gateway/caller_response.py
+++ b/banyansail/gateway/requests/caller_response.py
@@ -16,14 +16,14 @@
 from banyansail.gateway.decisions.response_state import NotStarted, Started
 from banyansail.gateway.decisions.retry_policy import Deliver
 from banyansail.gateway.request_types import Rejection
-from banyansail.gateway.share_fields import share_fields
+from banyansail.gateway.requests.share_fields import share_fields
 from banyansail.upstreams.body_end import BodyEnd
 
 if TYPE_CHECKING:
-    from banyansail.gateway.active_request import ActiveRequest
-    from banyansail.gateway.events import StreamEvent
     from banyansail.gateway.request_types import ReplyHead
-    from banyansail.gateway.response_writer import ResponseWriter
+    from banyansail.gateway.requests.active_request import ActiveRequest
+    from banyansail.gateway.requests.events import StreamEvent
+    from banyansail.gateway.requests.response_writer import ResponseWriter
 
 
 class CallerResponse:
--- a/banyansail/gateway/crash_check.py
+++ b/banyansail/gateway/requests/crash_check.py
@@ -21,8 +21,8 @@
 if TYPE_CHECKING:
     from banyansail.fleet.entries import Member
     from banyansail.gateway.context import GatewayContext
-    from banyansail.gateway.fleet_link import FleetLink
     from banyansail.gateway.request_types import CallerCall
+    from banyansail.gateway.sharing.fleet_link import FleetLink
     from banyansail.gateway.upstream import Upstream
 
 NEAR_PEERS = 2  # routers of the upstream's data centre that are asked
--- a/banyansail/gateway/exchange.py
+++ b/banyansail/gateway/requests/exchange.py
@@ -6,8 +6,6 @@
 
 from twisted.internet import defer
 
-from banyansail.gateway.active_request import start_request
-from banyansail.gateway.caller_response import CallerResponse
 from banyansail.gateway.decisions.retry_policy import (
     Answered,
     Deliver,
@@ -19,16 +17,18 @@
     next_step,
 )
 from banyansail.gateway.request_types import Cause, Rejection
+from banyansail.gateway.requests.active_request import start_request
+from banyansail.gateway.requests.caller_response import CallerResponse
+from banyansail.gateway.requests.upstream_run import UpstreamRun
 from banyansail.gateway.site import RouteKind
-from banyansail.gateway.upstream_run import UpstreamRun
 
 if TYPE_CHECKING:
     from banyansail.config.fields import Address
     from banyansail.gateway.context import GatewayContext
     from banyansail.gateway.decisions.service_state import Slot
-    from banyansail.gateway.events import StreamEvent
     from banyansail.gateway.request_types import CallerCall, ReplyHead
-    from banyansail.gateway.response_writer import ResponseWriter
+    from banyansail.gateway.requests.events import StreamEvent
+    from banyansail.gateway.requests.response_writer import ResponseWriter
     from banyansail.gateway.site import Route, Workspace
 
 
--- a/banyansail/gateway/relay.py
+++ b/banyansail/gateway/requests/relay.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from banyansail.gateway.attempt import Attempt, StreamSink
+from banyansail.gateway.requests.attempt import Attempt, StreamSink
 from banyansail.platform.calls import encode_relayed
 
 if TYPE_CHECKING:
--- a/banyansail/gateway/request_log.py
+++ b/banyansail/gateway/requests/request_log.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING, Any
 
-from banyansail.gateway.share_fields import share_fields
+from banyansail.gateway.requests.share_fields import share_fields
 from banyansail.log import log_decision
 
 if TYPE_CHECKING:
--- a/banyansail/gateway/upstream_run.py
+++ b/banyansail/gateway/requests/upstream_run.py
@@ -5,7 +5,6 @@
 import math
 from typing import TYPE_CHECKING, Any
 
-from banyansail.gateway.attempt import Attempt
 from banyansail.gateway.decisions.migration_order import RunInProgress
 from banyansail.gateway.decisions.retry_policy import (
     Answered,
@@ -16,8 +15,9 @@
 )
 from banyansail.gateway.decisions.stream_pace import StreamPace
 from banyansail.gateway.migration.run import RunMigration
-from banyansail.gateway.outcome_recorder import OutcomeRecorder
 from banyansail.gateway.request_types import RunStatus
+from banyansail.gateway.requests.attempt import Attempt
+from banyansail.gateway.requests.outcome_recorder import OutcomeRecorder
 from banyansail.gateway.site import RouteKind
 from banyansail.platform.calls import encode_attempt
 from banyansail.upstreams.body_end import BodyEnd
@@ -28,11 +28,11 @@
 
     from twisted.internet import defer
 
-    from banyansail.gateway.active_request import ActiveRequest
     from banyansail.gateway.decisions.service_state import Slot, Ticket
     from banyansail.gateway.decisions.upstream_load import UpstreamLoad
-    from banyansail.gateway.events import StreamEvent
     from banyansail.gateway.request_types import HeaderList, ReplyHead
+    from banyansail.gateway.requests.active_request import ActiveRequest
+    from banyansail.gateway.requests.events import StreamEvent
 
 
 class UpstreamRun:
--- a/banyansail/gateway/router.py
+++ b/banyansail/gateway/router.py
@@ -10,10 +10,9 @@
 
 from banyansail.clock import Clock, SystemClock
 from banyansail.fleet.entries import Topic
-from banyansail.gateway.cold_sharing import ColdSharing
-from banyansail.gateway.config_keeper import ConfigKeeper
+from banyansail.gateway.callers.request_handler import RequestHandler
+from banyansail.gateway.callers.servers import Servers
 from banyansail.gateway.context import GatewayContext
-from banyansail.gateway.crash_check import CrashCheck
 from banyansail.gateway.decisions.crash_guard import CrashGuard
 from banyansail.gateway.decisions.dispatch import Dispatcher
 from banyansail.gateway.decisions.quota import QuotaLimiter
@@ -23,25 +22,26 @@
 from banyansail.gateway.duties.usage import SteadyTime, UsageCounter
 from banyansail.gateway.duties.usage_exchange import UsageExchange
 from banyansail.gateway.duties.usage_reporter import UsageReporter
-from banyansail.gateway.evacuations import Evacuations
-from banyansail.gateway.fleet_link import ROUTERS_KIND, FleetLink
-from banyansail.gateway.limit_sharing import LimitSharing
-from banyansail.gateway.peer_messages import PeerMessages
 from banyansail.gateway.periodic import PeriodicWork
-from banyansail.gateway.quarantine_store import QuarantineStore
 from banyansail.gateway.reach_check import ReachCheck
-from banyansail.gateway.request_handler import RequestHandler
-from banyansail.gateway.servers import Servers
-from banyansail.gateway.speed_sharing import SpeedSharing
-from banyansail.gateway.store_following import StoreFollowing
-from banyansail.gateway.store_mirrors import StoreMirrors
-from banyansail.gateway.store_probe import StoreProbe
-from banyansail.gateway.tasks import add_tasks
-from banyansail.gateway.traffic_report import (
+from banyansail.gateway.requests.crash_check import CrashCheck
+from banyansail.gateway.sharing.cold_sharing import ColdSharing
+from banyansail.gateway.sharing.fleet_link import ROUTERS_KIND, FleetLink
+from banyansail.gateway.sharing.limit_sharing import LimitSharing
+from banyansail.gateway.sharing.peer_messages import PeerMessages
+from banyansail.gateway.sharing.quarantine_store import QuarantineStore
+from banyansail.gateway.sharing.speed_sharing import SpeedSharing
+from banyansail.gateway.sharing.traffic_report import (
     apply_fleet_traffic,
     make_report,
 )
-from banyansail.gateway.upstream_sync import UpstreamSync
+from banyansail.gateway.store.config_keeper import ConfigKeeper
+from banyansail.gateway.store.evacuations import Evacuations
+from banyansail.gateway.store.store_following import StoreFollowing
+from banyansail.gateway.store.store_mirrors import StoreMirrors
+from banyansail.gateway.store.store_probe import StoreProbe
+from banyansail.gateway.store.upstream_sync import UpstreamSync
+from banyansail.gateway.tasks import add_tasks
 from banyansail.log import log_event
 from banyansail.platform.cloud import CloudClient
 from banyansail.platform.store import StoreClient
--- /dev/null
+++ b/banyansail/gateway/sharing/__init__.py
@@ -0,0 +1,1 @@
+"""What the routers of a fleet tell each other."""
--- a/banyansail/gateway/limit_sharing.py
+++ b/banyansail/gateway/sharing/limit_sharing.py
@@ -12,10 +12,10 @@
 
     from banyansail.clock import Clock
     from banyansail.fleet.entries import Member
-    from banyansail.gateway.cold_sharing import ColdSharing
     from banyansail.gateway.decisions.dispatch import Dispatcher
     from banyansail.gateway.decisions.upstream_load import UpstreamLoad
     from banyansail.gateway.request_types import ReplyHead
+    from banyansail.gateway.sharing.cold_sharing import ColdSharing
     from banyansail.traffic.fleet_traffic import FleetTraffic
     from banyansail.traffic.report import NamedLimit
 
--- a/banyansail/gateway/peer_messages.py
+++ b/banyansail/gateway/sharing/peer_messages.py
@@ -6,7 +6,7 @@
 
 from banyansail.exceptions import WireError
 from banyansail.fleet.entries import Entry, Topic
-from banyansail.gateway.upstream_table import UPSTREAMS_DOCUMENT
+from banyansail.gateway.store.upstream_table import UPSTREAMS_DOCUMENT
 from banyansail.log import log_event
 from banyansail.wire.call_codec import (
     EmptyReply,
--- /dev/null
+++ b/banyansail/gateway/store/__init__.py
@@ -0,0 +1,1 @@
+"""What a router follows in the platform's store."""
--- a/banyansail/gateway/config_keeper.py
+++ b/banyansail/gateway/store/config_keeper.py
@@ -16,7 +16,7 @@
     from datetime import datetime
 
     from banyansail.clock import Clock
-    from banyansail.gateway.mirror import Mirror
+    from banyansail.gateway.store.mirror import Mirror
 
 CONFIG_OBJECT_NAME = "main"  # store object that holds the configuration
 STORE_SOURCE = "store"
--- a/banyansail/gateway/store_following.py
+++ b/banyansail/gateway/store/store_following.py
@@ -20,7 +20,7 @@
     from banyansail.config.gateway_settings import GatewaySettings
     from banyansail.fleet.entries import Member
     from banyansail.gateway.metrics import GatewayMetrics
-    from banyansail.gateway.mirror import Mirror
+    from banyansail.gateway.store.mirror import Mirror
     from banyansail.platform.store import Revision, StoreClient
     from banyansail.wire.call_codec import PeerCall, PeerReply
 
--- a/banyansail/gateway/store_mirrors.py
+++ b/banyansail/gateway/store/store_mirrors.py
@@ -4,8 +4,8 @@
 
 from typing import TYPE_CHECKING
 
-from banyansail.gateway.mirror import Mirror
-from banyansail.gateway.upstream_table import UpstreamTable
+from banyansail.gateway.store.mirror import Mirror
+from banyansail.gateway.store.upstream_table import UpstreamTable
 from banyansail.platform.evacuations import EVACUATIONS_KIND, decode_evacuations
 from banyansail.platform.moves import MOVES_KIND
 from banyansail.platform.site import differs_in_cold_time_only
--- a/banyansail/gateway/upstream_sync.py
+++ b/banyansail/gateway/store/upstream_sync.py
@@ -14,9 +14,9 @@
     from collections.abc import Callable
 
     from banyansail.gateway.context import GatewayContext
-    from banyansail.gateway.fleet_link import FleetLink
+    from banyansail.gateway.sharing.fleet_link import FleetLink
+    from banyansail.gateway.store.upstream_table import UpstreamTable
     from banyansail.gateway.upstream import Upstream
-    from banyansail.gateway.upstream_table import UpstreamTable
 
 MIN_COALESCE_TIME = timedelta(milliseconds=400)  # of consecutive upstream changes
 # Each change costs the store one call per router that watches.
--- a/banyansail/gateway/upstream_table.py
+++ b/banyansail/gateway/store/upstream_table.py
@@ -16,7 +16,7 @@
 
 if TYPE_CHECKING:
     from banyansail.fleet.entries import Entry
-    from banyansail.gateway.mirror import Mirror
+    from banyansail.gateway.store.mirror import Mirror
     from banyansail.gateway.upstream import Upstream
 
 UPSTREAMS_DOCUMENT = "upstreams"
--- a/banyansail/traffic/exchange.py
+++ b/banyansail/traffic/exchange.py
@@ -27,7 +27,7 @@
     from collections.abc import Callable, Sequence
 
     from banyansail.clock import Clock
-    from banyansail.gateway.fleet_link import FleetLink
+    from banyansail.gateway.sharing.fleet_link import FleetLink
     from banyansail.traffic.report import TrafficReport, TrafficSum
 
 INTERVAL = timedelta(milliseconds=400)  # of reports and of sums
--- a/tests/gateway/test_caller_listener.py
+++ b/tests/gateway/callers/test_caller_listener.py
@@ -7,7 +7,7 @@
 
 from banyansail.config.fields import Address
 from banyansail.exceptions import ListenError
-from banyansail.gateway.caller_listener import (
+from banyansail.gateway.callers.caller_listener import (
     MAX_HOLD_TIME,
     CallerListener,
     open_listener,
--- a/tests/gateway/duties/test_moves.py
+++ b/tests/gateway/duties/test_moves.py
@@ -23,7 +23,7 @@
     state_to_publish,
     target_share,
 )
-from banyansail.gateway.mirror import Mirror
+from banyansail.gateway.store.mirror import Mirror
 from banyansail.wire.gossip_codec import encode_names
 from tests.fakes import FakeClock, run_now
 from tests.gateway.builders import seconds, upstream
--- a/tests/gateway/following_fleet.py
+++ b/tests/gateway/following_fleet.py
@@ -18,9 +18,9 @@
 )
 from banyansail.fleet.entries import Feature, Member
 from banyansail.gateway.metrics import GatewayMetrics
-from banyansail.gateway.mirror import Mirror
-from banyansail.gateway.store_following import StoreFollowing
-from banyansail.gateway.store_probe import StoreProbe
+from banyansail.gateway.store.mirror import Mirror
+from banyansail.gateway.store.store_following import StoreFollowing
+from banyansail.gateway.store.store_probe import StoreProbe
 from banyansail.gateway.tasks import FOLLOW_PAUSE, MAX_FOLLOW_BACKOFF, PROBE_INTERVAL
 from banyansail.platform.store import Change, Revision, StoredObject
 from banyansail.router.supervisor import RepeatedTask
--- a/tests/gateway/test_attempt.py
+++ b/tests/gateway/requests/test_attempt.py
@@ -6,14 +6,14 @@
 
 from twisted.internet import defer
 
-from banyansail.gateway.attempt import Attempt
-from banyansail.gateway.byte_budget import ByteBudget
 from banyansail.gateway.decisions.retry_policy import (
     Incomplete,
     Progress,
     Rejection,
     next_step,
 )
+from banyansail.gateway.requests.attempt import Attempt
+from banyansail.gateway.requests.byte_budget import ByteBudget
 from tests.gateway.builders import route
 
 
--- a/tests/gateway/test_crash_check.py
+++ b/tests/gateway/requests/test_crash_check.py
@@ -7,7 +7,7 @@
 import pytest
 
 from banyansail.config.fields import Address
-from banyansail.gateway.crash_check import CrashCheck, has_ended
+from banyansail.gateway.requests.crash_check import CrashCheck, has_ended
 from banyansail.gateway.upstream import Upstream
 from banyansail.wire.call_codec import (
     EmptyReply,
--- a/tests/gateway/test_events.py
+++ b/tests/gateway/requests/test_events.py
@@ -6,7 +6,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from banyansail.gateway.events import MAX_EVENT_BYTES, EventParser, may_follow
+from banyansail.gateway.requests.events import MAX_EVENT_BYTES, EventParser, may_follow
 
 RAW = b"id: 1\ndata: a\n\nid: 2\ndata: b\n\nx-weight-versions: 3\nid: 3\ndata: c\n\n"
 
--- a/tests/gateway/test_share_fields.py
+++ b/tests/gateway/requests/test_share_fields.py
@@ -7,7 +7,7 @@
 from banyansail.commands.explain import LogLine, format_line
 from banyansail.gateway.decisions.work_shares import ShareUse
 from banyansail.gateway.metrics import GatewayMetrics
-from banyansail.gateway.share_fields import share_fields
+from banyansail.gateway.requests.share_fields import share_fields
 from tests.gateway.builders import seconds
 from tests.gateway.decisions.played_fleet import PlayedFleet
 
--- a/tests/gateway/test_fleet_link.py
+++ b/tests/gateway/sharing/test_fleet_link.py
@@ -7,7 +7,7 @@
 from banyansail.fleet.entries import Member
 from banyansail.fleet.gossiper import Gossiper
 from banyansail.fleet.view import FleetView
-from banyansail.gateway.fleet_link import ROUTERS_KIND, FleetLink
+from banyansail.gateway.sharing.fleet_link import ROUTERS_KIND, FleetLink
 from banyansail.wire.call_codec import NotSupported, ReachIncarnation
 from tests.fakes import FakeClock, run_now
 from tests.gateway.fake_store import FakeStore
--- a/tests/gateway/test_quarantine_store.py
+++ b/tests/gateway/sharing/test_quarantine_store.py
@@ -9,7 +9,10 @@
 from twisted.internet import defer
 
 from banyansail.gateway.decisions.crash_guard import CrashGuard, parts_of
-from banyansail.gateway.quarantine_store import QUARANTINES_KIND, QuarantineStore
+from banyansail.gateway.sharing.quarantine_store import (
+    QUARANTINES_KIND,
+    QuarantineStore,
+)
 from tests.fakes import FakeClock
 from tests.gateway.builders import call, upstream
 from tests.gateway.fake_store import FakeStore
--- a/tests/gateway/test_speed_sharing.py
+++ b/tests/gateway/sharing/test_speed_sharing.py
@@ -9,7 +9,7 @@
 
 from banyansail.gateway.decisions.choice import choose
 from banyansail.gateway.decisions.dispatch import Dispatcher
-from banyansail.gateway.speed_sharing import MAX_REPORTED, SpeedSharing
+from banyansail.gateway.sharing.speed_sharing import MAX_REPORTED, SpeedSharing
 from banyansail.traffic.fleet_traffic import FleetTraffic
 from tests.fakes import FakeClock
 from tests.gateway.builders import seconds, site, upstream
--- a/tests/gateway/test_config_keeper.py
+++ b/tests/gateway/store/test_config_keeper.py
@@ -3,8 +3,8 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from banyansail.gateway.config_keeper import ConfigKeeper
 from banyansail.gateway.site import RouteKind
+from banyansail.gateway.store.config_keeper import ConfigKeeper
 from banyansail.wire.call_codec import Document
 from tests.fakes import FakeClock
 from tests.gateway.live_gateway import config_body
--- a/tests/gateway/test_evacuation_marks.py
+++ b/tests/gateway/store/test_evacuation_marks.py
@@ -8,8 +8,8 @@
 
 from banyansail.config.fields import Address
 from banyansail.fleet.entries import EvacuationMark, Member
-from banyansail.gateway.evacuations import MAX_MARKS, Evacuations
-from banyansail.gateway.mirror import Mirror
+from banyansail.gateway.store.evacuations import MAX_MARKS, Evacuations
+from banyansail.gateway.store.mirror import Mirror
 from banyansail.platform.evacuations import EVACUATIONS_KIND, decode_evacuations
 from banyansail.platform.store import Revision
 from banyansail.wire.gossip_codec import decode_member, encode_member
--- a/tests/gateway/test_mirror.py
+++ b/tests/gateway/store/test_mirror.py
@@ -6,7 +6,7 @@
 from hypothesis import strategies as st
 
 from banyansail.exceptions import HistoryLostError, PlatformUnavailableError
-from banyansail.gateway.mirror import RETURN_GRACE, Mirror
+from banyansail.gateway.store.mirror import RETURN_GRACE, Mirror
 from banyansail.platform.store import Change, Revision, StoredObject
 from tests.fakes import FakeClock, run_now
 
--- a/tests/gateway/test_store_following.py
+++ b/tests/gateway/store/test_store_following.py
@@ -7,7 +7,7 @@
 import pytest
 
 from banyansail.gateway.decisions.watchers import ASKED_TIME
-from banyansail.gateway.mirror import MIN_STALL
+from banyansail.gateway.store.mirror import MIN_STALL
 from tests.gateway.following_fleet import FollowingFleet
 
 CONFIG_BOUND_S = 3.0  # from the store's acknowledgement
--- a/tests/gateway/test_upstream_table.py
+++ b/tests/gateway/store/test_upstream_table.py
@@ -2,8 +2,8 @@
 
 from banyansail.exceptions import PlatformUnavailableError
 from banyansail.fleet.entries import Entry, Topic
-from banyansail.gateway.mirror import Mirror
-from banyansail.gateway.upstream_table import UpstreamTable
+from banyansail.gateway.store.mirror import Mirror
+from banyansail.gateway.store.upstream_table import UpstreamTable
 from banyansail.platform.store import Change, Revision
 from banyansail.wire.gossip_codec import decode_leaving
 from tests.fakes import FakeClock, run_now
--- a/tests/gateway/test_follow.py
+++ b/tests/gateway/test_follow.py
@@ -7,8 +7,8 @@
 from twisted.internet.task import Clock as ReactorClock
 
 from banyansail.exceptions import PlatformUnavailableError
+from banyansail.gateway.store.upstream_sync import coalesce_time
 from banyansail.gateway.tasks import FOLLOW_PAUSE, MAX_FOLLOW_BACKOFF
-from banyansail.gateway.upstream_sync import coalesce_time
 from banyansail.router.supervisor import RepeatedTask
 
 # Store changes must take effect within this time after an outage ends.
--- a/tests/gateway/test_restored_store.py
+++ b/tests/gateway/test_restored_store.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from banyansail.gateway.fleet_link import ROUTERS_KIND
+from banyansail.gateway.sharing.fleet_link import ROUTERS_KIND
 from tests.gateway.live_gateway import LiveGateway, config_body
 from tests.live import in_reactor
 from tests.processes import wait_until
