--- a/tests/gateway/test_ends_of_streams.py
+++ b/tests/gateway/test_ends_of_streams.py
@@ -5,12 +5,15 @@
 import http.client
 import socket
 import time
+from concurrent.futures import ThreadPoolExecutor
 
 import pytest
 
 from tests.gateway.cut_reactor import Cut
 from tests.gateway.live_gateway import HOST, KEY, LiveGateway
 from tests.gateway.raw_upstream import End, Script
+from tests.live import in_reactor
+from tests.processes import wait_until
 
 HEAD = (
     b"HTTP/1.1 200 OK\r\nX-Attempt-Id: {id}\r\nX-Replica-Stamp: s\r\n"
@@ -105,6 +108,32 @@
     assert relaying.gateway.context.reach.is_cut_off
 
 
+@pytest.mark.parametrize("how", ["loseConnection", "abortConnection"])
+def test_a_stream_whose_relay_breaks_does_not_end_as_complete(relaying, how):
+    script(relaying, Script(BROKEN_STREAM, End.KEEP_OPEN), CONTINUATIONS["500"])
+    with ThreadPoolExecutor(1) as pool:
+        answer = pool.submit(relaying.call, "POST", PATH, b"x")
+        wait_until(lambda: relayed_streams(relaying))
+        in_reactor(lambda: [getattr(item, how)() for item in relayed_streams(relaying)])
+        with pytest.raises(BROKEN_OFF):
+            answer.result()
+    assert continuations(relaying)
+
+
+def relayed_streams(live):
+    """Return the connections of streams that the second router serves for the first."""
+    channels = live.gateways[1].servers._relays.channels
+    busy = [channel for channel in channels if channel.requests]
+    return [item.transport for item in busy if item.requests[0].sentLength]
+
+
+@pytest.mark.parametrize("path", [PATH, "/draft/1"])
+def test_a_stream_whose_deadline_passes_does_not_end_as_complete(live, path):
+    script(live, Script(BROKEN_STREAM, End.KEEP_OPEN))
+    with pytest.raises(BROKEN_OFF):
+        live.call("POST", path, b"x", X_Deadline_Ms="700")
+
+
 @pytest.mark.parametrize("end", [End.CLOSE, End.RESET], ids=["closed", "reset"])
 def test_a_continued_stream_ends_as_complete_with_its_upstream(live, end):
     script(live, Script(BROKEN_STREAM, end), Script(REST))
