Don't serve a request whose body was rejected as too large

A body in chunks that exceeded the limit was answered 413, but the rest that came in the same segment was still taken: the request was served without the part that was dropped. Cause: the rejection closed the connection and left the request as it was. Found by the same fault in the own interface, while looking for messages taken for complete. Change: a rejected request takes no more chunks, is answered once and is not served.

--- a/banyansail/gateway/callers/http_server.py
+++ b/banyansail/gateway/callers/http_server.py
@@ -27,6 +27,8 @@
 class GatewayRequest(http.Request):
     """A request whose body is buffered in memory."""
 
+    _is_rejected = False
+
     def gotLength(self, length: int | None) -> None:
         """Prepare the body buffer; Twisted's version may use a temporary file."""
         self.content = io.BytesIO()
@@ -34,15 +36,18 @@
             self._reject_oversized_body()
 
     def handleContentChunk(self, data: bytes) -> None:
-        """Append a chunk of the body."""
+        """Append a chunk of the body, unless it is or becomes too large."""
+        if self._is_rejected:
+            return
         if self.content.tell() + len(data) > self._max_body_bytes:
             self._reject_oversized_body()
             return
         super().handleContentChunk(data)
 
     def process(self) -> None:
-        """Pass the complete request to the factory's handler."""
-        self.channel.factory.handle(self)
+        """Pass the request to the factory's handler if its body is complete."""
+        if not self._is_rejected:
+            self.channel.factory.handle(self)
 
     def start_unframed(self) -> None:
         """Write the head of a response that ends by the close of its connection."""
@@ -66,6 +71,7 @@
         return min(self.channel.factory.limits.max_body_bytes, MAX_BUFFERED_BODY_BYTES)
 
     def _reject_oversized_body(self) -> None:
+        self._is_rejected = True
         if self.channel is not None:
             self.channel.reject_and_close(b"413 Payload Too Large")
 
