Take a continuation without events for no end of the stream

Callers of a stream that broke got it ended as complete if the next upstream answered the continuation with an empty 200, as one that knows nothing of the run does. Cause: an empty answer with a length counts as the upstream's end of the stream, also where the stream was begun by another one. Change: such an attempt is incomplete, so that the stream goes on elsewhere or breaks off. A stream that broke after its last event breaks off too, though its caller has all events; it can't be told apart. Answers to callers that resume by themselves are passed on as before.

--- a/banyansail/gateway/requests/attempt.py
+++ b/banyansail/gateway/requests/attempt.py
@@ -181,8 +181,12 @@
             return f"the status of the stream was {self._head.status}"
         if self._parser.has_partial_event:
             return "the stream ended in the middle of an event"
-        if self._head.end is BodyEnd.CLOSE and not self._has_events:
+        if self._has_events:
+            return None
+        if self._head.end is BodyEnd.CLOSE:
             return "the stream ended before its first event"
+        if self._last_event_id:
+            return "the continuation of the stream has no event"
         return None
 
     def exchange_failed(self, reason: str) -> None:
--- a/tests/gateway/test_ends_of_streams.py
+++ b/tests/gateway/test_ends_of_streams.py
@@ -56,6 +56,7 @@
     "another break": Script(CHUNKED + chunk(event(3)), End.CLOSE),
     "no length, closed": Script(UNFRAMED + event(3), End.CLOSE),
     "no length, reset": Script(UNFRAMED + event(3), End.RESET),
+    "empty": Script(CHUNKED + LAST_CHUNK),
     "begins anew": Script(
         CHUNKED + chunk(event(1)) + chunk(event(2)) + chunk(event(3)) + LAST_CHUNK
     ),
