Continue no stream whose last event has no id

Callers of a stream whose events bear no ids got the events of a second run after those of a first one that had broken off. Cause: a stream was continued wherever its route may be resumed; without the id of the last event, the next upstream begins anew. Change: a started response knows whether its last event has an id; without one the stream breaks off. Blank lines and comments between events don't count. Result: the test failed before (two upstreams got the request) and passes; 50 tests of the ends of streams pass.

--- a/banyansail/gateway/decisions/response_state.py
+++ b/banyansail/gateway/decisions/response_state.py
@@ -24,9 +24,12 @@
     ----------
     end : BodyEnd
         What ends the body, according to the head that was written.
+    is_resumable : bool
+        Whether another upstream can be told where to go on: the last event has an id.
     """
 
     end: BodyEnd
+    is_resumable: bool = True
 
 
 ResponseState = NotStarted | Started
--- a/banyansail/gateway/decisions/retry_policy.py
+++ b/banyansail/gateway/decisions/retry_policy.py
@@ -9,6 +9,7 @@
 from banyansail.gateway.decisions.response_state import (
     NotStarted,
     ResponseState,
+    Started,
     continuation_fault,
 )
 from banyansail.gateway.request_types import Cause, Rejection, ReplyHead, RunStatus
@@ -165,6 +166,9 @@
 
 
 def _may_run_again(route: Route, progress: Progress) -> bool:
+    match progress.response:
+        case Started(is_resumable=False):
+            return False
     return route.is_repeatable and progress.possible_runs < route.max_attempts
 
 
--- a/banyansail/gateway/requests/caller_response.py
+++ b/banyansail/gateway/requests/caller_response.py
@@ -51,9 +51,18 @@
         if isinstance(request.progress.response, NotStarted):
             request.progress.response = Started(head.end)
             self._writer.start_stream(head)
+        self._record_event(event)
+        self._writer.write(event.raw)
+
+    def _record_event(self, event: StreamEvent) -> None:
+        """Record where another upstream could go on."""
+        request = self._request
         if event.id:
             request.last_event_id = event.id
-        self._writer.write(event.raw)
+        started = request.progress.response
+        is_resumable = bool(event.id) or (started.is_resumable and not event.has_data)
+        if is_resumable is not started.is_resumable:
+            request.progress.response = Started(started.end, is_resumable)
 
     def end(self, result: Deliver | Rejection) -> None:
         """End the response with the result of the request, unless it has ended."""
--- a/banyansail/gateway/requests/events.py
+++ b/banyansail/gateway/requests/events.py
@@ -26,6 +26,12 @@
     id: str
     raw: bytes
 
+    @property
+    def has_data(self) -> bool:
+        """Whether it is more than blank lines and comments."""
+        lines = self.raw.splitlines()
+        return any(line and not line.startswith(b":") for line in lines)
+
 
 class EventParser:
     """Incremental parser that buffers bytes until an event is complete."""
--- a/tests/gateway/raw_upstream.py
+++ b/tests/gateway/raw_upstream.py
@@ -77,12 +77,14 @@
     def __init__(self):
         self.script = Script()
         self.continuation: Script | None = None  # of a stream; None: as any request
+        self.requests = 0
         self.continuations = 0  # requests that continue a stream
         self.connections = set()
         self._port = reactor.listenTCP(0, self, interface="127.0.0.1")
 
     def script_for(self, request):
         """Return what answers a request."""
+        self.requests += 1
         if b"last-event-id:" not in request.lower():
             return self.script
         self.continuations += 1
--- a/tests/gateway/test_ends_of_streams.py
+++ b/tests/gateway/test_ends_of_streams.py
@@ -109,6 +109,13 @@
     assert relaying.gateway.context.reach.is_cut_off
 
 
+def test_a_broken_stream_whose_events_have_no_ids_is_not_joined_to_another_run(live):
+    script(live, Script(CHUNKED + chunk(b"data: part\n\n")))
+    with pytest.raises(BROKEN_OFF):
+        live.call("POST", PATH, b"x")
+    assert sum(raw.requests for raw in live.raw_by_name.values()) == 1
+
+
 @pytest.mark.parametrize("how", ["loseConnection", "abortConnection"])
 def test_a_stream_whose_relay_breaks_does_not_end_as_complete(relaying, how):
     script(relaying, Script(BROKEN_STREAM, End.KEEP_OPEN), CONTINUATIONS["500"])
