Ignore what a caller sends after a response that ends with its connection

A slow caller of such a response had it cut by a reset if it sent anything after it, as a line end after the body of its request. Cause: reading goes on until the caller closes its half. The bytes started the timer of the next request's headers, whose end wrote a 408 behind the response and closed the connection, which resets it. Without such bytes the response arrived whole. Change: bytes that follow the last response of a connection are dropped. They don't prolong its timeout either. Measured: of the two tests, the one with a line end failed (reset) and passes, the one without passed and passes.

--- a/banyansail/gateway/ingress.py
+++ b/banyansail/gateway/ingress.py
@@ -207,6 +207,8 @@
 
     def dataReceived(self, data: bytes) -> None:
         """Process data; headers must be complete some time after their first byte."""
+        if self._resets_on_close and self.is_idle:
+            return  # the last response of the connection has ended
         if self._awaits_headers and self._header_timer is None:
             self._header_timer = self.factory.reactor.callLater(
                 self.factory.limits.header_timeout.total_seconds(),
