Take an answer of the store without its object for no answer

A store whose connection is closed in order before the body of an answer without a length gave an empty body, which list and watch read as a success and failed on with a TypeError; the mirror then recorded no failure of the store. No entry was lost by it. Cause: an empty body is read as null, and only single objects were checked. Change: calls that need an object require one; a deletion still needs only the status.

--- a/banyansail/platform/store.py
+++ b/banyansail/platform/store.py
@@ -309,7 +309,7 @@
         """Delete an object; a missing object is not an error."""
         answer = await self._call("DELETE", _path(kind, name))
         if answer.status != 404:
-            _read_body(answer, 200, 204)
+            _require_status(answer, 200, 204)
 
     async def _call(
         self,
@@ -370,12 +370,20 @@
     return f"/v1/objects/{kind}/{quote(name, safe='')}"
 
 
-def _read_body(answer: StoreAnswer, *statuses: int) -> Any:
+def _require_status(answer: StoreAnswer, *statuses: int) -> None:
     if answer.status not in statuses:
         raise PlatformUnavailableError(
             f"the store answered with status {answer.status}"
         )
-    return answer.json()
+
+
+def _read_body(answer: StoreAnswer, *statuses: int) -> dict[str, Any]:
+    """Return the decoded body, which is missing if the connection was closed early."""
+    _require_status(answer, *statuses)
+    body = answer.json()
+    if not isinstance(body, dict):
+        raise PlatformUnavailableError("the store's answer has no object")
+    return body
 
 
 def _name_of(item: Any) -> str:
