Parse an own answer after a late one by the method of the own request

An answer to HEAD that followed a late answer to another request was never complete: the router waited for the body that its length announces until the deadline. Cause: the parser that is restarted after a skipped answer was given a GET. Change: it is given the method of the request. Measured: the test failed and passes. Also tested: no prefix of an answer that follows a late one counts as complete if the connection is then closed (53 lengths, passed before and after).

--- a/banyansail/upstreams/connection.py
+++ b/banyansail/upstreams/connection.py
@@ -200,7 +200,7 @@
         """Restart the parser after a skipped answer to another request.
 
         h11 parses an answer only after a request, so the new parser is given a
-        placeholder request that is not sent.
+        placeholder request that is not sent. Its method tells whether a body follows.
         """
         remaining, is_closed = self._parser.trailing_data
         self._is_skipping_answer = False
@@ -211,7 +211,9 @@
             return
         self._parser = h11.Connection(h11.CLIENT, MAX_HEAD_BYTES)
         self._parser.send(
-            h11.Request(method=b"GET", target=b"/", headers=[PLACEHOLDER_HOST])
+            h11.Request(
+                method=self._request.method, target=b"/", headers=[PLACEHOLDER_HOST]
+            )
         )
         self._parser.send(h11.EndOfMessage())
         if remaining:
