Send the rest of a complete response that ends with its connection

A slow caller of such a response had it reset when its router stopped, or after the idle timeout, though the response was complete. Cause: each close resets such a connection, also after its end. A draining router closes idle connections again and again; the second close of an ended one wrote to a closed half, which lost the connection and reset it, with what the kernel still had to send. Change: once all bytes and the end are with the kernel, a close no longer resets.

--- a/banyansail/gateway/ingress.py
+++ b/banyansail/gateway/ingress.py
@@ -9,7 +9,11 @@
 from datetime import timedelta
 from typing import TYPE_CHECKING, Any
 
+from twisted.internet.error import ConnectionDone
+from twisted.internet.interfaces import IHalfCloseableProtocol
+from twisted.python.failure import Failure
 from twisted.web import http
+from zope.interface import implementer
 
 from banyansail.gateway.request_types import Cause, Rejection
 from banyansail.gateway.site import CallerLimits
@@ -28,6 +32,7 @@
 # Until a configuration is applied: the default timeout of 15 s plus the margin.
 INITIAL_IDLE_TIMEOUT_S = 17.0
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # SO_LINGER: on, for 0 s
+SEND_ON_CLOSE = struct.pack("ii", 0, 0)  # SO_LINGER: off
 
 
 class GatewayRequest(http.Request):
@@ -179,6 +184,7 @@
     return method == b"HEAD" or status in http.NO_BODY_CODES
 
 
+@implementer(IHalfCloseableProtocol)
 class GatewayChannel(http.HTTPChannel):
     """A caller's connection."""
 
@@ -234,20 +240,31 @@
         process ended before it.
         """
         self._resets_on_close = True
-        self.transport.getHandle().setsockopt(
-            socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE
-        )
+        self._set_linger(RESET_ON_CLOSE)
 
     def loseConnection(self) -> None:
         """Close the connection after the written bytes have been sent."""
         if not self._resets_on_close:
             super().loseConnection()
             return
-        # The caller closes the other half; until then, a close would be a reset.
+        # The caller closes the other half; a close with unread bytes would be a reset.
         self._networkProducer.unregisterProducer()
         self.setTimeout(self.timeOut)
         self.transport.loseWriteConnection()
 
+    def writeConnectionLost(self) -> None:
+        """Let the kernel send the rest of a response whose end it has been given."""
+        self._set_linger(SEND_ON_CLOSE)
+
+    def readConnectionLost(self) -> None:
+        """Close the connection; the caller has closed its half and left."""
+        self.transport.connectionLost(Failure(ConnectionDone()))
+
+    def _set_linger(self, option: bytes) -> None:
+        self.transport.getHandle().setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, option
+        )
+
     def reject_and_close(self, status: bytes) -> None:
         """Answer a request that was not read completely, and close the connection."""
         self.transport.write(
