Count a response that is broken off as a failure, whatever its upstream answered

A stream that was broken off since its continuation had no length, or was answered with a failure through a relay, was counted as upstream_200 (or that failure) in the metrics. Cause: the result was counted, not how the response ended. Change: the end is decided first; a delivery that breaks off counts as upstream_failed.

--- a/banyansail/gateway/caller_response.py
+++ b/banyansail/gateway/caller_response.py
@@ -15,7 +15,7 @@
 )
 from banyansail.gateway.decisions.response_state import NotStarted, Started
 from banyansail.gateway.decisions.retry_policy import Deliver
-from banyansail.gateway.request_types import Rejection
+from banyansail.gateway.request_types import Cause, Rejection
 from banyansail.gateway.share_fields import share_fields
 from banyansail.upstreams.body_end import BodyEnd
 
@@ -60,8 +60,8 @@
         if self._request.is_finished:
             return
         self._request.is_finished = True
-        self._record(result)
         end = decide_end(self._request.progress.response, result)
+        self._record(result, end)
         self._log_end(end)
         self._write(end)
 
@@ -78,8 +78,10 @@
             case BreakOff():
                 self._writer.abort_stream()
 
-    def _record(self, result: Deliver | Rejection) -> None:
+    def _record(self, result: Deliver | Rejection, end: ResponseEnd) -> None:
         match result:
+            case Deliver() if isinstance(end, BreakOff):
+                self._count(Cause.UPSTREAM_FAILED.value)
             case Deliver(answer):
                 self._count(f"upstream_{answer.head.status}")
                 if answer.head.is_failure:
