Add a soak that plays streams that break, resume and move

Change: benchmarks/soak with faults drawn by a seed, in series that overlap, against gateways, a store and scripted upstreams as processes; five checks from what callers and upstreams record alone; a stand-in of the store as a program.

--- a/banyansail/standins/__main__.py
+++ b/banyansail/standins/__main__.py
@@ -5,6 +5,7 @@
   banyansail-standin engine --listen=ADDRESS [--name=NAME] [--version-name=VERSION]
                      [--slots=N] [--token-ms=MS] [--ignores-fencing]
   banyansail-standin service --listen=ADDRESS [--name=NAME]
+  banyansail-standin store --listen=ADDRESS
 
 Options:
   --listen=ADDRESS        IP number and port.
@@ -26,7 +27,12 @@
 
 from banyansail.config.fields import parse_address
 from banyansail.standins.engine_state import EngineOptions
-from banyansail.standins.server import start_engine, start_platform, start_service
+from banyansail.standins.server import (
+    start_engine,
+    start_platform,
+    start_service,
+    start_store,
+)
 from banyansail.standins.service import ServiceState
 
 CRASH_EXIT_CODE = 70
@@ -55,6 +61,8 @@
             checks_fencing=not arguments["--ignores-fencing"],
         )
         start_engine(address, options, _crash)
+    elif arguments["store"]:
+        start_store(address)
     else:
         start_service(address, ServiceState(arguments["--name"]), _crash)
 
--- a/banyansail/standins/server.py
+++ b/banyansail/standins/server.py
@@ -14,6 +14,7 @@
 from banyansail.standins.platform import PlatformStandin
 from banyansail.standins.platform_state import PlatformState
 from banyansail.standins.service import ServiceStandin, ServiceState
+from banyansail.standins.store import StoreStandin
 from banyansail.standins.web import StandinResource, TrackingSite
 
 LISTEN_BACKLOG = 512
@@ -67,6 +68,11 @@
     return _start(resource, address)
 
 
+def start_store(address: Address) -> RunningStandin:
+    """Start a stand-in for the platform's store and cloud API."""
+    return _start(StoreStandin(), address)
+
+
 def start_engine(
     address: Address,
     options: EngineOptions | None = None,
--- /dev/null
+++ b/benchmarks/soak/checks/__init__.py
@@ -0,0 +1,1 @@
+"""Rules that are checked from what callers and upstreams saw."""
--- /dev/null
+++ b/benchmarks/soak/checks/all_checks.py
@@ -0,0 +1,24 @@
+"""All checks, and those that a run makes."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from benchmarks.soak.checks.deadlines import DeadlineCheck
+from benchmarks.soak.checks.order import OrderCheck
+from benchmarks.soak.checks.overlaps import OverlapCheck
+from benchmarks.soak.checks.promises import PromiseCheck
+from benchmarks.soak.checks.repeats import RepeatCheck
+
+if TYPE_CHECKING:
+    from benchmarks.soak.checks.check import Check
+
+CHECK_BY_RULE: dict[str, type[Check]] = {
+    item.rule: item
+    for item in (OrderCheck, RepeatCheck, OverlapCheck, PromiseCheck, DeadlineCheck)
+}
+
+
+def checks_of(*, is_timed: bool) -> list[type[Check]]:
+    """Return the checks to make, with or without those that measure time."""
+    return [item for item in CHECK_BY_RULE.values() if is_timed or not item.is_timed]
--- /dev/null
+++ b/benchmarks/soak/kinds.py
@@ -0,0 +1,252 @@
+"""Kinds of faults; each is a class with what it draws, does and undoes."""
+
+from __future__ import annotations
+
+import signal
+import time
+from dataclasses import asdict
+from enum import Enum
+from typing import TYPE_CHECKING, Any, ClassVar
+
+from benchmarks.soak.records import Fault, Framing
+from benchmarks.soak.switches import Break, Continuation, StreamSwitch
+from tests.gateway.cut_reactor import Cut
+
+if TYPE_CHECKING:
+    from random import Random
+
+    from benchmarks.soak.fleet import Fleet
+
+RESTART_PAUSE_S = 0.1
+LEAVING_NOTICE_S = 1.0
+
+
+class Scope(Enum):
+    """What a fault takes hold of; two faults of a scope don't overlap at a target."""
+
+    ANSWERS = "answers of an upstream"
+    CONTINUATIONS = "continuations at an engine"
+    ADMISSION = "admission at an upstream"
+    UPSTREAM = "process of an upstream"
+    ROUTER = "process of a router"
+    LINKS = "links of a router to all upstreams"
+
+
+class FaultKind:
+    """Base of all kinds.
+
+    To add a kind, derive from it and add the class to `KIND_BY_NAME`.
+    """
+
+    name: ClassVar[str]
+    scope: ClassVar[Scope]
+    weight: ClassVar[int] = 2
+    duration_s: ClassVar[tuple[float, float]] = (1.0, 4.0)
+
+    def draw(self, random: Random) -> dict[str, Any]:
+        """Return the options of a fault of this kind."""
+        return {}
+
+    def begin(self, fleet: Fleet, fault: Fault) -> None:
+        """Strike a fault."""
+        raise NotImplementedError
+
+    def end(self, fleet: Fleet, fault: Fault) -> None:
+        """End a fault."""
+
+
+class BrokenStreams(FaultKind):
+    """Answers that break off after some events."""
+
+    name = "broken streams"
+    scope = Scope.ANSWERS
+    weight = 8
+
+    def draw(self, random: Random) -> dict[str, Any]:
+        """Draw the framing, the place and the form of the break."""
+        return asdict(
+            StreamSwitch(
+                random.choice(list(Framing)),
+                random.randint(0, 12),
+                random.random() < 0.3,
+                random.choice(list(Break)),
+            )
+        )
+
+    def begin(self, fleet: Fleet, fault: Fault) -> None:
+        """Let the upstream break its answers off."""
+        fleet.switch(fault.target, stream=fault.options)
+
+    def end(self, fleet: Fleet, fault: Fault) -> None:
+        """Let the upstream send its answers in full."""
+        fleet.switch(fault.target, stream=None)
+
+
+class UnusualFraming(BrokenStreams):
+    """Answers in full whose length is told in another way."""
+
+    name = "unusual framing"
+    weight = 3
+
+    def draw(self, random: Random) -> dict[str, Any]:
+        """Draw the framing."""
+        return asdict(StreamSwitch(random.choice((Framing.LENGTH, Framing.NONE))))
+
+
+class FailedContinuations(FaultKind):
+    """Continuations that are answered otherwise than with the rest."""
+
+    name = "failed continuations"
+    scope = Scope.CONTINUATIONS
+    weight = 8
+
+    def draw(self, random: Random) -> dict[str, Any]:
+        """Draw the answer."""
+        return {"answer": random.choice(list(Continuation))}
+
+    def begin(self, fleet: Fleet, fault: Fault) -> None:
+        """Let the upstream answer continuations so."""
+        fleet.switch(fault.target, continuation=fault.options["answer"])
+
+    def end(self, fleet: Fleet, fault: Fault) -> None:
+        """Let the upstream continue streams."""
+        fleet.switch(fault.target, continuation=None)
+
+
+class FullUpstream(FaultKind):
+    """An upstream that rejects all requests as not run."""
+
+    name = "full upstream"
+    scope = Scope.ADMISSION
+    weight = 3
+    duration_s = (0.2, 2.0)
+
+    def begin(self, fleet: Fleet, fault: Fault) -> None:
+        """Let the upstream reject requests."""
+        fleet.switch(fault.target, is_full=True)
+
+    def end(self, fleet: Fleet, fault: Fault) -> None:
+        """Let the upstream accept requests."""
+        fleet.switch(fault.target, is_full=False)
+
+
+class CrashedUpstream(FaultKind):
+    """An upstream that crashes and comes back."""
+
+    name = "crashed upstream"
+    scope = Scope.UPSTREAM
+    duration_s = (0.2, 3.0)
+
+    def begin(self, fleet: Fleet, fault: Fault) -> None:
+        """Kill the upstream."""
+        fleet.kill(fault.target)
+
+    def end(self, fleet: Fleet, fault: Fault) -> None:
+        """Start the upstream again."""
+        fleet.start_upstream(fault.target)
+
+
+class LeavingUpstream(FaultKind):
+    """An upstream that announces its end, so that its runs move."""
+
+    name = "leaving upstream"
+    scope = Scope.UPSTREAM
+    duration_s = (1.5, 4.0)
+    weight = 4
+
+    def begin(self, fleet: Fleet, fault: Fault) -> None:
+        """Announce the end."""
+        leaves_ms = int(LEAVING_NOTICE_S * 1000)
+        fleet.register(fault.target, state="draining", leaves_ms=leaves_ms, seq=2)
+
+    def end(self, fleet: Fleet, fault: Fault) -> None:
+        """Kill the upstream, and start its successor."""
+        fleet.kill(fault.target)
+        fleet.unregister(fault.target)
+        time.sleep(RESTART_PAUSE_S)
+        fleet.start_upstream(fault.target)
+
+
+class StoppedRouter(FaultKind):
+    """A router that is stopped as planned, with streams open."""
+
+    name = "stopped router"
+    scope = Scope.ROUTER
+
+    def begin(self, fleet: Fleet, fault: Fault) -> None:
+        """Stop the router."""
+        fleet.signal(fault.target, signal.SIGTERM)
+
+    def end(self, fleet: Fleet, fault: Fault) -> None:
+        """Let it end, and start it again."""
+        fleet.stop(fault.target)
+        fleet.start_router(fault.target)
+
+
+class KilledRouter(FaultKind):
+    """A router that is killed with bytes unsent."""
+
+    name = "killed router"
+    scope = Scope.ROUTER
+    duration_s = (0.1, 1.5)
+
+    def begin(self, fleet: Fleet, fault: Fault) -> None:
+        """Kill the router."""
+        fleet.kill(fault.target)
+
+    def end(self, fleet: Fleet, fault: Fault) -> None:
+        """Start the router again."""
+        fleet.start_router(fault.target)
+
+
+class FrozenRouter(FaultKind):
+    """A router whose process is frozen for some time."""
+
+    name = "frozen router"
+    scope = Scope.ROUTER
+    duration_s = (0.2, 3.0)
+
+    def begin(self, fleet: Fleet, fault: Fault) -> None:
+        """Freeze the router."""
+        fleet.signal(fault.target, signal.SIGSTOP)
+
+    def end(self, fleet: Fleet, fault: Fault) -> None:
+        """Let the router go on."""
+        fleet.signal(fault.target, signal.SIGCONT)
+
+
+class CutOffRouter(FaultKind):
+    """A router that reaches no upstream, so that it relays through another."""
+
+    name = "cut-off router"
+    scope = Scope.LINKS
+    weight = 3
+
+    def draw(self, random: Random) -> dict[str, Any]:
+        """Draw what becomes of the connections."""
+        return {"cut": random.choice(list(Cut)).value}
+
+    def begin(self, fleet: Fleet, fault: Fault) -> None:
+        """Cut the links of the router."""
+        fleet.cut_off(fault.target, Cut(fault.options["cut"]))
+
+    def end(self, fleet: Fleet, fault: Fault) -> None:
+        """Let the router reach the upstreams."""
+        fleet.heal(fault.target)
+
+
+KIND_BY_NAME: dict[str, FaultKind] = {
+    item.name: item()
+    for item in (
+        BrokenStreams,
+        UnusualFraming,
+        FailedContinuations,
+        FullUpstream,
+        CrashedUpstream,
+        LeavingUpstream,
+        StoppedRouter,
+        KilledRouter,
+        FrozenRouter,
+        CutOffRouter,
+    )
+}
--- /dev/null
+++ b/benchmarks/soak/site_config.py
@@ -0,0 +1,103 @@
+"""Configuration of the fleet under test, as its operator writes it."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from benchmarks.soak.http_caller import HOST, PREFIX_BY_KIND
+from benchmarks.soak.records import Kind
+
+DEPOT, ENGINES = "depot", "engines"
+SLOTS = 32
+GRACE_S = 3.0
+ZONES = ("glasgow", "leith")
+TIMEOUT_MS_BY_KIND = {
+    Kind.STOCK: 2000,
+    Kind.ORDERS: 2000,
+    Kind.DRAFT: 9000,
+    Kind.RESUMABLE: 9000,
+}
+TYPE_BY_KIND = {
+    Kind.STOCK: "safe",
+    Kind.ORDERS: "unsafe",
+    Kind.DRAFT: "streaming",
+    Kind.RESUMABLE: "streaming",
+}
+MAX_ATTEMPTS = 3
+
+
+def site_config() -> dict[str, Any]:
+    """Return the configuration."""
+    engine = {"slots": SLOTS, "kvTokens": 100_000, "stride": 1, "moves": True}
+    service = {"healthPath": "/health", "maxConns": 200}
+    return {
+        "version": 1,
+        "routes": [_route(kind) for kind in Kind],
+        "services": [
+            {"name": DEPOT, **service},
+            {"name": ENGINES, "engine": engine, **service},
+        ],
+        "limits": {"idleTimeoutMs": 5000},
+    }
+
+
+def _route(kind: Kind) -> dict[str, Any]:
+    return {
+        "name": kind.value,
+        "host": HOST,
+        "pathPrefix": PREFIX_BY_KIND[kind],
+        "routeType": TYPE_BY_KIND[kind],
+        "service": ENGINES if kind.is_stream else DEPOT,
+        "timeoutMs": TIMEOUT_MS_BY_KIND[kind],
+        "sloMs": 500,
+        "priority": 1,
+        "maxAttempts": MAX_ATTEMPTS if kind.is_idempotent else 1,
+        "streamResume": kind is Kind.RESUMABLE,
+    }
+
+
+def upstream_entry(
+    service: str, address: str, zone: str, born_ms: int, **fields: Any
+) -> dict[str, Any]:
+    """Return the entry that an upstream writes to the store."""
+    return {
+        "service": service,
+        "address": address,
+        "zone": zone,
+        "version": "v1",
+        "slots": SLOTS,
+        "state": "ready",
+        "seq": 1,
+        "born": born_ms,
+        **fields,
+    }
+
+
+def gateway_settings(
+    number: int, routers: int, ports: dict[str, int], peer_port: int, store: str
+) -> dict[str, Any]:
+    """Return the settings of a router; routers are numbered from 1."""
+    host = f"127.0.0.{number}"
+    return {
+        "name": f"front-{number}",
+        "zone": ZONES[number % len(ZONES)],
+        "region": "scotland",
+        "listen": f"127.0.0.1:{ports['listen']}",
+        "ready": f"127.0.0.1:{ports['ready']}",
+        "metrics": f"127.0.0.1:{ports['metrics']}",
+        "relay": f"{host}:{ports['relay']}",
+        "peer": f"{host}:{peer_port}",
+        "seeds": [f"127.0.0.{item + 1}:1" for item in range(routers)],
+        "store": store,
+        "cloud": store,
+        "shared_key": "0123456789abcdef",
+        "grace_s": GRACE_S,
+        "retry_ratio": 0.2,
+        "retry_slack": 1000,  # continuations are not to run out
+        "retry_window_s": 10,
+        "quota_slack": 1000,
+        "usage_window_s": 5,
+        "usage_late_s": 10,
+        "lease_ms": 3000,
+        "expose_share": 0.5,
+    }
