--- a/tests/benchmarks/soak/checks/test_order.py
+++ b/tests/benchmarks/soak/checks/test_order.py
@@ -65,6 +65,12 @@
     assert findings_of(OrderCheck, response, run) == []
 
 
+def test_an_end_without_a_length_may_be_passed_on_after_a_run_without_events():
+    response = response_of(event_ids=[1, 2, 3], **CLOSED_UNFRAMED)
+    last = run_of("e2", 11.0, framing=Framing.NONE, end=RunEnd.CLOSED)
+    assert findings_of(OrderCheck, response, run_of(**BROKEN), last) == []
+
+
 @pytest.mark.parametrize("end", [RunEnd.RESET, RunEnd.LEFT])
 def test_another_end_may_not_look_so(end):
     response = response_of(event_ids=[1, 2, 3], **CLOSED_UNFRAMED)
@@ -74,7 +80,8 @@
 
 def test_an_end_without_a_length_after_a_framed_part_is_found():
     response = response_of(event_ids=[1, 2, 3], **CLOSED_UNFRAMED)
-    last = run_of("e2", 11.0, framing=Framing.NONE, end=RunEnd.CLOSED)
+    ended = {"framing": Framing.NONE, "end": RunEnd.CLOSED}
+    last = run_of("e2", 11.0, first_event=3, **ended)
     assert len(findings_of(OrderCheck, response, run_of(**BROKEN), last)) == 1
 
 
