--- a/benchmarks/soak/cut_gateway.py
+++ b/benchmarks/soak/cut_gateway.py
@@ -21,7 +21,7 @@
 from banyansail.command_line import run_command
 from banyansail.config.gateway_settings import GatewaySettings, load_gateway_settings
 from banyansail.daemon import run_daemon
-from banyansail.gateway.caller_listener import open_listener
+from banyansail.gateway.callers.caller_listener import open_listener
 from banyansail.gateway.router import Gateway
 from banyansail.log import open_log
 from tests.gateway.cut_reactor import Cut, CutReactor
