Leave what was given up before it was read out of ORDER in the soak too

Cause: under a load of 80 on 8 cores, upstreams read two requests after their routers had gone on elsewhere; these runs were taken for the last ones, so that an answer without a length, passed on as it came, was found at fault. Change: ORDER and the overlaps look at the same runs; TWICE and REFUSED still count all.

--- a/benchmarks/soak/checks/order.py
+++ b/benchmarks/soak/checks/order.py
@@ -47,7 +47,7 @@
             return f"an event has an id {place} the one that is due"
         if not response.looks_complete:
             return None
-        runs = self.evidence.runs_of(response.attempt)
+        runs = self.evidence.wanted_runs_of(response.attempt)
         if _is_end_passed_on(response, runs):
             return None
         if not any(run.end is RunEnd.FULL for run in runs):
--- a/benchmarks/soak/records.py
+++ b/benchmarks/soak/records.py
@@ -9,6 +9,8 @@
 from pathlib import Path
 from typing import Any
 
+GIVEN_UP_S = 0.02  # less than the pause before the first event
+
 
 class Kind(StrEnum):
     """Kind of a request, as its route declares it."""
@@ -85,6 +87,15 @@
     ended_at: float | None = None
     end: RunEnd = RunEnd.CRASHED
 
+    @property
+    def was_given_up(self) -> bool:
+        """Whether the router had left before the upstream read the request.
+
+        Such a run begins later than it was sent, and has no place among the others.
+        """
+        is_left = self.end is RunEnd.LEFT
+        return is_left and self.ended_at - self.began_at < GIVEN_UP_S
+
 
 @dataclass(slots=True)
 class Response:
@@ -167,6 +178,10 @@
         """Return the runs of a request, by their beginning."""
         return self.runs_by_attempt.get(attempt, [])
 
+    def wanted_runs_of(self, attempt: str) -> list[Run]:
+        """Return the runs that were not given up before they were read."""
+        return [run for run in self.runs_of(attempt) if not run.was_given_up]
+
 
 @dataclass(slots=True, frozen=True)
 class Finding:
--- a/tests/benchmarks/soak/checks/test_order.py
+++ b/tests/benchmarks/soak/checks/test_order.py
@@ -5,7 +5,7 @@
 import pytest
 
 from benchmarks.soak.checks.order import OrderCheck
-from benchmarks.soak.records import Framing, ResponseEnd, RunEnd
+from benchmarks.soak.records import GIVEN_UP_S, Framing, ResponseEnd, RunEnd
 from tests.benchmarks.soak.histories import (
     fault_of,
     findings_of,
@@ -71,6 +71,14 @@
     assert findings_of(OrderCheck, response, run_of(**BROKEN), last) == []
 
 
+@pytest.mark.parametrize("lasted_s, count", [(GIVEN_UP_S / 2, 0), (GIVEN_UP_S * 2, 1)])
+def test_a_run_that_was_given_up_before_it_was_read_has_no_place(lasted_s, count):
+    response = response_of(event_ids=[1, 2, 3], **CLOSED_UNFRAMED)
+    run = run_of(framing=Framing.NONE, end=RunEnd.CLOSED)
+    late = run_of("e2", 11.5, end=RunEnd.LEFT, ended_at=11.5 + lasted_s)
+    assert len(findings_of(OrderCheck, response, run, late)) == count
+
+
 @pytest.mark.parametrize("end", [RunEnd.RESET, RunEnd.LEFT])
 def test_another_end_may_not_look_so(end):
     response = response_of(event_ids=[1, 2, 3], **CLOSED_UNFRAMED)
--- a/tests/benchmarks/soak/checks/test_repeats.py
+++ b/tests/benchmarks/soak/checks/test_repeats.py
@@ -4,9 +4,9 @@
 
 import pytest
 
-from benchmarks.soak.checks.overlaps import GIVEN_UP_S, MAX_OVERLAP_S, OverlapCheck
+from benchmarks.soak.checks.overlaps import MAX_OVERLAP_S, OverlapCheck
 from benchmarks.soak.checks.repeats import RepeatCheck
-from benchmarks.soak.records import Kind, RunEnd
+from benchmarks.soak.records import GIVEN_UP_S, Kind, RunEnd
 from tests.benchmarks.soak.histories import (
     fault_of,
     findings_of,
