--- a/tests/benchmarks/soak/test_soak.py
+++ b/tests/benchmarks/soak/test_soak.py
@@ -18,8 +18,7 @@
 TIMEOUT_S = 300
 
 
-# Routers take an empty answer for the end of a stream, as `failed_seeds.txt` has it.
-KINDS = frozenset(names_of_kinds(None)) - {"empty continuations"}
+KINDS = frozenset(names_of_kinds(None))
 
 
 def test_a_short_run_finds_nothing(tmp_path):
