End a response from a typed outcome, a started stream only as completed by its marker

Cause: after a stream had broken off, an answer of the next upstream with a status below 500 (404, 400, 302, 204, 206) was written as the final answer into the started stream, and the response was then ended with its last chunk. An HTTP/1.0 caller, and any that looks at the framing, took the rest for delivered. A resumed stream, and an object assembled from two upstreams, ended in the same way. Change: `ResponseWriter.end` alone decides how a response ends, from an `Answer`, a `Refusal`, `StreamCompleted` or `StreamInterrupted`; an answer to a started stream becomes an error event. `is_closed` and `is_streaming` are read-only. A model exchange with a partial answer takes any other status than 200 for a failed attempt and goes on elsewhere.

--- a/banyansail/router/caller_resource.py
+++ b/banyansail/router/caller_resource.py
@@ -10,7 +10,7 @@
 from twisted.web.server import NOT_DONE_YET, Request
 
 from banyansail.config.rules import ServiceKind
-from banyansail.router.caller import CallerRequest, ResponseWriter
+from banyansail.router.caller import CallerRequest
 from banyansail.router.keyed_exchange import KeyedExchange
 from banyansail.router.lifecycle import RouterState
 from banyansail.router.model_exchange import ModelExchange
@@ -32,6 +32,7 @@
     refusal_before_key_lookup,
     unknown_stream,
 )
+from banyansail.router.response_writer import ResponseWriter
 from banyansail.routing.classify import classify
 from banyansail.routing.request_types import Refusal, RequestClass
 from banyansail.upstreams.events import EVENT_SEPARATOR
@@ -81,7 +82,7 @@
                 self._start_exchange(request, writer, parsed)
         except BadRequestError as error:
             self._context.metrics.count("refuse.bad_request")
-            writer.refuse(error.refusal())
+            writer.end(error.refusal())
         return NOT_DONE_YET
 
     def _answer_health(self, request: Request) -> bytes:
@@ -94,7 +95,7 @@
         self, http_request: Request, writer: ResponseWriter, parsed: ParsedRequest
     ) -> None:
         if self._lifecycle.state is RouterState.STARTING:
-            writer.refuse(
+            writer.end(
                 refusal_before_key_lookup(NOT_READY, parsed.request.idempotency_key)
             )
             return
@@ -109,13 +110,11 @@
             parsed.timeout,
         )
         if isinstance(classified, Refusal):
-            writer.refuse(
-                refusal_before_key_lookup(classified, request.idempotency_key)
-            )
+            writer.end(refusal_before_key_lookup(classified, request.idempotency_key))
             return
         max_body_bytes = self._context.rules.limit(request.service).max_body_bytes
         if len(request.body) > max_body_bytes:
-            writer.refuse(
+            writer.end(
                 refusal_before_key_lookup(
                     body_too_large(max_body_bytes), request.idempotency_key
                 )
@@ -161,7 +160,7 @@
         done = defer.Deferred.fromCoroutine(
             self._find_and_resume(http_request, writer, request_id, last_event_index)
         )
-        done.addErrback(lambda failure: writer.refuse(unknown_stream(request_id)))
+        done.addErrback(lambda failure: writer.end(unknown_stream(request_id)))
 
     async def _find_and_resume(
         self,
@@ -172,7 +171,7 @@
     ) -> None:
         record = await self._context.streams.find(request_id)
         if record is None or last_event_index >= len(record.events):
-            writer.refuse(unknown_stream(request_id))
+            writer.end(unknown_stream(request_id))
             return
         request = CallerRequest(
             request_id,
@@ -193,7 +192,7 @@
             None,
         )
         if isinstance(classified, Refusal):
-            writer.refuse(classified)
+            writer.end(classified)
             return
         writer.start_stream()
         for event in record.events[last_event_index + 1 :]:
--- a/banyansail/router/exchange.py
+++ b/banyansail/router/exchange.py
@@ -32,8 +32,9 @@
 )
 
 if TYPE_CHECKING:
-    from banyansail.router.caller import CallerRequest, ResponseWriter
+    from banyansail.router.caller import CallerRequest
     from banyansail.router.context import ExchangeContext
+    from banyansail.router.response_writer import ResponseWriter
     from banyansail.routing.dispatch import Assignment
     from banyansail.routing.request_types import RequestClass
 
@@ -120,7 +121,7 @@
 
     def abandon(self) -> None:
         """Cancel the request after the caller disconnected."""
-        self.writer.is_closed = True
+        self.writer.disconnect()
         self._stop()
 
     def abort_attempt(self, error: AttemptError) -> None:
@@ -145,7 +146,7 @@
         """Write a refusal as the final answer."""
         self.context.metrics.count(f"refuse.{refusal.code.value}")
         log_refusal(self.request, refusal, self.attempts)
-        self.writer.refuse(refusal)
+        self.writer.end(refusal)
 
     async def _run_to_answer(self) -> None:
         try:
@@ -322,7 +323,7 @@
         if failure.check(defer.CancelledError, AttemptError) and self.is_finished:
             return
         log_event("internal_error", request=self.request.request_id, error=str(failure))
-        self.writer.refuse(router_failed(self.run_status()))
+        self.writer.end(router_failed(self.run_status()))
 
     def base_headers(self) -> dict[str, str]:
         """Return the headers that every call to an upstream has."""
--- a/banyansail/router/keyed_exchange.py
+++ b/banyansail/router/keyed_exchange.py
@@ -21,7 +21,6 @@
     StartKey,
     StoredAnswer,
 )
-from banyansail.router.caller import Answer
 from banyansail.router.plain_exchange import PlainExchange
 from banyansail.router.refusals import (
     ANSWER_LOST,
@@ -31,6 +30,7 @@
     claim_failed,
     outcome_unknown,
 )
+from banyansail.router.response_outcome import Answer
 from banyansail.router.scheduler import RefusedError
 from banyansail.routing.request_types import RunStatus
 
@@ -104,7 +104,6 @@
             super()._stop()
             return
         # The caller has its final answer; a late one is recorded for repeated calls.
-        self.writer.is_closed = True
         self.context.reactor.callLater(
             LATE_ANSWER_TIMEOUT.total_seconds(), super()._stop
         )
--- a/banyansail/router/lifecycle.py
+++ b/banyansail/router/lifecycle.py
@@ -10,6 +10,7 @@
 
 from banyansail.log import log_event
 from banyansail.router.model_exchange import ModelExchange
+from banyansail.router.response_outcome import StreamInterrupted
 from banyansail.routing.request_types import Refusal, RefusalCode, RunStatus
 from banyansail.wire.call_codec import StreamRecord
 
@@ -120,11 +121,10 @@
         log_event("handed_off", request=request.request_id, kept=is_handed_off)
         if is_handed_off:
             # The caller gets an incomplete stream, which another router can resume.
-            exchange.writer.start_stream()
-            exchange.writer.abort_stream()
+            exchange.writer.end(StreamInterrupted())
         else:
             text = "the router is stopping and no other router can continue the stream"
-            exchange.writer.refuse(
+            exchange.writer.end(
                 Refusal(503, RefusalCode.STOPPING, RunStatus.UNKNOWN, text)
             )
 
--- a/banyansail/router/model_exchange.py
+++ b/banyansail/router/model_exchange.py
@@ -9,15 +9,14 @@
 from twisted.internet import defer
 
 from banyansail.log import log_event
-from banyansail.router.caller import Answer
 from banyansail.router.exchange import Exchange
 from banyansail.router.parsing import COMPLETIONS_PATH
+from banyansail.router.response_outcome import Answer, StreamCompleted
 from banyansail.router.stall_detector import StallDetector
 from banyansail.routing.event_sequencer import AbortAttempt, Deliver, EventSequencer
 from banyansail.routing.retry import AttemptFailure
 from banyansail.upstreams.engine_api import EngineApi
 from banyansail.upstreams.events import (
-    DONE_EVENT,
     EVENT_SEPARATOR,
     AnswerEvent,
     EndEvent,
@@ -156,10 +155,14 @@
         body = await read_body(response, MAX_ERROR_BODY_BYTES)
         if response.headers.getRawHeaders("x-ran", [""])[0] == "not_run":
             raise AttemptError(AttemptFailure.REFUSED, f"status {response.code}")
-        if response.code >= 500:
+        is_final = response.code < 500 and not self._has_partial_answer()
+        if not is_final:
             raise AttemptError(AttemptFailure.BAD_ANSWER, f"status {response.code}")
         self.on_first_byte()
-        self.writer.write_response(Answer(response.code, "application/json", body))
+        self.writer.end(Answer(response.code, "application/json", body))
+
+    def _has_partial_answer(self) -> bool:
+        return self.writer.is_streaming or bool(self.delivered)
 
     def _on_data(self, data: bytes) -> None:
         self._stall_detector.reset()
@@ -205,9 +208,7 @@
 
     def _complete_response(self) -> None:
         if self.wants_stream:
-            self.writer.start_stream()
-            self.writer.write(DONE_EVENT + EVENT_SEPARATOR)
-            self.writer.end_stream()
+            self.writer.end(StreamCompleted())
             return
         completion = {
             "id": self.request.request_id,
@@ -222,7 +223,7 @@
             ],
             "usage": {"completion_tokens": len(self.delivered)},
         }
-        self.writer.write_response(
+        self.writer.end(
             Answer(200, "application/json", json.dumps(completion).encode())
         )
 
--- a/banyansail/router/plain_exchange.py
+++ b/banyansail/router/plain_exchange.py
@@ -4,8 +4,8 @@
 
 from typing import TYPE_CHECKING, Any
 
-from banyansail.router.caller import Answer
 from banyansail.router.exchange import Exchange
+from banyansail.router.response_outcome import Answer
 from banyansail.router.stall_detector import StallDetector
 from banyansail.routing.retry import AttemptFailure
 from banyansail.upstreams.upstream_client import AttemptError, UpstreamClient, read_body
@@ -32,7 +32,7 @@
 
     def deliver(self, answer: Answer) -> None:
         """Write the answer to the caller."""
-        self.writer.write_response(answer)
+        self.writer.end(answer)
 
     async def fetch(self, client: UpstreamClient) -> Answer:
         """Send the call and return the complete answer."""
--- a/banyansail/router/refusals.py
+++ b/banyansail/router/refusals.py
@@ -89,6 +89,12 @@
     return Refusal(500, RefusalCode.UPSTREAM_FAILED, run_status, text)
 
 
+def answered_after_start(status: int) -> Refusal:
+    """Return the refusal of a started stream that an upstream answered otherwise."""
+    text = f"an upstream answered with status {status} in place of the rest"
+    return Refusal(502, RefusalCode.UPSTREAM_FAILED, RunStatus.UNKNOWN, text)
+
+
 def body_too_large(limit: int) -> Refusal:
     """Return the refusal of a body larger than the service's limit in bytes."""
     text = f"the body is larger than {limit} bytes"
