Take a status below 400 other than 200 for no answer to a completion

Cause: 204, 206 and 3xx of an engine were passed on as the final answer of a completion. Their bodies have no end marker, so the router doesn't know that they hold the whole answer; the caller got a success without a text. Change: such a status is a failed attempt, as one of 500 or more.

--- a/banyansail/router/model_exchange.py
+++ b/banyansail/router/model_exchange.py
@@ -155,7 +155,7 @@
         body = await read_body(response, MAX_ERROR_BODY_BYTES)
         if response.headers.getRawHeaders("x-ran", [""])[0] == "not_run":
             raise AttemptError(AttemptFailure.REFUSED, f"status {response.code}")
-        is_final = response.code < 500 and not self._has_partial_answer()
+        is_final = 400 <= response.code < 500 and not self._has_partial_answer()
         if not is_final:
             raise AttemptError(AttemptFailure.BAD_ANSWER, f"status {response.code}")
         self.on_first_byte()
--- a/tests/router/test_broken_answers.py
+++ b/tests/router/test_broken_answers.py
@@ -92,6 +92,15 @@
     assert ask(live, stream=False).status >= 400
 
 
+@pytest.mark.parametrize("stream_wanted", [True, False])
+@pytest.mark.parametrize("status", ["204 No Content", "206 Partial Content", "302 X"])
+def test_another_status_than_200_is_not_taken_for_a_completion(
+    live, status, stream_wanted
+):
+    start(live, answer(status, b"" if status == "204 No Content" else b"{}"))
+    assert ask(live, stream=stream_wanted).status == 502
+
+
 def test_a_failed_continuation_is_made_again_elsewhere(live):
     start(live, BROKEN, answer("404 Not Found"), CONTINUED)
     check_complete(ask(live))
