Show that a stream is complete with its end marker only

Cause: no test covered an upstream that closes in order without a length or without the end marker, a continuation that leaves a gap or begins anew, a deadline, or an HTTP/1.0 caller. Change: tests only, with upstreams that answer with scripted bytes.

--- a/tests/router/test_broken_answers.py
+++ b/tests/router/test_broken_answers.py
@@ -2,34 +2,31 @@
 
 from __future__ import annotations
 
-import json
-import re
-
 import pytest
 
-from banyansail.upstreams.events import EVENT_SEPARATOR
-from banyansail.wire.call_codec import StreamRecord
-from tests.live import LiveSite, in_reactor
-from tests.processes import completion
+from tests.live import LiveSite
+from tests.router.scripted_streams import (
+    BROKEN,
+    CONTINUED,
+    NOT_RUN,
+    RECORD_ID,
+    RESET,
+    WHOLE,
+    ask,
+    check_complete,
+    check_not_complete,
+    start,
+    store_record,
+)
 from tests.router.scripted_upstream import (
     DONE,
     LAST_CHUNK,
-    Received,
-    Script,
-    add_scripted,
     answer,
     call_raw,
     stream,
     tokens,
 )
 
-RECORD_ID = "0f3a"
-COMPLETIONS = "/v1/chat/completions"
-BROKEN = stream(tokens(0, 2))
-RESET = stream(tokens(0, 2), is_reset=True)
-CONTINUED = stream(tokens(2, 4), DONE, end=LAST_CHUNK)
-NOT_RUN = Script(b"HTTP/1.1 421 X\r\nx-ran: not_run\r\ncontent-length: 0\r\n\r\n")
-
 
 @pytest.fixture
 def live():
@@ -37,17 +34,6 @@
         yield site
 
 
-def start(live: LiveSite, *scripts: Script, **by_path: Script):
-    upstreams = add_scripted(live, "advisor-llm", 2, *scripts, **by_path)
-    live.start()
-    return upstreams
-
-
-def ask(live: LiveSite, version: str = "1.1", **extra: object):
-    body = completion("review", 4, **{"stream": True, **extra})
-    return call_raw(live, "POST", COMPLETIONS, body, version)
-
-
 FAILED_CONTINUATIONS = pytest.mark.parametrize(
     "continuation",
     [
@@ -106,29 +92,16 @@
     check_complete(ask(live))
 
 
-def check_not_complete(received: Received) -> None:
-    assert received.status == 200
-    assert received.body.count(b"id: ") == 2, received
-    assert received.has_error_event or not received.is_complete, received
-    assert b"[DONE]" not in received.body
-
-
-def check_complete(received: Received) -> None:
-    found = re.findall(rb"id: (\d+)", received.body)
-    assert found == [b"0", b"1", b"2", b"3"], received
-    assert received.body.count(DONE) == 1
-    assert received.is_complete
-
-
-def store_record(live: LiveSite, count: int = 2) -> None:
-    """Store the record of a stream that another router has stopped."""
-    events = tokens(0, count).replace(b"{id}", RECORD_ID.encode())
-    record = StreamRecord(
-        RECORD_ID,
-        "advisor-llm",
-        "counter",
-        json.dumps(completion("review", 4, stream=True)).encode(),
-        tuple(events.split(EVENT_SEPARATOR)[:-1]),
-    )
-    router = live.site.router_by_name["r0"]
-    in_reactor(router.streams.store, record)
+def test_a_continuation_that_begins_anew_is_complete_with_its_own_end(live):
+    start(live, BROKEN, WHOLE)
+    check_complete(ask(live))
+
+
+def test_a_continuation_that_leaves_a_gap_is_not_complete(live):
+    start(live, BROKEN, stream(tokens(3, 4), DONE, end=LAST_CHUNK))
+    check_not_complete(ask(live))
+
+
+def test_a_continuation_with_nothing_but_the_end_marker_is_complete(live):
+    start(live, stream(tokens(0, 4)), stream(DONE, end=LAST_CHUNK))
+    check_complete(ask(live))
--- /dev/null
+++ b/tests/router/test_stream_ends.py
@@ -0,0 +1,88 @@
+"""A stream is complete with its end marker, however its connection ends."""
+
+from __future__ import annotations
+
+import pytest
+
+from tests.live import LiveSite
+from tests.processes import completion
+from tests.router.scripted_streams import (
+    COMPLETIONS,
+    CONTINUED,
+    WHOLE,
+    ask,
+    check_complete,
+    check_not_complete,
+    start,
+)
+from tests.router.scripted_upstream import (
+    CHUNKED_HEAD,
+    DONE,
+    HEAD_WITHOUT_LENGTH,
+    LAST_CHUNK,
+    Script,
+    call_raw,
+    chunk,
+    stream,
+    tokens,
+)
+
+
+@pytest.fixture
+def live():
+    with LiveSite() as site:
+        yield site
+
+
+@pytest.mark.parametrize("stream_wanted", [True, False])
+def test_events_in_one_segment_with_the_head_do_not_lose_the_head(live, stream_wanted):
+    start(live, WHOLE)
+    received = ask(live, stream=stream_wanted)
+    assert b"X-Request-Id: " in received.head
+    expected = b"text/event-stream" if stream_wanted else b"application/json"
+    assert expected in received.head.lower()
+
+
+@pytest.mark.parametrize("end", [b"", chunk(b"data: [DONE]")], ids=["none", "partial"])
+@pytest.mark.parametrize("version", ["1.1", "1.0"])
+@pytest.mark.parametrize("head", [CHUNKED_HEAD, HEAD_WITHOUT_LENGTH])
+def test_a_stream_closed_in_order_without_its_marker_is_continued(
+    live, head, version, end
+):
+    start(live, stream(tokens(0, 2), head=head, end=end), CONTINUED)
+    check_complete(ask(live, version))
+
+
+@pytest.mark.parametrize("head", [CHUNKED_HEAD, HEAD_WITHOUT_LENGTH])
+def test_a_last_chunk_or_close_without_the_marker_is_not_complete(live, head):
+    end = LAST_CHUNK if head is CHUNKED_HEAD else b""
+    start(live, stream(tokens(0, 2), head=head, end=end))
+    check_not_complete(ask(live))
+
+
+@pytest.mark.parametrize("stream_wanted", [True, False])
+def test_an_answer_whose_marker_came_is_complete_though_its_connection_breaks(
+    live, stream_wanted
+):
+    upstreams = start(live, stream(tokens(0, 4), DONE, is_reset=True))
+    received = ask(live, stream=stream_wanted)
+    assert received.status == 200
+    assert sum(len(upstream.calls) for upstream in upstreams) == 1
+
+
+def test_an_error_answer_without_length_is_not_passed_on(live):
+    head = b"HTTP/1.1 404 Not Found\r\n\r\n"
+    start(live, Script(head, (b"not",)))
+    assert ask(live).status == 502
+
+
+@pytest.mark.parametrize("version", ["1.1", "1.0"])
+@pytest.mark.parametrize("head", [CHUNKED_HEAD, HEAD_WITHOUT_LENGTH])
+def test_a_stream_cut_by_its_deadline_ends_with_an_error(live, head, version):
+    start(live, stream(tokens(0, 2), head=head, is_kept_open=True))
+    live_body = completion("review", 4, stream=True)
+    received = call_raw(
+        live, "POST", COMPLETIONS, live_body, version, x_deadline_seconds="0.3"
+    )
+    assert received.has_error_event
+    check_not_complete(received)
