Fail a continuation that ends before what was delivered

Cause: a continuation that began anew and ended before the last delivered event was dropped as a repetition, and its end marker was taken for that of the whole answer. The two upstreams disagree, so the router doesn't know what the answer is. Change: the sequencer notes the last event of each attempt; an end before the last delivered event fails the attempt, which is then made elsewhere.

--- a/banyansail/router/model_exchange.py
+++ b/banyansail/router/model_exchange.py
@@ -79,6 +79,7 @@
         """Send the completion and forward its events."""
         self._api = EngineApi(client)
         self._splitter = EventSplitter()
+        self._sequencer.start_attempt()
         attempt_id = self.attempt_id()
         self._attempt_id_bytes = attempt_id.encode()
         stall_timeout = self.context.rules.service_by_name[
@@ -183,8 +184,7 @@
             case TokenEvent(index, raw):
                 return self._handle_token(index, raw, forwarded)
             case EndEvent():
-                self._has_end_event = True
-                return None
+                return self._handle_end()
             case MalformedEvent(reason):
                 return AttemptError(AttemptFailure.BAD_ANSWER, reason)
 
@@ -206,6 +206,13 @@
                 return AttemptError(AttemptFailure.BAD_ANSWER, reason)
         return None
 
+    def _handle_end(self) -> AttemptError | None:
+        action = self._sequencer.accept_end()
+        if action is not None:
+            return AttemptError(AttemptFailure.BAD_ANSWER, action.reason)
+        self._has_end_event = True
+        return None
+
     def _complete_response(self) -> None:
         if self.wants_stream:
             self.writer.end(StreamCompleted())
--- a/banyansail/routing/event_sequencer.py
+++ b/banyansail/routing/event_sequencer.py
@@ -37,16 +37,34 @@
         Index of the next event to deliver.
     """
 
-    __slots__ = ("next_index",)
+    __slots__ = ("_last_index", "next_index")
 
     def __init__(self, next_index: int = 0) -> None:
         self.next_index = next_index
+        self._last_index: int | None = None  # of the current attempt
+
+    def start_attempt(self) -> None:
+        """Expect the events of another attempt."""
+        self._last_index = None
 
     def accept(self, index: int) -> EventAction:
         """Return what to do with the event at an index."""
+        self._last_index = index
         if index == self.next_index:
             self.next_index += 1
             return DELIVER
         if index < self.next_index:
             return DROP
         return AbortAttempt(f"received event {index}, expected event {self.next_index}")
+
+    def accept_end(self) -> AbortAttempt | None:
+        """Return why the answer can't end here, or ``None`` if it can.
+
+        An attempt that repeats events has to reach the last one that was delivered.
+        """
+        if self._last_index is None or self._last_index >= self.next_index - 1:
+            return None
+        return AbortAttempt(
+            f"the answer ended with event {self._last_index}, "
+            f"but event {self.next_index - 1} was delivered"
+        )
--- a/tests/router/test_broken_answers.py
+++ b/tests/router/test_broken_answers.py
@@ -92,6 +92,18 @@
     check_complete(ask(live))
 
 
+@pytest.mark.parametrize("stream_wanted", [True, False])
+@pytest.mark.parametrize("shorter", [tokens(0, 2), tokens(1, 2)], ids=["0-1", "1"])
+def test_a_continuation_that_ends_before_what_was_delivered_is_not_complete(
+    live, stream_wanted, shorter
+):
+    broken = stream(tokens(0, 3))
+    start(live, broken, stream(shorter, DONE, end=LAST_CHUNK))
+    received = ask(live, stream=stream_wanted)
+    assert received.status == (200 if stream_wanted else 502)
+    assert b"[DONE]" not in received.body
+
+
 def test_a_continuation_that_begins_anew_is_complete_with_its_own_end(live):
     start(live, BROKEN, WHOLE)
     check_complete(ask(live))
--- a/tests/routing/test_retry.py
+++ b/tests/routing/test_retry.py
@@ -146,3 +146,23 @@
     sequencer = EventSequencer(3)
     assert isinstance(sequencer.accept(4), AbortAttempt)
     assert isinstance(sequencer.accept(3), Deliver)
+
+
+@pytest.mark.parametrize("indexes", [(), (2,), (0, 1, 2), (3,), (1, 2, 3, 4)])
+def test_an_answer_may_end_with_or_after_the_last_delivered_event(indexes):
+    sequencer = EventSequencer(3)
+    sequencer.start_attempt()
+    for index in indexes:
+        sequencer.accept(index)
+    assert sequencer.accept_end() is None
+
+
+@pytest.mark.parametrize("indexes", [(0,), (0, 1), (1,)])
+def test_an_answer_that_ends_before_the_last_delivered_event_is_aborted(indexes):
+    sequencer = EventSequencer()
+    for index in range(3):
+        sequencer.accept(index)
+    sequencer.start_attempt()
+    for index in indexes:
+        sequencer.accept(index)
+    assert isinstance(sequencer.accept_end(), AbortAttempt)
