Take the end marker of a stream for its end

Cause: the router waited for the end of the body after the end marker. Events that followed the marker were delivered as part of the answer; and an upstream that left out the last chunk had its complete answer repeated until the attempts were spent, then reported as failed. Change: with the marker the body ends as complete (`BodyReceiver.finish`), what follows is discarded, and the connection is closed unless the body ends within `BODY_END_TIMEOUT`.

--- a/banyansail/router/model_exchange.py
+++ b/banyansail/router/model_exchange.py
@@ -140,11 +140,7 @@
         if self.wants_stream:
             self.writer.start_stream()
             self.writer.register_producer(_PausableBody(receiver, self._stall_detector))
-        try:
-            await receiver.ended
-        except AttemptError:
-            if not self._has_end_event:
-                raise
+        await receiver.ended
         if not self._has_end_event:
             raise AttemptError(
                 AttemptFailure.CONNECTION_LOST,
@@ -172,10 +168,13 @@
             error = self._handle_event(event, forwarded)
             if error is not None:
                 self._receiver.fail(error)
+            if error is not None or self._has_end_event:
                 break
         if forwarded and self.wants_stream:
             forwarded.append(b"")
             self.writer.write(EVENT_SEPARATOR.join(forwarded))
+        if self._has_end_event:
+            self._receiver.finish(self.context.reactor)
 
     def _handle_event(
         self, event: AnswerEvent, forwarded: list[bytes]
--- a/banyansail/upstreams/upstream_client.py
+++ b/banyansail/upstreams/upstream_client.py
@@ -36,6 +36,7 @@
 IDLE_TIMEOUT_S = 30
 AUXILIARY_CALL_TIMEOUT = timedelta(seconds=1)
 MAX_AUXILIARY_ANSWER_BYTES = 64 * 1024
+BODY_END_TIMEOUT = timedelta(seconds=1)  # after the end marker of a stream
 PROBE_TIMEOUT = timedelta(seconds=1)
 
 NOT_SENT_ERRORS = (
@@ -109,6 +110,7 @@
         self._on_data = on_data
         self.ended: defer.Deferred[None] = defer.Deferred(self._abort)
         self.is_open = True
+        self._close_timer: Any = None
 
     def dataReceived(self, data: bytes) -> None:
         """Forward a chunk unless the body has ended or failed."""
@@ -117,6 +119,8 @@
 
     def connectionLost(self, reason: TwistedFailure) -> None:
         """Fire `ended`, with an error unless the body is complete."""
+        if self._close_timer is not None and self._close_timer.active():
+            self._close_timer.cancel()
         if not self.is_open:
             return
         self.is_open = False
@@ -131,6 +135,20 @@
         detail = detail or reason.getErrorMessage()
         self.ended.errback(AttemptError(AttemptFailure.CONNECTION_LOST, detail))
 
+    def finish(self, reactor: Any) -> None:
+        """End the body as complete before its last chunk, and discard what follows.
+
+        The connection is closed unless the body ends within `BODY_END_TIMEOUT`.
+        """
+        if not self.is_open:
+            return
+        self.is_open = False
+        self.transport.resumeProducing()
+        self._close_timer = reactor.callLater(
+            BODY_END_TIMEOUT.total_seconds(), self._close_connection
+        )
+        self.ended.callback(None)
+
     def fail(self, attempt_error: AttemptError) -> None:
         """End the body with an error and close the connection."""
         if not self.is_open:
--- a/tests/router/scripted_streams.py
+++ b/tests/router/scripted_streams.py
@@ -14,6 +14,7 @@
     LAST_CHUNK,
     Received,
     Script,
+    ScriptedUpstream,
     add_scripted,
     call_raw,
     stream,
@@ -40,6 +41,10 @@
     return call_raw(live, "POST", COMPLETIONS, body, version)
 
 
+def call_count(upstreams: list[ScriptedUpstream]) -> int:
+    return sum(len(upstream.calls) for upstream in upstreams)
+
+
 def check_not_complete(received: Received) -> None:
     assert received.status == 200
     assert received.body.count(b"id: ") == 2, received
--- a/tests/router/scripted_upstream.py
+++ b/tests/router/scripted_upstream.py
@@ -136,6 +136,8 @@
                 return script
         if path in ("/health", "/load"):
             return answer("200 OK", b'{"in_flight": 0}')
+        if path.startswith(("/requests/", "/kv/")):
+            return answer("404 Not Found")
         self.calls.append((path, body))
         return self.scripts.pop(0) if len(self.scripts) > 1 else self.scripts[0]
 
--- a/tests/router/test_stream_ends.py
+++ b/tests/router/test_stream_ends.py
@@ -2,15 +2,18 @@
 
 from __future__ import annotations
 
+import json
+
 import pytest
 
 from tests.live import LiveSite
-from tests.processes import completion
+from tests.processes import completion, wait_until
 from tests.router.scripted_streams import (
     COMPLETIONS,
     CONTINUED,
     WHOLE,
     ask,
+    call_count,
     check_complete,
     check_not_complete,
     start,
@@ -67,7 +70,7 @@
     upstreams = start(live, stream(tokens(0, 4), DONE, is_reset=True))
     received = ask(live, stream=stream_wanted)
     assert received.status == 200
-    assert sum(len(upstream.calls) for upstream in upstreams) == 1
+    assert call_count(upstreams) == 1
 
 
 def test_an_error_answer_without_length_is_not_passed_on(live):
@@ -86,3 +89,27 @@
     )
     assert received.has_error_event
     check_not_complete(received)
+
+
+@pytest.mark.parametrize("stream_wanted", [True, False])
+def test_events_after_the_end_marker_are_not_passed_on(live, stream_wanted):
+    start(live, stream(tokens(0, 2), DONE, tokens(2, 4), end=LAST_CHUNK))
+    received = ask(live, stream=stream_wanted)
+    if stream_wanted:
+        assert received.body.rstrip(b"\r\n0").endswith(b"data: [DONE]"), received
+        assert received.body.count(b"id: ") == 2
+    else:
+        assert json.loads(received.body)["usage"]["completion_tokens"] == 2
+
+
+@pytest.mark.parametrize("stream_wanted", [True, False])
+def test_an_answer_is_complete_with_its_marker_before_the_last_chunk(
+    live, stream_wanted
+):
+    upstreams = start(live, stream(tokens(0, 4), DONE, is_kept_open=True))
+    received = ask(live, stream=stream_wanted)
+    assert received.status == 200
+    if stream_wanted:
+        check_complete(received)
+    assert call_count(upstreams) == 1
+    wait_until(lambda: not any(upstream.connections for upstream in upstreams))
