Split the client of upstreams and the model exchange

Change: `AttemptError`, the receivers of bodies and the producer of backpressure have modules of their own; no behaviour changes.

--- a/banyansail/router/decision_log.py
+++ b/banyansail/router/decision_log.py
@@ -11,7 +11,7 @@
 
     from banyansail.router.caller import CallerRequest
     from banyansail.routing.request_types import Refusal
-    from banyansail.upstreams.upstream_client import AttemptError
+    from banyansail.upstreams.attempt_error import AttemptError
 
 
 def log_refusal(request: CallerRequest, refusal: Refusal, attempts: int) -> None:
--- a/banyansail/router/exchange.py
+++ b/banyansail/router/exchange.py
@@ -25,11 +25,8 @@
     decide_retry,
 )
 from banyansail.routing.retry_target import constrain_retry
-from banyansail.upstreams.upstream_client import (
-    AttemptError,
-    UpstreamCall,
-    UpstreamClient,
-)
+from banyansail.upstreams.attempt_error import AttemptError
+from banyansail.upstreams.upstream_client import UpstreamCall, UpstreamClient
 
 if TYPE_CHECKING:
     from banyansail.router.caller import CallerRequest
--- a/banyansail/router/model_exchange.py
+++ b/banyansail/router/model_exchange.py
@@ -11,10 +11,13 @@
 from banyansail.log import log_event
 from banyansail.router.exchange import Exchange
 from banyansail.router.parsing import COMPLETIONS_PATH
+from banyansail.router.pausable_body import PausableBody
 from banyansail.router.response_outcome import Answer, StreamCompleted
 from banyansail.router.stall_detector import StallDetector
 from banyansail.routing.event_sequencer import AbortAttempt, Deliver, EventSequencer
 from banyansail.routing.retry import AttemptFailure
+from banyansail.upstreams.attempt_error import AttemptError
+from banyansail.upstreams.body_receiver import BodyReceiver, read_body
 from banyansail.upstreams.engine_api import EngineApi
 from banyansail.upstreams.events import (
     EVENT_SEPARATOR,
@@ -24,12 +27,7 @@
     MalformedEvent,
     TokenEvent,
 )
-from banyansail.upstreams.upstream_client import (
-    AttemptError,
-    BodyReceiver,
-    UpstreamClient,
-    read_body,
-)
+from banyansail.upstreams.upstream_client import UpstreamClient
 
 if TYPE_CHECKING:
     from twisted.web.iweb import IResponse
@@ -139,7 +137,7 @@
         response.deliverBody(receiver)
         if self.wants_stream:
             self.writer.start_stream()
-            self.writer.register_producer(_PausableBody(receiver, self._stall_detector))
+            self.writer.register_producer(PausableBody(receiver, self._stall_detector))
         await receiver.ended
         if not self._has_end_event:
             raise AttemptError(
@@ -288,28 +286,6 @@
         self._migration_timer = None
 
 
-class _PausableBody:
-    """Producer that pauses the upstream's connection for a slow caller."""
-
-    __slots__ = ("_receiver", "_stall_detector")
-
-    def __init__(self, receiver: BodyReceiver, stall_detector: StallDetector) -> None:
-        self._receiver = receiver
-        self._stall_detector = stall_detector
-
-    def pauseProducing(self) -> None:
-        self._stall_detector.is_paused = True
-        self._receiver.transport.pauseProducing()
-
-    def resumeProducing(self) -> None:
-        self._stall_detector.is_paused = False
-        self._stall_detector.reset()
-        self._receiver.transport.resumeProducing()
-
-    def stopProducing(self) -> None:
-        return None
-
-
 def _event_text(raw: bytes) -> str:
     data = raw.partition(b"data: ")[2]
     return json.loads(data)["choices"][0]["delta"].get("content", "")
--- a/banyansail/router/plain_exchange.py
+++ b/banyansail/router/plain_exchange.py
@@ -8,7 +8,9 @@
 from banyansail.router.response_outcome import Answer
 from banyansail.router.stall_detector import StallDetector
 from banyansail.routing.retry import AttemptFailure
-from banyansail.upstreams.upstream_client import AttemptError, UpstreamClient, read_body
+from banyansail.upstreams.attempt_error import AttemptError
+from banyansail.upstreams.body_receiver import read_body
+from banyansail.upstreams.upstream_client import UpstreamClient
 
 if TYPE_CHECKING:
     from twisted.web.iweb import IResponse
--- a/banyansail/upstreams/upstream_client.py
+++ b/banyansail/upstreams/upstream_client.py
@@ -8,24 +8,20 @@
 from typing import TYPE_CHECKING, Any
 
 from twisted.internet import defer, error
-from twisted.internet.protocol import Protocol
 from twisted.web.client import (
     Agent,
     BrowserLikePolicyForHTTPS,
     HTTPConnectionPool,
-    PotentialDataLoss,
-    ResponseDone,
     ResponseFailed,
 )
 from twisted.web.http_headers import Headers
 
 from banyansail.routing.retry import AttemptFailure
+from banyansail.upstreams.attempt_error import AttemptError
 from banyansail.upstreams.body import BytesBody
+from banyansail.upstreams.body_receiver import BodyReceiver, read_body
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
-
-    from twisted.python.failure import Failure as TwistedFailure
     from twisted.web.iweb import IResponse
 
     from banyansail.config.fields import Address
@@ -36,7 +32,6 @@
 IDLE_TIMEOUT_S = 30
 AUXILIARY_CALL_TIMEOUT = timedelta(seconds=1)
 MAX_AUXILIARY_ANSWER_BYTES = 64 * 1024
-BODY_END_TIMEOUT = timedelta(seconds=1)  # after the end marker of a stream
 PROBE_TIMEOUT = timedelta(seconds=1)
 
 NOT_SENT_ERRORS = (
@@ -66,148 +61,6 @@
     is_repeatable: bool = True
 
 
-class AttemptError(Exception):
-    """Error of an attempt that ended without an answer.
-
-    Parameters
-    ----------
-    failure : AttemptFailure
-        How the attempt failed.
-    detail : str
-        Description of the error.
-    has_upstream_crashed : bool
-        Whether a probe found the upstream down, whether or not the call was sent.
-    """
-
-    def __init__(
-        self,
-        failure: AttemptFailure,
-        detail: str,
-        *,
-        has_upstream_crashed: bool = False,
-    ) -> None:
-        super().__init__(f"{failure.value}: {detail}")
-        self.failure = failure
-        self.detail = detail
-        self.has_upstream_crashed = has_upstream_crashed
-
-
-class BodyReceiver(Protocol):
-    """Receiver of a response body that reports how the body ended.
-
-    Parameters
-    ----------
-    on_data : callable
-        Called with each received chunk.
-
-    Attributes
-    ----------
-    ended : Deferred
-        Fires after the last chunk; fails with `AttemptError` if the body is incomplete.
-    """
-
-    def __init__(self, on_data: Callable[[bytes], None]) -> None:
-        self._on_data = on_data
-        self.ended: defer.Deferred[None] = defer.Deferred(self._abort)
-        self.is_open = True
-        self._close_timer: Any = None
-
-    def dataReceived(self, data: bytes) -> None:
-        """Forward a chunk unless the body has ended or failed."""
-        if self.is_open:
-            self._on_data(data)
-
-    def connectionLost(self, reason: TwistedFailure) -> None:
-        """Fire `ended`, with an error unless the body is complete."""
-        if self._close_timer is not None and self._close_timer.active():
-            self._close_timer.cancel()
-        if not self.is_open:
-            return
-        self.is_open = False
-        if reason.check(ResponseDone):
-            self.ended.callback(None)
-            return
-        detail = (
-            "the body has no length or final chunk"
-            if reason.check(PotentialDataLoss)
-            else ""
-        )
-        detail = detail or reason.getErrorMessage()
-        self.ended.errback(AttemptError(AttemptFailure.CONNECTION_LOST, detail))
-
-    def finish(self, reactor: Any) -> None:
-        """End the body as complete before its last chunk, and discard what follows.
-
-        The connection is closed unless the body ends within `BODY_END_TIMEOUT`.
-        """
-        if not self.is_open:
-            return
-        self.is_open = False
-        self.transport.resumeProducing()
-        self._close_timer = reactor.callLater(
-            BODY_END_TIMEOUT.total_seconds(), self._close_connection
-        )
-        self.ended.callback(None)
-
-    def fail(self, attempt_error: AttemptError) -> None:
-        """End the body with an error and close the connection."""
-        if not self.is_open:
-            return
-        self.is_open = False
-        self._close_connection()
-        self.ended.errback(attempt_error)
-
-    def _abort(self, _: defer.Deferred[None]) -> None:
-        self.is_open = False
-        self._close_connection()
-
-    def _close_connection(self) -> None:
-        if self.transport is not None:
-            self.transport.loseConnection()
-
-
-async def read_body(
-    response: IResponse,
-    max_bytes: int,
-    on_data: Callable[[], None] | None = None,
-) -> bytes:
-    """Read a body to its end.
-
-    Parameters
-    ----------
-    max_bytes : int
-        Size above which reading is aborted.
-    on_data : callable or None
-        Called for each received chunk.
-
-    Raises
-    ------
-    AttemptError
-        If the body is truncated or too large.
-    """
-    chunks: list[bytes] = []
-    size = 0
-
-    def append(data: bytes) -> None:
-        nonlocal size
-        if on_data is not None:
-            on_data()
-        chunks.append(data)
-        size += len(data)
-        if size > max_bytes:
-            receiver.fail(
-                AttemptError(
-                    AttemptFailure.BAD_ANSWER,
-                    f"the answer is larger than {max_bytes} bytes",
-                )
-            )
-
-    receiver = BodyReceiver(append)
-    response.deliverBody(receiver)
-    await receiver.ended
-    return b"".join(chunks)
-
-
 class UpstreamClient:
     """HTTP client of one upstream with a connection pool.
 
