Reset the connection of an interrupted stream that has no chunks

Cause: a stream that was handed over at a stop was closed in order. A response without chunks, as an HTTP/1.0 caller gets it, ends in just that way when it is complete. Change: `ResponseWriter` breaks off a response with chunks by closing before the last one, any other by a reset.

--- a/banyansail/router/response_writer.py
+++ b/banyansail/router/response_writer.py
@@ -134,9 +134,15 @@
         self._finish()
 
     def _break_off(self) -> None:
-        """Close the connection without the last chunk of the response."""
+        """Close the connection so that the response is seen to be incomplete.
+
+        A response without chunks has no other sign of that than a reset.
+        """
         self._is_closed = True
-        self._http_request.transport.loseConnection()
+        if self._http_request.chunked:
+            self._http_request.loseConnection()
+        else:
+            self._http_request.transport.abortConnection()
 
     def _write_head(self, status: int, content_type: str) -> None:
         self._http_request.setResponseCode(status)
--- a/tests/router/test_response_writer.py
+++ b/tests/router/test_response_writer.py
@@ -78,6 +78,14 @@
     assert connection.transport.disconnecting
 
 
+@pytest.mark.parametrize("version", ["1.1", "1.0"])
+def test_an_interrupted_stream_without_chunks_is_reset(version):
+    connection = Connection(version)
+    connection.start()
+    connection.writer.end(StreamInterrupted())
+    assert connection.transport.disconnected == (version == "1.0")
+
+
 @pytest.mark.parametrize("outcome", [ANSWER, REFUSAL])
 def test_an_answer_or_refusal_before_the_start_has_a_length(connection, outcome):
     connection.writer.end(outcome)
