Don't process a request whose body was rejected as too large

Cause: the chunk that exceeded the limit was answered with 413 and dropped, but further chunks and the end of the body were still accepted. If they came in the same segment, the request was processed without the dropped part, after its caller was told that it was not run. Change: a rejected request takes no more chunks, is answered once and isn't processed.

--- a/banyansail/router/http_server.py
+++ b/banyansail/router/http_server.py
@@ -22,6 +22,8 @@
 class BoundedRequest(Request):
     """A request whose body is kept in memory and has a maximum size."""
 
+    _is_rejected = False
+
     def gotLength(self, length: int | None) -> None:
         """Prepare for the body; Twisted's implementation would write it to a file."""
         self.content = io.BytesIO()
@@ -30,12 +32,20 @@
 
     def handleContentChunk(self, data: bytes) -> None:
         """Store a chunk of the body, or reject the request if it becomes too large."""
+        if self._is_rejected:
+            return
         if self.content.tell() + len(data) > MAX_BODY_BYTES:
             self._reject()
             return
         super().handleContentChunk(data)
 
+    def process(self) -> None:
+        """Process the request unless it was rejected, as its body is incomplete."""
+        if not self._is_rejected:
+            super().process()
+
     def _reject(self) -> None:
+        self._is_rejected = True
         if self.channel is not None:
             self.channel.transport.write(BODY_TOO_LARGE_RESPONSE)
             self.channel.transport.loseConnection()
