--- a/tests/router/test_broken_answers.py
+++ b/tests/router/test_broken_answers.py
@@ -2,9 +2,13 @@
 
 from __future__ import annotations
 
+from datetime import timedelta
+
 import pytest
 
-from tests.live import LiveSite
+from banyansail.router.router import Router
+from tests.live import LiveSite, in_reactor
+from tests.processes import wait_until
 from tests.router.scripted_streams import (
     BROKEN,
     CONTINUED,
@@ -13,6 +17,7 @@
     RESET,
     WHOLE,
     ask,
+    call_count,
     check_complete,
     check_not_complete,
     start,
@@ -21,6 +26,7 @@
 from tests.router.scripted_upstream import (
     DONE,
     LAST_CHUNK,
+    Script,
     answer,
     call_raw,
     stream,
@@ -117,3 +123,35 @@
 def test_a_continuation_with_nothing_but_the_end_marker_is_complete(live):
     start(live, stream(tokens(0, 4)), stream(DONE, end=LAST_CHUNK))
     check_complete(ask(live))
+
+
+@pytest.mark.parametrize("stream_wanted", [True, False])
+@pytest.mark.parametrize(
+    "export",
+    [answer("200 OK", b'{"tokens": 2}'), Script(b"HTTP/1.1 200 OK\r\n\r\n", (b"{}",))],
+    ids=["exported", "export without length"],
+)
+@FAILED_CONTINUATIONS
+def test_a_migrated_answer_whose_continuation_fails_is_not_complete(
+    live, continuation, export, stream_wanted
+):
+    running = stream(tokens(0, 2), is_kept_open=True)
+    upstreams = start(live, running, continuation, kv=export)
+    upstream_answer = live._call_executor.submit(ask, live, stream=stream_wanted)
+    wait_until(lambda: call_count(upstreams) == 1)
+    name = next(
+        f"advisor-llm-x{number}"
+        for number, upstream in enumerate(upstreams)
+        if upstream.calls
+    )
+    in_reactor(prepare_for_reclaim, live.site.router_by_name["r0"], name)
+    received = upstream_answer.result()
+    if stream_wanted:
+        check_not_complete(received)
+    else:
+        assert received.status >= 400
+
+
+def prepare_for_reclaim(router: Router, name: str) -> None:
+    for exchange in router.registry.exchanges_at(name):
+        exchange.prepare_for_reclaim(timedelta(seconds=1.6))
