Pass on why the engine ended the text of an object

Cause: an object, assembled from the events of an engine, always had the finish_reason "stop". A text that was cut at the limit of tokens was reported as ended by the model. Change: the reason of the last event is passed on; "stop" remains for engines that give none. The assembly has a module of its own.

--- a/banyansail/router/model_exchange.py
+++ b/banyansail/router/model_exchange.py
@@ -9,6 +9,7 @@
 from twisted.internet import defer
 
 from banyansail.log import log_event
+from banyansail.router.completion import build_completion, join_text
 from banyansail.router.exchange import Exchange
 from banyansail.router.parsing import COMPLETIONS_PATH
 from banyansail.router.pausable_body import PausableBody
@@ -111,16 +112,12 @@
         """Stop without a final answer; another router resumes the stream."""
         self._stop()
 
-    def delivered_text(self) -> str:
-        """Return the text delivered so far."""
-        return "".join(_event_text(raw) for raw in self.delivered)
-
     def _encode_body(self) -> bytes:
         body = dict(self.body)
         body["stream"] = True
         if self.delivered:
             body["resume_from"] = len(self.delivered)
-            body["resume_text"] = self.delivered_text()
+            body["resume_text"] = join_text(self.delivered)
         return json.dumps(body).encode()
 
     async def _read_stream(self, response: IResponse, attempt_id: str) -> None:
@@ -214,21 +211,10 @@
         if self.wants_stream:
             self.writer.end(StreamCompleted())
             return
-        completion = {
-            "id": self.request.request_id,
-            "object": "chat.completion",
-            "model": self.request_class.service,
-            "choices": [
-                {
-                    "index": 0,
-                    "message": {"role": "assistant", "content": self.delivered_text()},
-                    "finish_reason": "stop",
-                }
-            ],
-            "usage": {"completion_tokens": len(self.delivered)},
-        }
         self.writer.end(
-            Answer(200, "application/json", json.dumps(completion).encode())
+            build_completion(
+                self.request.request_id, self.request_class.service, self.delivered
+            )
         )
 
     async def _check_stall(self) -> None:
@@ -284,8 +270,3 @@
         if self._migration_timer is not None and self._migration_timer.active():
             self._migration_timer.cancel()
         self._migration_timer = None
-
-
-def _event_text(raw: bytes) -> str:
-    data = raw.partition(b"data: ")[2]
-    return json.loads(data)["choices"][0]["delta"].get("content", "")
--- a/tests/router/test_stream_ends.py
+++ b/tests/router/test_stream_ends.py
@@ -27,6 +27,7 @@
     call_raw,
     chunk,
     stream,
+    token,
     tokens,
 )
 
@@ -113,3 +114,11 @@
         check_complete(received)
     assert call_count(upstreams) == 1
     wait_until(lambda: not any(upstream.connections for upstream in upstreams))
+
+
+@pytest.mark.parametrize("reason", ["length", "stop", None])
+def test_an_object_has_the_reason_for_which_the_engine_ended_its_text(live, reason):
+    last = token(3, finish_reason=reason)
+    start(live, stream(tokens(0, 3), last, DONE, end=LAST_CHUNK))
+    choice = json.loads(ask(live, stream=False).body)["choices"][0]
+    assert choice["finish_reason"] == (reason or "stop")
