Give requests that outlast the stop of a router their final answer

Cause: requests still open at the end of the stop notice, among them streams accepted after the hand-offs, had their sockets closed in order by the exit of the process. An HTTP/1.0 caller saw the regular end of its stream, others a connection without any answer. Change: at the end of the notice each open request is refused with `stopping`, as at its deadline; a started stream gets that as its error event.

--- a/banyansail/router/exchange.py
+++ b/banyansail/router/exchange.py
@@ -29,6 +29,8 @@
 from banyansail.upstreams.upstream_client import UpstreamCall, UpstreamClient
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from banyansail.router.caller import CallerRequest
     from banyansail.router.context import ExchangeContext
     from banyansail.router.response_writer import ResponseWriter
@@ -105,7 +107,7 @@
         """Start the exchange; the returned deferred fires after the final answer."""
         self._done = defer.Deferred.fromCoroutine(self._run_to_answer())
         timer = self.context.reactor.callLater(
-            self.remaining().total_seconds(), self._on_deadline
+            self.remaining().total_seconds(), self.give_up, deadline_exceeded
         )
         self._done.addBoth(_cancel_timer, timer)
         self._done.addErrback(self._on_error)
@@ -121,6 +123,20 @@
         self.writer.disconnect()
         self._stop()
 
+    def give_up(self, build_refusal: Callable[[RunStatus, bool], Refusal]) -> None:
+        """Refuse the request unless it has its final answer, and cancel it.
+
+        Parameters
+        ----------
+        build_refusal : callable
+            Called with the run status and with whether the request is repeatable.
+        """
+        if self.is_finished:
+            return
+        is_repeatable = self.request_class.is_repeatable
+        self.refuse(build_refusal(self.run_status(), is_repeatable))
+        self._stop()
+
     def abort_attempt(self, error: AttemptError) -> None:
         """Abort the current attempt with an error; a retry may follow."""
         if self._current_attempt is not None and not self._current_attempt.called:
@@ -303,13 +319,6 @@
                 if delay:
                     await task.deferLater(self.context.reactor, delay.total_seconds())
 
-    def _on_deadline(self) -> None:
-        if self.is_finished:
-            return
-        is_repeatable = self.request_class.is_repeatable
-        self.refuse(deadline_exceeded(self.run_status(), is_repeatable))
-        self._stop()
-
     def _stop(self) -> None:
         self.is_finished = True
         if self._done is not None and not self._done.called:
--- a/banyansail/router/lifecycle.py
+++ b/banyansail/router/lifecycle.py
@@ -10,6 +10,7 @@
 
 from banyansail.log import log_event
 from banyansail.router.model_exchange import ModelExchange
+from banyansail.router.refusals import stopping
 from banyansail.router.response_outcome import StreamInterrupted
 from banyansail.routing.request_types import Refusal, RefusalCode, RunStatus
 from banyansail.wire.call_codec import StreamRecord
@@ -23,6 +24,7 @@
 BALANCER_REMOVAL_TIME = timedelta(seconds=2)
 HANDOFF_MARGIN = timedelta(seconds=2)  # end of the stop notice, for hand-offs
 DRAIN_POLL_INTERVAL = timedelta(milliseconds=50)
+SEND_MARGIN = timedelta(milliseconds=50)  # end of the stop notice, for last answers
 
 
 class RouterState(Enum):
@@ -101,9 +103,13 @@
         )
         while (
             self._exchanges
-            and self._clock.monotonic() - drain_started_at < self._stop_notice
+            and self._clock.monotonic() - drain_started_at
+            < self._stop_notice - SEND_MARGIN
         ):
             await self._sleep(DRAIN_POLL_INTERVAL)
+        for exchange in list(self._exchanges):
+            exchange.give_up(stopping)
+        await self._sleep(SEND_MARGIN)
 
     async def _hand_off(self, exchange: Exchange) -> None:
         if not isinstance(exchange, ModelExchange) or not exchange.wants_stream:
--- a/banyansail/router/refusals.py
+++ b/banyansail/router/refusals.py
@@ -83,6 +83,13 @@
     )
 
 
+def stopping(run_status: RunStatus, is_repeatable: bool) -> Refusal:
+    """Return the refusal of a request that outlasts the stop of the router."""
+    text = "the router stops before the answer is complete"
+    retry_after = _retry_after(run_status, is_repeatable)
+    return Refusal(503, RefusalCode.STOPPING, run_status, text, retry_after)
+
+
 def router_failed(run_status: RunStatus) -> Refusal:
     """Return the refusal of a request after an internal error."""
     text = "internal error of the router; see its log"
