--- a/banyansail/router/exchange.py
+++ b/banyansail/router/exchange.py
@@ -25,15 +25,15 @@
     decide_retry,
 )
 from banyansail.routing.retry_target import constrain_retry
-from banyansail.upstreams.upstream_client import (
-    AttemptError,
-    UpstreamCall,
-    UpstreamClient,
-)
+from banyansail.upstreams.attempt_error import AttemptError
+from banyansail.upstreams.upstream_client import UpstreamCall, UpstreamClient
 
 if TYPE_CHECKING:
-    from banyansail.router.caller import CallerRequest, ResponseWriter
+    from collections.abc import Callable
+
+    from banyansail.router.caller import CallerRequest
     from banyansail.router.context import ExchangeContext
+    from banyansail.router.response_writer import ResponseWriter
     from banyansail.routing.dispatch import Assignment
     from banyansail.routing.request_types import RequestClass
 
@@ -107,7 +107,7 @@
         """Start the exchange; the returned deferred fires after the final answer."""
         self._done = defer.Deferred.fromCoroutine(self._run_to_answer())
         timer = self.context.reactor.callLater(
-            self.remaining().total_seconds(), self._on_deadline
+            self.remaining().total_seconds(), self.give_up, deadline_exceeded
         )
         self._done.addBoth(_cancel_timer, timer)
         self._done.addErrback(self._on_error)
@@ -120,7 +120,21 @@
 
     def abandon(self) -> None:
         """Cancel the request after the caller disconnected."""
-        self.writer.is_closed = True
+        self.writer.disconnect()
+        self._stop()
+
+    def give_up(self, build_refusal: Callable[[RunStatus, bool], Refusal]) -> None:
+        """Refuse the request unless it has its final answer, and cancel it.
+
+        Parameters
+        ----------
+        build_refusal : callable
+            Called with the run status and with whether the request is repeatable.
+        """
+        if self.is_finished:
+            return
+        is_repeatable = self.request_class.is_repeatable
+        self.refuse(build_refusal(self.run_status(), is_repeatable))
         self._stop()
 
     def abort_attempt(self, error: AttemptError) -> None:
@@ -145,7 +159,7 @@
         """Write a refusal as the final answer."""
         self.context.metrics.count(f"refuse.{refusal.code.value}")
         log_refusal(self.request, refusal, self.attempts)
-        self.writer.refuse(refusal)
+        self.writer.end(refusal)
 
     async def _run_to_answer(self) -> None:
         try:
@@ -305,13 +319,6 @@
                 if delay:
                     await task.deferLater(self.context.reactor, delay.total_seconds())
 
-    def _on_deadline(self) -> None:
-        if self.is_finished:
-            return
-        is_repeatable = self.request_class.is_repeatable
-        self.refuse(deadline_exceeded(self.run_status(), is_repeatable))
-        self._stop()
-
     def _stop(self) -> None:
         self.is_finished = True
         if self._done is not None and not self._done.called:
@@ -322,7 +329,7 @@
         if failure.check(defer.CancelledError, AttemptError) and self.is_finished:
             return
         log_event("internal_error", request=self.request.request_id, error=str(failure))
-        self.writer.refuse(router_failed(self.run_status()))
+        self.writer.end(router_failed(self.run_status()))
 
     def base_headers(self) -> dict[str, str]:
         """Return the headers that every call to an upstream has."""
--- a/banyansail/router/model_exchange.py
+++ b/banyansail/router/model_exchange.py
@@ -9,15 +9,18 @@
 from twisted.internet import defer
 
 from banyansail.log import log_event
-from banyansail.router.caller import Answer
+from banyansail.router.completion import build_completion, join_text
 from banyansail.router.exchange import Exchange
 from banyansail.router.parsing import COMPLETIONS_PATH
+from banyansail.router.pausable_body import PausableBody
+from banyansail.router.response_outcome import Answer, StreamCompleted
 from banyansail.router.stall_detector import StallDetector
 from banyansail.routing.event_sequencer import AbortAttempt, Deliver, EventSequencer
 from banyansail.routing.retry import AttemptFailure
+from banyansail.upstreams.attempt_error import AttemptError
+from banyansail.upstreams.body_receiver import BodyReceiver, read_body
 from banyansail.upstreams.engine_api import EngineApi
 from banyansail.upstreams.events import (
-    DONE_EVENT,
     EVENT_SEPARATOR,
     AnswerEvent,
     EndEvent,
@@ -25,12 +28,7 @@
     MalformedEvent,
     TokenEvent,
 )
-from banyansail.upstreams.upstream_client import (
-    AttemptError,
-    BodyReceiver,
-    UpstreamClient,
-    read_body,
-)
+from banyansail.upstreams.upstream_client import UpstreamClient
 
 if TYPE_CHECKING:
     from twisted.web.iweb import IResponse
@@ -80,6 +78,7 @@
         """Send the completion and forward its events."""
         self._api = EngineApi(client)
         self._splitter = EventSplitter()
+        self._sequencer.start_attempt()
         attempt_id = self.attempt_id()
         self._attempt_id_bytes = attempt_id.encode()
         stall_timeout = self.context.rules.service_by_name[
@@ -113,16 +112,12 @@
         """Stop without a final answer; another router resumes the stream."""
         self._stop()
 
-    def delivered_text(self) -> str:
-        """Return the text delivered so far."""
-        return "".join(_event_text(raw) for raw in self.delivered)
-
     def _encode_body(self) -> bytes:
         body = dict(self.body)
         body["stream"] = True
         if self.delivered:
             body["resume_from"] = len(self.delivered)
-            body["resume_text"] = self.delivered_text()
+            body["resume_text"] = join_text(self.delivered)
         return json.dumps(body).encode()
 
     async def _read_stream(self, response: IResponse, attempt_id: str) -> None:
@@ -139,12 +134,8 @@
         response.deliverBody(receiver)
         if self.wants_stream:
             self.writer.start_stream()
-            self.writer.register_producer(_PausableBody(receiver, self._stall_detector))
-        try:
-            await receiver.ended
-        except AttemptError:
-            if not self._has_end_event:
-                raise
+            self.writer.register_producer(PausableBody(receiver, self._stall_detector))
+        await receiver.ended
         if not self._has_end_event:
             raise AttemptError(
                 AttemptFailure.CONNECTION_LOST,
@@ -156,10 +147,14 @@
         body = await read_body(response, MAX_ERROR_BODY_BYTES)
         if response.headers.getRawHeaders("x-ran", [""])[0] == "not_run":
             raise AttemptError(AttemptFailure.REFUSED, f"status {response.code}")
-        if response.code >= 500:
+        is_final = 400 <= response.code < 500 and not self._has_partial_answer()
+        if not is_final:
             raise AttemptError(AttemptFailure.BAD_ANSWER, f"status {response.code}")
         self.on_first_byte()
-        self.writer.write_response(Answer(response.code, "application/json", body))
+        self.writer.end(Answer(response.code, "application/json", body))
+
+    def _has_partial_answer(self) -> bool:
+        return self.writer.is_streaming or bool(self.delivered)
 
     def _on_data(self, data: bytes) -> None:
         self._stall_detector.reset()
@@ -168,10 +163,13 @@
             error = self._handle_event(event, forwarded)
             if error is not None:
                 self._receiver.fail(error)
+            if error is not None or self._has_end_event:
                 break
         if forwarded and self.wants_stream:
             forwarded.append(b"")
             self.writer.write(EVENT_SEPARATOR.join(forwarded))
+        if self._has_end_event:
+            self._receiver.finish(self.context.reactor)
 
     def _handle_event(
         self, event: AnswerEvent, forwarded: list[bytes]
@@ -180,8 +178,7 @@
             case TokenEvent(index, raw):
                 return self._handle_token(index, raw, forwarded)
             case EndEvent():
-                self._has_end_event = True
-                return None
+                return self._handle_end()
             case MalformedEvent(reason):
                 return AttemptError(AttemptFailure.BAD_ANSWER, reason)
 
@@ -203,27 +200,21 @@
                 return AttemptError(AttemptFailure.BAD_ANSWER, reason)
         return None
 
+    def _handle_end(self) -> AttemptError | None:
+        action = self._sequencer.accept_end()
+        if action is not None:
+            return AttemptError(AttemptFailure.BAD_ANSWER, action.reason)
+        self._has_end_event = True
+        return None
+
     def _complete_response(self) -> None:
         if self.wants_stream:
-            self.writer.start_stream()
-            self.writer.write(DONE_EVENT + EVENT_SEPARATOR)
-            self.writer.end_stream()
+            self.writer.end(StreamCompleted())
             return
-        completion = {
-            "id": self.request.request_id,
-            "object": "chat.completion",
-            "model": self.request_class.service,
-            "choices": [
-                {
-                    "index": 0,
-                    "message": {"role": "assistant", "content": self.delivered_text()},
-                    "finish_reason": "stop",
-                }
-            ],
-            "usage": {"completion_tokens": len(self.delivered)},
-        }
-        self.writer.write_response(
-            Answer(200, "application/json", json.dumps(completion).encode())
+        self.writer.end(
+            build_completion(
+                self.request.request_id, self.request_class.service, self.delivered
+            )
         )
 
     async def _check_stall(self) -> None:
@@ -279,30 +270,3 @@
         if self._migration_timer is not None and self._migration_timer.active():
             self._migration_timer.cancel()
         self._migration_timer = None
-
-
-class _PausableBody:
-    """Producer that pauses the upstream's connection for a slow caller."""
-
-    __slots__ = ("_receiver", "_stall_detector")
-
-    def __init__(self, receiver: BodyReceiver, stall_detector: StallDetector) -> None:
-        self._receiver = receiver
-        self._stall_detector = stall_detector
-
-    def pauseProducing(self) -> None:
-        self._stall_detector.is_paused = True
-        self._receiver.transport.pauseProducing()
-
-    def resumeProducing(self) -> None:
-        self._stall_detector.is_paused = False
-        self._stall_detector.reset()
-        self._receiver.transport.resumeProducing()
-
-    def stopProducing(self) -> None:
-        return None
-
-
-def _event_text(raw: bytes) -> str:
-    data = raw.partition(b"data: ")[2]
-    return json.loads(data)["choices"][0]["delta"].get("content", "")
--- a/banyansail/router/refusals.py
+++ b/banyansail/router/refusals.py
@@ -83,12 +83,25 @@
     )
 
 
+def stopping(run_status: RunStatus, is_repeatable: bool) -> Refusal:
+    """Return the refusal of a request that outlasts the stop of the router."""
+    text = "the router stops before the answer is complete"
+    retry_after = _retry_after(run_status, is_repeatable)
+    return Refusal(503, RefusalCode.STOPPING, run_status, text, retry_after)
+
+
 def router_failed(run_status: RunStatus) -> Refusal:
     """Return the refusal of a request after an internal error."""
     text = "internal error of the router; see its log"
     return Refusal(500, RefusalCode.UPSTREAM_FAILED, run_status, text)
 
 
+def answered_after_start(status: int) -> Refusal:
+    """Return the refusal of a started stream that an upstream answered otherwise."""
+    text = f"an upstream answered with status {status} in place of the rest"
+    return Refusal(502, RefusalCode.UPSTREAM_FAILED, RunStatus.UNKNOWN, text)
+
+
 def body_too_large(limit: int) -> Refusal:
     """Return the refusal of a body larger than the service's limit in bytes."""
     text = f"the body is larger than {limit} bytes"
