--- a/banyansail/coordination/client.py
+++ b/banyansail/coordination/client.py
@@ -18,8 +18,9 @@
 
 from banyansail.coordination.budget import CallBudget, CallKind
 from banyansail.exceptions import ConflictError, PlatformUnavailableError
+from banyansail.upstreams.attempt_error import AttemptError
 from banyansail.upstreams.body import JsonBody
-from banyansail.upstreams.upstream_client import AttemptError, read_body
+from banyansail.upstreams.body_receiver import read_body
 
 if TYPE_CHECKING:
     from banyansail.config.fields import Address
