--- a/Makefile
+++ b/Makefile
@@ -33,6 +33,7 @@
 	$(PYTHON) -m benchmarks.ledger_size 0 100000
 	$(PYTHON) -m benchmarks.unknown_orders
 	$(PYTHON) -m benchmarks.fleet
+	$(PYTHON) -m benchmarks.idle_router
 
 capacity: $(INSTALLED)
 	$(PYTHON) -m benchmarks.capacity
