Let a follower wait until it may have to watch the store

Cause: four tasks looked 50 times a second each whether the router has to watch a kind itself, and in a watcher two more whether it has to follow another router. In a quiet fleet these were 171 of 255 timers a second and half of the wake-ups.

Change: the tasks wait until the role of the router is due to be chosen again (200 ms), its role changes, the store was restored, or the state of the kind becomes 2 s old. A router without a list of a kind looks as often as before, so that starts and restores are as fast. A role is still chosen 5 times a second; a change of it wakes the tasks at once. A state counts as old at 2 s, no longer only after it, as the wait ends then.

--- a/banyansail/gateway/store_following.py
+++ b/banyansail/gateway/store_following.py
@@ -5,10 +5,11 @@
 from datetime import timedelta
 from typing import TYPE_CHECKING, Any
 
-from twisted.internet import defer, task
+from twisted.internet import defer
 
 from banyansail.exceptions import PlatformUnavailableError, WireError
 from banyansail.gateway.decisions.watchers import WatcherChoice, WatchRole
+from banyansail.gateway.waiters import Waiters
 from banyansail.log import log_event
 from banyansail.wire.call_codec import FollowStore, KindChanges, StoreChanges
 
@@ -91,12 +92,14 @@
         self._passed_on_kinds: set[str] = set()  # that this router did not watch last
         self._listed_kinds: set[str] = set()  # since the start
         self._failures_by_kind: dict[str, int] = {}
-        self._waiters: set[defer.Deferred[None]] = set()
-        self._wakers: set[defer.Deferred[None]] = set()
+        self._followers = Waiters(reactor)  # calls that wait for a change
+        self._retries = Waiters(reactor)  # tasks that wait after a failure
+        self._idle = Waiters(reactor)  # tasks that another role would give work
         self._followed: set[str] = set()  # that answered and know the present state
         self._is_reached = True
         for mirror in self._mirrors:
             mirror.add_listener(self._wake_followers)
+        store.add_restore_listener(self._wake_idle)
 
     @property
     def role(self) -> WatchRole:
@@ -108,17 +111,32 @@
         return self._role
 
     def _choose_role(self, now: timedelta) -> None:
-        self._role = self._choice.choose(self._live_members())
+        previous, self._role = self._role, self._choice.choose(self._live_members())
         self._role_chosen_at = now
+        if self._role != previous:
+            self._wake_idle()
         for name in self._followed - set(self._role.followed):
             self._followed.discard(name)
             log_event("store_follow_lost", peer=name, reason="not chosen any more")
 
+    def _role_age_left(self) -> timedelta:
+        age = self._clock.monotonic() - self._role_chosen_at
+        return max(timedelta(0), ROLE_INTERVAL - age)
+
+    def _wake_idle(self) -> None:
+        # Not at once, as the caller may be using the role.
+        self._reactor.callLater(0, self._idle.wake)
+
     async def follow(self, mirror: Mirror) -> bool:
-        """Let a mirror list or watch its kind if this router has to; return whether."""
-        if not self.must_watch(mirror):
+        """Let a mirror list or watch its kind once this router has to.
+
+        Return whether it did; not while another router may pass on the first list.
+        """
+        while not self.must_watch(mirror):
             self._passed_on_kinds.add(mirror.kind)
-            return False
+            if mirror.revision is None:
+                return False
+            await self._idle.wait(min(self._role_age_left(), MAX_AGE - mirror.age))
         if mirror.kind in self._passed_on_kinds:
             self._passed_on_kinds.discard(mirror.kind)
             mirror.record_loss()
@@ -136,7 +154,7 @@
             return self._must_list(mirror.kind)
         self._without_list_since.pop(mirror.kind, None)
         self._listed_kinds.add(mirror.kind)
-        return self.role.is_watcher or mirror.age > MAX_AGE
+        return self.role.is_watcher or mirror.age >= MAX_AGE
 
     def _must_list(self, kind: str) -> bool:
         """Return whether to list a kind, as no watcher passed its list on at once."""
@@ -166,7 +184,7 @@
             MAX_EXTRA_BACKOFF, EXTRA_BACKOFF_BASE * 2 ** min(failures - 1, 10)
         )
         pause = longest * self._random.uniform(0.5, 1)
-        await self._wait(self._wakers, pause)
+        await self._retries.wait(pause)
 
     def record_probe(self, sent_at: timedelta, *, is_reached: bool) -> None:
         """Record the outcome of a small read of the store."""
@@ -175,15 +193,13 @@
                 mirror.record_contact(sent_at)
             if not self._is_reached:
                 jitter = MAX_WAKE_JITTER * self._random.random()
-                self._reactor.callLater(
-                    jitter.total_seconds(), self._fire, self._wakers
-                )
+                self._reactor.callLater(jitter.total_seconds(), self._retries.wake)
         self._is_reached = is_reached
 
     def update(self) -> None:
         """Record that this process runs, and set the metrics; to be called often."""
         metrics = self._metrics()
-        metrics.set_store_following(len(self._followed), len(self._waiters))
+        metrics.set_store_following(len(self._followed), len(self._followers))
         for mirror in self._mirrors:
             mirror.record_running()
             if mirror.revision is not None:
@@ -191,10 +207,9 @@
 
     async def follow_watcher(self, position: int) -> None:
         """Ask one of the followed routers for changes, and apply them."""
-        followed = self.role.followed
-        if position >= len(followed):
-            return
-        name = followed[position]
+        while position >= len(self.role.followed):
+            await self._idle.wait(self._role_age_left())
+        name = self._role.followed[position]
         member = self._live_members().get(name)
         if member is None:
             return
@@ -248,7 +263,7 @@
         self._choice.record_failure(name)
         self._choose_role(self._clock.monotonic())
         if name in self._role.followed:
-            await self._wait(self._wakers, FAILURE_PAUSE)
+            await self._retries.wait(FAILURE_PAUSE)
 
     async def answer(self, call: FollowStore) -> PeerReply:
         """Answer a follower at the next change, or when it has waited long enough."""
@@ -260,7 +275,7 @@
             held = self._clock.monotonic() - received_at
             if held >= wait or any(map(_has_news, changes)):
                 return StoreChanges(changes, held)
-            await self._wait(self._waiters, wait - held)
+            await self._followers.wait(wait - held)
 
     def _changes_since(
         self, known: dict[str, Revision | None]
@@ -274,28 +289,7 @@
 
     def _wake_followers(self, mirror: Mirror) -> None:
         # Not at once, as a listener of the mirror may be using the change.
-        self._reactor.callLater(0, self._fire, self._waiters)
-
-    async def _wait(
-        self, waiting: set[defer.Deferred[None]], longest: timedelta
-    ) -> None:
-        """Wait until the set is fired, or for the longest time."""
-        waiter: defer.Deferred[None] = defer.Deferred()
-        waiting.add(waiter)
-        timer = task.deferLater(self._reactor, longest.total_seconds())
-        timer.addCallback(lambda _: waiter.called or waiter.callback(None))
-        timer.addErrback(lambda failure: failure.trap(defer.CancelledError))
-        try:
-            await waiter
-        finally:
-            waiting.discard(waiter)
-            timer.cancel()
-
-    def _fire(self, waiting: set[defer.Deferred[None]]) -> None:
-        for waiter in list(waiting):
-            waiting.discard(waiter)
-            if not waiter.called:
-                waiter.callback(None)
+        self._reactor.callLater(0, self._followers.wake)
 
 
 def _has_news(changes: KindChanges) -> bool:
--- a/tests/gateway/test_store_following.py
+++ b/tests/gateway/test_store_following.py
@@ -2,16 +2,19 @@
 
 from __future__ import annotations
 
+from itertools import product
 from random import Random
 
 import pytest
 
 from banyansail.gateway.decisions.watchers import ASKED_TIME
 from banyansail.gateway.mirror import MIN_STALL
-from tests.gateway.following_fleet import FollowingFleet
+from banyansail.gateway.tasks import FOLLOW_PAUSE
+from tests.gateway.following_fleet import KINDS, STEP_S, WATCH_S, FollowingFleet
 
 CONFIG_BOUND_S = 3.0  # from the store's acknowledgement
 DRAINING_BOUND_S = 3.0
+MAX_LOOKS_PER_S = 10  # of a follower, for each kind
 
 
 @pytest.fixture(params=[4, 16])
@@ -53,6 +56,42 @@
     assert calls["list"] == 0
 
 
+@pytest.fixture
+def watched_fleet(monkeypatch):
+    """A quiet fleet; `looks` has the kind of each look whether to watch it."""
+    with FollowingFleet(16) as fleet:
+        # The watches of routers that were asked while others started have ended.
+        fleet.advance(3 + ASKED_TIME.total_seconds() + WATCH_S)
+        fleet.looks = []
+        for router in fleet.followers():
+            must_watch = router.following.must_watch
+
+            def count(mirror, must_watch=must_watch, name=router.name):
+                fleet.looks.append((name, mirror.kind))
+                return must_watch(mirror)
+
+            monkeypatch.setattr(router.following, "must_watch", count)
+        yield fleet
+
+
+def test_a_follower_in_a_quiet_store_looks_a_few_times_a_second(watched_fleet):
+    """Its processor time counts while nothing happens, as there are many routers."""
+    watched_fleet.advance(2)
+    tasks = len(watched_fleet.followers()) * len(KINDS)
+    assert 0 < len(watched_fleet.looks) <= MAX_LOOKS_PER_S * 2 * tasks
+
+
+def test_followers_look_at_once_after_a_restore(watched_fleet):
+    """They wait for another role meanwhile, which a restore must end."""
+    names = {router.name for router in watched_fleet.followers()}
+    watched_fleet.store.restore(watched_fleet.store.copy())
+    for router in watched_fleet.running():
+        router.store.observe_era(watched_fleet.store.era)
+    watched_fleet.looks.clear()
+    watched_fleet.advance(FOLLOW_PAUSE.total_seconds() + STEP_S)
+    assert set(watched_fleet.looks) == set(product(names, KINDS))
+
+
 def test_a_data_centre_of_33_routers_calls_the_store_as_often_as_one_of_4():
     """The price of the calls must not grow with the routers."""
     calls = []
