Find the live routers with one reading of the clock

Cause: the list of live routers is made some 7 times a second, and each time the clock was read and the timeout of other zones computed once for each router; the catch-up task looked up the active configuration once for each router, 5 times a second.

Change: the ages of all heartbeats are taken together, and the catch-up task compares the highest era and version of the others, and visits each one only if a configuration or the upstreams are missing.

--- a/banyansail/fleet/topology.py
+++ b/banyansail/fleet/topology.py
@@ -92,13 +92,20 @@
             or now - self._live_cached_at >= LIVE_CACHE_TIME
         ):
             self._live_cached_at = now
-            self._live_by_name = {
-                name: member
-                for name, member in self._member_by_name.items()
-                if self.is_live(name)
-            }
+            self._live_by_name = self._find_live_members()
         return self._live_by_name
 
+    def _find_live_members(self) -> dict[str, Member]:
+        age_by_name = self._view.ages()
+        remote_timeout = self._view.remote_liveness_timeout
+        live_by_name = {}
+        for name, member in self._member_by_name.items():
+            is_in_own_zone = member.zone == self._zone
+            timeout = LIVENESS_TIMEOUT if is_in_own_zone else remote_timeout
+            if age_by_name.get(name, timedelta.max) < timeout:
+                live_by_name[name] = member
+        return live_by_name
+
     def is_live(self, name: str) -> bool:
         """Return whether a router is live, by the timeout for its zone."""
         member = self._member_by_name.get(name)
--- a/banyansail/fleet/view.py
+++ b/banyansail/fleet/view.py
@@ -193,6 +193,16 @@
         age = self._clock.monotonic() - origin.last_seen_at
         return age < (timeout or self.remote_liveness_timeout)
 
+    def ages(self) -> dict[str, timedelta]:
+        """Return the time since the last heartbeat of each router; 0 for this one."""
+        now = self._clock.monotonic()
+        ages = {
+            name: now - origin.last_seen_at
+            for name, origin in self._origin_by_name.items()
+        }
+        ages[self.name] = timedelta(0)
+        return ages
+
     def age(self, name: str) -> timedelta:
         """Return the time since a router's last heartbeat."""
         return self._clock.monotonic() - self._origin_by_name[name].last_seen_at
--- a/banyansail/gateway/periodic.py
+++ b/banyansail/gateway/periodic.py
@@ -89,8 +89,14 @@
     async def catch_up(self) -> None:
         """Fetch newer configurations and missing upstreams from other routers."""
         gateway = self._gateway
-        for name, member in gateway.link.live_peers().items():
-            gateway.store.observe_era(member.store_era)
+        peers = gateway.link.live_peers()
+        eras = [member.store_era for member in peers.values()]
+        gateway.store.observe_era(max(eras, default=0))
+        versions = [member.rules_version for member in peers.values()]
+        is_outdated = max(versions, default=0) > gateway.site.version
+        if not (is_outdated or gateway.mirrors.upstreams.needs_seed):
+            return
+        for name, member in peers.items():
             if member.rules_version > gateway.site.version:
                 document = await gateway.link.fetch(member, CONFIG_DOCUMENT)
                 if document is not None:
