Visit upstreams only where requests or limits are

Cause: each 50 ms the usable upstreams of every service were listed though no request waited; each 100 ms every upstream was asked for its oldest wait though it had no request; with each sum and each 200 ms every upstream's name was built to look up a limit though no router had named any.

Change: waiting requests are checked if there are any (the late check of the fair order keeps its interval), waits are those of upstreams with requests in flight, and limits are merged and reported only where there are some.

--- a/banyansail/gateway/decisions/dispatch.py
+++ b/banyansail/gateway/decisions/dispatch.py
@@ -276,6 +276,13 @@
 
     def _reject_waiting(self, state: ServiceState, now: timedelta) -> None:
         """Reject the requests that waited too long or can't be served any more."""
+        if state.waiting:
+            self._reject_overdue(state, now)
+        if state.is_fair and now - state.late_checked_at >= LATE_CHECK_INTERVAL:
+            state.late_checked_at = now
+            self._admission.reject_late(state, now)
+
+    def _reject_overdue(self, state: ServiceState, now: timedelta) -> None:
         usable = state.usable()
         is_fair = state.is_fair
         is_open = any(not load.pause_left(now) for load in usable)
@@ -288,9 +295,6 @@
                 )
                 if rejection is not None:
                     self._admission.reject(state, entry, rejection)
-        if is_fair and now - state.late_checked_at >= LATE_CHECK_INTERVAL:
-            state.late_checked_at = now
-            self._admission.reject_late(state, now)
 
     def _assign_slot(
         self,
--- a/banyansail/gateway/limit_sharing.py
+++ b/banyansail/gateway/limit_sharing.py
@@ -9,6 +9,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from datetime import timedelta
 
     from banyansail.clock import Clock
     from banyansail.fleet.entries import Member
@@ -81,28 +82,37 @@
         now = self._clock.monotonic()
         named_by_upstream = self._fleet.limits()
         loads = self._dispatcher.loads()
-        for load in loads:
-            named = named_by_upstream.get(load.upstream.incarnation_name)
-            if named is not None and load.limit.merge(named, now):
-                self._log_change(load)
+        if named_by_upstream:
+            self._merge(named_by_upstream, loads, now)
         if self._fleet.has_traffic:
             self._dispatcher.record_traffic()
         self._cold.update(loads, now)
         self._share(loads)
 
+    def _merge(
+        self,
+        named_by_upstream: dict[str, NamedLimit],
+        loads: list[UpstreamLoad],
+        now: timedelta,
+    ) -> None:
+        for load in loads:
+            named = named_by_upstream.get(load.upstream.incarnation_name)
+            if named is not None and load.limit.merge(named, now):
+                self._log_change(load)
+
     def own_limits(self) -> dict[str, NamedLimit]:
         """Return the limits that this router was told, by upstream's incarnation."""
         now = self._clock.monotonic()
-        reports = (
-            (load.upstream.incarnation_name, load.limit.report(now))
+        return {
+            load.upstream.incarnation_name: report
             for load in self._dispatcher.loads()
-        )
-        return {name: report for name, report in reports if report is not None}
+            if (report := load.limit.report(now)) is not None
+        }
 
     def _share(self, loads: list[UpstreamLoad]) -> None:
-        for load in loads:
-            state = self._dispatcher.state(load.upstream.service)
-            load.is_brittle = state.is_brittle
+        for state in self._dispatcher.service_by_name.values():
+            for load in state.load_by_id.values():
+                load.is_brittle = state.is_brittle
         limited = [load for load in loads if load.limit.per_s is not None]
         brittle = [load for load in loads if load.is_brittle]
         if not (limited or brittle):
--- a/banyansail/gateway/reach_check.py
+++ b/banyansail/gateway/reach_check.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from datetime import timedelta
 from typing import TYPE_CHECKING
 
 from twisted.internet import defer
@@ -45,8 +46,8 @@
         reach = self._context.reach
         now = self._clock.monotonic()
         loads = self._context.dispatcher.loads()
-        oldest_wait = max((load.oldest_wait(now) for load in loads), default=None)
-        if oldest_wait is not None and reach.needs_check(oldest_wait):
+        waits = [load.oldest_wait(now) for load in loads if load.in_flight]
+        if loads and reach.needs_check(max(waits, default=timedelta(0))):
             await self._lock.run(self._check, loads)
 
     async def confirm(self) -> None:
