Encode the member entry and set the store metrics only when needed

Cause: 5 times a second the member entry was encoded to find that it had not changed, and the gauges of the store's age were set though they are read once in some seconds.

--- a/banyansail/gateway/fleet_link.py
+++ b/banyansail/gateway/fleet_link.py
@@ -77,6 +77,7 @@
         self.server = PeerServerFactory(authenticator, handle_call)
         self._caller = PeerCaller(reactor, authenticator)
         self._is_joined = False
+        self._published_member: Member | None = None
 
     def live_members(self) -> dict[str, Member]:
         """Return the live routers by name, this one included."""
@@ -135,7 +136,9 @@
             FEATURES,
             evacuations=evacuations,
         )
-        self.publish(Topic.MEMBER, encode_member(member), urgent=True)
+        if member != self._published_member:
+            self._published_member = member
+            self.publish(Topic.MEMBER, encode_member(member), urgent=True)
 
     def send_value(self, names: Iterable[str], topic: Topic, value: bytes) -> Entry:
         """Send a value to some routers only; return its entry."""
--- a/banyansail/gateway/store_following.py
+++ b/banyansail/gateway/store_following.py
@@ -197,11 +197,15 @@
         self._is_reached = is_reached
 
     def update(self) -> None:
-        """Record that this process runs, and set the metrics; to be called often."""
+        """Record that this process runs; to be called often."""
+        for mirror in self._mirrors:
+            mirror.record_running()
+
+    def set_metrics(self) -> None:
+        """Set the metrics to what they are at present."""
         metrics = self._metrics()
         metrics.set_store_following(len(self._followed), len(self._followers))
         for mirror in self._mirrors:
-            mirror.record_running()
             if mirror.revision is not None:
                 metrics.set_store_age(mirror.kind, mirror.age)
 
