--- a/benchmarks/idle_router.py
+++ b/benchmarks/idle_router.py
@@ -5,6 +5,7 @@
 
 Usage:
   idle_router [--routers=N] [--zones=N] [--upstreams=N] [--seconds=S] [--functions=N]
+              [--profile=FILE]
 
 Options:
   --routers=N    Gateways [default: 36].
@@ -12,6 +13,7 @@
   --upstreams=N  Upstreams in the store [default: 45].
   --seconds=S    Time to measure in [default: 20].
   --functions=N  Functions to print, by their own time [default: 25].
+  --profile=FILE  Where to keep the profile, for ``pstats``.
 """
 
 from __future__ import annotations
@@ -277,6 +279,8 @@
         with IdleFleet(Path(folder), *sizes) as fleet:
             figures, profile = measure(fleet, seconds)
     print(json.dumps({"load": os.getloadavg()[0], **figures}))
+    if arguments["--profile"]:
+        profile.dump_stats(arguments["--profile"])
     header = ["of one gateway", "calls/s", "ms/s, profiled"]
     print(format_table(header, part_rows(profile, seconds)))
     header[0] = "function, own time"
