Keep the sequences of a router's entries until one changes

Cause: each digest exchange made the tuple of sequences of up to 80 routers anew, and each received digest was compared topic by topic, though entries seldom change.

Change: the tuple is made when an entry that digests compare is replaced, and a digest with the same incarnation and sequences ends the comparison.

--- a/banyansail/fleet/view.py
+++ b/banyansail/fleet/view.py
@@ -33,13 +33,17 @@
     heartbeat: int
     last_seen_at: timedelta
     entry_by_topic: dict[Topic, Entry] = field(default_factory=dict)
+    sequences: tuple[int, ...] = (0,) * len(COMPARED_TOPICS)
 
-    def sequences(self) -> tuple[int, ...]:
+    def put(self, entry: Entry) -> None:
+        """Replace the entry of a topic."""
         entries = self.entry_by_topic
-        return tuple(
-            entries[topic].sequence if topic in entries else 0
-            for topic in COMPARED_TOPICS
-        )
+        entries[entry.topic] = entry
+        if entry.topic in COMPARED_TOPICS:
+            self.sequences = tuple(
+                entries[topic].sequence if topic in entries else 0
+                for topic in COMPARED_TOPICS
+            )
 
 
 class FleetView:
@@ -101,7 +105,7 @@
         previous = self._own.entry_by_topic.get(topic)
         sequence = previous.sequence + 1 if previous else 1
         entry = Entry(self.name, self._own.incarnation, topic, sequence, value)
-        self._own.entry_by_topic[topic] = entry
+        self._own.put(entry)
         return entry
 
     def merge(self, entry: Entry) -> bool:
@@ -115,7 +119,7 @@
         known_entry = origin.entry_by_topic.get(entry.topic)
         if known_entry is not None and known_entry.sequence >= entry.sequence:
             return False
-        origin.entry_by_topic[entry.topic] = entry
+        origin.put(entry)
         return True
 
     def merge_digest(self, digest: Digest) -> None:
@@ -139,7 +143,7 @@
             origin.incarnation,
             origin.heartbeat,
             self._clock.monotonic() - origin.last_seen_at,
-            origin.sequences(),
+            origin.sequences,
         )
 
     def entries_newer_than(self, digest: Digest) -> Iterator[Entry]:
@@ -147,8 +151,11 @@
         origin = self._origin_by_name.get(digest.origin)
         if origin is None or origin.incarnation < digest.incarnation:
             return
+        is_restarted = origin.incarnation > digest.incarnation
+        if not is_restarted and origin.sequences == digest.sequences:
+            return
         known = dict(zip(COMPARED_TOPICS, digest.sequences, strict=False))
-        if origin.incarnation > digest.incarnation:
+        if is_restarted:
             known = {}
         for topic, entry in origin.entry_by_topic.items():
             if topic not in COMPARED_TOPICS:
@@ -163,7 +170,7 @@
             return True
         if origin.incarnation > digest.incarnation:
             return False
-        pairs = zip(digest.sequences, origin.sequences(), strict=False)
+        pairs = zip(digest.sequences, origin.sequences, strict=False)
         return any(theirs > ours for theirs, ours in pairs)
 
     @property
