Let routers with the same report serve unlike workspaces next

Cause: own work that the reports do not contain yet counts times the number of routers, as the others probably assign the same. All routers then pass over to the next workspace at once, so the fleet's work by workspace swings by a request of each router. Ruled out: late reports alone, since the swing stays with the number of routers.

Change: in each interval of reports a router adds a random part, from 0 to 1, of a workspace's last request for each other router to the tag. One router alone adds nothing.

--- a/banyansail/gateway/decisions/fair_order.py
+++ b/banyansail/gateway/decisions/fair_order.py
@@ -102,7 +102,9 @@
             nothing new was heard.
         """
         if self.is_on and state.shares is None:
-            state.shares = WorkShares(self._clock, self.weight_by_workspace)
+            state.shares = WorkShares(
+                self._clock, self._random, self.weight_by_workspace
+            )
             state.budget = SlotBudget(self._clock, self._random)
         if state.shares is None:
             return
--- a/banyansail/gateway/decisions/work_shares.py
+++ b/banyansail/gateway/decisions/work_shares.py
@@ -15,6 +15,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
+    from random import Random
 
     from banyansail.clock import Clock
 
@@ -23,7 +24,7 @@
 CREDIT_TIME = timedelta(seconds=1)
 SNAPSHOT_INTERVAL = timedelta(milliseconds=200)
 # Own work that may not be in the reports of the others yet is multiplied by the number
-# of routers, as all of them serve the same workspace next after the same report.
+# of routers, as the others probably serve the same workspaces after the same report.
 REPORT_INTERVAL = timedelta(milliseconds=400)
 USE_HALF_LIFE = timedelta(seconds=2)  # of the use that is shown to operators
 MIN_ACTIVE_USE = 0.01  # of the total use; workspaces below it have no part in shares
@@ -58,6 +59,10 @@
         know of.
     new_work, earlier_work : float
         Own work of the current and of the previous interval of reports.
+    request_work : float
+        Own work of its last request.
+    offset : float
+        Part of a request, from 0 to 1, that counts as assigned by each other router.
     recent, recent_at
         Decayed work, and the time as of which it is decayed.
     """
@@ -66,6 +71,8 @@
     tag: float = 0.0
     new_work: float = 0.0
     earlier_work: float = 0.0
+    request_work: float = 0.0
+    offset: float = 0.0
     recent: float = 0.0
     recent_at: timedelta = timedelta(0)
 
@@ -77,6 +84,8 @@
     ----------
     clock : Clock
         Source of time.
+    random : Random
+        Source of the offsets by which routers choose unlike after the same report.
     weight_by_workspace : mapping
         Weights of the configuration; 1 for a workspace that is not listed.
     """
@@ -90,6 +99,7 @@
         "_fleet_at",
         "_fleet_totals",
         "_max_tag",
+        "_random",
         "_rolled_at",
         "_snapshots",
         "_virtual_time",
@@ -98,8 +108,11 @@
         "routers",
     )
 
-    def __init__(self, clock: Clock, weight_by_workspace: Mapping[str, float]) -> None:
+    def __init__(
+        self, clock: Clock, random: Random, weight_by_workspace: Mapping[str, float]
+    ) -> None:
         self._clock = clock
+        self._random = random
         self._weight_by_workspace = weight_by_workspace
         self._account_by_workspace: dict[str, _Account] = {}
         self._snapshots: deque[tuple[timedelta, float]] = deque()
@@ -134,14 +147,17 @@
         """Return the virtual time at which the workspace's next request starts."""
         self._advance()
         account = self._account(workspace)
-        new = (account.new_work + account.earlier_work) * self.routers / account.weight
-        return max(self._virtual_time, account.tag) + new
+        own = account.new_work + account.earlier_work
+        others = (own + account.offset * account.request_work) * (self.routers - 1)
+        start = max(self._virtual_time, account.tag)
+        return start + (own + others) / account.weight
 
     def charge(self, workspace: str, work: float) -> None:
         """Record work that this router assigned."""
         self._advance()
         account = self._account(workspace)
         account.new_work += work
+        account.request_work = work
         self._record_recent(account, work)
         assigned = self.assigned_by_workspace.get(workspace, 0.0)
         self.assigned_by_workspace[workspace] = assigned + work
@@ -217,6 +233,7 @@
                 self._add(account, account.earlier_work)
             account.earlier_work = account.new_work
             account.new_work = 0.0
+            account.offset = self._random.random()
 
     def _advance(self) -> None:
         """Set the virtual time to the highest tag as of `CREDIT_TIME` ago."""
--- a/tests/gateway/decisions/test_fair_queue.py
+++ b/tests/gateway/decisions/test_fair_queue.py
@@ -21,7 +21,7 @@
 
     def __init__(self, weights=()):
         self.clock = FakeClock()
-        self.queue = FairQueue(WorkShares(self.clock, dict(weights)))
+        self.queue = FairQueue(WorkShares(self.clock, Random(1), dict(weights)))
 
     def push(self, workspace="a", priority=1, **options):
         now = self.clock.monotonic()
