Close idle connections to upstreams that are not reused any more

Cause: a check of whether this router is cut off leaves its connection in the pool of the upstream. The pool closed an idle connection only when a later request asked for one, so with no further request to that upstream it stayed open. The endless answer blocks the loop for 0.12 s a packet beside load, which causes such a check, and the test then waits for a connection that is never closed. Traced beside three busy processes: of 6 plays of the load of the test, the 5 with a check kept a connection on which nothing was sent, for 12 s till the play was ended; the one without a check did not.

Ruled out: the processor time of one-byte chunks. The answer is given up at 16,384 pieces, after 0.24 s of processor time, within 0.6 s of the call.

Change: while connections are idle, the pool checks them each second and closes those that it would not reuse.

--- a/banyansail/upstreams/pool.py
+++ b/banyansail/upstreams/pool.py
@@ -20,6 +20,7 @@
 IDLE_REUSE_FRACTION = 0.6  # of the time for which the server keeps idle connections
 DEFAULT_KEEP_ALIVE_S = 2.0
 MAX_IDLE_CONNECTIONS = 16
+EXPIRY_INTERVAL_S = 1.0  # between checks of idle connections
 
 
 class ConnectionPool:
@@ -55,6 +56,7 @@
         self._idle: list[HttpConnection] = []
         self._open: set[HttpConnection] = set()
         self._is_closed = False
+        self._expiry: Any = None  # timer while connections are idle
 
     def pop_idle(self) -> HttpConnection | None:
         """Remove and return an idle connection that should be open, or ``None``."""
@@ -105,6 +107,9 @@
 
     def close_idle(self) -> None:
         """Close the idle connections."""
+        if self._expiry is not None:
+            self._expiry.cancel()
+            self._expiry = None
         idle, self._idle = self._idle, []
         for connection in idle:
             connection.close()
@@ -115,6 +120,21 @@
             connection.close()
             return
         self._idle.append(connection)
+        if self._expiry is None:
+            self._expiry = self._reactor.callLater(
+                EXPIRY_INTERVAL_S, self._close_expired
+            )
+
+    def _close_expired(self) -> None:
+        """Close idle connections that are not reused any more."""
+        self._expiry = None
+        now = self._clock.monotonic()
+        idle, self._idle = self._idle, []
+        for connection in idle:
+            if not connection.is_closed and self._is_reusable(connection, now):
+                self.keep(connection)
+            else:
+                connection.close()
 
     def _is_reusable(self, connection: HttpConnection, now: timedelta) -> bool:
         keep_alive_s = connection.keep_alive_s
