Count a success that claims not to have run as run

An upstream that contradicts itself (a success with the header of a rejection) had its events passed on, then counted as not run, so that a request that may run once went to a second one. Cause: the header alone decided whether a request had run. Change: only answers that are no success, and 421, say that the request did not run.

--- a/banyansail/platform/calls.py
+++ b/banyansail/platform/calls.py
@@ -9,6 +9,7 @@
 
 from banyansail.exceptions import CallError
 from banyansail.gateway.request_types import (
+    FIRST_REDIRECT_STATUS,
     CallerCall,
     HeaderList,
     Prompt,
@@ -147,7 +148,9 @@
     first_value_by_name: dict[bytes, bytes] = {}
     for name, value in headers:
         first_value_by_name.setdefault(name.lower(), value)
-    has_not_run = header_names.NOT_EXECUTED in first_value_by_name or status == 421
+    is_rejection = header_names.NOT_EXECUTED in first_value_by_name
+    # A success has run, whatever its headers say.
+    has_not_run = status == 421 or (is_rejection and status >= FIRST_REDIRECT_STATUS)
     return ReplyHead(
         status,
         reason,
--- a/tests/platform/test_calls.py
+++ b/tests/platform/test_calls.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from banyansail.gateway.request_types import RunStatus
 from banyansail.platform.calls import MAX_PAUSE, decode_reply
 
 
@@ -12,6 +13,14 @@
     return decode_reply(status, b"", headers).pause
 
 
+@pytest.mark.parametrize(
+    "status, has_run", [(200, True), (206, True), (302, False), (429, False)]
+)
+def test_a_success_is_not_taken_for_not_run(status, has_run):
+    head = decode_reply(status, b"", [(b"X-Not-Executed", b"1")])
+    assert (head.run_status is RunStatus.RAN) is has_run
+
+
 def test_a_rejection_asks_for_a_pause_in_seconds_with_fractions():
     assert pause(b"2") == timedelta(seconds=2)
     assert pause(b" 0.25 ") == timedelta(milliseconds=250)
