Say by a name whether an answer's end was stated; drop an unused field

Cause: the condition stood in the run of a request, whose module had grown over 300 lines; the field is_sent of an attempt was set and never read. Change: a function beside the outcomes; no change of behaviour. Result: tests of requests and of the decisions pass.

--- a/banyansail/gateway/decisions/retry_policy.py
+++ b/banyansail/gateway/decisions/retry_policy.py
@@ -14,6 +14,7 @@
 )
 from banyansail.gateway.request_types import Cause, Rejection, ReplyHead, RunStatus
 from banyansail.gateway.site import RouteKind
+from banyansail.upstreams.body_end import BodyEnd
 
 if TYPE_CHECKING:
     from banyansail.gateway.site import Route
@@ -72,6 +73,11 @@
     return True
 
 
+def has_stated_end(outcome: Outcome) -> bool:
+    """Return whether an outcome is an answer whose end the upstream stated."""
+    return isinstance(outcome, Answered) and outcome.head.end is BodyEnd.STATED
+
+
 def describe(outcome: Outcome) -> str:
     """Return an outcome as a reason for the log and for the caller."""
     match outcome:
--- a/banyansail/gateway/requests/attempt.py
+++ b/banyansail/gateway/requests/attempt.py
@@ -86,7 +86,6 @@
         self._piece_count = 0  # of the body, or of the present event
         self._has_events = False
         self._method = b""
-        self.is_sent = False
 
     async def run(
         self, method: bytes, target: bytes, headers: HeaderList, body: bytes
@@ -101,7 +100,6 @@
         self._connection = connection
         self._done = defer.Deferred()
         self._method = method
-        self.is_sent = True
         connection.send_request(method, target, headers, body, self)
         try:
             return await self._done
--- a/banyansail/gateway/requests/upstream_run.py
+++ b/banyansail/gateway/requests/upstream_run.py
@@ -7,10 +7,10 @@
 
 from banyansail.gateway.decisions.migration_order import RunInProgress
 from banyansail.gateway.decisions.retry_policy import (
-    Answered,
     Incomplete,
     Outcome,
     attempt_timeout,
+    has_stated_end,
     may_have_run,
 )
 from banyansail.gateway.decisions.stream_pace import StreamPace
@@ -20,7 +20,6 @@
 from banyansail.gateway.requests.outcome_recorder import OutcomeRecorder
 from banyansail.gateway.site import RouteKind
 from banyansail.platform.calls import encode_attempt
-from banyansail.upstreams.body_end import BodyEnd
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -233,10 +232,7 @@
         """Return whether the run stopped in order to continue elsewhere."""
         if self._migration is None:
             return False
-        is_complete = (
-            isinstance(outcome, Answered) and outcome.head.end is BodyEnd.STATED
-        )
-        if await self._migration.settle(is_complete=is_complete):
+        if await self._migration.settle(is_complete=has_stated_end(outcome)):
             return True
         self._migration = None
         return False
