Log and count what the retry budget grants, and by which fleet size

Change: RetrySharing holds the budgets of all services, in place of the context; it writes a line retry_budget at most once a second for each service with withdrawals, and counts grants and refusals. No decision is changed.

--- a/banyansail/gateway/context.py
+++ b/banyansail/gateway/context.py
@@ -7,13 +7,13 @@
 from typing import TYPE_CHECKING, Any
 
 from banyansail.gateway.decisions.quota import cost_of
-from banyansail.gateway.decisions.retry_budget import WindowedRetryBudget
 from banyansail.gateway.decisions.upstream_reach import UpstreamReach
 from banyansail.gateway.log_rate_limit import LogRateLimit
 from banyansail.gateway.metrics import GatewayMetrics
 from banyansail.gateway.migration.scheduler import MigrationScheduler
 from banyansail.gateway.requests.byte_budget import ByteBudget
 from banyansail.gateway.requests.relay import Relays
+from banyansail.gateway.sharing.retry_sharing import RetrySharing
 from banyansail.gateway.site import SiteConfig
 from banyansail.log import log_event
 from banyansail.upstreams.pool import ConnectionPool
@@ -102,10 +102,8 @@
     migrations: MigrationScheduler = field(init=False)
     site: SiteConfig = field(default_factory=SiteConfig)
     relays: Relays = field(init=False)
+    retries: RetrySharing = field(init=False)
     metrics: GatewayMetrics = field(default_factory=GatewayMetrics)
-    _retry_budget_by_service: dict[str, WindowedRetryBudget] = field(
-        default_factory=dict
-    )
     _pool_by_address: dict[Address, ConnectionPool] = field(default_factory=dict)
     _pool_by_router: dict[Address, ConnectionPool] = field(default_factory=dict)
 
@@ -113,6 +111,9 @@
         self.reach = UpstreamReach(self.clock)
         self.migrations = MigrationScheduler(self)
         self.relays = Relays(self, self.live_peers)
+        self.retries = RetrySharing(
+            self.clock, self.settings, self.metrics, self.fleet.fleet_size
+        )
         self.route_log_limit = LogRateLimit(self.clock)
 
     def stride(self, service: str) -> int:
@@ -120,24 +121,6 @@
         spec = self.site.service_by_name.get(service)
         return spec.engine.stride if spec is not None and spec.engine else 1
 
-    def retry_budget(self, service: str) -> WindowedRetryBudget:
-        """Return the retry budget of a service."""
-        retry_budget = self._retry_budget_by_service.get(service)
-        if retry_budget is None:
-            settings = self.settings
-            retry_budget = WindowedRetryBudget(
-                self.clock,
-                settings.retry_ratio,
-                settings.retry_slack,
-                settings.retry_window,
-            )
-            self._retry_budget_by_service[service] = retry_budget
-        return retry_budget
-
-    def withdraw_retry(self, service: str) -> bool:
-        """Withdraw a retry from a service's budget; return whether it was available."""
-        return self.retry_budget(service).withdraw(self.fleet.fleet_size())
-
     def charge_quota(self, workspace: Workspace | None, call: CallerCall) -> None:
         """Charge the quota of a request that was admitted before."""
         if workspace is not None:
--- a/banyansail/gateway/decisions/retry_budget.py
+++ b/banyansail/gateway/decisions/retry_budget.py
@@ -42,6 +42,18 @@
         self._requests: deque[timedelta] = deque()
         self._retries: deque[timedelta] = deque()
 
+    @property
+    def requests(self) -> int:
+        """Callers' requests in the window that ends now."""
+        self._expire(self._clock.monotonic())
+        return len(self._requests)
+
+    @property
+    def retries(self) -> int:
+        """Retries withdrawn in the window that ends now."""
+        self._expire(self._clock.monotonic())
+        return len(self._retries)
+
     def record_request(self) -> None:
         """Count a caller's request."""
         now = self._clock.monotonic()
--- a/banyansail/gateway/metrics.py
+++ b/banyansail/gateway/metrics.py
@@ -43,6 +43,17 @@
             ("service",),
             registry=self.registry,
         )
+        self._retry_withdrawals = Counter(
+            "banyansail_retry_withdrawals",
+            "Retries that the budget granted or refused, by service",
+            ("service", "outcome"),
+            registry=self.registry,
+        )
+        self._retry_budget_routers = Gauge(
+            "banyansail_retry_budget_routers",
+            "Routers among which the slack of the retry budgets is divided",
+            registry=self.registry,
+        )
         self._migrations = Counter(
             "banyansail_migrations",
             "Runs that stopped to continue at another upstream, by outcome",
@@ -157,6 +168,15 @@
         """Count a retry."""
         self._retries.labels(service).inc()
 
+    def count_retry_withdrawal(self, service: str, *, is_granted: bool) -> None:
+        """Count a retry that the budget granted or refused."""
+        outcome = "granted" if is_granted else "refused"
+        self._retry_withdrawals.labels(service, outcome).inc()
+
+    def set_retry_budget_routers(self, count: int) -> None:
+        """Record among how many routers the slack of the retry budgets is divided."""
+        self._retry_budget_routers.set(count)
+
     def observe_first_byte(self, service: str, latency: timedelta) -> None:
         """Record the time from an attempt to its first byte."""
         self._latency.labels(service).observe(latency.total_seconds())
--- a/banyansail/gateway/migration/scheduler.py
+++ b/banyansail/gateway/migration/scheduler.py
@@ -139,7 +139,7 @@
         if target is None:
             return
         # The continued request is one more that arrives at the service.
-        if not self._context.withdraw_retry(service):
+        if not self._context.retries.withdraw(service):
             dispatcher.release(target)
             return
         run.migrate(target).addBoth(lambda _: self.update())
--- a/banyansail/gateway/requests/exchange.py
+++ b/banyansail/gateway/requests/exchange.py
@@ -83,7 +83,7 @@
             seconds, self._on_deadline
         )
         if not self._is_relayed:  # else counted by the router that relays it
-            self._context.retry_budget(self._request.ticket.service).record_request()
+            self._context.retries.record_request(self._request.ticket.service)
         self._serving = defer.Deferred.fromCoroutine(self._serve())
         self._serving.addErrback(self._on_error)
         self._serving.addBoth(lambda _: self._clean_up())
@@ -176,7 +176,7 @@
                     self._finish(Deliver(outcome))
                 return False
         step = next_step(outcome, request.route, request.progress, request.remaining())
-        if isinstance(step, Retry) and self._context.withdraw_retry(
+        if isinstance(step, Retry) and self._context.retries.withdraw(
             request.ticket.service
         ):
             self._fallback = step.fallback
@@ -194,7 +194,7 @@
         step = next_step(outcome, request.route, request.progress, request.remaining())
         if isinstance(step, Retry):
             is_allowed = step.is_free or self._upstream_run.is_retry_charged
-            if is_allowed or self._context.withdraw_retry(request.ticket.service):
+            if is_allowed or self._context.retries.withdraw(request.ticket.service):
                 self._upstream_run.is_retry_charged = False
                 self._fallback = step.fallback
                 request.ticket.excluded.add(slot.load.upstream.id)
--- a/banyansail/gateway/requests/upstream_run.py
+++ b/banyansail/gateway/requests/upstream_run.py
@@ -276,7 +276,7 @@
         def on_timeout() -> None:
             if request.is_finished or not slot.load.is_awaiting_first_byte(slot.number):
                 return
-            if self._context.withdraw_retry(request.ticket.service):
+            if self._context.retries.withdraw(request.ticket.service):
                 self.is_retry_charged = True
                 # The answer would have taken at least as long.
                 self._record_speed(slot, timeout)
--- a/banyansail/gateway/router.py
+++ b/banyansail/gateway/router.py
@@ -297,6 +297,7 @@
         metrics.set_in_progress(self.request_handler.in_progress)
         metrics.set_evacuated_zones(len(self.evacuations.zones))
         self.store_following.set_metrics()
+        self.context.retries.set_metrics()
         now = self.clock.monotonic()
         for name, state in self.dispatcher.service_by_name.items():
             cold = [load for load in state.load_by_id.values() if load.cold.left(now)]
--- a/tests/gateway/migration/test_scheduler.py
+++ b/tests/gateway/migration/test_scheduler.py
@@ -71,7 +71,7 @@
             clock=self.clock,
             dispatcher=dispatcher,
             settings=SimpleNamespace(drain=DRAIN),
-            withdraw_retry=lambda service: self.has_budget,
+            retries=SimpleNamespace(withdraw=lambda service: self.has_budget),
         )
         self.scheduler = MigrationScheduler(context)
 
