Charge the second place at which a migrated run may go on

Callers saw nothing; an engine that refuses a continuation caused one arrival more than the retry budget was charged, when the source was tried next. Cause: a migration was charged once, as it begins, but may be sent to two engines. Change: the second place is charged; if that is refused, the stream breaks off as when no engine takes the run. Evidence: the new test counted 1 grant for 2 further arrivals before, 2 now; tests of gateway/migration and requests pass.

--- a/banyansail/gateway/requests/upstream_run.py
+++ b/banyansail/gateway/requests/upstream_run.py
@@ -143,7 +143,11 @@
     ) -> tuple[Outcome, Slot]:
         """Continue a stopped run from its memory, where an engine takes it."""
         service = self._request.ticket.service
-        for slot, memory in migration.continuations():
+        for number, (slot, memory) in enumerate(migration.continuations()):
+            # The first one was charged as the migration began.
+            if number and not self._context.retries.withdraw(service):
+                self._context.dispatcher.release(slot)
+                break
             self._request.write_log(
                 "continue",
                 "the run migrated",
--- a/tests/gateway/migration/test_live_migration.py
+++ b/tests/gateway/migration/test_live_migration.py
@@ -5,6 +5,7 @@
 import re
 import time
 from concurrent.futures import ThreadPoolExecutor
+from types import SimpleNamespace
 
 import pytest
 
@@ -145,6 +146,41 @@
     assert live.runs() == ["a-draft-1"]
 
 
+def test_each_place_at_which_a_run_goes_on_is_charged_to_the_retry_budget(live):
+    """Guards against arrivals at engines that the retry budget does not know of."""
+    live.memory.faults.refuses_continuations = True
+    stream = live.begin()
+    live.leave(live.engine_of("a-draft-1"))
+    stream.result()
+    arrivals = sum(
+        len(replica.state.arrived_at) for replica in live.replica_by_name.values()
+    )
+    granted = live.gateway.context.metrics.registry.get_sample_value(
+        "banyansail_retry_withdrawals_total",
+        {"service": "engines", "outcome": "granted"},
+    )
+    assert granted == arrivals - 1
+
+
+def test_a_run_whose_second_continuation_is_not_granted_is_a_broken_stream(live):
+    """Guards against a slot that stays taken when the retry budget is used up."""
+    live.memory.faults.refuses_continuations = True
+    stream = live.begin()
+    source = live.engine_of("a-draft-1")
+    answers = iter([True, False])
+    live.gateway.context.retries = SimpleNamespace(
+        withdraw=lambda service: next(answers), update=lambda: None
+    )
+    live.leave(source)
+    assert stream.result() is None
+    assert live.continued() == []
+    wait_until(lambda: not any(map(in_flight, live.gateway.dispatcher.loads())))
+
+
+def in_flight(load):
+    return load.in_flight
+
+
 def test_a_stream_that_may_be_resumed_is_resumed_if_no_copy_is_taken(live):
     live.memory.faults.refuses_continuations = True
     stream = live.begin("/draft/resumable/1")
