Count routers behind a cut as sharers of a cold upstream's allowance

Callers saw nothing; parts of a fleet that restarted behind a cut would each have used the whole allowance of a cold upstream, which then ends. Cause: as with the retry budget: a majority was one of the routers heard of since the start. The seeds name three at most, so they do not tell it. Change: known_routers gives the names that Sharers has, those of the store included for the first two minutes of a process; entries of instances that are gone stay in the store, so they do not count for longer.

--- a/banyansail/gateway/decisions/sharers.py
+++ b/banyansail/gateway/decisions/sharers.py
@@ -1,4 +1,4 @@
-"""How many routers may draw on an allowance that the whole fleet shares.
+"""Which routers may draw on an allowance that the whole fleet shares.
 
 Each router takes an equal part, so a number that is too small lets the fleet exceed the
 allowance, and one that is too large leaves a part of it unused. A router that is not
@@ -7,16 +7,18 @@
 
 from __future__ import annotations
 
+from datetime import timedelta
 from typing import TYPE_CHECKING
 
-from banyansail.fleet.view import EXPIRY_TIME
-
 if TYPE_CHECKING:
     from collections.abc import Collection, Iterable, Mapping
-    from datetime import timedelta
 
     from banyansail.clock import Clock
 
+# After the start of this router. By then it has heard of all that run, unless it is cut
+# off; entries of instances that are gone stay in the store.
+REGISTERED_TIME = timedelta(minutes=2)
+
 
 class Sharers:
     """Routers that may draw on an allowance, as one router knows them.
@@ -42,10 +44,15 @@
         """Add the names of all routers that are registered in the store."""
         self._registered = frozenset(names).union(self._registered or ())
 
-    def count(
+    @property
+    def is_complete(self) -> bool:
+        """Whether the routers that are registered in the store are known."""
+        return self._registered is not None
+
+    def names(
         self, age_by_name: Mapping[str, timedelta], leaving: Collection[str]
-    ) -> int | None:
-        """Return the number of routers; ``None`` while the registered ones are unknown.
+    ) -> frozenset[str]:
+        """Return the names of all routers that may be at work.
 
         Parameters
         ----------
@@ -54,15 +61,12 @@
         leaving : collection of str
             Those that said that they stop.
         """
-        if self._registered is None:
-            return None
         heard = age_by_name.keys()
         left = {
             name
             for name in leaving
             if name in heard and age_by_name[name] > self._window
         }
-        # Without a sign of life, a registered router is forgotten like any other.
-        is_young = self._clock.monotonic() - self._started_at < EXPIRY_TIME
-        known = heard | self._registered if is_young else heard
-        return len(known - left)
+        age = self._clock.monotonic() - self._started_at
+        registered = self._registered if age < REGISTERED_TIME else None
+        return frozenset(heard).union(registered or ()) - left
--- a/banyansail/gateway/sharing/fleet_link.py
+++ b/banyansail/gateway/sharing/fleet_link.py
@@ -91,18 +91,18 @@
         members.pop(self._settings.name, None)
         return members
 
-    def known_routers(self) -> list[str]:
-        """Return the names of all routers heard of in the last hour, live or not."""
-        return self._view.names
-
-    def count_sharers(self) -> int | None:
-        """Return how many routers share the retry budget; ``None`` if unknown."""
+    def known_routers(self) -> frozenset[str]:
+        """Return the names of all routers that there may be, live or not."""
         leaving = [
             name
             for name, member in self._gossiper.members().items()
             if member.is_leaving
         ]
-        return self._sharers.count(self._view.ages(), leaving)
+        return self._sharers.names(self._view.ages(), leaving)
+
+    def count_sharers(self) -> int | None:
+        """Return how many routers share the retry budget; ``None`` if unknown."""
+        return len(self.known_routers()) if self._sharers.is_complete else None
 
     def zone_members(self) -> list[str]:
         """Return the live routers of this data centre, this one included."""
--- a/tests/gateway/decisions/test_cold_share.py
+++ b/tests/gateway/decisions/test_cold_share.py
@@ -198,6 +198,20 @@
     assert 0 < fleet.most_in_a_second() <= ALLOWED
 
 
+@pytest.mark.parametrize("seed", range(4))
+@pytest.mark.parametrize("groups", [2, 3])
+@pytest.mark.parametrize("routers", [8, 77])
+def test_routers_that_restart_behind_a_cut_keep_to_the_bound(routers, groups, seed):
+    """Guards against parts that each take the routers they hear for the fleet."""
+    fleet = Fleet(routers, seed)
+    fleet.run(4)
+    for number, name in enumerate(fleet.names):
+        fleet.restart(name)
+        fleet.live = {**fleet.live, name: fleet.names[number % groups :: groups]}
+    fleet.run(20)
+    assert 0 < fleet.most_in_a_second() <= ALLOWED
+
+
 def test_a_router_that_loses_the_majority_keeps_its_part_for_some_seconds():
     names = [f"r{number}" for number in range(9)]
     observer = FleetObserver()
--- a/tests/gateway/decisions/test_sharers.py
+++ b/tests/gateway/decisions/test_sharers.py
@@ -4,8 +4,7 @@
 
 import pytest
 
-from banyansail.fleet.view import EXPIRY_TIME
-from banyansail.gateway.decisions.sharers import Sharers
+from banyansail.gateway.decisions.sharers import REGISTERED_TIME, Sharers
 from tests.fakes import FakeClock
 from tests.gateway.builders import seconds
 
@@ -25,32 +24,36 @@
     return sharers
 
 
-def test_the_number_is_unknown_until_the_registered_routers_are():
+def test_the_fleet_is_not_complete_before_the_registered_routers_are_known():
     """Guards against a router that takes itself for alone in a fleet."""
-    assert Sharers(FakeClock(), WINDOW).count({"a": NOW, "b": NOW}, ()) is None
+    sharers = Sharers(FakeClock(), WINDOW)
+    assert not sharers.is_complete
+    assert sharers.names({"a": NOW}, ()) == {"a"}
+    sharers.record_registered(["a", "b"])
+    assert sharers.is_complete
 
 
 def test_registered_and_heard_routers_count_once(sharers):
-    assert sharers.count({"a": NOW, "b": NOW, "d": NOW}, ()) == 4
+    assert sharers.names({"a": NOW, "b": NOW, "d": NOW}, ()) == set("abcd")
 
 
 def test_a_silent_router_still_counts(sharers):
     """Guards against parts of a cut fleet that each take the whole allowance."""
-    assert sharers.count({"a": NOW, "b": LONG_AGO}, ()) == 3
+    assert sharers.names({"a": NOW, "b": LONG_AGO}, ()) == set("abc")
 
 
 def test_a_router_that_left_counts_until_its_use_is_out_of_the_window(sharers):
     """Guards against allowances that stay unused after planned stops."""
-    assert sharers.count({"a": NOW, "b": seconds(9)}, ["b"]) == 3
-    assert sharers.count({"a": NOW, "b": seconds(11)}, ["b"]) == 2
+    assert sharers.names({"a": NOW, "b": seconds(9)}, ["b"]) == set("abc")
+    assert sharers.names({"a": NOW, "b": seconds(11)}, ["b"]) == set("ac")
 
 
 def test_registered_routers_that_are_never_heard_of_are_forgotten(clock, sharers):
     """Guards against shares that shrink with each instance ever replaced."""
-    clock.advance(EXPIRY_TIME.total_seconds() + 1)
-    assert sharers.count({"a": NOW, "b": NOW}, ()) == 2
+    clock.advance(REGISTERED_TIME.total_seconds())
+    assert sharers.names({"a": NOW, "b": NOW}, ()) == set("ab")
 
 
 def test_a_restored_store_takes_no_router_away(sharers):
     sharers.record_registered(["a"])
-    assert sharers.count({"a": NOW}, ()) == 3
+    assert sharers.names({"a": NOW}, ()) == set("abc")
--- a/tests/gateway/sharing/retrying_fleet.py
+++ b/tests/gateway/sharing/retrying_fleet.py
@@ -83,7 +83,9 @@
     def _count_sharers(self):
         now = self._clock.monotonic()
         ages = {name: now - at for name, at in self._heard_at.items()}
-        return self.sharers.count(ages, ())
+        if not self.sharers.is_complete:
+            return None
+        return len(self.sharers.names(ages, ()))
 
     def hear(self, names):
         self._heard_at.update(dict.fromkeys(names, self._clock.monotonic()))
--- a/tests/gateway/sharing/test_fleet_link.py
+++ b/tests/gateway/sharing/test_fleet_link.py
@@ -123,3 +123,14 @@
     fleet = fleet_link()
     run_now(fleet.join(store))
     assert fleet.count_sharers() == 2
+
+
+def test_routers_of_the_store_are_known_before_they_are_heard_of():
+    """Guards against allowances of cold upstreams that parts of a fleet each use."""
+    store = FakeStore()
+    for name in ("front-1", "front-2", "front-3"):
+        spec = {"peer": "10.0.0.1:7600", "zone": "glasgow"}
+        run_now(store.create(ROUTERS_KIND, name, spec))
+    fleet = fleet_link()
+    run_now(fleet.join(store))
+    assert fleet.known_routers() == {"front-1", "front-2", "front-3"}
