Keep limits and slots that upstreams name in a fleet that is cut or restarts

Callers saw nothing; routers that heard of few others each used the whole limit of an upstream in need, and all slots of a brittle one. Cause: as with the retry budget: both were divided among the live routers, of which a router that just started, or is cut off, hears none. Change: a router that hears of no majority of those that there may be uses an equal part of the limit, and divides the slots among all of them. So the parts of a cut fleet together stay within the one and a half times that the platform tolerates; routers that are most of the fleet still leave no part to ended ones.

--- a/banyansail/gateway/decisions/cold_share.py
+++ b/banyansail/gateway/decisions/cold_share.py
@@ -15,6 +15,7 @@
 from typing import TYPE_CHECKING
 
 from banyansail.fleet.duties import rank_names
+from banyansail.gateway.decisions.sharers import has_majority
 
 if TYPE_CHECKING:
     from collections.abc import Hashable, Iterable
@@ -117,7 +118,7 @@
         expected = max(expected, len(known))
         sending = tuple(sending)
         self._last_seen_at.update(dict.fromkeys(sending, now))
-        if min(heard, len(sending)) * 2 > expected:
+        if has_majority(min(heard, len(sending)), expected):
             self._record_majority(now)
         elif self._last_majority_at is None:
             self._last_majority_at = now
--- a/banyansail/gateway/decisions/rate_limit.py
+++ b/banyansail/gateway/decisions/rate_limit.py
@@ -11,6 +11,7 @@
 from typing import TYPE_CHECKING
 
 from banyansail.fleet.duties import rank_names
+from banyansail.gateway.decisions.sharers import has_majority
 from banyansail.traffic.report import NamedLimit
 
 if TYPE_CHECKING:
@@ -86,10 +87,18 @@
         return NamedLimit(self.per_s, now - self._named_at)
 
     def share_among(
-        self, upstream: str, name: str, routers: Sequence[str], now: timedelta
+        self,
+        upstream: str,
+        name: str,
+        routers: Sequence[str],
+        now: timedelta,
+        known: int = 0,
     ) -> None:
         """Set this router's part.
 
+        Without a majority, others may share the limit among themselves, so that this
+        router uses an equal part of the whole fleet's.
+
         Parameters
         ----------
         upstream : str
@@ -98,12 +107,16 @@
             Name of this router.
         routers : sequence of str
             Routers that take requests, this one included.
+        known : int
+            Number of routers that there may be.
         """
         if self.per_s is None:
             return
         sharers = min(len(routers), int(self.per_s) + 1 + SPARE_SHARERS)
         part = 0.0
-        if name in rank_names(f"limit/{upstream}", routers)[:sharers]:
+        if not has_majority(len(routers), known):
+            part = 1 / known
+        elif name in rank_names(f"limit/{upstream}", routers)[:sharers]:
             part = 1 / sharers
         elif now - self._known_at > MAX_SILENCE:
             part = SILENT_SHARE / len(routers)
--- a/banyansail/gateway/decisions/sharers.py
+++ b/banyansail/gateway/decisions/sharers.py
@@ -20,6 +20,11 @@
 REGISTERED_TIME = timedelta(minutes=2)
 
 
+def has_majority(heard: int, known: int) -> bool:
+    """Return whether the routers that are heard of are most of those there may be."""
+    return heard * 2 > known
+
+
 class Sharers:
     """Routers that may draw on an allowance, as one router knows them.
 
--- a/banyansail/gateway/router.py
+++ b/banyansail/gateway/router.py
@@ -152,6 +152,7 @@
             ColdSharing(
                 settings, self.fleet, self.link.live_members, self.link.known_routers
             ),
+            self.link.known_routers,
         )
         self.speeds = SpeedSharing(
             clock,
--- a/banyansail/gateway/sharing/limit_sharing.py
+++ b/banyansail/gateway/sharing/limit_sharing.py
@@ -4,11 +4,12 @@
 
 from typing import TYPE_CHECKING
 
+from banyansail.gateway.decisions.sharers import has_majority
 from banyansail.gateway.decisions.slot_share import divide_slots
 from banyansail.log import log_event
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Collection
     from datetime import timedelta
 
     from banyansail.clock import Clock
@@ -38,6 +39,8 @@
         Returns the live routers by name.
     cold : ColdSharing
         Divides the allowances of cold upstreams.
+    known_routers : callable
+        Returns the names of all routers that there may be.
     """
 
     def __init__(
@@ -48,6 +51,7 @@
         fleet: FleetTraffic,
         live_members: Callable[[], dict[str, Member]],
         cold: ColdSharing,
+        known_routers: Callable[[], Collection[str]],
     ) -> None:
         self._name = name
         self._clock = clock
@@ -55,6 +59,7 @@
         self._fleet = fleet
         self._live_members = live_members
         self._cold = cold
+        self._known_routers = known_routers
 
     def record_answer(self, load: UpstreamLoad, head: ReplyHead) -> None:
         """Apply what an answer says of its upstream's limit and brittleness."""
@@ -123,9 +128,12 @@
             for name, member in self._live_members().items()
             if name == self._name or (member.is_ready and not member.is_leaving)
         ]
+        known = self._known_routers()
         for load in limited:
             upstream = load.upstream.incarnation_name
-            load.limit.share_among(upstream, self._name, routers, now)
+            load.limit.share_among(upstream, self._name, routers, now, len(known))
+        if not has_majority(len(routers), len(known)):
+            routers = sorted({*known, self._name})
         self._share_slots(brittle, routers)
 
     def _share_slots(self, brittle: list[UpstreamLoad], routers: list[str]) -> None:
