Keep quotas in a fleet that restarts behind a cut

Callers saw nothing; a workspace that asked for more than its quota would have got it once from each router, 28,800 units in 8 s where 11,100 are allowed with nine routers alone, 17,020 with two parts. Cause: as with the retry budget: a router that has heard of no other since its start refilled its buckets at the rate of the whole fleet. Change: routers that the store lists and that were not heard of count as suspect for the time after which a silent one is removed, and longer while none at all was heard of. Ruled out: longer in general, as routers that ended for good would take their part of all quotas with them. Evidence: both new cases failed before and pass; 21 tests of the file and those of gateway/sharing pass. A cut of more than 12 s still lets its parts use a quota each, restart or not.

--- a/banyansail/gateway/decisions/quota.py
+++ b/banyansail/gateway/decisions/quota.py
@@ -10,7 +10,8 @@
 part of that tolerance is spent so that no request is rejected because of use that is
 only estimated, or because it arrives slightly too early.
 
-A router that starts has no record of earlier use, so its buckets start empty.
+A router that starts has no record of earlier use, so its buckets start empty, and
+routers that it has not heard of yet are suspect.
 While some routers are suspect, the others together use only their proportion of the
 quota, so that the parts of a partitioned fleet do not each spend all of it.
 """
@@ -107,6 +108,7 @@
         "_overdraft",
         "_started_at",
         "has_urgent_use",
+        "known_routers",
         "used_by_workspace",
         "workspace_by_name",
     )
@@ -118,6 +120,7 @@
         self._bucket_by_name: dict[str, _Bucket] = {}
         self.used_by_workspace: dict[str, float] = {}
         self.workspace_by_name: Mapping[str, Workspace] = {}  # of the configuration
+        self.known_routers = 1  # that there may be, this one included
         # Whether to report this router's use at once, as a quota is nearly used up.
         self.has_urgent_use = False
 
@@ -190,7 +193,7 @@
     def _refill(self, workspace: Workspace) -> _Bucket:
         now = self._clock.monotonic()
         bucket = self._bucket(workspace.name)
-        share = _responsive_share(bucket, now)
+        share = self._responsive_share(bucket, now)
         gained = workspace.rate * share * ((now - bucket.refilled_at) / _SECOND)
         bucket.unreported_use = self._estimate_unreported_use(bucket, now)
         # `charge` subtracts the unreported use, so the level may exceed the burst.
@@ -207,7 +210,22 @@
 
     def _is_all_use_reported(self, bucket: _Bucket) -> bool:
         is_settled = bucket.refilled_at - self._started_at >= SETTLE_TIME
-        return is_settled and _responsive_share(bucket, bucket.refilled_at) == 1.0
+        return is_settled and self._responsive_share(bucket, bucket.refilled_at) == 1.0
+
+    def _responsive_share(self, bucket: _Bucket, now: timedelta) -> float:
+        """Return the share of the routers, this one included, that are not suspect."""
+        routers = 1
+        suspects = 0
+        for use in bucket.use_by_peer.values():
+            is_recent = now - use.received_at <= SUSPECT_AFTER
+            routers += use.routers
+            suspects += use.silent_routers if is_recent else use.routers
+        is_young = now - self._started_at < PEER_EXPIRY
+        if is_young or routers == 1:  # else those that are not heard of have ended
+            unheard = max(0, self.known_routers - routers)
+            routers += unheard
+            suspects += unheard
+        return (routers - suspects) / routers
 
     def _estimate_unreported_use(self, bucket: _Bucket, now: timedelta) -> float:
         """Return the estimated use by other routers since their last report."""
@@ -232,17 +250,6 @@
 _SECOND = timedelta(seconds=1)
 
 
-def _responsive_share(bucket: _Bucket, now: timedelta) -> float:
-    """Return the share of the routers, this one included, that are not suspect."""
-    routers = 1
-    suspects = 0
-    for use in bucket.use_by_peer.values():
-        is_recent = now - use.received_at <= SUSPECT_AFTER
-        routers += use.routers
-        suspects += use.silent_routers if is_recent else use.routers
-    return (routers - suspects) / routers
-
-
 def _update_rates(
     rates: tuple[float, ...], spent: float, elapsed: timedelta
 ) -> tuple[float, ...]:
--- a/banyansail/gateway/periodic.py
+++ b/banyansail/gateway/periodic.py
@@ -132,6 +132,7 @@
         gateway.speeds.update()
         gateway.context.migrations.update()
         gateway.context.retries.update()
+        gateway.quota.known_routers = gateway.link.count_sharers() or 1
 
     async def report_cleared(self) -> None:
         """Tell other routers of suspected parts of prompts that were answered here."""
--- a/tests/gateway/decisions/test_quota.py
+++ b/tests/gateway/decisions/test_quota.py
@@ -100,7 +100,7 @@
     """
     clock = FakeClock()
     owner = workspace(rate=1000, burst=1000)
-    limiters = [make_limiter(clock, owner) for _ in demands]
+    limiters = [make_limiter(clock, owner, len(demands)) for _ in demands]
     incarnations = [1] * len(limiters)
     reported_at = [0.0] * len(limiters)
     in_transit = deque()
@@ -110,7 +110,7 @@
         clock.advance(step)
         at = tick * step
         for index in _restarted(restarts, at, step):
-            limiters[index] = make_limiter(clock, owner)
+            limiters[index] = make_limiter(clock, owner, len(demands))
             incarnations[index] += 1
         for index, limiter in enumerate(limiters):
             usual = tick % 4 // 3  # 5% of the quota at each router
@@ -132,8 +132,9 @@
     return used
 
 
-def make_limiter(clock, owner):
+def make_limiter(clock, owner, routers):
     limiter = QuotaLimiter(clock, TOLERATED)
+    limiter.known_routers = routers
     limiter.workspace_by_name = {owner.name: owner}
     return limiter
 
@@ -224,6 +225,15 @@
     assert sum(cost for at, cost in used if 12 <= at < 16) >= 0.9 * 1000 * 4
 
 
+@pytest.mark.parametrize("groups", [2, 9])
+def test_routers_that_restart_behind_a_cut_keep_the_quota(groups):
+    """Guards against routers that each refill the quota of the whole fleet."""
+    parts = tuple(set(range(9)[number::groups]) for number in range(groups))
+    restarts = tuple((12, index) for index in range(9))
+    used = run_fleet([4] * 9, parts, cut=(11.5, 25), restarts=restarts)
+    assert most_in_a_window(used) <= ALLOWED
+
+
 def test_use_by_others_is_charged_to_a_router_without_requests():
     """A bucket refilled only by own requests hides what others use meanwhile."""
     clock = FakeClock()
