--- a/banyansail/traffic/aggregator.py
+++ b/banyansail/traffic/aggregator.py
@@ -27,7 +27,7 @@
     from banyansail.traffic.tally import Tally
 
 WORK_TIMEOUT = timedelta(seconds=2.5)  # after which reported work does not count
-# Without a report; longer than the windows of the quotas and of the retry budgets.
+# Without a report; longer than the windows of the quotas.
 MEMBER_TIMEOUT = timedelta(seconds=12)
 DUTY = "duties"
 DUTY_CANDIDATES = 3  # that a sum names
