Split the gateway's decisions into folders by job

Cause: 34 modules in one folder did not tell which of them a request meets. Change: folders limits, upstreams, queue, responses, crashes and streams, which import from those above them only; watchers moved to gateway/store, which uses it.

--- a/banyansail/gateway/context.py
+++ b/banyansail/gateway/context.py
@@ -6,8 +6,8 @@
 from datetime import timedelta
 from typing import TYPE_CHECKING, Any
 
-from banyansail.gateway.decisions.quota import cost_of
-from banyansail.gateway.decisions.upstream_reach import UpstreamReach
+from banyansail.gateway.decisions.limits.quota import cost_of
+from banyansail.gateway.decisions.upstreams.upstream_reach import UpstreamReach
 from banyansail.gateway.log_rate_limit import LogRateLimit
 from banyansail.gateway.metrics import GatewayMetrics
 from banyansail.gateway.migration.scheduler import MigrationScheduler
@@ -26,10 +26,10 @@
     from banyansail.config.fields import Address
     from banyansail.config.gateway_settings import GatewaySettings
     from banyansail.fleet.entries import Member
-    from banyansail.gateway.decisions.crash_guard import CrashGuard
-    from banyansail.gateway.decisions.dispatch import Dispatcher
-    from banyansail.gateway.decisions.quota import QuotaLimiter
-    from banyansail.gateway.decisions.upstream_load import UpstreamLoad
+    from banyansail.gateway.decisions.crashes.crash_guard import CrashGuard
+    from banyansail.gateway.decisions.limits.quota import QuotaLimiter
+    from banyansail.gateway.decisions.queue.dispatch import Dispatcher
+    from banyansail.gateway.decisions.upstreams.upstream_load import UpstreamLoad
     from banyansail.gateway.duties.move_controller import MoveController
     from banyansail.gateway.duties.usage import UsageCounter
     from banyansail.gateway.request_types import CallerCall, ReplyHead
--- /dev/null
+++ b/banyansail/gateway/decisions/crashes/__init__.py
@@ -0,0 +1,1 @@
+"""Requests and parts of prompts that crash upstreams."""
--- a/banyansail/gateway/decisions/crash_guard.py
+++ b/banyansail/gateway/decisions/crashes/crash_guard.py
@@ -10,7 +10,7 @@
 from typing import TYPE_CHECKING
 
 from banyansail.exceptions import WireError
-from banyansail.gateway.decisions.crash_quarantine import (
+from banyansail.gateway.decisions.crashes.crash_quarantine import (
     CrashQuarantine,
     PartSubject,
     RequestSubject,
--- a/banyansail/gateway/decisions/rate_limit.py
+++ b/banyansail/gateway/decisions/limits/rate_limit.py
@@ -11,7 +11,7 @@
 from typing import TYPE_CHECKING
 
 from banyansail.fleet.duties import rank_names
-from banyansail.gateway.decisions.sharers import has_majority
+from banyansail.gateway.decisions.limits.sharers import has_majority
 from banyansail.traffic.report import NamedLimit
 
 if TYPE_CHECKING:
--- /dev/null
+++ b/banyansail/gateway/decisions/queue/__init__.py
@@ -0,0 +1,1 @@
+"""Which requests wait, in which order, and which get a slot or a rejection."""
--- a/banyansail/gateway/decisions/admission.py
+++ b/banyansail/gateway/decisions/queue/admission.py
@@ -9,27 +9,27 @@
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
-from banyansail.gateway.decisions.choice import has_free_slot
-from banyansail.gateway.decisions.rejections import (
+from banyansail.gateway.decisions.queue.rejections import (
     NO_UPSTREAM_LEFT,
     check_pauses,
     overload_rejection,
     share_rejection,
 )
-from banyansail.gateway.decisions.work import expected_answer_time
+from banyansail.gateway.decisions.queue.work import expected_answer_time
+from banyansail.gateway.decisions.upstreams.choice import has_free_slot
 
 if TYPE_CHECKING:
     from datetime import timedelta
     from random import Random
 
-    from banyansail.gateway.decisions.fair_order import FairOrder
-    from banyansail.gateway.decisions.service_state import (
+    from banyansail.gateway.decisions.queue.fair_order import FairOrder
+    from banyansail.gateway.decisions.queue.service_state import (
         QueueEntry,
         ServiceState,
         Slot,
         Ticket,
     )
-    from banyansail.gateway.decisions.upstream_load import UpstreamLoad
+    from banyansail.gateway.decisions.upstreams.upstream_load import UpstreamLoad
     from banyansail.gateway.request_types import Rejection
 
 MAX_WAIT_SHARE = 0.5  # of a request's time until its deadline
--- a/banyansail/gateway/decisions/dispatch.py
+++ b/banyansail/gateway/decisions/queue/dispatch.py
@@ -10,22 +10,22 @@
 from datetime import UTC, datetime, timedelta
 from typing import TYPE_CHECKING
 
-from banyansail.gateway.decisions.admission import Admission, max_wait, resolve
-from banyansail.gateway.decisions.choice import (
-    Chosen,
-    affinity_key,
-    choose,
-)
-from banyansail.gateway.decisions.fair_order import FairOrder
-from banyansail.gateway.decisions.service_state import (
+from banyansail.gateway.decisions.queue.admission import Admission, max_wait, resolve
+from banyansail.gateway.decisions.queue.fair_order import FairOrder
+from banyansail.gateway.decisions.queue.service_state import (
     QueueEntry,
     ServiceState,
     Slot,
     Ticket,
     VersionShare,
 )
-from banyansail.gateway.decisions.upstream_load import UpstreamLoad
-from banyansail.gateway.decisions.work import assigned_work
+from banyansail.gateway.decisions.queue.work import assigned_work
+from banyansail.gateway.decisions.upstreams.choice import (
+    Chosen,
+    affinity_key,
+    choose,
+)
+from banyansail.gateway.decisions.upstreams.upstream_load import UpstreamLoad
 from banyansail.gateway.request_types import Rejection
 
 if TYPE_CHECKING:
--- a/banyansail/gateway/decisions/fair_order.py
+++ b/banyansail/gateway/decisions/queue/fair_order.py
@@ -10,19 +10,19 @@
 from datetime import timedelta
 from typing import TYPE_CHECKING
 
-from banyansail.gateway.decisions.arrival_queue import ArrivalQueue
-from banyansail.gateway.decisions.fair_queue import FairQueue
-from banyansail.gateway.decisions.repeats import Repeats
-from banyansail.gateway.decisions.slot_budget import SlotBudget
-from banyansail.gateway.decisions.work import expected_work, workspace_weights
-from banyansail.gateway.decisions.work_shares import WorkShares
+from banyansail.gateway.decisions.queue.arrival_queue import ArrivalQueue
+from banyansail.gateway.decisions.queue.fair_queue import FairQueue
+from banyansail.gateway.decisions.queue.repeats import Repeats
+from banyansail.gateway.decisions.queue.slot_budget import SlotBudget
+from banyansail.gateway.decisions.queue.work import expected_work, workspace_weights
+from banyansail.gateway.decisions.queue.work_shares import WorkShares
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Mapping
     from random import Random
 
     from banyansail.clock import Clock
-    from banyansail.gateway.decisions.service_state import ServiceState, Ticket
+    from banyansail.gateway.decisions.queue.service_state import ServiceState, Ticket
     from banyansail.gateway.request_types import Rejection
     from banyansail.gateway.site import Workspace
 
--- a/banyansail/gateway/decisions/fair_queue.py
+++ b/banyansail/gateway/decisions/queue/fair_queue.py
@@ -16,8 +16,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator, Mapping
 
-    from banyansail.gateway.decisions.service_state import QueueEntry, Ticket
-    from banyansail.gateway.decisions.work_shares import WorkShares
+    from banyansail.gateway.decisions.queue.service_state import QueueEntry, Ticket
+    from banyansail.gateway.decisions.queue.work_shares import WorkShares
 
 # Of the slots, for a lower priority while it waits. Less urgent requests must be served
 # at least a quarter as often as all, and they are a minority of the kinds.
--- a/banyansail/gateway/decisions/rejections.py
+++ b/banyansail/gateway/decisions/queue/rejections.py
@@ -10,9 +10,9 @@
 if TYPE_CHECKING:
     from random import Random
 
-    from banyansail.gateway.decisions.service_state import ServiceState, Ticket
-    from banyansail.gateway.decisions.upstream_load import UpstreamLoad
-    from banyansail.gateway.decisions.work_shares import ShareUse
+    from banyansail.gateway.decisions.queue.service_state import ServiceState, Ticket
+    from banyansail.gateway.decisions.queue.work_shares import ShareUse
+    from banyansail.gateway.decisions.upstreams.upstream_load import UpstreamLoad
 
 NO_UPSTREAM_RETRY_DELAY = timedelta(milliseconds=400)
 MIN_RETRY_DELAY = timedelta(milliseconds=100)
--- a/banyansail/gateway/decisions/service_state.py
+++ b/banyansail/gateway/decisions/queue/service_state.py
@@ -6,12 +6,12 @@
 from datetime import timedelta
 from typing import TYPE_CHECKING
 
-from banyansail.gateway.decisions.arrival_queue import ArrivalQueue
-from banyansail.gateway.decisions.choice import ServiceDemand, has_free_slot
-from banyansail.gateway.decisions.fair_queue import FairQueue
-from banyansail.gateway.decisions.peer_demand import PeerDemand
-from banyansail.gateway.decisions.prefix_spread import PrefixSpread
-from banyansail.gateway.decisions.upstream_load import (
+from banyansail.gateway.decisions.queue.arrival_queue import ArrivalQueue
+from banyansail.gateway.decisions.queue.fair_queue import FairQueue
+from banyansail.gateway.decisions.upstreams.choice import ServiceDemand, has_free_slot
+from banyansail.gateway.decisions.upstreams.peer_demand import PeerDemand
+from banyansail.gateway.decisions.upstreams.prefix_spread import PrefixSpread
+from banyansail.gateway.decisions.upstreams.upstream_load import (
     AnswerTime,
     PrefillRate,
     UpstreamLoad,
@@ -20,9 +20,9 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from banyansail.gateway.decisions.choice import Chosen
-    from banyansail.gateway.decisions.slot_budget import SlotBudget
-    from banyansail.gateway.decisions.work_shares import ShareUse, WorkShares
+    from banyansail.gateway.decisions.queue.slot_budget import SlotBudget
+    from banyansail.gateway.decisions.queue.work_shares import ShareUse, WorkShares
+    from banyansail.gateway.decisions.upstreams.choice import Chosen
     from banyansail.gateway.request_types import Prompt, Rejection
     from banyansail.gateway.site import EngineSpec
 
--- a/banyansail/gateway/decisions/work.py
+++ b/banyansail/gateway/decisions/queue/work.py
@@ -10,8 +10,8 @@
 from datetime import timedelta
 from typing import TYPE_CHECKING
 
-from banyansail.gateway.decisions.choice import ASSUMED_CACHED_SHARE
-from banyansail.gateway.decisions.upstream_load import ENGINE_BASE_LATENCY
+from banyansail.gateway.decisions.upstreams.choice import ASSUMED_CACHED_SHARE
+from banyansail.gateway.decisions.upstreams.upstream_load import ENGINE_BASE_LATENCY
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
--- a/banyansail/gateway/decisions/response_end.py
+++ b/banyansail/gateway/decisions/responses/response_end.py
@@ -5,17 +5,17 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from banyansail.gateway.decisions.response_state import (
+from banyansail.gateway.decisions.responses.response_state import (
     NotStarted,
     ResponseState,
     continuation_fault,
 )
-from banyansail.gateway.decisions.retry_policy import Deliver
+from banyansail.gateway.decisions.responses.retry_policy import Deliver
 from banyansail.gateway.request_types import Rejection
 from banyansail.upstreams.body_end import BodyEnd
 
 if TYPE_CHECKING:
-    from banyansail.gateway.decisions.retry_policy import Answered
+    from banyansail.gateway.decisions.responses.retry_policy import Answered
 
 
 @dataclass(slots=True, frozen=True)
--- a/banyansail/gateway/decisions/retry_policy.py
+++ b/banyansail/gateway/decisions/responses/retry_policy.py
@@ -6,7 +6,7 @@
 from datetime import timedelta
 from typing import TYPE_CHECKING
 
-from banyansail.gateway.decisions.response_state import (
+from banyansail.gateway.decisions.responses.response_state import (
     NotStarted,
     ResponseState,
     Started,
--- /dev/null
+++ b/banyansail/gateway/decisions/streams/__init__.py
@@ -0,0 +1,1 @@
+"""Live migration of streams between engines, and their pace."""
--- /dev/null
+++ b/banyansail/gateway/decisions/upstreams/__init__.py
@@ -0,0 +1,1 @@
+"""Choice of an upstream, and what a router knows of each one's load and speed."""
--- a/banyansail/gateway/decisions/choice.py
+++ b/banyansail/gateway/decisions/upstreams/choice.py
@@ -12,16 +12,16 @@
 from heapq import nlargest
 from typing import TYPE_CHECKING
 
-from banyansail.gateway.decisions.peer_demand import PeerDemand, draw_by_room
-from banyansail.gateway.decisions.upstream_load import ENGINE_BASE_LATENCY
+from banyansail.gateway.decisions.upstreams.peer_demand import PeerDemand, draw_by_room
+from banyansail.gateway.decisions.upstreams.upstream_load import ENGINE_BASE_LATENCY
 from banyansail.utils import hash64
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
     from random import Random
 
-    from banyansail.gateway.decisions.prefix_spread import PrefixSpread
-    from banyansail.gateway.decisions.upstream_load import UpstreamLoad
+    from banyansail.gateway.decisions.upstreams.prefix_spread import PrefixSpread
+    from banyansail.gateway.decisions.upstreams.upstream_load import UpstreamLoad
     from banyansail.gateway.request_types import Prompt
 
 MS = timedelta(milliseconds=1)
--- a/banyansail/gateway/decisions/upstream_load.py
+++ b/banyansail/gateway/decisions/upstreams/upstream_load.py
@@ -5,10 +5,10 @@
 from datetime import timedelta
 from typing import TYPE_CHECKING
 
-from banyansail.gateway.decisions.cold_share import ColdShare
-from banyansail.gateway.decisions.prefix_cache import PrefixCache
-from banyansail.gateway.decisions.rate_limit import RateLimit
-from banyansail.gateway.decisions.speed import SpeedEstimate
+from banyansail.gateway.decisions.limits.cold_share import ColdShare
+from banyansail.gateway.decisions.limits.rate_limit import RateLimit
+from banyansail.gateway.decisions.upstreams.prefix_cache import PrefixCache
+from banyansail.gateway.decisions.upstreams.speed import SpeedEstimate
 
 if TYPE_CHECKING:
     from random import Random
--- a/banyansail/gateway/duties/move_controller.py
+++ b/banyansail/gateway/duties/move_controller.py
@@ -28,7 +28,7 @@
 
     from banyansail.clock import Clock
     from banyansail.fleet.entries import Entry
-    from banyansail.gateway.decisions.dispatch import Dispatcher
+    from banyansail.gateway.decisions.queue.dispatch import Dispatcher
     from banyansail.gateway.duties.duty_lease import DutyLease
     from banyansail.gateway.store.mirror import Mirror
     from banyansail.gateway.upstream import Upstream
--- a/banyansail/gateway/duties/scaler.py
+++ b/banyansail/gateway/duties/scaler.py
@@ -17,7 +17,7 @@
 
 if TYPE_CHECKING:
     from banyansail.clock import Clock
-    from banyansail.gateway.decisions.dispatch import Dispatcher
+    from banyansail.gateway.decisions.queue.dispatch import Dispatcher
     from banyansail.gateway.duties.duty_lease import DutyLease
     from banyansail.gateway.site import ServiceSpec, SiteConfig
     from banyansail.platform.cloud import CloudClient
--- a/banyansail/gateway/metrics.py
+++ b/banyansail/gateway/metrics.py
@@ -18,8 +18,8 @@
     from collections.abc import Iterable
     from datetime import timedelta
 
-    from banyansail.gateway.decisions.upstream_load import UpstreamLoad
-    from banyansail.gateway.decisions.work_shares import ShareUse
+    from banyansail.gateway.decisions.queue.work_shares import ShareUse
+    from banyansail.gateway.decisions.upstreams.upstream_load import UpstreamLoad
     from banyansail.platform.store import CallRecord
 
 METRICS_PATH = b"/metrics"
--- a/banyansail/gateway/migration/run.py
+++ b/banyansail/gateway/migration/run.py
@@ -7,7 +7,7 @@
 
 from twisted.internet import defer
 
-from banyansail.gateway.decisions.migration import (
+from banyansail.gateway.decisions.streams.migration import (
     Continue,
     Copied,
     Copying,
@@ -33,8 +33,8 @@
     from collections.abc import Callable, Iterator
 
     from banyansail.gateway.context import GatewayContext
-    from banyansail.gateway.decisions.service_state import Slot
-    from banyansail.gateway.decisions.upstream_load import UpstreamLoad
+    from banyansail.gateway.decisions.queue.service_state import Slot
+    from banyansail.gateway.decisions.upstreams.upstream_load import UpstreamLoad
     from banyansail.gateway.request_types import CallerCall
 
 # A source closes the stream as it stops the run; beyond this, the link is broken.
--- a/banyansail/gateway/migration/scheduler.py
+++ b/banyansail/gateway/migration/scheduler.py
@@ -5,7 +5,7 @@
 from dataclasses import replace
 from typing import TYPE_CHECKING, Protocol
 
-from banyansail.gateway.decisions.migration_order import (
+from banyansail.gateway.decisions.streams.migration_order import (
     RunInProgress,
     order_migrations,
 )
@@ -16,8 +16,8 @@
     from twisted.internet import defer
 
     from banyansail.gateway.context import GatewayContext
-    from banyansail.gateway.decisions.service_state import Slot, Ticket
-    from banyansail.gateway.decisions.upstream_load import UpstreamLoad
+    from banyansail.gateway.decisions.queue.service_state import Slot, Ticket
+    from banyansail.gateway.decisions.upstreams.upstream_load import UpstreamLoad
 
 # At a time, by one router from one engine. Its link carries one copy after the other,
 # so the rest is better ordered here than in its queue.
--- a/banyansail/gateway/reach_check.py
+++ b/banyansail/gateway/reach_check.py
@@ -15,7 +15,7 @@
 
     from banyansail.clock import Clock
     from banyansail.gateway.context import GatewayContext
-    from banyansail.gateway.decisions.upstream_load import UpstreamLoad
+    from banyansail.gateway.decisions.upstreams.upstream_load import UpstreamLoad
 
 MAX_TARGETS = 3
 
--- a/banyansail/gateway/request_types.py
+++ b/banyansail/gateway/request_types.py
@@ -10,7 +10,7 @@
 from banyansail.upstreams.body_end import BodyEnd
 
 if TYPE_CHECKING:
-    from banyansail.gateway.decisions.work_shares import ShareUse
+    from banyansail.gateway.decisions.queue.work_shares import ShareUse
 
 HeaderList = list[tuple[bytes, bytes]]
 
--- a/banyansail/gateway/requests/active_request.py
+++ b/banyansail/gateway/requests/active_request.py
@@ -5,16 +5,16 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
 
-from banyansail.gateway.decisions.response_state import Started
-from banyansail.gateway.decisions.retry_policy import Progress
-from banyansail.gateway.decisions.service_state import Ticket
+from banyansail.gateway.decisions.queue.service_state import Ticket
+from banyansail.gateway.decisions.responses.response_state import Started
+from banyansail.gateway.decisions.responses.retry_policy import Progress
 from banyansail.gateway.requests.request_log import RequestLog
 
 if TYPE_CHECKING:
     from datetime import timedelta
 
     from banyansail.gateway.context import GatewayContext
-    from banyansail.gateway.decisions.work_shares import ShareUse
+    from banyansail.gateway.decisions.queue.work_shares import ShareUse
     from banyansail.gateway.request_types import CallerCall
     from banyansail.gateway.site import Route, Workspace
 
--- a/banyansail/gateway/requests/attempt.py
+++ b/banyansail/gateway/requests/attempt.py
@@ -7,7 +7,7 @@
 from twisted.internet import defer
 
 from banyansail.exceptions import ConnectFailedError
-from banyansail.gateway.decisions.retry_policy import (
+from banyansail.gateway.decisions.responses.retry_policy import (
     Answered,
     Incomplete,
     NotSent,
--- a/banyansail/gateway/requests/caller_response.py
+++ b/banyansail/gateway/requests/caller_response.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from banyansail.gateway.decisions.response_end import (
+from banyansail.gateway.decisions.responses.response_end import (
     BreakOff,
     Complete,
     ResponseEnd,
@@ -13,8 +13,8 @@
     WriteUntilClose,
     decide_end,
 )
-from banyansail.gateway.decisions.response_state import NotStarted, Started
-from banyansail.gateway.decisions.retry_policy import Deliver
+from banyansail.gateway.decisions.responses.response_state import NotStarted, Started
+from banyansail.gateway.decisions.responses.retry_policy import Deliver
 from banyansail.gateway.request_types import Cause, Rejection
 from banyansail.gateway.requests.share_fields import share_fields
 from banyansail.upstreams.body_end import BodyEnd
--- a/banyansail/gateway/requests/exchange.py
+++ b/banyansail/gateway/requests/exchange.py
@@ -6,7 +6,7 @@
 
 from twisted.internet import defer
 
-from banyansail.gateway.decisions.retry_policy import (
+from banyansail.gateway.decisions.responses.retry_policy import (
     Answered,
     Deliver,
     NotSent,
@@ -25,7 +25,7 @@
 if TYPE_CHECKING:
     from banyansail.config.fields import Address
     from banyansail.gateway.context import GatewayContext
-    from banyansail.gateway.decisions.service_state import Slot
+    from banyansail.gateway.decisions.queue.service_state import Slot
     from banyansail.gateway.request_types import CallerCall, ReplyHead
     from banyansail.gateway.requests.events import StreamEvent
     from banyansail.gateway.requests.response_writer import ResponseWriter
--- a/banyansail/gateway/requests/outcome_recorder.py
+++ b/banyansail/gateway/requests/outcome_recorder.py
@@ -7,7 +7,7 @@
 
 from twisted.internet import defer
 
-from banyansail.gateway.decisions.retry_policy import (
+from banyansail.gateway.decisions.responses.retry_policy import (
     Answered,
     Incomplete,
     NotSent,
@@ -18,7 +18,7 @@
 
 if TYPE_CHECKING:
     from banyansail.gateway.context import GatewayContext
-    from banyansail.gateway.decisions.upstream_load import UpstreamLoad
+    from banyansail.gateway.decisions.upstreams.upstream_load import UpstreamLoad
     from banyansail.gateway.request_types import CallerCall
     from banyansail.gateway.site import Route
     from banyansail.gateway.upstream import Upstream
--- a/banyansail/gateway/requests/relay.py
+++ b/banyansail/gateway/requests/relay.py
@@ -14,7 +14,7 @@
     from banyansail.config.fields import Address
     from banyansail.fleet.entries import Member
     from banyansail.gateway.context import GatewayContext
-    from banyansail.gateway.decisions.retry_policy import Outcome
+    from banyansail.gateway.decisions.responses.retry_policy import Outcome
     from banyansail.gateway.request_types import CallerCall, ReplyHead
 
 
--- a/banyansail/gateway/requests/share_fields.py
+++ b/banyansail/gateway/requests/share_fields.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING, Any
 
 if TYPE_CHECKING:
-    from banyansail.gateway.decisions.work_shares import ShareUse
+    from banyansail.gateway.decisions.queue.work_shares import ShareUse
 
 
 def share_fields(share: ShareUse | None) -> dict[str, Any]:
--- a/banyansail/gateway/requests/upstream_run.py
+++ b/banyansail/gateway/requests/upstream_run.py
@@ -5,15 +5,15 @@
 import math
 from typing import TYPE_CHECKING, Any
 
-from banyansail.gateway.decisions.migration_order import RunInProgress
-from banyansail.gateway.decisions.retry_policy import (
+from banyansail.gateway.decisions.responses.retry_policy import (
     Incomplete,
     Outcome,
     attempt_timeout,
     has_stated_end,
     may_have_run,
 )
-from banyansail.gateway.decisions.stream_pace import StreamPace
+from banyansail.gateway.decisions.streams.migration_order import RunInProgress
+from banyansail.gateway.decisions.streams.stream_pace import StreamPace
 from banyansail.gateway.migration.run import RunMigration
 from banyansail.gateway.request_types import RunStatus
 from banyansail.gateway.requests.attempt import Attempt
@@ -27,8 +27,8 @@
 
     from twisted.internet import defer
 
-    from banyansail.gateway.decisions.service_state import Slot, Ticket
-    from banyansail.gateway.decisions.upstream_load import UpstreamLoad
+    from banyansail.gateway.decisions.queue.service_state import Slot, Ticket
+    from banyansail.gateway.decisions.upstreams.upstream_load import UpstreamLoad
     from banyansail.gateway.request_types import HeaderList, ReplyHead
     from banyansail.gateway.requests.active_request import ActiveRequest
     from banyansail.gateway.requests.events import StreamEvent
--- a/banyansail/gateway/router.py
+++ b/banyansail/gateway/router.py
@@ -13,9 +13,9 @@
 from banyansail.gateway.callers.request_handler import RequestHandler
 from banyansail.gateway.callers.servers import Servers
 from banyansail.gateway.context import GatewayContext
-from banyansail.gateway.decisions.crash_guard import CrashGuard
-from banyansail.gateway.decisions.dispatch import Dispatcher
-from banyansail.gateway.decisions.quota import QuotaLimiter
+from banyansail.gateway.decisions.crashes.crash_guard import CrashGuard
+from banyansail.gateway.decisions.limits.quota import QuotaLimiter
+from banyansail.gateway.decisions.queue.dispatch import Dispatcher
 from banyansail.gateway.duties.move_controller import MoveController
 from banyansail.gateway.duties.moves import ExposureBound
 from banyansail.gateway.duties.scaler import Scaler
--- a/banyansail/gateway/sharing/cold_sharing.py
+++ b/banyansail/gateway/sharing/cold_sharing.py
@@ -4,7 +4,11 @@
 
 from typing import TYPE_CHECKING
 
-from banyansail.gateway.decisions.cold_share import ColdBound, FleetObserver, part_of
+from banyansail.gateway.decisions.limits.cold_share import (
+    ColdBound,
+    FleetObserver,
+    part_of,
+)
 from banyansail.log import log_event
 
 if TYPE_CHECKING:
@@ -13,8 +17,8 @@
 
     from banyansail.config.gateway_settings import GatewaySettings
     from banyansail.fleet.entries import Member
-    from banyansail.gateway.decisions.cold_share import FleetParts
-    from banyansail.gateway.decisions.upstream_load import UpstreamLoad
+    from banyansail.gateway.decisions.limits.cold_share import FleetParts
+    from banyansail.gateway.decisions.upstreams.upstream_load import UpstreamLoad
     from banyansail.traffic.fleet_traffic import FleetTraffic
 
 MAX_PARTS = 4096  # that are kept; those of ended upstreams are dropped with the rest
--- a/banyansail/gateway/sharing/fleet_link.py
+++ b/banyansail/gateway/sharing/fleet_link.py
@@ -16,7 +16,7 @@
     is_understood,
 )
 from banyansail.fleet.view import FleetView
-from banyansail.gateway.decisions.sharers import Sharers
+from banyansail.gateway.decisions.limits.sharers import Sharers
 from banyansail.log import log_event
 from banyansail.metrics import Metrics
 from banyansail.wire.call_codec import Document, FetchDocument, NotSupported
--- a/banyansail/gateway/sharing/limit_sharing.py
+++ b/banyansail/gateway/sharing/limit_sharing.py
@@ -4,8 +4,8 @@
 
 from typing import TYPE_CHECKING
 
-from banyansail.gateway.decisions.sharers import has_majority
-from banyansail.gateway.decisions.slot_share import divide_slots
+from banyansail.gateway.decisions.limits.sharers import has_majority
+from banyansail.gateway.decisions.limits.slot_share import divide_slots
 from banyansail.log import log_event
 
 if TYPE_CHECKING:
@@ -14,8 +14,8 @@
 
     from banyansail.clock import Clock
     from banyansail.fleet.entries import Member
-    from banyansail.gateway.decisions.dispatch import Dispatcher
-    from banyansail.gateway.decisions.upstream_load import UpstreamLoad
+    from banyansail.gateway.decisions.queue.dispatch import Dispatcher
+    from banyansail.gateway.decisions.upstreams.upstream_load import UpstreamLoad
     from banyansail.gateway.request_types import ReplyHead
     from banyansail.gateway.sharing.cold_sharing import ColdSharing
     from banyansail.traffic.fleet_traffic import FleetTraffic
--- a/banyansail/gateway/sharing/quarantine_store.py
+++ b/banyansail/gateway/sharing/quarantine_store.py
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING
 
 from banyansail.exceptions import StoreConflictError
-from banyansail.gateway.decisions.crash_quarantine import (
+from banyansail.gateway.decisions.crashes.crash_quarantine import (
     PartSubject,
     RequestSubject,
     Subject,
@@ -19,7 +19,7 @@
     from random import Random
 
     from banyansail.clock import Clock
-    from banyansail.gateway.decisions.crash_guard import CrashGuard
+    from banyansail.gateway.decisions.crashes.crash_guard import CrashGuard
     from banyansail.platform.store import Revision, StoreClient, StoredObject
 
 QUARANTINES_KIND = "quarantines"
--- a/banyansail/gateway/sharing/retry_sharing.py
+++ b/banyansail/gateway/sharing/retry_sharing.py
@@ -6,7 +6,7 @@
 from datetime import timedelta
 from typing import TYPE_CHECKING
 
-from banyansail.gateway.decisions.retry_budget import WindowedRetryBudget
+from banyansail.gateway.decisions.limits.retry_budget import WindowedRetryBudget
 from banyansail.log import log_event
 
 if TYPE_CHECKING:
--- a/banyansail/gateway/sharing/speed_sharing.py
+++ b/banyansail/gateway/sharing/speed_sharing.py
@@ -4,11 +4,11 @@
 
 from typing import TYPE_CHECKING
 
-from banyansail.gateway.decisions.speed import FleetSpeeds
+from banyansail.gateway.decisions.upstreams.speed import FleetSpeeds
 
 if TYPE_CHECKING:
     from banyansail.clock import Clock
-    from banyansail.gateway.decisions.dispatch import Dispatcher
+    from banyansail.gateway.decisions.queue.dispatch import Dispatcher
     from banyansail.traffic.fleet_traffic import FleetTraffic
     from banyansail.traffic.speed_evidence import SpeedEvidence
 
--- a/banyansail/gateway/store/store_following.py
+++ b/banyansail/gateway/store/store_following.py
@@ -8,8 +8,8 @@
 from twisted.internet import defer
 
 from banyansail.exceptions import PlatformUnavailableError, WireError
-from banyansail.gateway.decisions.watchers import WatcherChoice, WatchRole
 from banyansail.gateway.store.waiters import Waiters
+from banyansail.gateway.store.watchers import WatcherChoice, WatchRole
 from banyansail.log import log_event
 from banyansail.wire.call_codec import FollowStore, KindChanges, StoreChanges
 
--- a/banyansail/gateway/store/upstream_sync.py
+++ b/banyansail/gateway/store/upstream_sync.py
@@ -6,8 +6,8 @@
 from typing import TYPE_CHECKING
 
 from banyansail.fleet.entries import Entry, Topic
-from banyansail.gateway.decisions.watchers import count_store_watchers
 from banyansail.gateway.site import SiteConfig
+from banyansail.gateway.store.watchers import count_store_watchers
 from banyansail.log import log_event
 
 if TYPE_CHECKING:
--- a/banyansail/platform/engine_calls.py
+++ b/banyansail/platform/engine_calls.py
@@ -8,7 +8,7 @@
 from typing import TYPE_CHECKING, Any
 
 from banyansail.exceptions import BanyansailError
-from banyansail.gateway.decisions.migration import (
+from banyansail.gateway.decisions.streams.migration import (
     Copied,
     CopyRefused,
     CopyReply,
--- a/tests/gateway/decisions/test_crash_guard.py
+++ b/tests/gateway/decisions/crashes/test_crash_guard.py
@@ -2,7 +2,7 @@
 
 from random import Random
 
-from banyansail.gateway.decisions.crash_guard import MEAN_REPORTERS, CrashGuard
+from banyansail.gateway.decisions.crashes.crash_guard import MEAN_REPORTERS, CrashGuard
 from tests.fakes import FakeClock
 from tests.gateway.builders import call, upstream
 
--- a/tests/gateway/decisions/test_crash_guard_fleet.py
+++ b/tests/gateway/decisions/crashes/test_crash_guard_fleet.py
@@ -11,7 +11,7 @@
 
 import pytest
 
-from banyansail.gateway.decisions.crash_guard import CrashGuard
+from banyansail.gateway.decisions.crashes.crash_guard import CrashGuard
 from tests.fakes import FakeClock
 from tests.gateway.builders import call, upstream
 
--- a/tests/gateway/decisions/test_crash_quarantine.py
+++ b/tests/gateway/decisions/crashes/test_crash_quarantine.py
@@ -8,7 +8,7 @@
 import eliot
 import pytest
 
-from banyansail.gateway.decisions.crash_quarantine import (
+from banyansail.gateway.decisions.crashes.crash_quarantine import (
     CrashQuarantine,
     PartSubject,
     RequestSubject,
--- a/tests/gateway/decisions/test_cold_share.py
+++ b/tests/gateway/decisions/limits/test_cold_share.py
@@ -10,7 +10,7 @@
 
 import pytest
 
-from banyansail.gateway.decisions.cold_share import (
+from banyansail.gateway.decisions.limits.cold_share import (
     MAX_PART_AGE,
     MAX_SILENCE,
     SETTLE_TIME,
--- a/tests/gateway/decisions/test_quota.py
+++ b/tests/gateway/decisions/limits/test_quota.py
@@ -6,7 +6,7 @@
 from hypothesis import Phase, given, settings
 from hypothesis import strategies as st
 
-from banyansail.gateway.decisions.quota import QuotaLimiter, cost_of
+from banyansail.gateway.decisions.limits.quota import QuotaLimiter, cost_of
 from tests.fakes import FakeClock
 from tests.gateway.builders import workspace
 
--- a/tests/gateway/decisions/test_rate_limit.py
+++ b/tests/gateway/decisions/limits/test_rate_limit.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from banyansail.gateway.decisions.rate_limit import MAX_SILENCE, RateLimit
+from banyansail.gateway.decisions.limits.rate_limit import MAX_SILENCE, RateLimit
 from banyansail.traffic.report import NamedLimit
 from tests.gateway.builders import seconds
 
--- a/tests/gateway/decisions/test_retry_budget.py
+++ b/tests/gateway/decisions/limits/test_retry_budget.py
@@ -5,7 +5,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from banyansail.gateway.decisions.retry_budget import WindowedRetryBudget
+from banyansail.gateway.decisions.limits.retry_budget import WindowedRetryBudget
 from tests.fakes import FakeClock
 
 RATIO, SLACK, WINDOW_S = 0.2, 58.0, 10.0
--- a/tests/gateway/decisions/test_sharers.py
+++ b/tests/gateway/decisions/limits/test_sharers.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from banyansail.gateway.decisions.sharers import REGISTERED_TIME, Sharers
+from banyansail.gateway.decisions.limits.sharers import REGISTERED_TIME, Sharers
 from tests.fakes import FakeClock
 from tests.gateway.builders import seconds
 
--- a/tests/gateway/decisions/test_slot_share.py
+++ b/tests/gateway/decisions/limits/test_slot_share.py
@@ -5,7 +5,7 @@
 import pytest
 
 from banyansail.fleet.duties import rank_names
-from banyansail.gateway.decisions.slot_share import divide_slots
+from banyansail.gateway.decisions.limits.slot_share import divide_slots
 
 
 def shares(routers, upstreams, slots):
--- a/tests/gateway/decisions/test_cold_dispatch.py
+++ b/tests/gateway/decisions/queue/test_cold_dispatch.py
@@ -7,11 +7,11 @@
 
 import pytest
 
-from banyansail.gateway.decisions.dispatch import HEARING_TIME
+from banyansail.gateway.decisions.queue.dispatch import HEARING_TIME
 from banyansail.gateway.request_types import Cause
 from banyansail.gateway.site import ServiceSpec, build_site
 from tests.gateway.builders import seconds, upstream
-from tests.gateway.decisions.test_dispatch import DispatcherHarness
+from tests.gateway.decisions.queue.test_dispatch import DispatcherHarness
 
 COLD_START = seconds(8)
 EPOCH = datetime.fromtimestamp(0, UTC)
--- a/tests/gateway/decisions/test_fair_queue.py
+++ b/tests/gateway/decisions/queue/test_fair_queue.py
@@ -9,9 +9,9 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from banyansail.gateway.decisions.fair_queue import FairQueue
-from banyansail.gateway.decisions.service_state import QueueEntry, Ticket
-from banyansail.gateway.decisions.work_shares import WorkShares
+from banyansail.gateway.decisions.queue.fair_queue import FairQueue
+from banyansail.gateway.decisions.queue.service_state import QueueEntry, Ticket
+from banyansail.gateway.decisions.queue.work_shares import WorkShares
 from tests.fakes import FakeClock
 from tests.gateway.builders import seconds
 
--- a/tests/gateway/decisions/test_fair_shares.py
+++ b/tests/gateway/decisions/queue/test_fair_shares.py
@@ -10,7 +10,7 @@
 
 import pytest
 
-from tests.gateway.decisions.played_fleet import TIMEOUT_S, PlayedFleet
+from tests.gateway.decisions.upstreams.played_fleet import TIMEOUT_S, PlayedFleet
 
 NAMES = [f"w{number}" for number in range(8)]
 USUAL_LOAD = 0.7  # of the capacity
--- a/tests/gateway/decisions/test_work.py
+++ b/tests/gateway/decisions/queue/test_work.py
@@ -6,8 +6,8 @@
 
 import pytest
 
-from banyansail.gateway.decisions.repeats import MAX_REMEMBERED, Repeats
-from banyansail.gateway.decisions.work import (
+from banyansail.gateway.decisions.queue.repeats import MAX_REMEMBERED, Repeats
+from banyansail.gateway.decisions.queue.work import (
     OUTPUT_TOKEN_WEIGHT,
     assigned_work,
     expected_answer_time,
--- a/tests/gateway/decisions/test_work_shares.py
+++ b/tests/gateway/decisions/queue/test_work_shares.py
@@ -4,7 +4,7 @@
 
 from random import Random
 
-from banyansail.gateway.decisions.work_shares import REPORT_INTERVAL, WorkShares
+from banyansail.gateway.decisions.queue.work_shares import REPORT_INTERVAL, WorkShares
 from tests.fakes import FakeClock
 
 ROUTERS = 77
--- a/tests/gateway/decisions/test_response_end.py
+++ b/tests/gateway/decisions/responses/test_response_end.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from banyansail.gateway.decisions.response_end import (
+from banyansail.gateway.decisions.responses.response_end import (
     BreakOff,
     Complete,
     WriteRejection,
@@ -14,8 +14,8 @@
     WriteUntilClose,
     decide_end,
 )
-from banyansail.gateway.decisions.response_state import NotStarted, Started
-from banyansail.gateway.decisions.retry_policy import Answered, Deliver
+from banyansail.gateway.decisions.responses.response_state import NotStarted, Started
+from banyansail.gateway.decisions.responses.retry_policy import Answered, Deliver
 from banyansail.gateway.request_types import Cause, Rejection, ReplyHead, RunStatus
 from banyansail.upstreams.body_end import BodyEnd
 
--- a/tests/gateway/decisions/test_retry_policy.py
+++ b/tests/gateway/decisions/responses/test_retry_policy.py
@@ -3,7 +3,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from banyansail.gateway.decisions.retry_policy import (
+from banyansail.gateway.decisions.responses.retry_policy import (
     Answered,
     Deliver,
     Incomplete,
--- a/tests/gateway/decisions/test_migration.py
+++ b/tests/gateway/decisions/streams/test_migration.py
@@ -5,7 +5,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from banyansail.gateway.decisions.migration import (
+from banyansail.gateway.decisions.streams.migration import (
     Continue,
     Copied,
     Copying,
--- a/tests/gateway/decisions/test_migration_order.py
+++ b/tests/gateway/decisions/streams/test_migration_order.py
@@ -7,11 +7,11 @@
 
 import pytest
 
-from banyansail.gateway.decisions.migration_order import (
+from banyansail.gateway.decisions.streams.migration_order import (
     RunInProgress,
     order_migrations,
 )
-from banyansail.gateway.decisions.stream_pace import StreamPace
+from banyansail.gateway.decisions.streams.stream_pace import StreamPace
 
 SECOND = timedelta(seconds=1)
 
--- a/tests/gateway/decisions/test_choice.py
+++ b/tests/gateway/decisions/upstreams/test_choice.py
@@ -8,8 +8,11 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from banyansail.gateway.decisions.choice import choose
-from banyansail.gateway.decisions.upstream_load import PrefillRate, UpstreamLoad
+from banyansail.gateway.decisions.upstreams.choice import choose
+from banyansail.gateway.decisions.upstreams.upstream_load import (
+    PrefillRate,
+    UpstreamLoad,
+)
 from tests.gateway.builders import prompt, seconds, upstream
 
 NOW = seconds(100)
--- a/tests/gateway/decisions/test_peer_demand.py
+++ b/tests/gateway/decisions/upstreams/test_peer_demand.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from banyansail.gateway.decisions.peer_demand import (
+from banyansail.gateway.decisions.upstreams.peer_demand import (
     MAX_AGE,
     MEAN_DELAY,
     PeerDemand,
--- a/tests/gateway/decisions/test_prefix_cache.py
+++ b/tests/gateway/decisions/upstreams/test_prefix_cache.py
@@ -3,7 +3,10 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from banyansail.gateway.decisions.prefix_cache import USABLE_SHARE, PrefixCache
+from banyansail.gateway.decisions.upstreams.prefix_cache import (
+    USABLE_SHARE,
+    PrefixCache,
+)
 from banyansail.gateway.request_types import Prompt, PromptPart
 
 CAPACITY = 1000
--- a/tests/gateway/decisions/test_prefix_spread.py
+++ b/tests/gateway/decisions/upstreams/test_prefix_spread.py
@@ -5,15 +5,15 @@
 from collections import Counter
 from random import Random
 
-from banyansail.gateway.decisions.choice import ServiceDemand, choose
-from banyansail.gateway.decisions.peer_demand import PeerDemand
-from banyansail.gateway.decisions.prefix_spread import (
+from banyansail.gateway.decisions.upstreams.choice import ServiceDemand, choose
+from banyansail.gateway.decisions.upstreams.peer_demand import PeerDemand
+from banyansail.gateway.decisions.upstreams.prefix_spread import (
     MAX_LOAD_FACTOR,
     MAX_PREFIXES,
     PrefixSpread,
 )
 from tests.gateway.builders import prompt, seconds
-from tests.gateway.decisions.test_choice import loads_of
+from tests.gateway.decisions.upstreams.test_choice import loads_of
 
 NOW = seconds(100)
 
--- a/tests/gateway/decisions/test_speed.py
+++ b/tests/gateway/decisions/upstreams/test_speed.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from banyansail.gateway.decisions.speed import (
+from banyansail.gateway.decisions.upstreams.speed import (
     MIN_SAMPLES,
     FleetSpeeds,
     SpeedEstimate,
--- a/tests/gateway/decisions/test_uneven_upstreams.py
+++ b/tests/gateway/decisions/upstreams/test_uneven_upstreams.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from tests.gateway.decisions.uneven_load import (
+from tests.gateway.decisions.upstreams.uneven_load import (
     by_choice,
     by_least_requests,
     by_oracle,
--- a/tests/gateway/decisions/test_upstream_reach.py
+++ b/tests/gateway/decisions/upstreams/test_upstream_reach.py
@@ -4,7 +4,7 @@
 
 from datetime import timedelta
 
-from banyansail.gateway.decisions.upstream_reach import UpstreamReach
+from banyansail.gateway.decisions.upstreams.upstream_reach import UpstreamReach
 from tests.fakes import FakeClock
 from tests.gateway.builders import seconds
 
--- a/tests/gateway/decisions/uneven_load.py
+++ b/tests/gateway/decisions/upstreams/uneven_load.py
@@ -6,11 +6,11 @@
 from dataclasses import dataclass
 from random import Random
 
-from banyansail.gateway.decisions.choice import ServiceDemand, choose
-from banyansail.gateway.decisions.peer_demand import PeerDemand
-from banyansail.gateway.decisions.prefix_spread import PrefixSpread
-from banyansail.gateway.decisions.speed import FleetSpeeds
-from banyansail.gateway.decisions.upstream_load import (
+from banyansail.gateway.decisions.upstreams.choice import ServiceDemand, choose
+from banyansail.gateway.decisions.upstreams.peer_demand import PeerDemand
+from banyansail.gateway.decisions.upstreams.prefix_spread import PrefixSpread
+from banyansail.gateway.decisions.upstreams.speed import FleetSpeeds
+from banyansail.gateway.decisions.upstreams.upstream_load import (
     ENGINE_BASE_LATENCY,
     PrefillRate,
     UpstreamLoad,
--- a/tests/gateway/duties/test_moves.py
+++ b/tests/gateway/duties/test_moves.py
@@ -8,7 +8,7 @@
 
 from banyansail.exceptions import StoreConflictError
 from banyansail.fleet.entries import Entry, Topic
-from banyansail.gateway.decisions.dispatch import Dispatcher
+from banyansail.gateway.decisions.queue.dispatch import Dispatcher
 from banyansail.gateway.duties.move_controller import MoveController
 from banyansail.gateway.duties.moves import (
     CANARY_SHARE,
--- a/tests/gateway/duties/test_scaler.py
+++ b/tests/gateway/duties/test_scaler.py
@@ -5,7 +5,7 @@
 
 from banyansail.config.fields import Address
 from banyansail.exceptions import PlatformUnavailableError
-from banyansail.gateway.decisions.dispatch import Dispatcher
+from banyansail.gateway.decisions.queue.dispatch import Dispatcher
 from banyansail.gateway.duties.scaler import REFUSAL_BACKOFF, Scaler
 from banyansail.traffic.fleet_traffic import FleetTraffic
 from tests.fakes import FakeClock, run_now
--- a/tests/gateway/migration/test_run.py
+++ b/tests/gateway/migration/test_run.py
@@ -8,7 +8,7 @@
 from twisted.internet import defer
 from twisted.internet.task import Clock
 
-from banyansail.gateway.decisions.migration import Copied, CopyRefused
+from banyansail.gateway.decisions.streams.migration import Copied, CopyRefused
 from banyansail.gateway.migration import run as run_module
 from banyansail.gateway.migration.run import STREAM_END_TIMEOUT, RunMigration
 from tests.fakes import FakeClock
--- a/tests/gateway/requests/test_attempt.py
+++ b/tests/gateway/requests/test_attempt.py
@@ -6,7 +6,7 @@
 
 from twisted.internet import defer
 
-from banyansail.gateway.decisions.retry_policy import (
+from banyansail.gateway.decisions.responses.retry_policy import (
     Incomplete,
     Progress,
     Rejection,
--- a/tests/gateway/requests/test_caller_response.py
+++ b/tests/gateway/requests/test_caller_response.py
@@ -4,8 +4,12 @@
 
 from types import SimpleNamespace
 
-from banyansail.gateway.decisions.response_state import Started
-from banyansail.gateway.decisions.retry_policy import Answered, Deliver, Progress
+from banyansail.gateway.decisions.responses.response_state import Started
+from banyansail.gateway.decisions.responses.retry_policy import (
+    Answered,
+    Deliver,
+    Progress,
+)
 from banyansail.gateway.request_types import ReplyHead, RunStatus
 from banyansail.gateway.requests.caller_response import CallerResponse
 from banyansail.upstreams.body_end import BodyEnd
--- a/tests/gateway/requests/test_share_fields.py
+++ b/tests/gateway/requests/test_share_fields.py
@@ -5,11 +5,11 @@
 from random import Random
 
 from banyansail.commands.explain import LogLine, format_line
-from banyansail.gateway.decisions.work_shares import ShareUse
+from banyansail.gateway.decisions.queue.work_shares import ShareUse
 from banyansail.gateway.metrics import GatewayMetrics
 from banyansail.gateway.requests.share_fields import share_fields
 from tests.gateway.builders import seconds
-from tests.gateway.decisions.played_fleet import PlayedFleet
+from tests.gateway.decisions.upstreams.played_fleet import PlayedFleet
 
 
 def test_a_rejection_by_share_says_whose_share_was_used():
--- a/tests/gateway/sharing/retrying_fleet.py
+++ b/tests/gateway/sharing/retrying_fleet.py
@@ -12,7 +12,7 @@
 from datetime import timedelta
 from types import SimpleNamespace
 
-from banyansail.gateway.decisions.sharers import Sharers
+from banyansail.gateway.decisions.limits.sharers import Sharers
 from banyansail.gateway.sharing.retry_sharing import RetrySharing
 from tests.fakes import FakeClock
 
--- a/tests/gateway/sharing/test_limit_sharing.py
+++ b/tests/gateway/sharing/test_limit_sharing.py
@@ -7,8 +7,11 @@
 
 import pytest
 
-from banyansail.gateway.decisions.service_state import ServiceState
-from banyansail.gateway.decisions.upstream_load import PrefillRate, UpstreamLoad
+from banyansail.gateway.decisions.queue.service_state import ServiceState
+from banyansail.gateway.decisions.upstreams.upstream_load import (
+    PrefillRate,
+    UpstreamLoad,
+)
 from banyansail.gateway.sharing.limit_sharing import LimitSharing
 from tests.fakes import FakeClock
 from tests.gateway.builders import upstream
--- a/tests/gateway/sharing/test_quarantine_store.py
+++ b/tests/gateway/sharing/test_quarantine_store.py
@@ -8,7 +8,7 @@
 import pytest
 from twisted.internet import defer
 
-from banyansail.gateway.decisions.crash_guard import CrashGuard, parts_of
+from banyansail.gateway.decisions.crashes.crash_guard import CrashGuard, parts_of
 from banyansail.gateway.sharing.quarantine_store import (
     QUARANTINES_KIND,
     QuarantineStore,
--- a/tests/gateway/sharing/test_speed_sharing.py
+++ b/tests/gateway/sharing/test_speed_sharing.py
@@ -7,8 +7,8 @@
 
 import pytest
 
-from banyansail.gateway.decisions.choice import choose
-from banyansail.gateway.decisions.dispatch import Dispatcher
+from banyansail.gateway.decisions.queue.dispatch import Dispatcher
+from banyansail.gateway.decisions.upstreams.choice import choose
 from banyansail.gateway.sharing.speed_sharing import MAX_REPORTED, SpeedSharing
 from banyansail.traffic.fleet_traffic import FleetTraffic
 from tests.fakes import FakeClock
--- a/tests/gateway/decisions/test_watchers.py
+++ b/tests/gateway/store/test_watchers.py
@@ -10,7 +10,7 @@
 
 from banyansail.config.fields import Address
 from banyansail.fleet.entries import NO_FEATURES, Feature, Member
-from banyansail.gateway.decisions.watchers import (
+from banyansail.gateway.store.watchers import (
     ASKED_TIME,
     AVOID_TIME,
     WatcherChoice,
--- a/tests/gateway/test_metrics.py
+++ b/tests/gateway/test_metrics.py
@@ -4,7 +4,10 @@
 
 from random import Random
 
-from banyansail.gateway.decisions.upstream_load import PrefillRate, UpstreamLoad
+from banyansail.gateway.decisions.upstreams.upstream_load import (
+    PrefillRate,
+    UpstreamLoad,
+)
 from banyansail.gateway.metrics import GatewayMetrics
 from tests.gateway.builders import upstream
 
--- a/tests/platform/test_engine_calls.py
+++ b/tests/platform/test_engine_calls.py
@@ -7,7 +7,7 @@
 import pytest
 
 from banyansail.config.fields import Address
-from banyansail.gateway.decisions.migration import (
+from banyansail.gateway.decisions.streams.migration import (
     Copied,
     CopyRefused,
     CopyUnanswered,
