Let tests take a port whose last connection is in TIME_WAIT

PortSegment counts ports in TIME_WAIT as free, as the programs set SO_REUSEADDR; the sockets of two tests did not. Shown by a run: on a port left in TIME_WAIT a bind without the option fails with errno 98, with it it works. Change: both tests listen with the option; what they assert is unchanged.

--- a/tests/test_ports.py
+++ b/tests/test_ports.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import socket
+from contextlib import contextmanager
 
 import pytest
 
@@ -16,6 +17,16 @@
 from tests.processes import Programs
 
 
+@contextmanager
+def listening_at(port):
+    """Listen at a port, also if a connection of an earlier test is in TIME_WAIT."""
+    with socket.socket() as listener:
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listener.bind(("127.0.0.1", port))
+        listener.listen()
+        yield
+
+
 def test_segments_of_two_processes_do_not_overlap():
     first, second = PortSegment(), PortSegment()
     ports = [{segment.next_free() for _ in range(50)} for segment in (first, second)]
@@ -25,9 +36,7 @@
 def test_port_in_use_is_skipped():
     segment = PortSegment()
     number = segment.next_free()
-    with socket.socket() as taken:
-        taken.bind(("127.0.0.1", number + 1))
-        taken.listen()
+    with listening_at(number + 1):
         assert segment.next_free() == number + 2
 
 
@@ -39,10 +48,8 @@
 
 def test_router_exits_and_reports_it_when_its_port_is_in_use(tmp_path):
     """A port in use must not look like a slow start."""
-    with Programs(tmp_path) as programs, socket.socket() as taken:
+    port = free_port()
+    with Programs(tmp_path) as programs, listening_at(port):
         platform = programs.start_platform()
-        port = free_port()
-        taken.bind(("127.0.0.1", port))
-        taken.listen()
         with pytest.raises(AssertionError, match="r0 has ended"):
             programs.start_router("r0", platform, listen=port)
