Say of a call that was never written that it has not run

Callers saw x-ran: unknown where not_run was true, and so could not repeat an order that is not idempotent. Cause: a call counted as possibly run from the start of its attempt, also while it was connecting. A request whose deadline passes then was unknown. Change: a call may have run from the moment at which it is written to its connection, or from the attempt on if it has no body. A deadline before that cancels the attempt, so nothing is written later. Evidence: a new test with upstreams that accept no connection gave unknown twice before and gives not_run; 395 tests of router and upstreams pass.

--- a/banyansail/router/exchange.py
+++ b/banyansail/router/exchange.py
@@ -217,7 +217,6 @@
         self._first_byte_latency = None
         self._abort_error = None
         self._sent_at = self.context.clock.monotonic()
-        self.may_have_run = True
         self.context.registry.add(name, self)
         self._current_attempt = defer.Deferred.fromCoroutine(self.attempt(client))
         error: AttemptError | None = None
@@ -349,8 +348,12 @@
             body,
             {**self.base_headers(), **headers},
             self.request_class.is_repeatable,
+            self._record_sent,
         )
 
+    def _record_sent(self) -> None:
+        self.may_have_run = True
+
 
 def _cancel_timer(result: Any, timer: Any) -> Any:
     if timer.active():
--- a/banyansail/upstreams/body.py
+++ b/banyansail/upstreams/body.py
@@ -3,12 +3,15 @@
 from __future__ import annotations
 
 import json
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from twisted.internet import defer
 from twisted.web.iweb import UNKNOWN_LENGTH, IBodyProducer
 from zope.interface import implementer
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
 
 @implementer(IBodyProducer)
 class BytesBody:
@@ -18,17 +21,20 @@
     ----------
     data : bytes
         Content of the body.
+    on_start : callable or None
+        Called before the body is written, right after the headers.
     """
 
-    def __init__(self, data: bytes) -> None:
+    def __init__(self, data: bytes, on_start: Callable[[], None] | None = None) -> None:
         self._data = data
+        self._on_start = on_start
         self.length: int = len(data)
         assert self.length != UNKNOWN_LENGTH
-        self.has_started = False
 
     def startProducing(self, consumer: Any) -> defer.Deferred[None]:
         """Write the whole body at once."""
-        self.has_started = True
+        if self._on_start is not None:
+            self._on_start()
         consumer.write(self._data)
         return defer.succeed(None)
 
--- a/banyansail/upstreams/upstream_client.py
+++ b/banyansail/upstreams/upstream_client.py
@@ -22,6 +22,8 @@
 from banyansail.upstreams.body_receiver import BodyReceiver, read_body
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from twisted.web.iweb import IResponse
 
     from banyansail.config.fields import Address
@@ -41,6 +43,10 @@
 )
 
 
+def _do_nothing() -> None:
+    """Replace a callback that is not needed."""
+
+
 @dataclass(slots=True, frozen=True)
 class UpstreamCall:
     """Call to an upstream.
@@ -52,6 +58,8 @@
     is_repeatable : bool
         Whether the call is idempotent. Other calls use a new connection, so that a
         failure to connect proves that nothing was sent.
+    on_sent : callable
+        Called when the call is written to a connection, or earlier if it has no body.
     """
 
     method: str
@@ -59,6 +67,7 @@
     body: bytes
     headers: dict[str, str] = field(default_factory=dict)
     is_repeatable: bool = True
+    on_sent: Callable[[], None] = _do_nothing
 
 
 class UpstreamClient:
@@ -123,7 +132,9 @@
             self._pooling_agent if call.is_repeatable else self._new_connection_agent
         )
         headers = Headers({name: [text] for name, text in call.headers.items()})
-        body = BytesBody(call.body) if call.body else None
+        body = BytesBody(call.body, call.on_sent) if call.body else None
+        if body is None:
+            call.on_sent()
         url = (self._base_url + call.path).encode("ascii")
         try:
             return await agent.request(call.method.encode(), url, headers, body)
--- a/tests/router/test_orders.py
+++ b/tests/router/test_orders.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import json
+import socket
+from contextlib import ExitStack, contextmanager
 from datetime import UTC, datetime, timedelta
 
 import pytest
@@ -93,6 +95,33 @@
     assert effects(site) == {}
 
 
+def test_an_order_whose_deadline_passes_while_connecting_is_not_run(site):
+    """Guards against a run status that depends on when the deadline passes."""
+    with ExitStack() as stack:
+        for name in ("s0", "s1"):
+            site.kill(name)
+            address = site.site.upstream_by_name[name].standin.address
+            stack.enter_context(accepting_nothing(address))
+        status, headers, _ = order(site, x_deadline_seconds="0.5")
+        assert (status, headers["x-ran"]) == (504, "not_run")
+    assert effects(site) == {}
+
+
+@contextmanager
+def accepting_nothing(address):
+    """Listen at an address, with a full queue of connections to accept."""
+    with ExitStack() as stack:
+        listener = stack.enter_context(socket.socket())
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listener.bind((address.host, address.port))
+        listener.listen(0)
+        for _ in range(4):
+            caller = stack.enter_context(socket.socket())
+            caller.setblocking(False)
+            caller.connect_ex((address.host, address.port))
+        yield
+
+
 def test_lost_platform_answers_double_nothing(site):
     for number in range(8):
         site.platform_faults(lose_answers=1)
