Split the router of the own interface into folders by job

Cause: 41 modules in one folder did not tell the way of a request. Change: folders requests, upstreams, exchanges, callers and control; the process, its tasks and its supervisor stay above them. Four tests of single modules moved with them; imports and pages follow.

--- /dev/null
+++ b/banyansail/router/callers/__init__.py
@@ -0,0 +1,1 @@
+"""Listening sockets and HTTP resources for callers and operators."""
--- a/banyansail/router/caller_resource.py
+++ b/banyansail/router/callers/caller_resource.py
@@ -10,11 +10,12 @@
 from twisted.web.server import NOT_DONE_YET, Request
 
 from banyansail.config.rules import ServiceKind
-from banyansail.router.caller import CallerRequest
-from banyansail.router.keyed_exchange import KeyedExchange
+from banyansail.router.exchanges.keyed_exchange import KeyedExchange
+from banyansail.router.exchanges.model_exchange import ModelExchange
+from banyansail.router.exchanges.plain_exchange import PlainExchange
 from banyansail.router.lifecycle import RouterState
-from banyansail.router.model_exchange import ModelExchange
-from banyansail.router.parsing import (
+from banyansail.router.requests.caller import CallerRequest
+from banyansail.router.requests.parsing import (
     COMPLETIONS_PATH,
     STREAMS_PATH,
     BadRequestError,
@@ -25,21 +26,20 @@
     read_last_event_index,
     request_fingerprint,
 )
-from banyansail.router.plain_exchange import PlainExchange
-from banyansail.router.refusals import (
+from banyansail.router.requests.refusals import (
     NOT_READY,
     body_too_large,
     refusal_before_key_lookup,
     unknown_stream,
 )
-from banyansail.router.response_writer import ResponseWriter
+from banyansail.router.requests.response_writer import ResponseWriter
 from banyansail.routing.classify import classify
 from banyansail.routing.request_types import Refusal, RequestClass
 from banyansail.upstreams.events import EVENT_SEPARATOR
 
 if TYPE_CHECKING:
-    from banyansail.router.context import ExchangeContext
-    from banyansail.router.exchange import Exchange
+    from banyansail.router.exchanges.context import ExchangeContext
+    from banyansail.router.exchanges.exchange import Exchange
     from banyansail.router.lifecycle import Lifecycle
     from banyansail.wire.call_codec import StreamRecord
 
--- a/banyansail/router/listeners.py
+++ b/banyansail/router/callers/listeners.py
@@ -9,8 +9,8 @@
 from twisted.web.server import Site
 
 from banyansail.fleet.peer_calls import PeerServerFactory
-from banyansail.router.admin import AdminResource
-from banyansail.router.tls import ReloadingContextFactory
+from banyansail.router.callers.admin import AdminResource
+from banyansail.router.callers.tls import ReloadingContextFactory
 
 if TYPE_CHECKING:
     from twisted.internet.protocol import DatagramProtocol
--- /dev/null
+++ b/banyansail/router/control/__init__.py
@@ -0,0 +1,1 @@
+"""What routers do together: rules, moves, placement, calls between routers."""
--- a/banyansail/router/peer_service.py
+++ b/banyansail/router/control/peer_service.py
@@ -17,8 +17,8 @@
     Started,
     StartKey,
 )
-from banyansail.router.catalog import INSTANCES_DOCUMENT
-from banyansail.router.rules_keeper import RULES_DOCUMENT
+from banyansail.router.control.rules_keeper import RULES_DOCUMENT
+from banyansail.router.upstreams.catalog import INSTANCES_DOCUMENT
 from banyansail.wire.call_codec import (
     Document,
     EmptyReply,
@@ -32,9 +32,9 @@
 
 if TYPE_CHECKING:
     from banyansail.ledger.client import LedgerClient
-    from banyansail.router.catalog import Catalog
-    from banyansail.router.handoff import StreamStore
-    from banyansail.router.rules_keeper import RulesKeeper
+    from banyansail.router.control.rules_keeper import RulesKeeper
+    from banyansail.router.exchanges.handoff import StreamStore
+    from banyansail.router.upstreams.catalog import Catalog
 
 
 class PeerService:
--- a/banyansail/router/rollouts.py
+++ b/banyansail/router/control/rollouts.py
@@ -11,7 +11,7 @@
 from banyansail.rollout.schedule import DONE, LATE_PHASE_START, REVERTED, PlannedShare
 from banyansail.rollout.status import MoveState, MoveStatus, move_id, move_number
 from banyansail.rollout.verdict import Regression
-from banyansail.router.move_status_store import Move, MoveStatusStore
+from banyansail.router.control.move_status_store import Move, MoveStatusStore
 from banyansail.routing.shares import VersionShares
 from banyansail.wire.gossip_codec import decode_names, encode_names
 
@@ -22,7 +22,7 @@
     from banyansail.fleet.duties import Duties
     from banyansail.fleet.gossiper import Gossiper
     from banyansail.fleet.view import FleetView
-    from banyansail.router.evidence_exchange import EvidenceExchange
+    from banyansail.router.control.evidence_exchange import EvidenceExchange
     from banyansail.routing.dispatch import Dispatcher
 
 FULL_SHARE = "full"  # gossiped by a router whose traffic has moved entirely
--- /dev/null
+++ b/banyansail/router/exchanges/__init__.py
@@ -0,0 +1,1 @@
+"""Life cycle of requests: queue, attempts, retries, final answer."""
--- a/banyansail/router/completion.py
+++ b/banyansail/router/exchanges/completion.py
@@ -5,7 +5,7 @@
 import json
 from typing import Any
 
-from banyansail.router.response_outcome import Answer
+from banyansail.router.requests.response_outcome import Answer
 
 DEFAULT_FINISH_REASON = "stop"  # for engines that give none
 
--- a/banyansail/router/context.py
+++ b/banyansail/router/exchanges/context.py
@@ -16,10 +16,10 @@
     from banyansail.ledger.client import LedgerClient
     from banyansail.metrics import Metrics
     from banyansail.rollout.evidence import EvidenceRecorder
-    from banyansail.router.handoff import StreamStore
-    from banyansail.router.health import HealthChecker
-    from banyansail.router.registry import ExchangeRegistry
-    from banyansail.router.scheduler import Scheduler
+    from banyansail.router.exchanges.handoff import StreamStore
+    from banyansail.router.exchanges.scheduler import Scheduler
+    from banyansail.router.upstreams.health import HealthChecker
+    from banyansail.router.upstreams.registry import ExchangeRegistry
     from banyansail.routing.quarantine import Quarantine
     from banyansail.upstreams.upstream_clients import UpstreamClients
 
--- a/banyansail/router/exchange.py
+++ b/banyansail/router/exchanges/exchange.py
@@ -8,15 +8,15 @@
 from twisted.internet import defer, task
 
 from banyansail.log import log_event
-from banyansail.router.decision_log import log_refusal, log_retry
-from banyansail.router.refusals import (
+from banyansail.router.exchanges.scheduler import RefusedError
+from banyansail.router.requests.decision_log import log_refusal, log_retry
+from banyansail.router.requests.refusals import (
     attempts_failed,
     deadline_exceeded,
     quarantined,
     router_failed,
 )
-from banyansail.router.scheduler import RefusedError
-from banyansail.router.upstream_headers import upstream_headers
+from banyansail.router.requests.upstream_headers import upstream_headers
 from banyansail.routing.request_types import Refusal, RunStatus, Ticket
 from banyansail.routing.retry import (
     AttemptFailure,
@@ -31,9 +31,9 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from banyansail.router.caller import CallerRequest
-    from banyansail.router.context import ExchangeContext
-    from banyansail.router.response_writer import ResponseWriter
+    from banyansail.router.exchanges.context import ExchangeContext
+    from banyansail.router.requests.caller import CallerRequest
+    from banyansail.router.requests.response_writer import ResponseWriter
     from banyansail.routing.dispatch import Assignment
     from banyansail.routing.request_types import RequestClass
 
--- a/banyansail/router/keyed_exchange.py
+++ b/banyansail/router/exchanges/keyed_exchange.py
@@ -21,8 +21,9 @@
     StartKey,
     StoredAnswer,
 )
-from banyansail.router.plain_exchange import PlainExchange
-from banyansail.router.refusals import (
+from banyansail.router.exchanges.plain_exchange import PlainExchange
+from banyansail.router.exchanges.scheduler import RefusedError
+from banyansail.router.requests.refusals import (
     ANSWER_LOST,
     ANSWER_NOT_STORED,
     KEY_REUSED,
@@ -30,8 +31,7 @@
     claim_failed,
     outcome_unknown,
 )
-from banyansail.router.response_outcome import Answer
-from banyansail.router.scheduler import RefusedError
+from banyansail.router.requests.response_outcome import Answer
 from banyansail.routing.request_types import RunStatus
 
 if TYPE_CHECKING:
--- a/banyansail/router/model_exchange.py
+++ b/banyansail/router/exchanges/model_exchange.py
@@ -9,12 +9,12 @@
 from twisted.internet import defer
 
 from banyansail.log import log_event
-from banyansail.router.completion import build_completion, join_text
-from banyansail.router.exchange import Exchange
-from banyansail.router.parsing import COMPLETIONS_PATH
-from banyansail.router.pausable_body import PausableBody
-from banyansail.router.response_outcome import Answer, StreamCompleted
-from banyansail.router.stall_detector import StallDetector
+from banyansail.router.exchanges.completion import build_completion, join_text
+from banyansail.router.exchanges.exchange import Exchange
+from banyansail.router.exchanges.pausable_body import PausableBody
+from banyansail.router.exchanges.stall_detector import StallDetector
+from banyansail.router.requests.parsing import COMPLETIONS_PATH
+from banyansail.router.requests.response_outcome import Answer, StreamCompleted
 from banyansail.routing.event_sequencer import AbortAttempt, Deliver, EventSequencer
 from banyansail.routing.retry import AttemptFailure
 from banyansail.upstreams.attempt_error import AttemptError
--- a/banyansail/router/pausable_body.py
+++ b/banyansail/router/exchanges/pausable_body.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from banyansail.router.stall_detector import StallDetector
+from banyansail.router.exchanges.stall_detector import StallDetector
 from banyansail.upstreams.body_receiver import BodyReceiver
 
 
--- a/banyansail/router/plain_exchange.py
+++ b/banyansail/router/exchanges/plain_exchange.py
@@ -4,9 +4,9 @@
 
 from typing import TYPE_CHECKING, Any
 
-from banyansail.router.exchange import Exchange
-from banyansail.router.response_outcome import Answer
-from banyansail.router.stall_detector import StallDetector
+from banyansail.router.exchanges.exchange import Exchange
+from banyansail.router.exchanges.stall_detector import StallDetector
+from banyansail.router.requests.response_outcome import Answer
 from banyansail.routing.retry import AttemptFailure
 from banyansail.upstreams.attempt_error import AttemptError
 from banyansail.upstreams.body_receiver import read_body
--- a/banyansail/router/lifecycle.py
+++ b/banyansail/router/lifecycle.py
@@ -9,16 +9,16 @@
 from twisted.internet import defer, task
 
 from banyansail.log import log_event
-from banyansail.router.model_exchange import ModelExchange
-from banyansail.router.refusals import stopping
-from banyansail.router.response_outcome import StreamInterrupted
+from banyansail.router.exchanges.model_exchange import ModelExchange
+from banyansail.router.requests.refusals import stopping
+from banyansail.router.requests.response_outcome import StreamInterrupted
 from banyansail.routing.request_types import Refusal, RefusalCode, RunStatus
 from banyansail.wire.call_codec import StreamRecord
 
 if TYPE_CHECKING:
     from banyansail.clock import Clock
-    from banyansail.router.exchange import Exchange
-    from banyansail.router.handoff import StreamStore
+    from banyansail.router.exchanges.exchange import Exchange
+    from banyansail.router.exchanges.handoff import StreamStore
 
 # Until the load balancer has seen the failing health check and sends no new callers.
 BALANCER_REMOVAL_TIME = timedelta(seconds=2)
--- a/banyansail/router/decision_log.py
+++ b/banyansail/router/requests/decision_log.py
@@ -9,7 +9,7 @@
 if TYPE_CHECKING:
     from datetime import timedelta
 
-    from banyansail.router.caller import CallerRequest
+    from banyansail.router.requests.caller import CallerRequest
     from banyansail.routing.request_types import Refusal
     from banyansail.upstreams.attempt_error import AttemptError
 
--- a/banyansail/router/parsing.py
+++ b/banyansail/router/requests/parsing.py
@@ -13,7 +13,7 @@
 import xxhash
 
 from banyansail.config.fields import NAME_PATTERN
-from banyansail.router.caller import CallerRequest
+from banyansail.router.requests.caller import CallerRequest
 from banyansail.routing.request_types import Refusal, RefusalCode, RunStatus
 
 if TYPE_CHECKING:
--- a/banyansail/router/response_writer.py
+++ b/banyansail/router/requests/response_writer.py
@@ -6,8 +6,8 @@
 import math
 from typing import TYPE_CHECKING, Any
 
-from banyansail.router.refusals import answered_after_start
-from banyansail.router.response_outcome import (
+from banyansail.router.requests.refusals import answered_after_start
+from banyansail.router.requests.response_outcome import (
     Answer,
     ResponseOutcome,
     StreamCompleted,
--- a/banyansail/router/upstream_headers.py
+++ b/banyansail/router/requests/upstream_headers.py
@@ -7,7 +7,7 @@
 if TYPE_CHECKING:
     from datetime import timedelta
 
-    from banyansail.router.caller import CallerRequest
+    from banyansail.router.requests.caller import CallerRequest
     from banyansail.routing.request_types import RequestClass
 
 
--- a/banyansail/router/tasks.py
+++ b/banyansail/router/tasks.py
@@ -5,7 +5,7 @@
 from datetime import timedelta
 from typing import TYPE_CHECKING
 
-from banyansail.router.load_prober import LoadProber
+from banyansail.router.upstreams.load_prober import LoadProber
 
 if TYPE_CHECKING:
     from banyansail.router.router import Router
--- a/banyansail/router/health.py
+++ b/banyansail/router/upstreams/health.py
@@ -12,7 +12,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from banyansail.router.registry import ExchangeRegistry
+    from banyansail.router.upstreams.registry import ExchangeRegistry
     from banyansail.routing.dispatch import Dispatcher
     from banyansail.routing.quarantine import Quarantine
     from banyansail.upstreams.upstream_clients import UpstreamClients
--- a/banyansail/router/upstream_signals.py
+++ b/banyansail/router/upstreams/upstream_signals.py
@@ -21,9 +21,9 @@
 
     from banyansail.clock import Clock
     from banyansail.fleet.gossiper import Gossiper
-    from banyansail.router.load_prober import LoadProber
-    from banyansail.router.registry import ExchangeRegistry
-    from banyansail.router.zone_latency import RegionZoneLatency
+    from banyansail.router.upstreams.load_prober import LoadProber
+    from banyansail.router.upstreams.registry import ExchangeRegistry
+    from banyansail.router.upstreams.zone_latency import RegionZoneLatency
     from banyansail.routing.crash_history import UpstreamCrash
     from banyansail.routing.dispatch import Dispatcher
     from banyansail.routing.quarantine import Quarantine
--- a/benchmarks/evidence.py
+++ b/benchmarks/evidence.py
@@ -11,7 +11,7 @@
 import time
 
 from benchmarks.points import report_sizes
-from tests.router.evidence_network import MOVE_NUMBER, Routers
+from tests.router.control.evidence_network import MOVE_NUMBER, Routers
 
 SIZES = (9, 36, 90, 320)
 ZONES = 7
--- a/tests/router/test_http_server.py
+++ b/tests/router/callers/test_http_server.py
@@ -7,7 +7,7 @@
 from twisted.web.resource import Resource
 from twisted.web.server import NOT_DONE_YET
 
-from banyansail.router.http_server import MAX_BODY_BYTES, BoundedSite
+from banyansail.router.callers.http_server import MAX_BODY_BYTES, BoundedSite
 from tests.router.scripted_upstream import LAST_CHUNK, chunk
 
 CHUNKED_HEAD = b"POST / HTTP/1.1\r\nhost: x\r\ntransfer-encoding: chunked\r\n\r\n"
--- a/tests/router/evidence_network.py
+++ b/tests/router/control/evidence_network.py
@@ -6,7 +6,7 @@
 
 from banyansail.fleet.duties import Duties
 from banyansail.rollout.evidence import EvidenceRecorder
-from banyansail.router.evidence_exchange import EvidenceExchange
+from banyansail.router.control.evidence_exchange import EvidenceExchange
 from tests.fleet.network import Network, Node
 
 MOVE_NUMBER = 7
--- a/tests/router/test_evidence_exchange.py
+++ b/tests/router/control/test_evidence_exchange.py
@@ -5,7 +5,7 @@
 import pytest
 
 from banyansail.fleet.entries import Topic
-from tests.router.evidence_network import MOVE_NUMBER, Routers
+from tests.router.control.evidence_network import MOVE_NUMBER, Routers
 
 
 @pytest.mark.parametrize("loss", [0.0, 0.2])
--- a/tests/router/test_placements.py
+++ b/tests/router/control/test_placements.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from banyansail.router.placements import PlacementController
+from banyansail.router.control.placements import PlacementController
 from tests.fakes import FakeClock, run_now
 
 
--- a/tests/router/test_response_writer.py
+++ b/tests/router/requests/test_response_writer.py
@@ -6,13 +6,13 @@
 from twisted.internet.testing import StringTransport
 from twisted.web.http import HTTPChannel
 
-from banyansail.router.refusals import router_failed
-from banyansail.router.response_outcome import (
+from banyansail.router.requests.refusals import router_failed
+from banyansail.router.requests.response_outcome import (
     Answer,
     StreamCompleted,
     StreamInterrupted,
 )
-from banyansail.router.response_writer import ResponseWriter
+from banyansail.router.requests.response_writer import ResponseWriter
 from banyansail.routing.request_types import RunStatus
 from tests.router.scripted_upstream import DONE, LAST_CHUNK
 
--- a/tests/router/test_broken_requests.py
+++ b/tests/router/test_broken_requests.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from banyansail.router.http_server import MAX_BODY_BYTES
+from banyansail.router.callers.http_server import MAX_BODY_BYTES
 from tests.live import RULES, LiveSite
 from tests.router.scripted_upstream import LAST_CHUNK, Received, chunk, read_to_end
 
--- a/tests/router/test_tls.py
+++ b/tests/router/test_tls.py
@@ -17,8 +17,8 @@
 from banyansail.config.fields import Address
 from banyansail.config.settings import Settings
 from banyansail.demo.site import SHARED_KEY
+from banyansail.router.callers.tls import ReloadingContextFactory
 from banyansail.router.router import Router
-from banyansail.router.tls import ReloadingContextFactory
 from tests.live import LiveSite, in_reactor
 from tests.ports import free_port
 from tests.processes import wait_until
--- a/tests/wire/test_recorded_messages.py
+++ b/tests/wire/test_recorded_messages.py
@@ -14,7 +14,7 @@
 from banyansail.fleet.view import FleetView
 from banyansail.ledger.records import Started
 from banyansail.metrics import Metrics
-from banyansail.router.peer_service import PeerService
+from banyansail.router.control.peer_service import PeerService
 from banyansail.wire.call_codec import Document, decode_reply
 from banyansail.wire.gossip_codec import decode_member
 from banyansail.wire.message_auth import MessageAuthenticator
