Name the sharers of an allowance without the ages of all routers

Cause: the names are asked for some 15 times a second, for which the age of each router was computed: 0.32 ms at 320 routers beside load, 0.5% of a core. Result: 307 tests of gateway/sharing and of the limits pass.

--- a/banyansail/gateway/decisions/limits/sharers.py
+++ b/banyansail/gateway/decisions/limits/sharers.py
@@ -11,7 +11,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from collections.abc import Collection, Iterable, Mapping
+    from collections.abc import Iterable, Mapping
 
     from banyansail.clock import Clock
 
@@ -55,22 +55,21 @@
         return self._registered is not None
 
     def names(
-        self, age_by_name: Mapping[str, timedelta], leaving: Collection[str]
+        self, heard: Iterable[str], silence_by_leaving: Mapping[str, timedelta]
     ) -> frozenset[str]:
         """Return the names of all routers that may be at work.
 
         Parameters
         ----------
-        age_by_name : mapping
-            Time since the last sign of life of all routers that were heard of.
-        leaving : collection of str
-            Those that said that they stop.
+        heard : iterable of str
+            Routers that were heard of, live or not.
+        silence_by_leaving : mapping
+            Time since the last sign of life of those that said that they stop.
         """
-        heard = age_by_name.keys()
         left = {
             name
-            for name in leaving
-            if name in heard and age_by_name[name] > self._window
+            for name, silence in silence_by_leaving.items()
+            if silence > self._window
         }
         age = self._clock.monotonic() - self._started_at
         registered = self._registered if age < REGISTERED_TIME else None
--- a/banyansail/gateway/sharing/fleet_link.py
+++ b/banyansail/gateway/sharing/fleet_link.py
@@ -93,12 +93,12 @@
 
     def known_routers(self) -> frozenset[str]:
         """Return the names of all routers that there may be, live or not."""
-        leaving = [
-            name
+        silence_by_leaving = {
+            name: self._view.age(name)
             for name, member in self._gossiper.members().items()
-            if member.is_leaving
-        ]
-        return self._sharers.names(self._view.ages(), leaving)
+            if member.is_leaving and name != self._settings.name
+        }
+        return self._sharers.names(self._view.names, silence_by_leaving)
 
     def count_sharers(self) -> int | None:
         """Return how many routers share the retry budget; ``None`` if unknown."""
--- a/tests/gateway/sharing/retrying_fleet.py
+++ b/tests/gateway/sharing/retrying_fleet.py
@@ -65,8 +65,7 @@
         self.name = f"front-{number}"
         self.number = number
         self.started_at = fleet.now
-        self._clock = fleet.clock
-        self._heard_at = {self.name: self._clock.monotonic()}
+        self._heard = {self.name}
         self.sharers = Sharers(fleet.clock, timedelta(seconds=WINDOW_S))
         self.has_joined = False
         self.retries = RetrySharing(
@@ -81,14 +80,12 @@
         )
 
     def _count_sharers(self):
-        now = self._clock.monotonic()
-        ages = {name: now - at for name, at in self._heard_at.items()}
         if not self.sharers.is_complete:
             return None
-        return len(self.sharers.names(ages, ()))
+        return len(self.sharers.names(self._heard, {}))
 
     def hear(self, names):
-        self._heard_at.update(dict.fromkeys(names, self._clock.monotonic()))
+        self._heard.update(names)
 
 
 class RetryingFleet:
