Reset the connections of scripted upstreams after their answer is sent

Cause: test_a_stream_whose_continuation_fails_does_not_end_as_complete[500-reset] failed once in the whole script on beside three plays (load 10 on 5 cores): no continuation. The scripted upstream resets 50 ms after it writes, by the clock; a stall of the process in between resets before a byte is sent, so the next attempt begins anew and is the last one. Ruled out: a retry that the budget refuses, as 156 runs beside 10 busy processes passed. Change: the reset counts from the moment at which the answer has been sent. Evidence: a stall of 0.12 s put after the write failed 13 of 14 cases before and none now. With 0.2 s, the least time after which an attempt is given up, 13 cases fail before and after; that is left.

--- a/tests/gateway/raw_upstream.py
+++ b/tests/gateway/raw_upstream.py
@@ -8,6 +8,7 @@
 
 from twisted.internet import protocol, reactor, task
 
+RESET_DELAY_S = 0.05  # after the answer was sent, so that it is read first
 ENDLESS_INTERVAL_S = 0.001
 
 
@@ -52,12 +53,14 @@
         found = re.search(rb"(?i)x-attempt-id: *(\S+)", self._received)
         script = self.factory.script_for(self._received)
         self._received = b""
-        self.transport.write(script.answer.replace(b"{id}", found.group(1)))
+        answer = script.answer.replace(b"{id}", found.group(1))
+        if script.end is End.RESET:
+            self.transport.registerProducer(_ThenReset(self.transport, answer), False)
+            return
+        self.transport.write(answer)
         match script.end:
             case End.CLOSE:
                 self.transport.loseConnection()
-            case End.RESET:
-                reactor.callLater(0.05, self.transport.abortConnection)
             case End.ENDLESS:
                 self._repeat = task.LoopingCall(self.transport.write, script.filler)
                 self._repeat.start(ENDLESS_INTERVAL_S)
@@ -68,6 +71,28 @@
             self._repeat.stop()
 
 
+class _ThenReset:
+    """Pull producer that writes an answer, and resets the connection once it is sent.
+
+    A reset by the clock alone would come before the answer after a stall.
+    """
+
+    def __init__(self, transport, answer):
+        self._transport = transport
+        self._answer = answer
+
+    def resumeProducing(self):
+        answer, self._answer = self._answer, b""
+        if answer:
+            self._transport.write(answer)
+            return
+        self._transport.unregisterProducer()
+        reactor.callLater(RESET_DELAY_S, self._transport.abortConnection)
+
+    def stopProducing(self):
+        """Do nothing, as the connection is lost already."""
+
+
 class RawUpstream(protocol.Factory):
     """Listens on loopback; must be used in the reactor's thread."""
 
