Let a test's upstream that accepts nothing listen at a port of the tests

Cause: test_an_order_whose_deadline_passes_while_connecting_is_not_run failed once in the whole script on, nothing else running: EADDRINUSE at its own bind. It took the port of an upstream that it had ended, which the kernel had given; outgoing connections of other tests take such ports. Change: it listens at a port from free_port, as other tests do, and the client of the router is pointed there. What it asserts is unchanged.

--- a/tests/router/test_orders.py
+++ b/tests/router/test_orders.py
@@ -6,12 +6,15 @@
 import socket
 from contextlib import ExitStack, contextmanager
 from datetime import UTC, datetime, timedelta
+from types import SimpleNamespace
 
 import pytest
+from twisted.internet import reactor
 
 from banyansail.config.fields import Address
 from banyansail.fleet.entries import LAST_STEP, Digest, Entry, Gossip, Member, Topic
 from banyansail.standins.service import ServiceState
+from banyansail.upstreams.upstream_client import UpstreamClient
 from banyansail.wire.gossip_codec import encode_member
 from tests.live import LiveSite, in_reactor
 from tests.ports import free_port
@@ -97,19 +100,19 @@
 
 def test_an_order_whose_deadline_passes_while_connecting_is_not_run(site):
     """Guards against a run status that depends on when the deadline passes."""
-    with ExitStack() as stack:
-        for name in ("s0", "s1"):
-            site.kill(name)
-            address = site.site.upstream_by_name[name].standin.address
-            stack.enter_context(accepting_nothing(address))
+    with accepting_nothing() as address:
+        client = UpstreamClient(reactor, address)
+        context = site.site.router_by_name["r0"].context
+        context.upstream_clients = SimpleNamespace(get=lambda name: client)
         status, headers, _ = order(site, x_deadline_seconds="0.5")
         assert (status, headers["x-ran"]) == (504, "not_run")
     assert effects(site) == {}
 
 
 @contextmanager
-def accepting_nothing(address):
-    """Listen at an address, with a full queue of connections to accept."""
+def accepting_nothing():
+    """Listen with a full queue of connections to accept; yield the address."""
+    address = Address("127.0.0.1", free_port())
     with ExitStack() as stack:
         listener = stack.enter_context(socket.socket())
         listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
@@ -119,7 +122,7 @@
             caller = stack.enter_context(socket.socket())
             caller.setblocking(False)
             caller.connect_ex((address.host, address.port))
-        yield
+        yield address
 
 
 def test_lost_platform_answers_double_nothing(site):
