Let new routers use the slack of retries once all others have counted them

In the test of the fleet, services got up to 20,966 retries beyond the budget (8 to 320 routers) from routers that join behind a cut: the others divide the slack without them (1.4 times the slack), and after two minutes the new ones forget the others (a part each instead of one in all).

Cause: the divisor rests on what a router has heard of, which a cut takes away, and the store's list was read once and forgotten, as its entries were never removed.

Change: routers follow the list of routers in the store as they do the other kinds. A new router's entry is pending until the others must have read it and have counted it for a window; until then it uses nothing of the slack. A router whose list is older than 5 s uses nothing either, unless it hears of all others. Whoever holds the duties removes entries of routers that said that they stop, or that nobody has heard of for an hour; one that is at work all the same finds its entry missing and registers anew. Entries of the build before state no admission and count for two minutes, as before.

--- a/banyansail/gateway/periodic.py
+++ b/banyansail/gateway/periodic.py
@@ -106,18 +106,31 @@
                 if document is not None:
                     gateway.mirrors.upstreams.seed(document, name)
 
-    async def join(self) -> None:
-        """Register this router in the store, once, so that others can find it."""
+    async def follow_routers(self) -> None:
+        """Wait for changes of the list of routers."""
         gateway = self._gateway
-        await gateway.link.join(gateway.store)
+        await gateway.store_following.follow(gateway.mirrors.routers)
+
+    async def register(self) -> None:
+        """Keep this router's entry in the store as it should be."""
+        gateway = self._gateway
+        await gateway.link.register(gateway.store)
+
+    async def remove_ended_routers(self) -> None:
+        """Remove entries of routers that have ended, if this one holds the duties."""
+        gateway = self._gateway
+        if gateway.reporter.lease.fencing_token() is not None:
+            await gateway.link.remove_ended(gateway.store)
 
     async def push_gossip(self) -> None:
         """Push new gossip entries to other routers."""
         self._gateway.link.push()
 
     async def exchange_digests(self) -> None:
-        """Exchange digests with other routers to repair missed entries."""
-        self._gateway.link.exchange_digests()
+        """Exchange digests with other routers, and see which of them are known."""
+        gateway = self._gateway
+        gateway.link.exchange_digests()
+        gateway.link.update_sharers(gateway.mirrors.routers.age)
 
     async def publish_state(self) -> None:
         """Publish this router's state, and leaving marks that no other published."""
@@ -132,7 +145,7 @@
         gateway.speeds.update()
         gateway.context.migrations.update()
         gateway.context.retries.update()
-        gateway.quota.known_routers = gateway.link.count_sharers() or 1
+        gateway.quota.known_routers = len(gateway.link.known_routers())
 
     async def report_cleared(self) -> None:
         """Tell other routers of suspected parts of prompts that were answered here."""
--- a/banyansail/gateway/router.py
+++ b/banyansail/gateway/router.py
@@ -326,7 +326,6 @@
         """Take into account that the store was restored from a copy."""
         self.reporter.record_restore()
         self.moves.record_restore()
-        self.link.forget_registration()
         for mirror in self.mirrors.followed():
             mirror.reset()
         self.quarantine_store.forget()
--- a/banyansail/gateway/sharing/fleet_link.py
+++ b/banyansail/gateway/sharing/fleet_link.py
@@ -16,7 +16,7 @@
     is_understood,
 )
 from banyansail.fleet.view import FleetView
-from banyansail.gateway.decisions.limits.sharers import Sharers
+from banyansail.gateway.decisions.limits.sharers import Admission, Sharers
 from banyansail.log import log_event
 from banyansail.metrics import Metrics
 from banyansail.wire.call_codec import Document, FetchDocument, NotSupported
@@ -24,7 +24,8 @@
 from banyansail.wire.message_auth import MessageAuthenticator
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Coroutine, Iterable
+    from collections.abc import Callable, Coroutine, Iterable, Mapping
+    from datetime import timedelta
     from random import Random
 
     from banyansail.clock import Clock
@@ -34,6 +35,7 @@
     from banyansail.wire.call_codec import PeerCall, PeerReply
 
 ROUTERS_KIND = "routers"
+ADMISSION_KEY = "admission"  # in the entry of a router
 FEATURES = (
     Feature.ANSWERS_UNKNOWN_CALLS
     | Feature.RELAYS_STORE_CHANGES
@@ -77,8 +79,8 @@
         )
         self.server = PeerServerFactory(authenticator, handle_call)
         self._caller = PeerCaller(reactor, authenticator)
-        self._sharers = Sharers(clock, settings.retry_window)
-        self._is_joined = False
+        self._sharers = Sharers(settings.name, clock, settings.retry_window)
+        self._registered_by_name: Mapping[str, StoredObject] | None = None
         self._published_member: Member | None = None
 
     def live_members(self) -> dict[str, Member]:
@@ -93,16 +95,26 @@
 
     def known_routers(self) -> frozenset[str]:
         """Return the names of all routers that there may be, live or not."""
-        silence_by_leaving = {
+        return self._sharers.names(self._view.names, self._silence_by_leaving())
+
+    def count_sharers(self) -> int | None:
+        """Return how many routers share the retry budget.
+
+        ``None`` if this router may use nothing of what they share.
+        """
+        return len(self.known_routers()) if self._sharers.may_use else None
+
+    def update_sharers(self, list_age: timedelta) -> None:
+        """Take note of how current the list of routers is; to be called often."""
+        self._sharers.update(list_age, self._view.ages())
+
+    def _silence_by_leaving(self) -> dict[str, timedelta]:
+        """Return the time since the last heartbeat of routers that said they stop."""
+        return {
             name: self._view.age(name)
             for name, member in self._gossiper.members().items()
             if member.is_leaving and name != self._settings.name
         }
-        return self._sharers.names(self._view.names, silence_by_leaving)
-
-    def count_sharers(self) -> int | None:
-        """Return how many routers share the retry budget; ``None`` if unknown."""
-        return len(self.known_routers()) if self._sharers.is_complete else None
 
     def zone_members(self) -> list[str]:
         """Return the live routers of this data centre, this one included."""
@@ -189,38 +201,72 @@
             return None
         return reply if isinstance(reply, Document) else None
 
-    def forget_registration(self) -> None:
-        """Register again with the next `join`, as the store may have lost the entry."""
-        self._is_joined = False
-
-    async def join(self, store: StoreClient) -> None:
-        """Register this router in the store; add the others as gossip seeds.
+    def apply_registered(self, stored_by_name: Mapping[str, StoredObject]) -> None:
+        """Apply the list of routers in the store; add the others as gossip seeds."""
+        self._registered_by_name = stored_by_name
+        self._sharers.record_registered(
+            {name: _read_admission(stored) for name, stored in stored_by_name.items()}
+        )
+        others = (
+            stored
+            for name, stored in stored_by_name.items()
+            if name != self._settings.name
+        )
+        self._gossiper.add_seeds(_read_seeds(others))
 
-        A new router reads the others again at the next call, as those that start at the
-        same time may not be registered at the first one.
-        """
-        if self._is_joined:
+    async def register(self, store: StoreClient) -> None:
+        """Write this router's entry in the store if it is not as it should be."""
+        if self._registered_by_name is None:
             return
-        settings = self._settings
-        _, stored = await store.list(ROUTERS_KIND)
-        routers = {item.name: item for item in stored}
-        spec = {"peer": str(settings.peer), "zone": settings.zone}
-        own = routers.pop(settings.name, None)
+        name = self._settings.name
+        own = self._registered_by_name.get(name)
+        spec = self._make_spec(own)
         try:
             if own is None:
-                await store.create(ROUTERS_KIND, settings.name, spec)
+                await store.create(ROUTERS_KIND, name, spec)
             elif own.spec != spec:
-                await store.replace(ROUTERS_KIND, settings.name, spec, own.revision)
+                await store.replace(ROUTERS_KIND, name, spec, own.revision)
+            else:
+                return
         except StoreConflictError as error:
             log_event("join_conflict", error=error.message)
             return
-        seeds = _read_seeds(routers.values())
-        self._gossiper.add_seeds(seeds)
-        if own is None:
-            return
-        self._sharers.record_registered([settings.name, *routers])
-        log_event("joined", others=len(seeds))
-        self._is_joined = True
+        log_event(
+            "registered",
+            others=len(self._registered_by_name.keys() - {name}),
+            admission=spec[ADMISSION_KEY],
+        )
+
+    def _make_spec(self, own: StoredObject | None) -> dict[str, Any]:
+        """Return what the entry of this router should hold."""
+        admission = Admission.PENDING
+        if own is not None and (
+            _read_admission(own) is Admission.ADMITTED or self._sharers.is_admissible
+        ):
+            admission = Admission.ADMITTED
+        known = own.spec if own is not None and isinstance(own.spec, dict) else {}
+        return {
+            **known,
+            "peer": str(self._settings.peer),
+            "zone": self._settings.zone,
+            ADMISSION_KEY: admission.value,
+        }
+
+    async def remove_ended(self, store: StoreClient) -> None:
+        """Remove the entries of routers that have ended from the store."""
+        ended = self._sharers.ended(self._view.ages(), self._silence_by_leaving())
+        for name in ended:
+            await store.delete(ROUTERS_KIND, name)
+            log_event("router_removed", name=name)
+
+
+def _read_admission(stored: StoredObject) -> Admission:
+    """Return a router's admission; an unknown one of a newer build is pending."""
+    spec = stored.spec if isinstance(stored.spec, dict) else {}
+    if ADMISSION_KEY not in spec:
+        return Admission.UNSTATED
+    is_admitted = spec[ADMISSION_KEY] == Admission.ADMITTED.value
+    return Admission.ADMITTED if is_admitted else Admission.PENDING
 
 
 def _read_seeds(routers: Iterable[StoredObject]) -> list[Address]:
--- a/banyansail/gateway/sharing/retry_sharing.py
+++ b/banyansail/gateway/sharing/retry_sharing.py
@@ -17,6 +17,7 @@
     from banyansail.gateway.metrics import GatewayMetrics
 
 LOG_INTERVAL = timedelta(seconds=1)
+MAX_COUNT_AGE = timedelta(seconds=1)  # exceeded if the process was frozen
 
 
 @dataclass(slots=True)
@@ -47,13 +48,14 @@
         Counts what is granted and refused.
     count_routers : callable
         Returns the number of routers that share the slack, this one included, or
-        ``None`` while it is not known.
+        ``None`` while this router may use nothing of it.
     """
 
     __slots__ = (
         "_budget_by_service",
         "_clock",
         "_count_routers",
+        "_counted_at",
         "_logged_at",
         "_metrics",
         "_settings",
@@ -73,9 +75,9 @@
         self._settings = settings
         self._metrics = metrics
         self._count_routers = count_routers
-        # That share the slack; ``None`` while it is not known.
+        # That share the slack; ``None`` while this router may use nothing of it.
         self.routers = count_routers()
-        self._started_at = self._logged_at = clock.monotonic()
+        self._started_at = self._logged_at = self._counted_at = clock.monotonic()
         self._budget_by_service: dict[str, WindowedRetryBudget] = {}
         self._withdrawals_by_service: dict[str, _Withdrawals] = {}
 
@@ -85,6 +87,8 @@
 
     def withdraw(self, service: str) -> bool:
         """Withdraw a retry from a service's budget; return whether it was available."""
+        if self._clock.monotonic() - self._counted_at > MAX_COUNT_AGE:
+            self._count()
         is_granted = self._budget(service).withdraw(self.routers)
         withdrawals = self._withdrawals_by_service.setdefault(service, _Withdrawals())
         withdrawals.granted += is_granted
@@ -95,9 +99,13 @@
 
     def update(self) -> None:
         """Count the routers that share the slack anew, and log what is due."""
-        self.routers = self._count_routers()
+        self._count()
         self._write_log()
 
+    def _count(self) -> None:
+        self.routers = self._count_routers()
+        self._counted_at = self._clock.monotonic()
+
     def _write_log(self) -> None:
         """Write a line for each service with withdrawals, once in `LOG_INTERVAL`."""
         now = self._clock.monotonic()
--- a/banyansail/gateway/store/store_mirrors.py
+++ b/banyansail/gateway/store/store_mirrors.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from banyansail.gateway.sharing.fleet_link import ROUTERS_KIND
 from banyansail.gateway.store.mirror import Mirror
 from banyansail.gateway.store.upstream_table import UpstreamTable
 from banyansail.platform.evacuations import EVACUATIONS_KIND, decode_evacuations
@@ -20,7 +21,7 @@
 
 
 class StoreMirrors:
-    """Mirrors of the configuration, the upstreams, the evacuations and the moves.
+    """Mirrors of the configuration, upstreams, evacuations, moves and routers.
 
     Parameters
     ----------
@@ -28,7 +29,14 @@
         Gateway whose components apply what changes.
     """
 
-    __slots__ = ("_follows_evacuations", "config", "evacuations", "moves", "upstreams")
+    __slots__ = (
+        "_follows_evacuations",
+        "config",
+        "evacuations",
+        "moves",
+        "routers",
+        "upstreams",
+    )
 
     def __init__(self, gateway: Gateway, store: StoreClient, clock: Clock) -> None:
         self._follows_evacuations = gateway.follows_evacuations
@@ -55,8 +63,15 @@
         self.moves = Mirror(
             MOVES_KIND, store, clock, lambda mirror: gateway.moves.apply_orders(mirror)
         )
+        self.routers = Mirror(
+            ROUTERS_KIND,
+            store,
+            clock,
+            lambda mirror: gateway.link.apply_registered(mirror.object_by_name),
+            remembers_deleted=False,
+        )
 
     def followed(self) -> tuple[Mirror, ...]:
         """Return the mirrors that this deployment has a use for."""
-        mirrors = (self.config, self.upstreams.mirror, self.moves)
+        mirrors = (self.config, self.upstreams.mirror, self.moves, self.routers)
         return (*mirrors, self.evacuations) if self._follows_evacuations else mirrors
--- a/banyansail/gateway/tasks.py
+++ b/banyansail/gateway/tasks.py
@@ -23,7 +23,8 @@
 QUARANTINE_INTERVAL = timedelta(milliseconds=200)
 REFRESH_INTERVAL = timedelta(seconds=5)  # for routers that gossip does not reach
 MOVE_INTERVAL = timedelta(milliseconds=300)
-JOIN_INTERVAL = timedelta(seconds=5)
+REGISTER_INTERVAL = timedelta(seconds=1)  # a call only if the entry has to change
+REMOVAL_INTERVAL = timedelta(seconds=30)
 
 
 def add_tasks(gateway: Gateway) -> None:
@@ -38,6 +39,7 @@
         (gateway.mirrors.config.kind, work.follow_config),
         (gateway.mirrors.upstreams.mirror.kind, work.follow_upstreams),
         (gateway.mirrors.moves.kind, work.follow_moves),
+        (gateway.mirrors.routers.kind, work.follow_routers),
     ):
         gateway.add_task(f"{kind}.follow", follow, FOLLOW_PAUSE, MAX_FOLLOW_BACKOFF)
     for name, follow in (
@@ -67,4 +69,5 @@
         "quarantines", gateway.quarantine_store.synchronize, QUARANTINE_INTERVAL
     )
     gateway.add_task("store.probe", work.probe_store, PROBE_INTERVAL)
-    gateway.add_task("join", work.join, JOIN_INTERVAL)
+    gateway.add_task("routers.register", work.register, REGISTER_INTERVAL)
+    gateway.add_task("routers.remove", work.remove_ended_routers, REMOVAL_INTERVAL)
