Check the retry budget in the soak, with services that reject all and fleets killed

Upstreams record arrivals that they reject, and a new check counts the arrivals beyond the first of each request in sliding windows, by the bound of the platform's rule.

--- a/benchmarks/soak/__main__.py
+++ b/benchmarks/soak/__main__.py
@@ -11,6 +11,7 @@
   --routers=R      Gateways [default: 3].
   --upstreams=U    Upstreams, of which two answer plain requests [default: 7].
   --kinds=NAMES    Kinds of faults, with commas between them; all by default.
+  --retry-slack=N  Retries allowed in 10 s beyond the ratio [default: 1000].
   --json=FILE      Write the results to a file.
   --keep=FOLDER    Where failing runs leave their records [default: soak-findings].
   --without-times  Leave out the checks that measure time.
@@ -70,6 +71,7 @@
             names_of_kinds(arguments["--kinds"]),
             int(arguments["--routers"]),
             int(arguments["--upstreams"]),
+            retry_slack=float(arguments["--retry-slack"]),
         )
         for seed, minutes in runs
     ]
--- a/benchmarks/soak/checks/all_checks.py
+++ b/benchmarks/soak/checks/all_checks.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from benchmarks.soak.checks.budget import BudgetCheck
 from benchmarks.soak.checks.deadlines import DeadlineCheck
 from benchmarks.soak.checks.order import OrderCheck
 from benchmarks.soak.checks.overlaps import OverlapCheck
@@ -15,7 +16,14 @@
 
 CHECK_BY_RULE: dict[str, type[Check]] = {
     item.rule: item
-    for item in (OrderCheck, RepeatCheck, OverlapCheck, PromiseCheck, DeadlineCheck)
+    for item in (
+        OrderCheck,
+        RepeatCheck,
+        OverlapCheck,
+        PromiseCheck,
+        DeadlineCheck,
+        BudgetCheck,
+    )
 }
 
 
--- a/benchmarks/soak/fleet.py
+++ b/benchmarks/soak/fleet.py
@@ -61,14 +61,22 @@
         How many there are of each.
     gateway_module : str
         Program that is run as a router.
+    retry_slack : float
+        Retries that the routers may send in a window beyond a share of the requests.
     """
 
     def __init__(
-        self, folder: Path, routers: int, upstreams: int, gateway_module: str
+        self,
+        folder: Path,
+        routers: int,
+        upstreams: int,
+        gateway_module: str,
+        retry_slack: float,
     ) -> None:
         self._folder = folder
         self._programs = Programs(folder)
         self._gateway_module = gateway_module
+        self._retry_slack = retry_slack
         self._store_port = free_port()
         self._peer_port = free_port()
         listeners = ("listen", "ready", "relay", "metrics")
@@ -107,10 +115,14 @@
 
     def engines(self) -> list[str]:
         """Return the upstreams that answer with streams."""
+        return self.upstreams_of(ENGINES)
+
+    def upstreams_of(self, service: str) -> list[str]:
+        """Return the names of a service's upstreams."""
         return [
             name
             for name, upstream in self.upstream_by_name.items()
-            if upstream.service == ENGINES
+            if upstream.service == service
         ]
 
     def _is_ready(self, router: Instance) -> bool:
@@ -123,7 +135,9 @@
         number = int(name.rpartition("-")[2])
         store = f"{HOST}:{self._store_port}"
         count = len(self.router_by_name)
-        settings = gateway_settings(number, count, router.ports, self._peer_port, store)
+        settings = gateway_settings(
+            number, count, router.ports, self._peer_port, store, self._retry_slack
+        )
         path = self._settings_path(name)
         path.write_text(json.dumps(settings))
         self._programs.start(name, self._gateway_module, f"--settings={path}")
--- a/benchmarks/soak/kinds.py
+++ b/benchmarks/soak/kinds.py
@@ -19,6 +19,7 @@
 
 RESTART_PAUSE_S = 0.1
 LEAVING_NOTICE_S = 0.7
+ALL_ROUTERS = "all routers"
 
 
 class Scope(Enum):
@@ -30,6 +31,8 @@
     UPSTREAM = "process of an upstream"
     ROUTER = "process of a router"
     LINKS = "links of a router to all upstreams"
+    SERVICE = "admission at all upstreams of a service"
+    FLEET = "processes of all routers"
 
 
 class FaultKind:
@@ -151,6 +154,24 @@
         fleet.switch(fault.target, is_full=False)
 
 
+class FullService(FaultKind):
+    """A service whose upstreams all reject all requests as not run."""
+
+    name = "full service"
+    scope = Scope.SERVICE
+    duration_s = (3.0, 8.0)
+
+    def begin(self, fleet: Fleet, fault: Fault) -> None:
+        """Let the upstreams reject requests."""
+        for name in fleet.upstreams_of(fault.target):
+            fleet.switch(name, is_full=True)
+
+    def end(self, fleet: Fleet, fault: Fault) -> None:
+        """Let the upstreams accept requests."""
+        for name in fleet.upstreams_of(fault.target):
+            fleet.switch(name, is_full=False)
+
+
 class CrashedUpstream(FaultKind):
     """An upstream that crashes and comes back."""
 
@@ -220,6 +241,24 @@
         fleet.start_router(fault.target)
 
 
+class KilledFleet(FaultKind):
+    """All routers, killed at once, so that none remembers what they sent."""
+
+    name = "killed fleet"
+    scope = Scope.FLEET
+    duration_s = (0.1, 1.0)
+
+    def begin(self, fleet: Fleet, fault: Fault) -> None:
+        """Kill the routers."""
+        for name in fleet.router_by_name:
+            fleet.kill(name)
+
+    def end(self, fleet: Fleet, fault: Fault) -> None:
+        """Start the routers again."""
+        for name in fleet.router_by_name:
+            fleet.start_router(name, waits=False)
+
+
 class FrozenRouter(FaultKind):
     """A router whose process is frozen for some time."""
 
@@ -265,10 +304,12 @@
         RepeatedEvents,
         EmptyContinuations,
         FullUpstream,
+        FullService,
         CrashedUpstream,
         LeavingUpstream,
         StoppedRouter,
         KilledRouter,
+        KilledFleet,
         FrozenRouter,
         CutOffRouter,
     )
--- a/benchmarks/soak/plan.py
+++ b/benchmarks/soak/plan.py
@@ -5,8 +5,9 @@
 from random import Random
 from typing import TYPE_CHECKING
 
-from benchmarks.soak.kinds import KIND_BY_NAME, FaultKind, Scope
+from benchmarks.soak.kinds import ALL_ROUTERS, KIND_BY_NAME, FaultKind, Scope
 from benchmarks.soak.records import Fault
+from benchmarks.soak.site_config import DEPOT, ENGINES
 
 if TYPE_CHECKING:
     from collections.abc import Iterator, Sequence
@@ -22,6 +23,8 @@
     Scope.UPSTREAM: 1.5,
     Scope.ROUTER: 4.0,
     Scope.LINKS: 1.0,
+    Scope.SERVICE: 2.0,
+    Scope.FLEET: 2.0,
 }
 ROUTER_SCOPES = (Scope.ROUTER, Scope.LINKS)
 # One target is left as it is at any time.
@@ -59,6 +62,8 @@
             for scope in Scope
         }
         self._targets_by_scope[Scope.CONTINUATIONS] = list(engines)
+        self._targets_by_scope[Scope.SERVICE] = [DEPOT, ENGINES]
+        self._targets_by_scope[Scope.FLEET] = [ALL_ROUTERS]
         self._free_at: dict[tuple[Scope, str], float] = {}
 
     def draw(self, seconds: float) -> list[Fault]:
@@ -95,6 +100,8 @@
     def _take(self, fault: Fault) -> bool:
         """Return whether a fault can be struck beside the earlier ones."""
         scope = scope_of(fault)
+        if scope is Scope.FLEET:
+            return self._take_fleet(fault)
         free = [
             target
             for target in self._targets_by_scope[scope]
@@ -107,6 +114,15 @@
         self._free_at[scope, fault.target] = free_at
         return True
 
+    def _take_fleet(self, fault: Fault) -> bool:
+        """Return whether no router has a fault of its process meanwhile."""
+        keys = [(Scope.ROUTER, name) for name in self._targets_by_scope[Scope.ROUTER]]
+        if any(self._free_at.get(key, 0) > fault.start_s for key in keys):
+            return False
+        free_at = fault.end_s + GAP_S_BY_SCOPE[Scope.FLEET]
+        self._free_at.update(dict.fromkeys(keys, free_at))
+        return True
+
 
 def names_of_kinds(text: str | None) -> list[str]:
     """Return the kinds of a list with commas between them; all by default.
--- a/benchmarks/soak/records.py
+++ b/benchmarks/soak/records.py
@@ -50,6 +50,7 @@
     FAILED = "failed"  # a status that is no success
     LEFT = "left"  # the other side has closed the connection
     CRASHED = "crashed"  # nothing was recorded
+    NOT_RUN = "not run"  # rejected on arrival
 
 
 class ResponseEnd(StrEnum):
@@ -168,15 +169,27 @@
 
 @dataclass(slots=True)
 class Evidence:
-    """All that was seen in a run of the soak."""
+    """All that was seen in a run of the soak.
+
+    Parameters
+    ----------
+    retry_slack : float
+        Retries that the routers may send in a window beyond a share of the requests.
+    """
 
     responses: list[Response]
-    runs_by_attempt: dict[str, list[Run]]
+    runs_by_attempt: dict[str, list[Run]]  # rejected ones too
     faults: list[Fault] = field(default_factory=list)
+    retry_slack: float = 0.0
+
+    def arrivals_of(self, attempt: str) -> list[Run]:
+        """Return the arrivals of a request at upstreams, rejected ones too, by time."""
+        return self.runs_by_attempt.get(attempt, [])
 
     def runs_of(self, attempt: str) -> list[Run]:
         """Return the runs of a request, by their beginning."""
-        return self.runs_by_attempt.get(attempt, [])
+        arrivals = self.arrivals_of(attempt)
+        return [run for run in arrivals if run.end is not RunEnd.NOT_RUN]
 
     def wanted_runs_of(self, attempt: str) -> list[Run]:
         """Return the runs that were not given up before they were read."""
--- a/benchmarks/soak/site_config.py
+++ b/benchmarks/soak/site_config.py
@@ -23,7 +23,9 @@
     Kind.DRAFT: "streaming",
     Kind.RESUMABLE: "streaming",
 }
+SERVICE_BY_KIND = {kind: ENGINES if kind.is_stream else DEPOT for kind in Kind}
 MAX_ATTEMPTS = 3
+RETRY_RATIO, RETRY_WINDOW_S = 0.2, 10
 
 
 def site_config() -> dict[str, Any]:
@@ -47,7 +49,7 @@
         "host": HOST,
         "pathPrefix": PREFIX_BY_KIND[kind],
         "routeType": TYPE_BY_KIND[kind],
-        "service": ENGINES if kind.is_stream else DEPOT,
+        "service": SERVICE_BY_KIND[kind],
         "timeoutMs": TIMEOUT_MS_BY_KIND[kind],
         "sloMs": 500,
         "priority": 1,
@@ -74,7 +76,12 @@
 
 
 def gateway_settings(
-    number: int, routers: int, ports: dict[str, int], peer_port: int, store: str
+    number: int,
+    routers: int,
+    ports: dict[str, int],
+    peer_port: int,
+    store: str,
+    retry_slack: float,
 ) -> dict[str, Any]:
     """Return the settings of a router; routers are numbered from 1."""
     host = f"127.0.0.{number}"
@@ -92,9 +99,9 @@
         "cloud": store,
         "shared_key": "0123456789abcdef",
         "grace_s": GRACE_S,
-        "retry_ratio": 0.2,
-        "retry_slack": 1000,  # continuations are not to run out
-        "retry_window_s": 10,
+        "retry_ratio": RETRY_RATIO,
+        "retry_slack": retry_slack,
+        "retry_window_s": RETRY_WINDOW_S,
         "quota_slack": 1000,
         "usage_window_s": 5,
         "usage_late_s": 10,
--- a/benchmarks/soak/soak.py
+++ b/benchmarks/soak/soak.py
@@ -35,6 +35,8 @@
         Names of the kinds of faults.
     gateway_module : str
         Program that is run as a router.
+    retry_slack : float
+        Retries that the routers may send in a window beyond a share of the requests.
     """
 
     seed: int
@@ -43,6 +45,7 @@
     routers: int = 3
     upstreams: int = 7
     gateway_module: str = "benchmarks.soak.cut_gateway"
+    retry_slack: float = 1000.0  # continuations are not to run out
 
 
 @dataclass(slots=True)
@@ -72,7 +75,11 @@
 ) -> Result:
     """Play a run; its records stay in the folder."""
     with Fleet(
-        folder, options.routers, options.upstreams, options.gateway_module
+        folder,
+        options.routers,
+        options.upstreams,
+        options.gateway_module,
+        options.retry_slack,
     ) as fleet:
         planner = Planner(
             options.seed,
@@ -90,6 +97,7 @@
             history = [asdict(fault) for fault in faults]
             (folder / "history.json").write_text(json.dumps(history, indent=1))
         evidence = _collect(fleet, faults)
+        evidence.retry_slack = options.retry_slack
     return check(options.seed, evidence, checks)
 
 
--- a/benchmarks/soak/upstream.py
+++ b/benchmarks/soak/upstream.py
@@ -100,6 +100,7 @@
         attempt = request.headers.get("x-attempt-id", "")
         answer = {"X-Attempt-Id": attempt}
         if request.headers.get("x-expect-replica", self._name) != self._name:
+            self._record_rejection(attempt)
             return connection.send(head_of(421, {**answer, **NOT_EXECUTED}))
         continues = "last-event-id" in request.headers
         continuation = self._switches.continuation if continues else None
@@ -108,6 +109,7 @@
             memory and not self._copies.take(memory, attempt)
         )
         if is_refused or continuation is Continuation.NOT_RUN:
+            self._record_rejection(attempt)
             return connection.send(head_of(503, {**answer, **NOT_EXECUTED}))
         return self._run(connection, request, attempt, continuation)
 
@@ -145,6 +147,13 @@
             return answering.send_nothing(status, end)
         return answering.send_events(Content(attempt, size, event_bytes), first, switch)
 
+    def _record_rejection(self, attempt: str) -> None:
+        now = self._now()
+        number = next(self._numbers)
+        self._record.write(
+            Run(attempt, self._name, number, now, ended_at=now, end=RunEnd.NOT_RUN)
+        )
+
     def _begin(
         self, request: Request, attempt: str, first: int, switch: StreamSwitch
     ) -> Run:
