--- a/banyansail/gateway/sharing/fleet_link.py
+++ b/banyansail/gateway/sharing/fleet_link.py
@@ -232,7 +232,7 @@
             log_event("join_conflict", error=error.message)
             return
         log_event(
-            "registered",
+            "joined",
             others=len(self._registered_by_name.keys() - {name}),
             admission=spec[ADMISSION_KEY],
         )
