Build the mirrors of the store without the whole gateway

StoreMirrors was handed the class Gateway and called into its components, which closed an import circle between router and store_mirrors.

It takes the store, the clock and MirrorListeners now; the gateway says which of its components apply what changes.

Measured: 155 tests of the gateway's store, following and live requests pass.

--- a/banyansail/gateway/router.py
+++ b/banyansail/gateway/router.py
@@ -38,12 +38,13 @@
 from banyansail.gateway.store.config_keeper import ConfigKeeper
 from banyansail.gateway.store.evacuations import Evacuations
 from banyansail.gateway.store.store_following import StoreFollowing
-from banyansail.gateway.store.store_mirrors import StoreMirrors
+from banyansail.gateway.store.store_mirrors import MirrorListeners, StoreMirrors
 from banyansail.gateway.store.store_probe import StoreProbe
 from banyansail.gateway.store.upstream_sync import UpstreamSync
 from banyansail.gateway.tasks import add_tasks
 from banyansail.log import log_event
 from banyansail.platform.cloud import CloudClient
+from banyansail.platform.evacuations import decode_evacuations
 from banyansail.platform.store import StoreClient
 from banyansail.router.supervisor import Supervisor
 from banyansail.traffic.exchange import TrafficExchange
@@ -112,7 +113,25 @@
         self.cloud = CloudClient(
             self.reactor, self.clock, settings.cloud, settings.name
         )
-        self.mirrors = StoreMirrors(self, self.store, self.clock)
+        self.mirrors = StoreMirrors(
+            self.store,
+            self.clock,
+            self._make_mirror_listeners(),
+            follows_evacuations=self.follows_evacuations,
+        )
+
+    def _make_mirror_listeners(self) -> MirrorListeners:
+        return MirrorListeners(
+            apply_config=self.config.apply_mirror,
+            apply_upstreams=lambda mirror: self.upstream_sync.apply(),
+            apply_evacuations=lambda mirror: self.evacuations.apply_store(
+                decode_evacuations(mirror.object_by_name), mirror.revision
+            ),
+            apply_moves=lambda mirror: self.moves.apply_orders(mirror),
+            apply_routers=lambda mirror: self.link.apply_registered(
+                mirror.object_by_name
+            ),
+        )
 
     def _build_state(self) -> None:
         settings, clock = self.settings, self.clock
--- a/banyansail/gateway/store/store_mirrors.py
+++ b/banyansail/gateway/store/store_mirrors.py
@@ -2,31 +2,50 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from banyansail.gateway.sharing.fleet_link import ROUTERS_KIND
 from banyansail.gateway.store.mirror import Mirror
 from banyansail.gateway.store.upstream_table import UpstreamTable
-from banyansail.platform.evacuations import EVACUATIONS_KIND, decode_evacuations
+from banyansail.platform.evacuations import EVACUATIONS_KIND
 from banyansail.platform.moves import MOVES_KIND
 from banyansail.platform.site import differs_in_cold_time_only
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from banyansail.clock import Clock
-    from banyansail.gateway.router import Gateway
     from banyansail.platform.store import StoreClient
 
 CONFIG_KIND = "config"
 UPSTREAMS_KIND = "servers"
 
 
+@dataclass(slots=True, frozen=True)
+class MirrorListeners:
+    """What is called with a mirror after it has changed."""
+
+    apply_config: Callable[[Mirror], None]
+    apply_upstreams: Callable[[Mirror], None]
+    apply_evacuations: Callable[[Mirror], None]
+    apply_moves: Callable[[Mirror], None]
+    apply_routers: Callable[[Mirror], None]
+
+
 class StoreMirrors:
     """Mirrors of the configuration, upstreams, evacuations, moves and routers.
 
     Parameters
     ----------
-    gateway : Gateway
-        Gateway whose components apply what changes.
+    store : StoreClient
+        Store that holds the objects.
+    clock : Clock
+        Source of time.
+    listeners : MirrorListeners
+        Apply what changes.
+    follows_evacuations : bool
+        Whether data centres of this deployment may be evacuated.
     """
 
     __slots__ = (
@@ -38,15 +57,22 @@
         "upstreams",
     )
 
-    def __init__(self, gateway: Gateway, store: StoreClient, clock: Clock) -> None:
-        self._follows_evacuations = gateway.follows_evacuations
-        self.config = Mirror(CONFIG_KIND, store, clock, gateway.config.apply_mirror)
+    def __init__(
+        self,
+        store: StoreClient,
+        clock: Clock,
+        listeners: MirrorListeners,
+        *,
+        follows_evacuations: bool,
+    ) -> None:
+        self._follows_evacuations = follows_evacuations
+        self.config = Mirror(CONFIG_KIND, store, clock, listeners.apply_config)
         self.upstreams = UpstreamTable(
             Mirror(
                 UPSTREAMS_KIND,
                 store,
                 clock,
-                lambda mirror: gateway.upstream_sync.apply(),
+                listeners.apply_upstreams,
                 keeps_lapsed=True,
                 is_minor_change=differs_in_cold_time_only,
             )
@@ -55,19 +81,15 @@
             EVACUATIONS_KIND,
             store,
             clock,
-            lambda mirror: gateway.evacuations.apply_store(
-                decode_evacuations(mirror.object_by_name), mirror.revision
-            ),
+            listeners.apply_evacuations,
             remembers_deleted=False,
         )
-        self.moves = Mirror(
-            MOVES_KIND, store, clock, lambda mirror: gateway.moves.apply_orders(mirror)
-        )
+        self.moves = Mirror(MOVES_KIND, store, clock, listeners.apply_moves)
         self.routers = Mirror(
             ROUTERS_KIND,
             store,
             clock,
-            lambda mirror: gateway.link.apply_registered(mirror.object_by_name),
+            listeners.apply_routers,
             remembers_deleted=False,
         )
 
