Test that a frozen process counts the routers anew before it retries

The check came with the admission of routers and no test failed without it: with the check taken out, the new test fails (a retry is granted 30 s after the last count).

--- a/tests/gateway/sharing/test_retry_sharing.py
+++ b/tests/gateway/sharing/test_retry_sharing.py
@@ -86,3 +86,13 @@
     assert sum(counts.values()) == 100
     assert counts["refused"] > 0
     assert "banyansail_retry_budget_routers 8.0" in page
+
+
+def test_a_process_that_was_frozen_counts_the_routers_anew_before_it_retries(sharing):
+    """Guards against a retry by what a process knew before it was frozen."""
+    sharing.clock.advance(20)
+    sharing.retries.update()
+    assert sharing.retries.withdraw("engines")
+    sharing.routers = None
+    sharing.clock.advance(30)
+    assert not sharing.retries.withdraw("engines")
