--- a/review/common/case.py
+++ b/review/common/case.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import os
+import signal
 import sys
 import tempfile
 import traceback
@@ -36,14 +37,18 @@
 
 
 async def _run(folder: Path, zones: list[str], play: Play) -> int:
+    # The processes are ended also if the script is.
+    loop, task = asyncio.get_running_loop(), asyncio.current_task()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, task.cancel)
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
     record = Record(folder / "record.txt")
     with tempfile.TemporaryDirectory() as scratch:
         fleet = Fleet(Path(scratch), zones)
         try:
             findings = await play(fleet, record, has_trouble)
-        except Exception as error:
-            if not isinstance(error, NotPlayedError):
+        except (Exception, asyncio.CancelledError) as error:
+            if not isinstance(error, NotPlayedError | asyncio.CancelledError):
                 traceback.print_exc()
             record.write("not-run", repr(error))
             print(f"not run: {error!r}")
--- a/review/common/client.py
+++ b/review/common/client.py
@@ -110,5 +110,9 @@
             )
         except TimeoutError:
             answer = None
-        status = "none" if answer is None else answer.status
-        self._record.write("answer", attempt, status)
+        if answer is None:
+            self._record.write("answer", attempt, "none", "-", "-")
+            return
+        stamp = answer.headers.get("x-replica-stamp", "none")
+        text = answer.body[:80].decode("latin-1").replace(" ", "_")
+        self._record.write("answer", attempt, answer.status, stamp, text)
--- a/review/common/http.py
+++ b/review/common/http.py
@@ -33,11 +33,20 @@
 
 @dataclass(slots=True)
 class Answer:
-    """A response to be written; ``None`` as its body closes without a response."""
+    """A response to be written.
+
+    Parameters
+    ----------
+    body : bytes or None
+        ``None`` to close the connection without a response.
+    late_bytes : bytes
+        Sent on the same connection right before the next response.
+    """
 
     status: int = 200
     headers: dict[str, str] = field(default_factory=dict)
     body: bytes | None = b""
+    late_bytes: bytes = b""
 
     @classmethod
     def of_json(cls, body: Any, status: int = 200) -> Answer:
@@ -113,6 +122,7 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         self._writers.add(writer)
+        late_bytes = b""
         try:
             while (request := await read_message(reader)) is not None:
                 request.is_open = lambda: not (
@@ -123,7 +133,8 @@
                     break
                 reason = REASONS.get(answer.status, "-")
                 start = f"HTTP/1.1 {answer.status} {reason}"
-                writer.write(encode(start, answer.headers, answer.body))
+                writer.write(late_bytes + encode(start, answer.headers, answer.body))
+                late_bytes = answer.late_bytes
                 await writer.drain()
         except (ConnectionError, asyncio.IncompleteReadError):
             pass
--- a/review/common/replica.py
+++ b/review/common/replica.py
@@ -26,6 +26,8 @@
         Gets a line for each request that it runs.
     is_bad : callable
         Returns whether the answer to a request is a failure.
+    draw_late_bytes : callable
+        Returns the bytes that follow an answer late, mostly none.
     """
 
     def __init__(
@@ -40,6 +42,7 @@
         work_s: float,
         slots: int = 6,
         is_bad: Callable[[Message], bool] = lambda request: False,
+        draw_late_bytes: Callable[[], bytes] = lambda: b"",
     ) -> None:
         self.name = name
         self.version = version
@@ -52,6 +55,7 @@
         self._slot_count = slots
         self._waiting = 0
         self._is_bad = is_bad
+        self._draw_late_bytes = draw_late_bytes
         self._server = Server(self._handle)
         self._heartbeat: asyncio.Task[None] | None = None
         self._entry: dict[str, Any] = {}
@@ -104,4 +108,4 @@
         self._record.write("end", attempt, self.name, "bad" if is_bad else "good")
         headers["X-Replica-Stamp"] = f"{self.name}.{attempt}"
         body = b"failed" if is_bad else b"done " + attempt.encode()
-        return Answer(500 if is_bad else 200, headers, body)
+        return Answer(500 if is_bad else 200, headers, body, self._draw_late_bytes())
--- a/review/common/rollout.py
+++ b/review/common/rollout.py
@@ -20,6 +20,7 @@
 KEY = "k7f3a91c2d07be2a35f6"
 REPLICAS = 4
 WORK_S = 0.02
+START_S = 0.5  # from an order until the replicas of its target are up
 DRAIN_AFTER_S = 3.0  # from `rolled_back` until the new replicas drain
 BAD_ANSWERS = 50  # after which a bad version is to be left
 IsBad = Callable[[Message], bool]
@@ -119,13 +120,13 @@
     async def order(
         self, old: str, target: str, duration_s: float, is_bad: IsBad
     ) -> Order:
-        """Start a target's replicas and order that the traffic be moved to it."""
-        await self.start_replicas(target, is_bad)
-        await asyncio.sleep(1.0)
+        """Order that the traffic be moved to a target, and start its replicas."""
         spec = {"service": SERVICE, "target": target, "durationS": duration_s}
         self._store.put("rollouts", SERVICE, spec=spec)
         written_at = self._record.write("order", target, f"{duration_s} s")
         self._task = asyncio.create_task(self._follow(old, target))
+        await asyncio.sleep(START_S)
+        await self.start_replicas(target, is_bad)
         return Order(target, written_at, duration_s)
 
     async def _follow(self, old: str, target: str) -> None:
@@ -189,7 +190,10 @@
     bad = [
         at
         for at, event, details in record.lines
-        if event == "end" and details[1] in replicas and details[2] == "bad"
+        if event == "end"
+        and details[1] in replicas
+        and details[2] == "bad"
+        and at >= order.written_at
     ]
     record.write("count", f"{len(bad)} bad answers of {order.target}")
     if len(bad) < BAD_ANSWERS:
