--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,62 +1,112 @@
-"""A version that was moved to before is ordered again and is bad this time."""
+"""A drill of the store as the gateways are about to be restarted one by one."""
 
 from __future__ import annotations
 
 import asyncio
-import random
+import time
+from typing import Any
 
 from review.common.case import NotPlayedError, run_case
 from review.common.client import Clients
 from review.common.fleet import Fleet
-from review.common.http import Message
-from review.common.platform import Store
+from review.common.platform import DutyCall, Store, StoreCopy
 from review.common.record import Record
-from review.common.rollout import (
-    ZONES,
-    Operator,
-    configuration,
-    exposure_findings,
-    kinds,
-)
+from review.common.rollout import ZONES, Operator, configuration, kinds
 
 REQUESTS_PER_S = 30
-FIRST_DURATION_S = 12
-LAST_DURATION_S = 20
-FAILING_SHARE = 0.4
+REPORTS_BEFORE = 3  # of usage, before the drill
+AWAY_S = 0.8  # of the store in the drill
+COPY_AGE_S = 3.0  # of the copy that the store comes back from
+COPY_INTERVAL_S = 0.25
+ROLL_DELAY_S = 0.5  # from the return of the store
+ROLL_GAP_S = 3.0  # from one restart to the next
+TIME_AFTER_S = 20
 
 
 async def play(fleet: Fleet, record: Record, has_trouble: bool) -> list[str]:
-    """Move to v2, back to v1 and to v2 again; return how the rule was broken."""
+    """Play the drill right after a report of usage, then the restarts."""
     store = Store()
     host = fleet.host(250)
     fleet.store_address = f"{host}:{await store.server().listen(host)}"
     store.put("config", "main", spec=configuration())
-    operator = Operator(store, fleet, record)
-    await operator.start_replicas("v1")
+    store.on_call = lambda call: record_call(record, call)
+    await Operator(store, fleet, record).start_replicas("v1")
     await fleet.start()
     clients = Clients(fleet.gateways, kinds(0.287), REQUESTS_PER_S, record)
     clients.start()
-    await asyncio.sleep(4)
-    for old, target in (("v1", "v2"), ("v2", "v1")):
-        order = await operator.order(
-            old, target, FIRST_DURATION_S, lambda request: False
-        )
-        state = await operator.wait_for_end(order, FIRST_DURATION_S + 5)
-        if state != "completed":
-            raise NotPlayedError(f"the move to the good {target} is {state}")
-        await asyncio.sleep(2)
-    draw = random.Random(1)
-
-    def fails(request: Message) -> bool:
-        return has_trouble and draw.random() < FAILING_SHARE
-
-    order = await operator.order("v1", "v2", LAST_DURATION_S, fails)
-    await asyncio.sleep(LAST_DURATION_S + 5)
-    await clients.stop()
+    copies: list[StoreCopy] = []
+    copying = asyncio.create_task(take_copies(store, copies))
+    await wait_for_report(store, REPORTS_BEFORE)
+    copying.cancel()
     if has_trouble:
-        return exposure_findings(record, order)
-    state = await operator.wait_for_end(order, 0.1)
-    return [] if state == "completed" else [f"the move to a good version is {state}"]
+        await play_drill(store, record, copies)
+    await asyncio.sleep(ROLL_DELAY_S)
+    await restart_all(fleet, record)
+    await asyncio.sleep(TIME_AFTER_S)
+    await clients.stop()
+    return one_findings(store.calls)
+
+
+def record_call(record: Record, call: DutyCall) -> None:
+    """Write a call of a duty to the record."""
+    record.write("duty", call.path, call.holder, call.token, call.body)
+
+
+async def take_copies(store: Store, copies: list[StoreCopy]) -> None:
+    """Take copies of the store, as a platform that can go back to them does."""
+    while True:
+        copies.append(store.copy())
+        await asyncio.sleep(COPY_INTERVAL_S)
+
+
+async def wait_for_report(store: Store, count: int) -> None:
+    """Wait until usage was reported some times."""
+    deadline = time.monotonic() + 60
+    while time.monotonic() < deadline:
+        reports = [call for call in store.calls if call.path == "/usage"]
+        if len(reports) >= count:
+            return
+        await asyncio.sleep(0.02)
+    raise NotPlayedError("usage is not reported")
+
+
+async def play_drill(store: Store, record: Record, copies: list[StoreCopy]) -> None:
+    """Let the store be away for a moment and come back from a copy."""
+    record.write("store-away")
+    away_at = time.time()
+    store.go_away()
+    await asyncio.sleep(AWAY_S)
+    old = [item for item in copies if item.taken_at <= away_at - COPY_AGE_S]
+    store.restore(old[-1])
+    record.write("store-back", f"era {store.era}")
+
+
+async def restart_all(fleet: Fleet, record: Record) -> None:
+    """Restart the gateways as planned, one after the other."""
+    restarts = []
+    for gateway in fleet.gateways:
+        record.write("restart", gateway.name)
+        restarts.append(asyncio.create_task(gateway.restart()))
+        await asyncio.sleep(ROLL_GAP_S)
+    await asyncio.gather(*restarts)
+
+
+def one_findings(calls: list[DutyCall]) -> list[str]:
+    """Return the windows for which two reports with different counts were accepted."""
+    findings = []
+    first_by_window: dict[Any, DutyCall] = {}
+    for call in calls:
+        if call.path != "/usage":
+            continue
+        first = first_by_window.setdefault(call.body["windowId"], call)
+        if call.body["counts"] != first.body["counts"]:
+            findings.append(
+                f"ONE: window {call.body['windowId']} was reported as "
+                f"{first.body['counts']} by {first.holder} with token {first.token} "
+                f"and {call.at - first.at:.1f} s later as {call.body['counts']} by "
+                f"{call.holder} with token {call.token}"
+            )
+    return findings
 
 
 if __name__ == "__main__":
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,11 +1,11 @@
-"""A new version fails on one route of its service only."""
+"""A version that was moved to before is ordered again and is bad this time."""
 
 from __future__ import annotations
 
 import asyncio
-import itertools
+import random
 
-from review.common.case import run_case
+from review.common.case import NotPlayedError, run_case
 from review.common.client import Clients
 from review.common.fleet import Fleet
 from review.common.http import Message
@@ -20,14 +20,13 @@
 )
 
 REQUESTS_PER_S = 30
-LOOKUP_SHARE = 0.287  # as on the sheet of the site
-FAILS_EACH = 7  # answer on that route, so one of seven of them
-DURATION_S = 15
-TIME_AFTER_S = 65
+FIRST_DURATION_S = 12
+LAST_DURATION_S = 20
+FAILING_SHARE = 0.4
 
 
 async def play(fleet: Fleet, record: Record, has_trouble: bool) -> list[str]:
-    """Order a move to the version; return how the rule was broken."""
+    """Move to v2, back to v1 and to v2 again; return how the rule was broken."""
     store = Store()
     host = fleet.host(250)
     fleet.store_address = f"{host}:{await store.server().listen(host)}"
@@ -35,18 +34,24 @@
     operator = Operator(store, fleet, record)
     await operator.start_replicas("v1")
     await fleet.start()
-    clients = Clients(fleet.gateways, kinds(LOOKUP_SHARE), REQUESTS_PER_S, record)
+    clients = Clients(fleet.gateways, kinds(0.287), REQUESTS_PER_S, record)
     clients.start()
     await asyncio.sleep(4)
-    lookups = itertools.count(1)
+    for old, target in (("v1", "v2"), ("v2", "v1")):
+        order = await operator.order(
+            old, target, FIRST_DURATION_S, lambda request: False
+        )
+        state = await operator.wait_for_end(order, FIRST_DURATION_S + 5)
+        if state != "completed":
+            raise NotPlayedError(f"the move to the good {target} is {state}")
+        await asyncio.sleep(2)
+    draw = random.Random(1)
 
     def fails(request: Message) -> bool:
-        if not request.start[1].startswith("/lookups/"):
-            return False
-        return has_trouble and next(lookups) % FAILS_EACH == 0
+        return has_trouble and draw.random() < FAILING_SHARE
 
-    order = await operator.order("v1", "v2", DURATION_S, fails)
-    await asyncio.sleep(DURATION_S + TIME_AFTER_S)
+    order = await operator.order("v1", "v2", LAST_DURATION_S, fails)
+    await asyncio.sleep(LAST_DURATION_S + 5)
     await clients.stop()
     if has_trouble:
         return exposure_findings(record, order)
