--- a/review/2/case.py
+++ b/review/2/case.py
@@ -11,7 +11,13 @@
 from review.common.fleet import Fleet
 from review.common.platform import DutyCall, Store, StoreCopy
 from review.common.record import Record
-from review.common.rollout import ZONES, Operator, configuration, kinds
+from review.common.rollout import (
+    LOOKUP_SHARE,
+    ZONES,
+    Operator,
+    configuration,
+    kinds,
+)
 
 REQUESTS_PER_S = 30
 REPORTS_BEFORE = 3  # of usage, before the drill
@@ -32,7 +38,7 @@
     store.on_call = lambda call: record_call(record, call)
     await Operator(store, fleet, record).start_replicas("v1")
     await fleet.start()
-    clients = Clients(fleet.gateways, kinds(0.287), REQUESTS_PER_S, record)
+    clients = Clients(fleet.gateways, kinds(LOOKUP_SHARE), REQUESTS_PER_S, record)
     clients.start()
     copies: list[StoreCopy] = []
     copying = asyncio.create_task(take_copies(store, copies))
--- a/review/common/rollout.py
+++ b/review/common/rollout.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from review.common.client import Kind
+from review.common.client import Clients, Kind
 from review.common.fleet import BOUNDS, Fleet
 from review.common.http import Message
 from review.common.platform import Store
@@ -20,6 +20,8 @@
 KEY = "k7f3a91c2d07be2a35f6"
 REPLICAS = 4
 WORK_S = 0.02
+SETTLE_S = 4.0  # of traffic, before an order
+LOOKUP_SHARE = 0.287  # of the service's requests, as on the sheet of the site
 START_S = 0.5  # from an order until the replicas of its target are up
 DRAIN_AFTER_S = 3.0  # from `rolled_back` until the new replicas drain
 BAD_ANSWERS = 50  # after which a bad version is to be left
@@ -91,6 +93,7 @@
         self._record = record
         self._replicas: dict[str, list[Replica]] = {}
         self._number = 0
+        self._following: asyncio.Task[None] | None = None
 
     async def start_replicas(
         self, version: str, is_bad: IsBad = lambda request: False
@@ -124,7 +127,7 @@
         spec = {"service": SERVICE, "target": target, "durationS": duration_s}
         self._store.put("rollouts", SERVICE, spec=spec)
         written_at = self._record.write("order", target, f"{duration_s} s")
-        self._task = asyncio.create_task(self._follow(old, target))
+        self._following = asyncio.create_task(self._follow(old, target))
         await asyncio.sleep(START_S)
         await self.start_replicas(target, is_bad)
         return Order(target, written_at, duration_s)
@@ -160,6 +163,53 @@
         return "running"
 
 
+async def start_site(
+    fleet: Fleet, record: Record, requests_per_s: float
+) -> tuple[Operator, Clients]:
+    """Start the store, the replicas of v1, the gateways and the clients."""
+    store = Store()
+    host = fleet.host(250)
+    fleet.store_address = f"{host}:{await store.server().listen(host)}"
+    store.put("config", "main", spec=configuration())
+    operator = Operator(store, fleet, record)
+    await operator.start_replicas("v1")
+    await fleet.start()
+    clients = Clients(fleet.gateways, kinds(LOOKUP_SHARE), requests_per_s, record)
+    clients.start()
+    await asyncio.sleep(SETTLE_S)
+    return operator, clients
+
+
+@dataclass(slots=True, frozen=True)
+class Plan:
+    """A move to a version, and how long to go on after its deadline."""
+
+    requests_per_s: float
+    duration_s: float
+    time_after_s: float
+
+
+async def play_move(
+    fleet: Fleet, record: Record, plan: Plan, fails: IsBad, *, has_trouble: bool
+) -> list[str]:
+    """Order one move to v2, bad or good; return how the rule was broken."""
+    operator, clients = await start_site(fleet, record, plan.requests_per_s)
+    order = await operator.order(
+        "v1", "v2", plan.duration_s, lambda request: has_trouble and fails(request)
+    )
+    await asyncio.sleep(plan.duration_s + plan.time_after_s)
+    await clients.stop()
+    if has_trouble:
+        return exposure_findings(record, order)
+    return await good_move_findings(operator, order)
+
+
+async def good_move_findings(operator: Operator, order: Order) -> list[str]:
+    """Return a finding if a move to a good version is not completed."""
+    state = await operator.wait_for_end(order, 0.1)
+    return [] if state == "completed" else [f"the move to a good version is {state}"]
+
+
 def exposure_findings(record: Record, order: Order) -> list[str]:
     """Return how EXPOSURE was broken for a bad version that an order named.
 
