--- a/review/2/case.py
+++ b/review/2/case.py
@@ -6,12 +6,12 @@
 import time
 from typing import Any
 
-from review.common.case import NotPlayedError, run_case
-from review.common.client import Clients
-from review.common.fleet import Fleet
-from review.common.platform import DutyCall, Store, StoreCopy
-from review.common.record import Record
-from review.common.rollout import (
+from review.case import NotPlayedError, run_case
+from review.client import Clients
+from review.fleet import Fleet
+from review.platform import DutyCall, Store, StoreCopy
+from review.record import Record
+from review.rollout import (
     LOOKUP_SHARE,
     ZONES,
     Operator,
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -5,11 +5,11 @@
 import asyncio
 import random
 
-from review.common.case import NotPlayedError, run_case
-from review.common.fleet import Fleet
-from review.common.http import Message
-from review.common.record import Record
-from review.common.rollout import (
+from review.case import NotPlayedError, run_case
+from review.fleet import Fleet
+from review.http import Message
+from review.record import Record
+from review.rollout import (
     ZONES,
     exposure_findings,
     good_move_findings,
--- a/review/build.sh
+++ b/review/build.sh
@@ -4,5 +4,5 @@
 cd "$(dirname "$0")/.."
 export PYTHONDONTWRITEBYTECODE=1
 for module in case client fleet http platform record replica rollout; do
-  python3 -c "import review.common.$module"
+  python3 -c "import review.$module"
 done
--- a/review/common/case.py
+++ b/review/case.py
@@ -11,8 +11,8 @@
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 
-from review.common.fleet import Fleet
-from review.common.record import Record
+from review.fleet import Fleet
+from review.record import Record
 
 BROKEN, HELD, NOT_RUN = 1, 0, 2
 Play = Callable[[Fleet, Record, bool], Awaitable[list[str]]]
--- a/review/common/client.py
+++ b/review/client.py
@@ -7,9 +7,9 @@
 import secrets
 from dataclasses import dataclass
 
-from review.common.fleet import Gateway
-from review.common.http import call
-from review.common.record import Record
+from review.fleet import Gateway
+from review.http import call
+from review.record import Record
 
 CONNECTION_TIME_S = 1.0
 
--- a/review/common/fleet.py
+++ b/review/fleet.py
@@ -15,9 +15,9 @@
 from pathlib import Path
 from typing import Any
 
-from review.common.http import call
+from review.http import call
 
-ROOT = Path(__file__).resolve().parents[2]
+ROOT = Path(__file__).resolve().parents[1]
 SETTINGS_ARGUMENT = "/etc/banyansail/node.json"
 PORT_COUNT = 16
 BOUNDS = {
--- a/review/common/platform.py
+++ b/review/platform.py
@@ -13,7 +13,7 @@
 from typing import Any
 from urllib.parse import parse_qs, unquote
 
-from review.common.http import Answer, Message, Server
+from review.http import Answer, Message, Server
 
 OBJECTS = "/v1/objects/"
 ANSWER_TIME_S = 0.004
--- a/review/common/replica.py
+++ b/review/replica.py
@@ -7,9 +7,9 @@
 from collections.abc import Callable
 from typing import Any
 
-from review.common.http import Answer, Message, Server
-from review.common.platform import Store
-from review.common.record import Record
+from review.http import Answer, Message, Server
+from review.platform import Store
+from review.record import Record
 
 HEARTBEAT_S = 1.2
 STAMP = "x-replica-stamp"
@@ -95,6 +95,7 @@
         headers = {"X-Attempt-Id": attempt}
         if request.headers.get("x-expect-replica", self.name) != self.name:
             return Answer(421, headers)
+        self._record.write("arrive", attempt, self.name, self.version)
         if not attempt:
             return Answer(400, {"X-Not-Executed": "1"})
         if self._waiting >= 4 * self._slot_count:
--- a/review/common/rollout.py
+++ b/review/rollout.py
@@ -7,12 +7,12 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from review.common.client import Clients, Kind
-from review.common.fleet import BOUNDS, Fleet
-from review.common.http import Message
-from review.common.platform import Store
-from review.common.record import Record
-from review.common.replica import Replica
+from review.client import Clients, Kind
+from review.fleet import BOUNDS, Fleet
+from review.http import Message
+from review.platform import Store
+from review.record import Record
+from review.replica import Replica
 
 SERVICE = "depot-app"
 ZONES = ["glasgow", "edinburgh", "aberdeen"]
@@ -213,13 +213,14 @@
 def exposure_findings(record: Record, order: Order) -> list[str]:
     """Return how EXPOSURE was broken for a bad version that an order named.
 
-    All gateways are in touch: nothing was done to them, their links or the store.
+    All gateways are in touch and the core is stable from `contactMs` after their start
+    on, which is before any order: nothing was done to them, their links or the store.
     """
     sent_at = {item[0]: at for at, event, item in record.lines if event == "send"}
     deadline = order.written_at + order.duration_s
     total = exposed = 0
     for at, event, details in record.lines:
-        if event == "run" and order.written_at <= at <= deadline:
+        if event == "arrive" and order.written_at <= at <= deadline:
             total += 1
             exposed += details[2] == order.target
     allowed = BOUNDS["exposeShare"] * total + BOUNDS["exposeSlack"]
@@ -235,7 +236,7 @@
     replicas = {
         details[1]
         for at, event, details in record.lines
-        if event == "run" and details[2] == order.target and at >= order.written_at
+        if event == "arrive" and details[2] == order.target and at >= order.written_at
     }
     bad = [
         at
@@ -252,7 +253,7 @@
     late = [
         details[0]
         for at, event, details in record.lines
-        if event == "run" and details[1] in replicas and sent_at[details[0]] > limit
+        if event == "arrive" and details[1] in replicas and sent_at[details[0]] > limit
     ]
     if late:
         findings.append(
