Keep in the store which windows of usage a restored store may have lost

Cause: the bound up to which reports may be forgotten lived in the process that noticed the restore. A process that starts after it found nothing stored for a window, and reported the last two windows with what it knows itself, which is less. Ruled out for this case: the lease (tokens rose, one holder at a time), a call that crosses the restore (none was sent).

Change: each process derives a bound from the time at which it first knew the era, as the store was restored before that; the first holder in an era records era and bound in usage/restored and later holders read it. A record of another era counts for nothing, so that a second drill or a lost record leads to a new bound. For windows that ended before the lease was taken, the stored counts are read before own ones are stored, and only then it is asked whether they may be forgotten: a call that was begun before the restore else stored other counts that a later holder took for those that were sent.

--- a/banyansail/gateway/duties/usage_reporter.py
+++ b/banyansail/gateway/duties/usage_reporter.py
@@ -16,6 +16,7 @@
 )
 from banyansail.fleet.duties import rank_names
 from banyansail.gateway.duties.duty_lease import DutyLease
+from banyansail.gateway.duties.forgotten_windows import NO_WINDOW, ForgottenWindows
 from banyansail.log import log_decision, log_event
 from banyansail.traffic.aggregator import DUTY
 
@@ -78,14 +79,14 @@
         self._last_reported_window: int | None = None
         self._has_seen_traffic = False
         self._counts_by_window: dict[int, dict[str, int]] = {}  # that were stored
-        # Windows up to this one may have been reported by others, with counts that a
-        # restored store has forgotten.
-        self._last_forgotten_window: int | None = None
+        self._forgotten = ForgottenWindows(store, usage)
+        # Windows up to this one may have been reported by the holders before.
+        self._last_inherited_window = NO_WINDOW
 
     def record_restore(self) -> None:
         """Take into account that the store was restored from a copy."""
         self.lease.invalidate()
-        self._last_forgotten_window = self._usage.current_window() - 1
+        self._forgotten.observe_era()
 
     def candidates(self) -> list[str]:
         """Return the candidates by rank; the first one should hold the lease."""
@@ -98,6 +99,7 @@
         The candidate that ranks next observes the lease, so that it can acquire it as
         soon as the holder has not renewed it for the lease time.
         """
+        self._forgotten.observe_era()
         rank = (
             0
             if self.lease.fencing_token() is not None
@@ -114,6 +116,10 @@
             return
         if fencing_token != self._last_token:
             self._begin(fencing_token)
+        if await self._forgotten.synchronize():
+            await self._report_due_windows(workspaces)
+
+    async def _report_due_windows(self, workspaces: list[str]) -> None:
         newest = self._newest_due_window()
         if self._last_reported_window is None:
             self._last_reported_window = newest - LOOKBACK_WINDOWS
@@ -136,6 +142,7 @@
         """Begin to report, with the counts that the holder before left."""
         self._last_token = fencing_token
         self._taken_at = self._clock.monotonic()
+        self._last_inherited_window = self._usage.current_window()
         try:
             self._usage.merge_handover(self.lease.handover or {})
         except (ValueError, TypeError, AttributeError) as error:
@@ -201,9 +208,13 @@
         ``None`` is returned if another router may have stored others and they are lost.
         """
         known = self._counts_by_window.get(window)
-        if known is None and self._may_be_forgotten(window):
+        if known is None and window <= self._last_inherited_window:
             stored = await self._store.get(KIND, str(window))
-            return None if stored is None else dict(stored.spec["counts"])
+            if stored is not None:
+                return self._remember(window, dict(stored.spec["counts"]))
+            # Asked only now, as the answer may come from a store that was restored.
+            if self._forgotten.may_be_forgotten(window):
+                return None
         counts = known or self._usage.total(window, workspaces)
         try:
             await self._store.create(KIND, str(window), {"counts": counts})
@@ -211,11 +222,11 @@
             stored = await self._store.get(KIND, str(window))
             if stored is not None and known is None:
                 counts = dict(stored.spec["counts"])
+        return self._remember(window, counts)
+
+    def _remember(self, window: int, counts: dict[str, int]) -> dict[str, int]:
+        """Remember and return the counts that are stored for a window."""
         self._counts_by_window[window] = counts
         for old in sorted(self._counts_by_window)[:-KEPT_WINDOWS]:
             del self._counts_by_window[old]
         return counts
-
-    def _may_be_forgotten(self, window: int) -> bool:
-        last = self._last_forgotten_window
-        return last is not None and window <= last
--- a/tests/gateway/duties/test_usage_reporter.py
+++ b/tests/gateway/duties/test_usage_reporter.py
@@ -213,6 +213,7 @@
     def __init__(self, name, clock, store, cloud):
         usage = UsageCounter(SteadyTime(clock), timedelta(seconds=WINDOW_S))
         fleet = FleetTraffic(name, clock)
+        self.clock = clock
         self.usage = usage
         self.reporter = UsageReporter(
             ReporterSettings(name), clock, store, cloud, usage, fleet
@@ -267,3 +268,132 @@
         fresh.usage.count("w")
         run_now(fresh.reporter.report(["w"]))
     assert cloud.reports
+
+
+def run_alone(router, seconds):
+    for _ in range(seconds):
+        router.clock.advance(1)
+        router.usage.count("w")
+        run_now(router.reporter.report(["w"]))
+
+
+def hear_some_counts(router):
+    """Give a router the counts of one other for windows that have ended."""
+    window = router.usage.current_window()
+    counts = {number: {"w": 1} for number in range(window - 4, window)}
+    router.usage.merge_peer_counts("other.1", counts)
+
+
+def check_reported_once(cloud):
+    """Guards against two reports of a window with different counts."""
+    counts_by_window = {}
+    for _, window, counts, _ in cloud.reports:
+        assert counts_by_window.setdefault(window, counts) == counts
+
+
+@pytest.mark.parametrize("restores", [1, 2])
+@pytest.mark.parametrize("released", [False, True])
+def test_a_router_that_starts_after_a_restore_reports_nothing_again(restores, released):
+    """Guards against other counts of a window that the store has forgotten.
+
+    The new process knows neither the restore nor the counts of the one before.
+    """
+    clock, store = FakeClock(), FakeStore()
+    cloud = FakeCloud(clock)
+    holder = LoneRouter("a", clock, store, cloud)
+    copy = store.copy()
+    run_alone(holder, 28)
+    for _ in range(restores):
+        store.restore(copy)
+    if released:
+        holder.reporter.record_restore()
+        run_now(holder.reporter.release())
+    before = len(cloud.reports)
+    fresh = LoneRouter("b", clock, store, cloud)
+    hear_some_counts(fresh)
+    run_alone(fresh, 30)
+    check_reported_once(cloud)
+    windows = [window for _, window, _, _ in cloud.reports[before:]]
+    newest = fresh.usage.current_window() - 2
+    assert set(range(newest - 2, newest + 1)) <= set(windows)
+
+
+def test_routers_that_start_one_after_the_other_report_nothing_again():
+    """Guards against a bound that is gone with the process that noticed a restore."""
+    clock, store = FakeClock(), FakeStore()
+    cloud = FakeCloud(clock)
+    holder = LoneRouter("a", clock, store, cloud)
+    copy = store.copy()
+    run_alone(holder, 28)
+    store.restore(copy)
+    for name in ("b", "c", "d", "e"):
+        router = LoneRouter(name, clock, store, cloud)
+        hear_some_counts(router)
+        run_alone(router, 7)
+        run_now(router.reporter.release())
+    check_reported_once(cloud)
+
+
+def test_a_window_that_ended_before_the_start_is_reported_if_nothing_is_forgotten():
+    """Guards against windows that are left out at each start of a process."""
+    clock, store = FakeClock(), FakeStore()
+    cloud = FakeCloud(clock)
+    holder = LoneRouter("a", clock, store, cloud)
+    run_alone(holder, 27)
+    window = holder.usage.current_window()
+    holder.usage.merge_peer_counts("ended.1", {window: {"w": 7}})
+    clock.advance(3)
+    run_now(holder.reporter.release())
+    clock.advance(1)
+    fresh = LoneRouter("b", clock, store, cloud)
+    run_alone(fresh, 12)
+    assert {"w": 7} in reported_by_window(cloud)[window]
+
+
+def reported_by_window(cloud):
+    counts_by_window = {}
+    for _, window, counts, _ in cloud.reports:
+        counts_by_window.setdefault(window, []).append(counts)
+    return counts_by_window
+
+
+class StoreRestoredInBetween(FakeStore):
+    """A store that is restored just before the first call for a window by a router."""
+
+    def __init__(self):
+        super().__init__()
+        self.restore_before_call = None
+
+    def _restore_if_due(self, kind, name):
+        if self.restore_before_call and kind == "usage" and name.isdigit():
+            restore, self.restore_before_call = self.restore_before_call, None
+            restore()
+
+    async def get(self, kind, name, **options):
+        self._restore_if_due(kind, name)
+        return await super().get(kind, name, **options)
+
+    async def create(self, kind, name, spec):
+        self._restore_if_due(kind, name)
+        return await super().create(kind, name, spec)
+
+
+def test_a_call_that_meets_a_restored_store_stores_no_other_counts():
+    """Guards against counts that are stored before their writer learns of a restore."""
+    clock, store = FakeClock(), StoreRestoredInBetween()
+    cloud = FakeCloud(clock)
+    before = LoneRouter("a", clock, store, cloud)
+    copy = store.copy()
+    run_alone(before, 28)
+    run_now(before.reporter.release())
+    holder = LoneRouter("b", clock, store, cloud)
+    hear_some_counts(holder)
+
+    def restore():
+        store.restore(copy)
+        holder.reporter.record_restore()
+
+    store.restore_before_call = restore
+    run_alone(holder, 30)
+    assert store.restore_before_call is None
+    check_reported_once(cloud)
