Do not trust a released lease that is of an era before the present one

Cause: a process that starts after the store was restored does not know of it. If the copy shows the duty lease as released, it took the lease at once, while the holder that the store has forgotten may still act with its older token.

Change: a token of an earlier era shows that nobody has held the lease since the restore; a process that started less than a lease time ago then waits, as it does without any record.

Found by reading; no run of real processes shows it.

--- a/banyansail/gateway/duties/duty_lease.py
+++ b/banyansail/gateway/duties/duty_lease.py
@@ -167,7 +167,10 @@
         is_recent = self._clock.monotonic() - self._record_lost_at < self._lease_time
         if self._was_holder or not is_recent:
             return False
-        return stored is None or self._was_restored
+        if stored is None or self._was_restored:
+            return True
+        # Nobody has held it since the store was restored, perhaps before this start.
+        return int(stored.spec["fence"]) < first_fencing_token(self._store.era)
 
     def _record_revision(self, stored: StoredObject) -> None:
         if self._last_revision is None or stored.revision > self._last_revision:
--- a/tests/gateway/duties/test_duty_lease.py
+++ b/tests/gateway/duties/test_duty_lease.py
@@ -147,6 +147,22 @@
     assert holder.fencing_token() is None
 
 
+def test_a_process_that_starts_does_not_trust_a_release_from_before_a_restore():
+    """Guards against two holders where the copy shows a lease that was free then."""
+    store, clock = FakeStore(), FakeClock()
+    first, holder = lease_of(store, clock, "a"), lease_of(store, clock, "b")
+    run_now(first.acquire())
+    run_now(first.release())
+    copy = store.copy()
+    old_token = run_now(holder.acquire())
+    store.restore(copy)
+    started = DutyLease(store, clock, "duties", "c", LEASE)
+    while (token := run_now(started.acquire())) is None:
+        clock.advance(0.5)
+    assert holder.fencing_token() is None
+    assert token > old_token
+
+
 def test_a_lease_written_while_the_store_was_restored_is_not_held():
     store, clock = FakeStore(), FakeClock()
     lease = lease_of(store, clock, "a")
