Number an order to move traffic by the revision at which it was written

Cause: the created revision of the object named the order, but an order is written over an object that stays. Final states, verdicts, tallies and the names that routers exchange of the order before counted for the new one; a status that names its target only can't tell v2 from the second v2.

Change: the number is the revision of the write. A changed revision with an unchanged status shows that the order was written over; a new status names the number in its member `order`. For routers that start later, the holder records the revision at which it published a state. What a router remembers of a move goes with the number; after a restore, an order that is written again keeps it under its new number, which new routers derive too. The first order for a service keeps the number that the older build gives it; messages are unchanged.

--- a/banyansail/gateway/duties/move_controller.py
+++ b/banyansail/gateway/duties/move_controller.py
@@ -3,11 +3,11 @@
 from __future__ import annotations
 
 from dataclasses import replace
-from datetime import timedelta
 from typing import TYPE_CHECKING
 
 from banyansail.exceptions import StoreConflictError, WireError
 from banyansail.gateway.duties.answer_times import AnswerTimes
+from banyansail.gateway.duties.move_memory import MoveMemories, MoveMemory
 from banyansail.gateway.duties.moves import (
     ExposureBound,
     Move,
@@ -19,28 +19,32 @@
     state_to_publish,
     target_share,
 )
+from banyansail.gateway.duties.order_numbers import OrderNumbers, OrderRecord
+from banyansail.gateway.duties.order_records import OrderRecords
 from banyansail.log import log_decision, log_event
-from banyansail.platform.moves import MOVES_KIND, decode_move, encode_status
+from banyansail.platform.moves import (
+    MOVES_KIND,
+    decode_order,
+    decode_status,
+    encode_status,
+)
 from banyansail.wire.gossip_codec import decode_names, encode_names
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
+    from datetime import timedelta
 
     from banyansail.clock import Clock
     from banyansail.fleet.entries import Entry
     from banyansail.gateway.decisions.queue.dispatch import Dispatcher
     from banyansail.gateway.duties.duty_lease import DutyLease
+    from banyansail.gateway.duties.move_orders import MoveOrder
     from banyansail.gateway.store.mirror import Mirror
     from banyansail.gateway.upstream import Upstream
-    from banyansail.platform.store import Revision, StoreClient
+    from banyansail.platform.store import StoreClient
     from banyansail.traffic.report import TallyKey
 
 
-FINAL_STATES = (MoveState.COMPLETED, MoveState.REVERTED)
-# After a restore of the store; by then operators have written their orders again.
-REWRITE_TIME = timedelta(seconds=30)
-
-
 class MoveController:
     """Applies the orders to move traffic at this router and publishes their states.
 
@@ -71,27 +75,34 @@
         self._store = store
         self._lease = lease
         self._dispatcher = dispatcher
+        self._order_by_service: dict[str, MoveOrder] = {}
+        self._numbers = OrderNumbers()
+        self._records = OrderRecords(store)
         self._move_by_service: dict[str, Move] = {}
-        self._revision_by_service: dict[str, Revision] = {}
-        # Final states outlive a store that was restored from an earlier copy.
-        self._final_state_by_key: dict[tuple[str, str, int], MoveState] = {}
-        self._moves_before_restore: dict[str, Move] = {}
-        self._restored_at: timedelta | None = None
+        self._memories = MoveMemories(clock)
         self._to_publish_again: set[str] = set()
-        self._received_at: dict[tuple[str, str, int], timedelta] = {}
-        self._bad_moves: set[tuple[str, int]] = set()
         self._bad_names_by_origin: dict[str, set[str]] = {}  # of other routers
         self._answer_times = AnswerTimes()
-        self.own_tallies: dict[TallyKey, Tally] = {}
         # Of the whole fleet, this router included, as of a moment ago.
         self._fleet_tallies: Mapping[TallyKey, Tally] = {}
 
+    @property
+    def own_tallies(self) -> dict[TallyKey, Tally]:
+        """Tallies of the present moves, of this router."""
+        tallies: dict[TallyKey, Tally] = {}
+        for service, move in self._move_by_service.items():
+            memory = self._memories.of(move)
+            for is_target, tally in ((True, memory.target), (False, memory.others)):
+                if tally.total:
+                    tallies[service, move.number, is_target] = tally
+        return tallies
+
     def encode_bad_moves(self) -> bytes:
         """Return the encoded names of the present moves whose target is bad."""
         return encode_names(
             _bad_move_name(move)
             for move in self._move_by_service.values()
-            if (move.service, move.number) in self._bad_moves
+            if self._memories.of(move).is_bad
         )
 
     def merge_bad_moves(self, entry: Entry) -> None:
@@ -106,48 +117,40 @@
 
     def record_restore(self) -> None:
         """Remember the present moves, as the store was restored from a copy."""
-        self._moves_before_restore.update(self._move_by_service)
+        self._memories.record_restore()
+        self._order_by_service.clear()
+        self._move_by_service.clear()
         # A restored store may give the number of a move to another one.
+        self._numbers.forget()
+        self._records.forget()
         self._bad_names_by_origin.clear()
-        self._restored_at = self._clock.monotonic()
 
     def apply_orders(self, mirror: Mirror) -> None:
         """Replace the known moves by the orders in the store's mirror."""
-        self._move_by_service.clear()
-        self._to_publish_again.clear()
+        self._order_by_service.clear()
         for stored in mirror.object_by_name.values():
             try:
-                move = decode_move(stored)
+                order = decode_order(stored)
             except WireError as error:
                 log_event("move_unreadable", error=error.message)
                 continue
-            move = self._retain_final_state(self._retain_number(move))
-            self._move_by_service[move.service] = move
-            self._revision_by_service[move.service] = stored.revision
-            key = (move.service, move.target, move.number)
-            self._received_at.setdefault(key, self._clock.monotonic())
-        self.update_shares()
-
-    def _retain_number(self, move: Move) -> Move:
-        """Return an order that was written again with the number that it had.
+            self._order_by_service[order.service] = order
+        self._apply_known_orders()
 
-        In a restored store, the same order appears as a new one.
-        """
-        known = self._moves_before_restore.get(move.service)
-        if known is None or self._restored_at is None:
-            return move
-        is_recent = self._clock.monotonic() - self._restored_at < REWRITE_TIME
-        is_same = (known.target, known.duration) == (move.target, move.duration)
-        if not is_recent:
-            del self._moves_before_restore[move.service]
-        return replace(move, number=known.number) if is_recent and is_same else move
+    def _apply_known_orders(self) -> None:
+        self._move_by_service.clear()
+        self._to_publish_again.clear()
+        for service, order in self._order_by_service.items():
+            move = order.move(self._numbers.number(order))
+            self._move_by_service[service] = self._retain_final_state(move)
+        self.update_shares()
 
     def _retain_final_state(self, move: Move) -> Move:
         """Return a move with the final state that it had, which it never loses."""
-        key = (move.service, move.target, move.number)
-        if move.state in FINAL_STATES:
-            self._final_state_by_key[key] = move.state
-        final_state = self._final_state_by_key.get(key)
+        memory = self._memories.of(move)
+        if move.state is not None:
+            self._memories.record_state(move, move.state)
+        final_state = memory.final_state
         if final_state is None or final_state is move.state:
             return move
         self._to_publish_again.add(move.service)
@@ -179,8 +182,8 @@
         move = self._move_by_service.get(service)
         if move is None or move.state is MoveState.COMPLETED:
             return
-        key = (service, move.number, version == move.target)
-        tally = self.own_tallies.setdefault(key, Tally())
+        memory = self._memories.of(move)
+        tally = memory.target if version == move.target else memory.others
         tally.good += is_good
         tally.bad += not is_good
 
@@ -194,47 +197,83 @@
     async def publish_states(self) -> None:
         """Publish the states of the moves if this router holds the lease."""
         self.update_shares()
-        for move in list(self._move_by_service.values()):
+        await self._confirm_numbers()
+        for service in list(self._move_by_service):
             if self._lease.fencing_token() is None:
                 return
-            old_in_flight = self._dispatcher.in_flight_at_other_versions(
-                move.service, move.target
-            )
-            verdict = self._verdict(move)
-            elapsed = self._elapsed(move)
-            share = self._share(move, verdict)
-            state = state_to_publish(
-                move, verdict, elapsed, share, old_in_flight=old_in_flight
-            )
-            if move.service in self._to_publish_again:
-                state = move.state
-            if state is not None:
-                await self._publish_state(move, state, verdict)
+            # Another order may have been written meanwhile.
+            if move := self._move_by_service.get(service):
+                await self._publish_move(move)
+
+    async def _confirm_numbers(self) -> None:
+        """Read the records of orders whose number may be that of an order before.
+
+        The holder of the lease decides by them; the others learn what it publishes.
+        """
+        is_holder = self._lease.fencing_token() is not None
+        services = self._numbers.unconfirmed if is_holder else self._numbers.unseen
+        if not (services := services & self._move_by_service.keys()):
+            return
+        records = {service: await self._records.load(service) for service in services}
+        self._numbers.confirm(records)
+        self._apply_known_orders()
+
+    async def _publish_move(self, move: Move) -> None:
+        """Publish the state of a move if it has changed, and record what is stored."""
+        old_in_flight = self._dispatcher.in_flight_at_other_versions(
+            move.service, move.target
+        )
+        verdict = self._verdict(move)
+        state = state_to_publish(
+            move,
+            verdict,
+            self._elapsed(move),
+            self._share(move, verdict),
+            old_in_flight=old_in_flight,
+        )
+        if move.service in self._to_publish_again:
+            state = move.state
+        order = self._order_by_service.get(move.service)
+        if order is None:
+            return
+        if state is not None:
+            await self._publish_state(move, order, state, verdict)
+        elif move.state is not None:
+            await self._record_order(move, order)
+
+    async def _record_order(self, move: Move, order: MoveOrder) -> None:
+        record = OrderRecord(move.number, order.revision.number, order.published.text)
+        await self._records.save(move.service, record)
 
     async def _publish_state(
-        self, move: Move, state: MoveState, verdict: Verdict
+        self, move: Move, order: MoveOrder, state: MoveState, verdict: Verdict
     ) -> None:
+        status = encode_status(move, state)
+        tally = self._total_tally(move, True)
         try:
-            await self._store.set_status(
-                MOVES_KIND,
-                move.service,
-                encode_status(move, state),
-                self._revision_by_service[move.service],
+            stored = await self._store.set_status(
+                MOVES_KIND, move.service, status, order.revision
             )
         except StoreConflictError as error:
             log_event("move_changed", service=move.service, error=error.message)
             return
+        published = replace(
+            order, revision=stored.revision, published=decode_status(status)
+        )
+        if self._order_by_service.get(move.service) is order:
+            self._numbers.learn(published, move.number)
+        await self._record_order(move, published)
         self._to_publish_again.discard(move.service)
-        if state in FINAL_STATES:
-            self._final_state_by_key[move.service, move.target, move.number] = state
+        self._memories.record_state(move, state)
         log_decision(
             "move",
             f"the verdict is {verdict.value}",
             service=move.service,
             target=move.target,
             state=state.value,
-            good=self._total_tally(move, True).good,
-            bad=self._total_tally(move, True).bad,
+            number=move.number,
+            good=tally.good,
+            bad=tally.bad,
         )
 
     def _share(self, move: Move, verdict: Verdict) -> float:
@@ -246,16 +285,16 @@
         )
 
     def _elapsed(self, move: Move) -> timedelta:
-        received_at = self._received_at[move.service, move.target, move.number]
+        received_at = self._memories.of(move).received_at
         return self._clock.monotonic() - received_at
 
     def _verdict(self, move: Move) -> Verdict:
-        key = (move.service, move.number)
-        if key in self._bad_moves:
+        memory = self._memories.of(move)
+        if memory.is_bad:
             return Verdict.BAD
         judges = self._other_judges(move)
         if judges:
-            self._record_bad_move(key, f"router {judges[0]} found the target bad")
+            self._record_bad_move(memory, f"router {judges[0]} found the target bad")
             return Verdict.BAD
         verdict = judge(
             self._total_tally(move, True),
@@ -263,7 +302,7 @@
             is_due=is_due(move, self._elapsed(move)),
         )
         if verdict is Verdict.BAD:
-            self._record_bad_move(key, "too many bad answers of the target")
+            self._record_bad_move(memory, "too many bad answers of the target")
         return verdict
 
     def _other_judges(self, move: Move) -> list[str]:
@@ -275,14 +314,16 @@
             if name in names
         ]
 
-    def _record_bad_move(self, key: tuple[str, int], reason: str) -> None:
-        self._bad_moves.add(key)
-        log_decision("move_bad", reason, service=key[0])
+    def _record_bad_move(self, memory: MoveMemory, reason: str) -> None:
+        memory.is_bad = True
+        move = memory.move
+        log_decision("move_bad", reason, service=move.service, number=move.number)
 
     def _total_tally(self, move: Move, is_target: bool) -> Tally:
         """Return the larger of two tallies: the fleet's lags behind this router's."""
+        memory = self._memories.of(move)
+        own = memory.target if is_target else memory.others
         key = (move.service, move.number, is_target)
-        own = self.own_tallies.get(key, Tally())
         fleet = self._fleet_tallies.get(key, Tally())
         return Tally(max(own.good, fleet.good), max(own.bad, fleet.bad))
 
--- /dev/null
+++ b/banyansail/gateway/duties/move_memory.py
@@ -0,0 +1,106 @@
+"""What a router remembers of the moves in progress."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from datetime import timedelta
+from typing import TYPE_CHECKING
+
+from banyansail.gateway.duties.moves import Move, MoveState
+from banyansail.log import log_event
+from banyansail.traffic.tally import Tally
+
+if TYPE_CHECKING:
+    from banyansail.clock import Clock
+
+FINAL_STATES = (MoveState.COMPLETED, MoveState.REVERTED)
+# After a restore of the store; by then operators have written their orders again.
+REWRITE_TIME = timedelta(seconds=30)
+
+
+@dataclass(slots=True)
+class MoveMemory:
+    """What a router remembers of one move.
+
+    Parameters
+    ----------
+    received_at : timedelta
+        Monotonic time at which this router received the order.
+    final_state : MoveState or None
+        Final state once it was published, which the move never loses.
+    is_bad : bool
+        Whether the target was found bad.
+    target, others : Tally
+        Own tallies of the target and of the other versions.
+    """
+
+    move: Move
+    received_at: timedelta
+    final_state: MoveState | None = None
+    is_bad: bool = False
+    target: Tally = field(default_factory=Tally)
+    others: Tally = field(default_factory=Tally)
+
+
+class MoveMemories:
+    """Memories of the last move of each service.
+
+    Parameters
+    ----------
+    clock : Clock
+        Source of time.
+    """
+
+    __slots__ = ("_before_restore", "_by_service", "_clock", "_restored_at")
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._by_service: dict[str, MoveMemory] = {}
+        self._before_restore: dict[str, MoveMemory] = {}
+        self._restored_at: timedelta | None = None
+
+    def record_restore(self) -> None:
+        """Keep what is known for orders that are written again in a restored store."""
+        self._before_restore.update(self._by_service)
+        self._by_service = {}
+        self._restored_at = self._clock.monotonic()
+
+    def of(self, move: Move) -> MoveMemory:
+        """Return what is remembered of a move; nothing for a new order."""
+        memory = self._by_service.get(move.service)
+        if memory is None or memory.move.number != move.number:
+            memory = self._pop_same_order(move) or self._begin(move)
+            self._by_service[move.service] = memory
+        memory.move = move
+        return memory
+
+    def record_state(self, move: Move, state: MoveState) -> None:
+        """Record a state that was published for a move, if it is the last one."""
+        memory = self._by_service.get(move.service)
+        is_last = memory is not None and memory.move.number == move.number
+        if is_last and state in FINAL_STATES:
+            memory.final_state = state
+
+    def _begin(self, move: Move) -> MoveMemory:
+        log_event(
+            "move_ordered",
+            service=move.service,
+            target=move.target,
+            number=move.number,
+        )
+        return MoveMemory(move, self._clock.monotonic())
+
+    def _pop_same_order(self, move: Move) -> MoveMemory | None:
+        """Return what is remembered of an order from before a restore, if it is it.
+
+        In a restored store, an order that was written again has another number.
+        """
+        memory = self._before_restore.get(move.service)
+        if memory is None:
+            return None
+        known = memory.move
+        is_same = (known.target, known.duration) == (move.target, move.duration)
+        is_recent = self._clock.monotonic() - self._restored_at < REWRITE_TIME
+        if is_same or not is_recent:
+            del self._before_restore[move.service]
+        return memory if is_same and is_recent else None
--- a/banyansail/platform/moves.py
+++ b/banyansail/platform/moves.py
@@ -1,4 +1,4 @@
-"""Conversion of the platform's rollout objects to and from our moves."""
+"""Conversion of the platform's rollout objects to and from our orders of moves."""
 
 from __future__ import annotations
 
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING, Any
 
 from banyansail.exceptions import WireError
+from banyansail.gateway.duties.move_orders import MoveOrder, PublishedState
 from banyansail.gateway.duties.moves import Move, MoveState
 
 if TYPE_CHECKING:
@@ -20,7 +21,7 @@
 WIRE_VALUE_BY_STATE = {state: value for value, state in STATE_BY_WIRE_VALUE.items()}
 
 
-def decode_move(stored: StoredObject) -> Move:
+def decode_order(stored: StoredObject) -> MoveOrder:
     """Decode a rollout object.
 
     Raises
@@ -29,26 +30,37 @@
         If the object is malformed.
     """
     try:
-        spec, status = stored.spec, stored.status or {}
-        is_for_target = status.get("target") == spec["target"]
-        return Move(
+        spec = stored.spec
+        return MoveOrder(
             spec["service"],
             spec["target"],
             timedelta(seconds=float(spec["durationS"])),
+            stored.revision,
             stored.created_revision,
-            _decode_state(status.get("state")) if is_for_target else None,
+            decode_status(stored.status or {}),
         )
     except (KeyError, TypeError, ValueError, AttributeError, OverflowError) as error:
         raise WireError(f"malformed move {stored.name}: {error!r}") from None
 
 
-def _decode_state(value: Any) -> MoveState | None:
-    """Return a published state; one of a newer build is published and not final."""
+def decode_status(status: dict[str, Any]) -> PublishedState | None:
+    """Decode a published state; one of a newer build is published and not final."""
+    value = status.get("state")
     if value is None:
         return None
-    return STATE_BY_WIRE_VALUE.get(value, MoveState.RUNNING)
+    number = status.get("order")
+    return PublishedState(
+        status.get("target"),
+        STATE_BY_WIRE_VALUE.get(value, MoveState.RUNNING),
+        str(value),
+        None if number is None else int(number),
+    )
 
 
 def encode_status(move: Move, state: MoveState) -> dict[str, Any]:
     """Encode the state of a move as the status of its rollout object."""
-    return {"state": WIRE_VALUE_BY_STATE[state], "target": move.target}
+    return {
+        "state": WIRE_VALUE_BY_STATE[state],
+        "target": move.target,
+        "order": move.number,
+    }
--- a/tests/gateway/duties/test_moves.py
+++ b/tests/gateway/duties/test_moves.py
@@ -144,6 +144,10 @@
     return store._put("rollouts", "engines", spec)
 
 
+def status_of(state, target="v2", number=1):
+    return {"state": state, "target": target, "order": number}
+
+
 def follow(store, clock, controller):
     mirror = Mirror("rollouts", store, clock, controller.apply_orders)
     run_now(mirror._list())
@@ -159,7 +163,7 @@
         controller.record("engines", "v1", is_good=True)
     run_now(controller.publish_states())
     stored = store.object_by_key["rollouts", "engines"]
-    assert stored.status == {"state": "rolled_back", "target": "v2"}
+    assert stored.status == status_of("rolled_back")
     assert dispatcher.state("engines").version_share.share == 0.0
     controller.record("engines", "v2", is_good=True)
     controller.update_shares()
@@ -182,7 +186,7 @@
     clock.advance(6)
     run_now(controller.publish_states())
     stored = store.object_by_key["rollouts", "engines"]
-    assert stored.status == {"state": "rolled_back", "target": "v2"}
+    assert stored.status == status_of("rolled_back")
 
 
 def test_holder_without_enough_evidence_publishes_another_routers_bad_verdict():
@@ -203,7 +207,7 @@
     follow(store, clock, holder)
     run_now(holder.publish_states())
     stored = store.object_by_key["rollouts", "engines"]
-    assert stored.status == {"state": "rolled_back", "target": "v2"}
+    assert stored.status == status_of("rolled_back")
     assert dispatcher.state("engines").version_share.share == 0.0
 
 
@@ -314,7 +318,7 @@
     assert dispatcher.state("engines").version_share.share == 1.0
     run_now(controller.publish_states())
     stored = store.object_by_key["rollouts", "engines"]
-    assert stored.status == {"state": "completed", "target": "v2"}
+    assert stored.status == status_of("completed")
 
 
 def test_an_order_that_is_written_again_after_a_restore_is_the_same_move():
--- a/tests/gateway/fake_store.py
+++ b/tests/gateway/fake_store.py
@@ -42,7 +42,8 @@
             return current  # without a change, the revision stays the same
         self.revision += 1
         revision = Revision(self.era, self.revision)
-        stored = StoredObject(name, revision, spec, status)
+        created = self.revision if current is None else current.created_revision
+        stored = StoredObject(name, revision, spec, status, created)
         self.object_by_key[kind, name] = stored
         return stored
 
--- a/tests/wire/samples.py
+++ b/tests/wire/samples.py
@@ -296,7 +296,7 @@
     body = json.loads(data)
     revision = Revision(1, 9)
     stored = StoredObject("engines", revision, body["spec"], body["status"], 5)
-    return moves.decode_move(stored)
+    return moves.decode_order(stored).move(MOVE.number)
 
 
 def write_samples(folder: Path) -> None:
