Take no answer without an attempt id for that of a request on a used connection

Cause: Attempt.is_own_answer took an answer without an id for its own, so bytes that a faulty replica sends beyond an answer counted as the answer to the next request on the connection; a rejection among them said that it did not run.

Change: replicas repeat the id, so an answer without one is skipped like one with another id, unless it is the first on its connection. Relayed requests are exempt, as rejections of routers name none. A request without an id uses a new connection.

--- a/banyansail/gateway/requests/attempt.py
+++ b/banyansail/gateway/requests/attempt.py
@@ -47,6 +47,10 @@
         Connections to the upstream.
     attempt_id : str
         Id that the answer repeats; an answer with another id is skipped.
+    is_id_repeated : bool
+        Whether all answers of the server repeat the id, so that one without an id is
+        skipped too. The first answer on a connection may lack it, as nothing but the
+        request can have caused that.
     sink : StreamSink or None
         Receiver of a successful stream's events; with ``None``, the body is buffered.
     on_head : callable
@@ -69,9 +73,12 @@
         on_first_byte: Callable[[ReplyHead], None],
         budget: ByteBudget,
         last_event_id: str = "",
+        *,
+        is_id_repeated: bool = True,
     ) -> None:
         self._pool = pool
         self._attempt_id = attempt_id
+        self._is_id_repeated = is_id_repeated
         self._sink = sink
         self._on_head = on_head
         self._on_first_byte = on_first_byte
@@ -91,7 +98,9 @@
         self, method: bytes, target: bytes, headers: HeaderList, body: bytes
     ) -> Outcome:
         """Send the request and return its outcome once the answer has ended."""
-        connection = self._pool.pop_idle()
+        # On a used connection, an answer without an id may be a foreign one.
+        can_reuse = bool(self._attempt_id) or not self._is_id_repeated
+        connection = self._pool.pop_idle() if can_reuse else None
         if connection is None:
             try:
                 connection = await self._pool.connect()
@@ -117,8 +126,10 @@
 
     def is_own_answer(self, status: int, headers: list[tuple[bytes, bytes]]) -> bool:
         """Return whether an answer belongs to this attempt."""
-        head = decode_reply(status, b"", headers)
-        return not head.attempt_id or head.attempt_id == self._attempt_id
+        attempt_id = decode_reply(status, b"", headers).attempt_id
+        if attempt_id:
+            return attempt_id == self._attempt_id
+        return not (self._is_id_repeated and self._connection.has_answered)
 
     def head_received(
         self, status: int, reason: bytes, headers: list[tuple[bytes, bytes]]
--- a/banyansail/gateway/requests/relay.py
+++ b/banyansail/gateway/requests/relay.py
@@ -87,6 +87,7 @@
             _ignore_head,
             self._context.answer_budget,
             continues_after,
+            is_id_repeated=False,  # rejections of a router name none
         )
         headers = encode_relayed(
             call,
--- a/banyansail/upstreams/connection.py
+++ b/banyansail/upstreams/connection.py
@@ -88,6 +88,8 @@
         self._skipped_bytes = 0
         self._must_close = False
         self.is_closed = False
+        # Whether an answer has begun before; bytes that follow it belong to no request.
+        self.has_answered = False
         self.idle_since: timedelta = clock.monotonic()
         self.keep_alive_s: float | None = None
 
@@ -186,6 +188,7 @@
         self._is_skipping_answer = not self._receiver.is_own_answer(
             event.status_code, headers
         )
+        self.has_answered = True
         if self._is_skipping_answer:
             self._must_close = True
             return
--- a/tests/gateway/raw_upstream.py
+++ b/tests/gateway/raw_upstream.py
@@ -53,7 +53,7 @@
         found = re.search(rb"(?i)x-attempt-id: *(\S+)", self._received)
         script = self.factory.script_for(self._received)
         self._received = b""
-        answer = script.answer.replace(b"{id}", found.group(1))
+        answer = script.answer.replace(b"{id}", found.group(1) if found else b"")
         if script.end is End.RESET:
             self.transport.registerProducer(_ThenReset(self.transport, answer), False)
             return
--- a/tests/gateway/requests/test_attempt.py
+++ b/tests/gateway/requests/test_attempt.py
@@ -20,6 +20,7 @@
 class SilentConnection:
     def __init__(self):
         self.is_aborted = False
+        self.has_answered = True
 
     def send_request(self, *args):
         pass
