Pass no status on that promises "not run" unless the upstream stated it

Cause: an upstream's answer is returned unchanged, but callers take 408, 429 and 503 for a promise, and no answer without the header states that a request did not run.

Change: such an answer becomes a 502 of the router without the upstream's stamp, for requests of all kinds; idempotent ones are retried as before. Weighed against returning it unchanged: a caller that believes it sends its order again.

--- a/banyansail/gateway/decisions/responses/retry_policy.py
+++ b/banyansail/gateway/decisions/responses/retry_policy.py
@@ -23,6 +23,8 @@
 ATTEMPT_TIMEOUT_FACTOR = 4  # times the expected latency, then another upstream is tried
 MIN_ATTEMPT_TIMEOUT = timedelta(milliseconds=200)
 RETRY_AFTER_FAILURE = timedelta(milliseconds=250)
+# Callers take these for a promise that the request did not run.
+NOT_RUN_STATUSES = (408, 421, 429, 503)
 
 
 @dataclass(slots=True, frozen=True)
@@ -160,10 +162,10 @@
         case Answered(head) if fault := continuation_fault(progress.response, head):
             return next_step(Incomplete(fault), route, progress, remaining)
         case Answered(head):
-            deliver = Deliver(outcome)
+            final = _final_answer(outcome, progress)
             if head.is_failure and has_time and _may_run_again(route, progress):
-                return Retry(False, deliver)
-            return deliver
+                return Retry(False, final)
+            return final
         case Incomplete(reason, is_timeout):
             rejection = build_rejection(progress, reason, is_timeout=is_timeout)
             if has_time and _may_run_again(route, progress):
@@ -171,6 +173,16 @@
             return rejection
 
 
+def _final_answer(outcome: Answered, progress: Progress) -> Deliver | Rejection:
+    """Return what a caller gets for an answer of an upstream that may have run it.
+
+    A status that promises that the request did not run is not passed on.
+    """
+    if outcome.head.status in NOT_RUN_STATUSES:
+        return build_rejection(progress, f"{describe(outcome)} without a rejection")
+    return Deliver(outcome)
+
+
 def _may_run_again(route: Route, progress: Progress) -> bool:
     match progress.response:
         case Started(is_resumable=False):
--- a/tests/gateway/decisions/responses/test_retry_policy.py
+++ b/tests/gateway/decisions/responses/test_retry_policy.py
@@ -1,5 +1,6 @@
 from __future__ import annotations
 
+import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
@@ -69,6 +70,7 @@
             assert runs == 0
         if isinstance(step, Deliver):
             assert step.answer is outcome
+            assert outcome.head.status not in NOT_RUN_STATUSES
         break
     assert runs <= (max_attempts if the_route.is_repeatable else 1)
 
@@ -87,6 +89,15 @@
     assert step == Deliver(outcome)
 
 
+@pytest.mark.parametrize("status", [408, 429, 503])
+@pytest.mark.parametrize("kind", [RouteKind.ONCE, RouteKind.IDEMPOTENT])
+def test_an_answer_that_states_no_rejection_is_not_passed_on_as_one(status, kind):
+    """Guards against callers that send a request again which ran (REFUSED)."""
+    step = next_step(answer(status), route(kind), Progress(1, 1), seconds(0))
+    assert isinstance(step, Rejection)
+    assert step.status == 502
+
+
 def test_a_request_that_was_not_sent_is_retried_without_charge():
     step = next_step(NotSent("x"), route(RouteKind.ONCE), Progress(), seconds(1))
     assert isinstance(step, Retry)
--- a/tests/gateway/test_answers_without_an_id.py
+++ b/tests/gateway/test_answers_without_an_id.py
@@ -76,3 +76,14 @@
     for number in range(3):
         answer = live.call("POST", f"/orders/{number}", b"x", X_Attempt_Id="")
         assert answer[::2] == (200, BODY)
+
+
+@pytest.mark.parametrize("status", [429, 503])
+@pytest.mark.parametrize("path", ["/orders/1", "/stock/1"])
+def test_an_answer_that_states_no_rejection_does_not_promise_one(live, status, path):
+    """Guards against an order that ran and is sent again by its caller (REFUSED)."""
+    ran = OWN.replace(b"200 OK", b"%d No" % status)
+    answer_with(live, ran)
+    code, headers, body = live.call("POST", path, b"x")
+    assert (code, "X-Replica-Stamp" in headers) == (502, False)
+    assert body != BODY
