Send calls of an engine's interface over new connections only

Cause: calls that copy the memory of a run shared idle connections with requests and took any answer as theirs. A late answer to a request could name a foreign handle or refuse a copy, and the answer to the call then met the next request on that connection.

Change: each such call opens a connection, on which nothing precedes its answer; requests may use it afterwards, as they ask for their id.

Found by reading; no run of real processes shows it. Migrations are rare, so that the two or three connections for each cost little; not measured.

--- a/banyansail/platform/engine_calls.py
+++ b/banyansail/platform/engine_calls.py
@@ -53,7 +53,9 @@
     body = {"id": attempt_id, "target": str(target), "last": stops}
     timeout = STOP_TIMEOUT if stops else COPY_TIMEOUT
     try:
-        answer = await call_over(reactor, pool, "POST", "/v1/kv-move", timeout, body)
+        answer = await call_over(
+            reactor, pool, "POST", "/v1/kv-move", timeout, body, is_fresh=True
+        )
     except BanyansailError as error:
         log_event("copy_unanswered", request=attempt_id, error=error.message)
         return CopyUnanswered()
@@ -85,7 +87,7 @@
     """Free a copy at both ends; it expires by itself if the call fails."""
     target = f"/v1/kv-handle/{handle}"
     try:
-        await call_over(reactor, pool, "DELETE", target, FREE_TIMEOUT)
+        await call_over(reactor, pool, "DELETE", target, FREE_TIMEOUT, is_fresh=True)
     except BanyansailError as error:
         log_event("copy_not_freed", handle=handle, error=error.message)
 
--- a/banyansail/upstreams/http_call.py
+++ b/banyansail/upstreams/http_call.py
@@ -123,9 +123,17 @@
     timeout: timedelta,
     body: Any = None,
     headers: list[tuple[bytes, bytes]] | None = None,
+    *,
+    is_fresh: bool = False,
 ) -> HttpAnswer:
     """Send a request over a connection of a pool and wait for the complete answer.
 
+    Parameters
+    ----------
+    is_fresh : bool
+        Whether the connection has to be a new one, as bytes beyond an earlier answer
+        may follow on others.
+
     Raises
     ------
     ConnectFailedError
@@ -134,7 +142,7 @@
         If no answer was received in time; the call may have taken effect.
     """
     exchange = defer.Deferred.fromCoroutine(
-        _exchange(pool, method, target, body, headers or [])
+        _exchange(pool, method, target, body, headers or [], is_fresh=is_fresh)
     )
     exchange.addTimeout(timeout.total_seconds(), reactor)
     try:
@@ -150,6 +158,8 @@
     target: str,
     body: Any,
     headers: list[tuple[bytes, bytes]],
+    *,
+    is_fresh: bool,
 ) -> HttpAnswer:
     data = b"" if body is None else json.dumps(body).encode()
     sent_headers = [(b"host", str(pool.address).encode()), *headers]
@@ -158,7 +168,7 @@
             (b"content-type", b"application/json"),
             (b"content-length", b"%d" % len(data)),
         ]
-    connection: HttpConnection | None = pool.pop_idle()
+    connection: HttpConnection | None = None if is_fresh else pool.pop_idle()
     if connection is None:
         connection = await pool.connect()
     done: defer.Deferred[HttpAnswer] = defer.Deferred()
