Soak: bytes beyond an answer, and upstreams that answer 503 after a run

Cause: the checks of TWICE and REFUSED never failed, as the soak's upstreams sent neither answers without an id nor rejections without their header. TWICE and REFUSED were reported from the users' own runs.

--- a/benchmarks/soak/http_server.py
+++ b/benchmarks/soak/http_server.py
@@ -10,6 +10,7 @@
 from benchmarks.soak.records import Framing
 
 RECEIVE_BYTES = 65536
+MAX_REMEMBERED_BYTES = 65536  # of an answer that may be copied
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 HEAD_END = b"\r\n\r\n"
 REASON = "Scripted"
@@ -28,11 +29,13 @@
 class Connection:
     """A connection of a gateway to the upstream."""
 
-    __slots__ = ("_received", "socket")
+    __slots__ = ("_pending", "_received", "answer", "socket")
 
     def __init__(self, connection: socket.socket) -> None:
         self.socket = connection
         self._received = b""
+        self._pending = b""
+        self.answer = bytearray()  # sent since the last request, up to a limit
 
     def read_request(self) -> Request | None:
         """Return the next request; ``None`` once the connection is closed."""
@@ -49,6 +52,7 @@
         except OSError:
             return None
         body, self._received = self._received[:length], self._received[length:]
+        self.answer.clear()
         method, path, _ = first.split(" ")
         return Request(method, path, headers, body)
 
@@ -75,12 +79,19 @@
 
     def send(self, data: bytes) -> bool:
         """Send data; return whether the connection is still open."""
+        if len(self.answer) < MAX_REMEMBERED_BYTES:
+            self.answer += data
+        pending, self._pending = self._pending, b""
         try:
-            self.socket.sendall(data)
+            self.socket.sendall(pending + data)
         except OSError:
             return False
         return True
 
+    def send_before_next(self, data: bytes) -> None:
+        """Send data before the next answer."""
+        self._pending = data
+
     def reset(self) -> None:
         """Close the connection with a reset."""
         option = (socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
--- a/benchmarks/soak/kinds.py
+++ b/benchmarks/soak/kinds.py
@@ -9,7 +9,14 @@
 from typing import TYPE_CHECKING, Any, ClassVar
 
 from benchmarks.soak.records import Fault, Framing
-from benchmarks.soak.switches import Break, Continuation, StreamSwitch
+from benchmarks.soak.switches import (
+    Break,
+    Continuation,
+    Extra,
+    ExtraSwitch,
+    ExtraTime,
+    StreamSwitch,
+)
 from tests.gateway.cut_reactor import Cut
 
 if TYPE_CHECKING:
@@ -20,6 +27,7 @@
 RESTART_PAUSE_S = 0.1
 LEAVING_NOTICE_S = 0.7
 ALL_ROUTERS = "all routers"
+EXTRA_SHARE = 0.1  # of the answers of a faulty upstream
 
 
 class Scope(Enum):
@@ -27,6 +35,8 @@
 
     ANSWERS = "answers of an upstream"
     CONTINUATIONS = "continuations at an engine"
+    EXTRA = "bytes beyond the answers of an upstream"
+    REJECTIONS = "rejections of an upstream after a run"
     ADMISSION = "admission at an upstream"
     UPSTREAM = "process of an upstream"
     ROUTER = "process of a router"
@@ -137,6 +147,43 @@
     answers = [Continuation.EMPTY]
 
 
+class ExtraBytes(FaultKind):
+    """An upstream that sends bytes beyond some of its complete answers."""
+
+    name = "extra bytes"
+    scope = Scope.EXTRA
+    weight = 6
+
+    def draw(self, random: Random) -> dict[str, Any]:
+        """Draw the bytes and when they are sent."""
+        extra, time_ = random.choice(list(Extra)), random.choice(list(ExtraTime))
+        return asdict(ExtraSwitch(extra, time_, EXTRA_SHARE))
+
+    def begin(self, fleet: Fleet, fault: Fault) -> None:
+        """Let the upstream send them."""
+        fleet.switch(fault.target, extra=fault.options)
+
+    def end(self, fleet: Fleet, fault: Fault) -> None:
+        """Let the upstream send its answers only."""
+        fleet.switch(fault.target, extra=None)
+
+
+class RejectionsAfterRun(FaultKind):
+    """An upstream that runs requests and answers 503, which states no rejection."""
+
+    name = "rejections after a run"
+    scope = Scope.REJECTIONS
+    duration_s = (0.5, 1.5)
+
+    def begin(self, fleet: Fleet, fault: Fault) -> None:
+        """Let the upstream answer so."""
+        fleet.switch(fault.target, rejects_after_run=True)
+
+    def end(self, fleet: Fleet, fault: Fault) -> None:
+        """Let the upstream answer what it ran."""
+        fleet.switch(fault.target, rejects_after_run=False)
+
+
 class FullUpstream(FaultKind):
     """An upstream that rejects all requests as not run."""
 
@@ -303,6 +350,8 @@
         FailedContinuations,
         RepeatedEvents,
         EmptyContinuations,
+        ExtraBytes,
+        RejectionsAfterRun,
         FullUpstream,
         FullService,
         CrashedUpstream,
--- a/benchmarks/soak/plan.py
+++ b/benchmarks/soak/plan.py
@@ -19,6 +19,8 @@
 GAP_S_BY_SCOPE = {
     Scope.ANSWERS: 0.0,
     Scope.CONTINUATIONS: 0.0,
+    Scope.EXTRA: 0.0,
+    Scope.REJECTIONS: 1.0,
     Scope.ADMISSION: 0.0,
     Scope.UPSTREAM: 1.5,
     Scope.ROUTER: 4.0,
--- a/benchmarks/soak/switches.py
+++ b/benchmarks/soak/switches.py
@@ -51,6 +51,32 @@
     end: Break = Break.CLOSE
 
 
+class Extra(StrEnum):
+    """Bytes that an upstream sends beyond a complete answer."""
+
+    COPY = "copy of the answer"
+    REJECTION = "rejection without an id"
+    HEALTH = "health answer without an id"
+    JUNK = "no answer"
+
+
+class ExtraTime(StrEnum):
+    """When the bytes beyond an answer are sent."""
+
+    AT_ONCE = "at once"
+    SOON = "some ms later"
+    LATE = "before the next answer"
+
+
+@dataclass(slots=True, frozen=True)
+class ExtraSwitch:
+    """What an upstream sends beyond a share of its answers."""
+
+    extra: Extra = Extra.COPY
+    time: ExtraTime = ExtraTime.AT_ONCE
+    share: float = 0.0
+
+
 @dataclass(slots=True)
 class Switches:
     """Faults of one upstream at present."""
@@ -58,6 +84,8 @@
     stream: StreamSwitch = StreamSwitch()
     continuation: Continuation | None = None
     is_full: bool = False
+    extra: ExtraSwitch = ExtraSwitch()
+    rejects_after_run: bool = False  # with 503, without the header of a rejection
 
     def set(self, values: dict[str, Any]) -> None:
         """Set the switches that are named; ``None`` ends a fault."""
@@ -66,7 +94,10 @@
         if "continuation" in values:
             value = values["continuation"]
             self.continuation = None if value is None else Continuation(value)
+        if "extra" in values:
+            self.extra = decode_extra(values["extra"] or {})
         self.is_full = values.get("is_full", self.is_full)
+        self.rejects_after_run = values.get("rejects_after_run", self.rejects_after_run)
 
 
 def decode_stream(values: dict[str, Any]) -> StreamSwitch:
@@ -77,3 +108,12 @@
         values.get("is_inside_event", False),
         Break(values.get("end", Break.CLOSE)),
     )
+
+
+def decode_extra(values: dict[str, Any]) -> ExtraSwitch:
+    """Decode the switch of bytes beyond an answer."""
+    return ExtraSwitch(
+        Extra(values.get("extra", Extra.COPY)),
+        ExtraTime(values.get("time", ExtraTime.AT_ONCE)),
+        values.get("share", 0.0),
+    )
--- a/benchmarks/soak/upstream.py
+++ b/benchmarks/soak/upstream.py
@@ -34,6 +34,7 @@
     ActiveRun,
     EngineCopies,
 )
+from benchmarks.soak.extra_bytes import send_extra
 from benchmarks.soak.http_server import Connection, Request, head_of
 from benchmarks.soak.records import RecordWriter, Run, RunEnd
 from benchmarks.soak.switches import Continuation, StreamSwitch, Switches
@@ -74,6 +75,7 @@
         while (request := connection.read_request()) is not None:
             if not self._answer(connection, request):
                 return
+            send_extra(connection, self._switches.extra, request)
 
     def _answer(self, connection: Connection, request: Request) -> bool:
         if request.path.startswith(RUN_PREFIXES):
@@ -138,6 +140,8 @@
         if request.path.startswith("/draft/"):
             headers["Content-Type"] = "text/event-stream"
         answering = Answering(connection, headers, active, record_end)
+        if self._switches.rejects_after_run:
+            return answering.fail(503)
         size, event_bytes = map(int, request.path.split("/")[-3:-1])
         if continuation in FAILURE_BY_CONTINUATION:
             return answering.fail(FAILURE_BY_CONTINUATION[continuation])
