Judge the target of a move by each route, and by failures that upstreams report

Cause: judge compared the sum over all routes and the whole time, with a margin of 0.12. A version that fails one of seven answers on a route with 29 of 100 requests has 0.041.

Change: answers are tallied by route, and by whether the target gets more than a canary's share. Each route is judged by the same rule, and by a test that no margin hides: as many failures that upstreams reported are unlikely (0.005) if the version were like the others on that route. Slow and missing answers come from links, routers and crashes too, and several at once, so that they are judged by their share only. Rejections count as missing, as before. Old and new build: sums over all routes are sent as before, routes in a new list. Tallies of a move that has ended are not sent any more.

Measured: the new tests of one route at 12, 15, 25 and 40 s fail without the judgement by route and pass; a good version is completed at 8 to 40 s. Calls of judge in older tests take the sums as evidence; bounds unchanged.

--- a/banyansail/gateway/duties/move_controller.py
+++ b/banyansail/gateway/duties/move_controller.py
@@ -7,15 +7,18 @@
 
 from banyansail.exceptions import StoreConflictError, WireError
 from banyansail.gateway.duties.answer_times import AnswerTimes
-from banyansail.gateway.duties.move_memory import MoveMemories, MoveMemory
+from banyansail.gateway.duties.move_memory import (
+    FINAL_STATES,
+    AnswerQuality,
+    MoveMemories,
+    MoveMemory,
+)
+from banyansail.gateway.duties.move_verdict import MoveEvidence, Verdict, judge
 from banyansail.gateway.duties.moves import (
     ExposureBound,
     Move,
     MoveState,
-    Tally,
-    Verdict,
     is_due,
-    judge,
     state_to_publish,
     target_share,
 )
@@ -28,6 +31,7 @@
     decode_status,
     encode_status,
 )
+from banyansail.traffic.tally import Tally, TallyKey
 from banyansail.wire.gossip_codec import decode_names, encode_names
 
 if TYPE_CHECKING:
@@ -42,7 +46,6 @@
     from banyansail.gateway.store.mirror import Mirror
     from banyansail.gateway.upstream import Upstream
     from banyansail.platform.store import StoreClient
-    from banyansail.traffic.report import TallyKey
 
 
 class MoveController:
@@ -88,13 +91,11 @@
 
     @property
     def own_tallies(self) -> dict[TallyKey, Tally]:
-        """Tallies of the present moves, of this router."""
+        """Tallies of the moves in progress, of this router."""
         tallies: dict[TallyKey, Tally] = {}
-        for service, move in self._move_by_service.items():
-            memory = self._memories.of(move)
-            for is_target, tally in ((True, memory.target), (False, memory.others)):
-                if tally.total:
-                    tallies[service, move.number, is_target] = tally
+        for move in self._move_by_service.values():
+            if move.state not in FINAL_STATES:
+                tallies.update(self._memories.of(move).tally_by_key)
         return tallies
 
     def encode_bad_moves(self) -> bytes:
@@ -177,21 +178,26 @@
             self._answer_times.record(key, duration)
         return is_slow
 
-    def record(self, service: str, version: str, *, is_good: bool) -> None:
+    def record(
+        self, service: str, version: str, route: str, quality: AnswerQuality
+    ) -> None:
         """Count an answer of an upstream."""
         move = self._move_by_service.get(service)
         if move is None or move.state is MoveState.COMPLETED:
             return
         memory = self._memories.of(move)
-        tally = memory.target if version == move.target else memory.others
-        tally.good += is_good
-        tally.bad += not is_good
+        is_under_load = memory.share > self._exposure.share
+        key = TallyKey(
+            service, move.number, version == move.target, route, is_under_load
+        )
+        memory.record(key, quality)
 
     def update_shares(self) -> None:
         """Set the traffic share of each service's target."""
         for move in self._move_by_service.values():
             verdict = self._verdict(move)
             share = self._share(move, verdict)
+            self._memories.of(move).share = share
             self._dispatcher.set_share(move.service, move.target, share)
 
     async def publish_states(self) -> None:
@@ -249,7 +255,7 @@
         self, move: Move, order: MoveOrder, state: MoveState, verdict: Verdict
     ) -> None:
         status = encode_status(move, state)
-        tally = self._total_tally(move, True)
+        tally = self._evidence(move).total.target
         try:
             stored = await self._store.set_status(
                 MOVES_KIND, move.service, status, order.revision
@@ -277,9 +283,8 @@
         )
 
     def _share(self, move: Move, verdict: Verdict) -> float:
-        canary_share = self._exposure.canary_share(
-            self._total_tally(move, True), self._total_tally(move, False)
-        )
+        total = self._evidence(move).total
+        canary_share = self._exposure.canary_share(total.target, total.others)
         return target_share(
             move, verdict, self._elapsed(move), self._exposure.share, canary_share
         )
@@ -296,11 +301,7 @@
         if judges:
             self._record_bad_move(memory, f"router {judges[0]} found the target bad")
             return Verdict.BAD
-        verdict = judge(
-            self._total_tally(move, True),
-            self._total_tally(move, False),
-            is_due=is_due(move, self._elapsed(move)),
-        )
+        verdict = judge(self._evidence(move), is_due=is_due(move, self._elapsed(move)))
         if verdict is Verdict.BAD:
             self._record_bad_move(memory, "too many bad answers of the target")
         return verdict
@@ -319,13 +320,21 @@
         move = memory.move
         log_decision("move_bad", reason, service=move.service, number=move.number)
 
-    def _total_tally(self, move: Move, is_target: bool) -> Tally:
-        """Return the larger of two tallies: the fleet's lags behind this router's."""
-        memory = self._memories.of(move)
-        own = memory.target if is_target else memory.others
-        key = (move.service, move.number, is_target)
-        fleet = self._fleet_tallies.get(key, Tally())
-        return Tally(max(own.good, fleet.good), max(own.bad, fleet.bad))
+    def _evidence(self, move: Move) -> MoveEvidence:
+        """Return the answers during a move.
+
+        Of each tally, the larger one counts: the fleet's lags behind this router's.
+        """
+        larger = dict(self._memories.of(move).tally_by_key)
+        for key, tally in self._fleet_tallies.items():
+            if (key.service, key.move) == (move.service, move.number):
+                known = replace(larger.get(key, Tally()))
+                known.merge_max(tally)
+                larger[key] = known
+        evidence = MoveEvidence()
+        for key, tally in larger.items():
+            evidence.add(key, tally)
+        return evidence
 
 
 def _bad_move_name(move: Move) -> str:
--- a/banyansail/gateway/duties/move_memory.py
+++ b/banyansail/gateway/duties/move_memory.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from datetime import timedelta
+from enum import Enum
 from typing import TYPE_CHECKING
 
 from banyansail.gateway.duties.moves import Move, MoveState
 from banyansail.log import log_event
-from banyansail.traffic.tally import Tally
+from banyansail.traffic.tally import Tally, TallyKey
 
 if TYPE_CHECKING:
     from banyansail.clock import Clock
@@ -18,6 +19,23 @@
 REWRITE_TIME = timedelta(seconds=30)
 
 
+class AnswerQuality(Enum):
+    """How an upstream answered a request."""
+
+    GOOD = "good"
+    SLOW = "slow"
+    FAILED = "failed"
+    MISSING = "missing"  # broken off, or rejected
+
+
+TALLY_BY_QUALITY = {
+    AnswerQuality.GOOD: Tally(good=1),
+    AnswerQuality.SLOW: Tally(bad=1),
+    AnswerQuality.FAILED: Tally(bad=1, failed=1),
+    AnswerQuality.MISSING: Tally(bad=1),
+}
+
+
 @dataclass(slots=True)
 class MoveMemory:
     """What a router remembers of one move.
@@ -30,16 +48,31 @@
         Final state once it was published, which the move never loses.
     is_bad : bool
         Whether the target was found bad.
-    target, others : Tally
-        Own tallies of the target and of the other versions.
+    share : float
+        Share of the requests that the target gets from this router.
+    tally_by_key : dict
+        Own tallies.
     """
 
     move: Move
     received_at: timedelta
     final_state: MoveState | None = None
     is_bad: bool = False
-    target: Tally = field(default_factory=Tally)
-    others: Tally = field(default_factory=Tally)
+    share: float = 0.0
+    tally_by_key: dict[TallyKey, Tally] = field(default_factory=dict)
+
+    def record(self, key: TallyKey, quality: AnswerQuality) -> None:
+        """Count an answer, for its route and for all routes."""
+        answer = TALLY_BY_QUALITY[quality]
+        total = TallyKey(key.service, key.move, key.is_target)
+        for item in (key, total):
+            self.tally_by_key.setdefault(item, Tally()).add(answer)
+
+    def renumber(self, number: int) -> None:
+        """Keep the tallies under another number of the same order."""
+        self.tally_by_key = {
+            replace(key, move=number): tally for key, tally in self.tally_by_key.items()
+        }
 
 
 class MoveMemories:
@@ -103,4 +136,7 @@
         is_recent = self._clock.monotonic() - self._restored_at < REWRITE_TIME
         if is_same or not is_recent:
             del self._before_restore[move.service]
-        return memory if is_same and is_recent else None
+        if not (is_same and is_recent):
+            return None
+        memory.renumber(move.number)
+        return memory
--- a/banyansail/gateway/duties/moves.py
+++ b/banyansail/gateway/duties/moves.py
@@ -13,6 +13,7 @@
 from datetime import timedelta
 from enum import Enum
 
+from banyansail.gateway.duties.move_verdict import Verdict
 from banyansail.traffic.tally import Tally
 
 CANARY_SHARE = 0.5  # of the exposure limit, until there is enough evidence
@@ -20,11 +21,6 @@
 # where few requests come. The rest covers requests in flight.
 EARLY_SLACK_SHARE = 0.5
 PROVEN_SHARE = 0.8  # of the exposure limit, until the final ramp
-MIN_SAMPLES = 20  # answers before a version may be judged good
-MIN_BAD = 4  # bad answers before a version may be judged bad
-MIN_BAD_WHEN_DUE = 2  # the same, shortly before its deadline
-BAD_RATIO = 2.0  # tolerated multiple of the other versions' share of bad answers
-BAD_MARGIN = 0.12  # share of bad answers that is tolerated on top
 # Final ramp to all traffic; short, so that a version that fails late gets little.
 MAX_RAMP_TIME = timedelta(seconds=2.2)
 RAMP_FULL_AT = 0.5  # fraction of the ramp after which the target gets all traffic
@@ -64,31 +60,6 @@
     state: MoveState | None = None
 
 
-class Verdict(Enum):
-    """Judgement of a version by its answers."""
-
-    OPEN = "open"  # too few answers
-    GOOD = "good"
-    BAD = "bad"
-
-
-def judge(target: Tally, others: Tally, *, is_due: bool = False) -> Verdict:
-    """Compare a version with the others, which serve at the same time and load.
-
-    Parameters
-    ----------
-    is_due : bool
-        Whether the move must be decided now, with the answers that there are.
-    """
-    max_bad_share = others.bad_share * BAD_RATIO + BAD_MARGIN
-    min_bad = MIN_BAD_WHEN_DUE if is_due else MIN_BAD
-    if target.bad >= min_bad and target.bad_share > max_bad_share:
-        return Verdict.BAD
-    if target.total >= MIN_SAMPLES:
-        return Verdict.GOOD
-    return Verdict.OPEN
-
-
 @dataclass(slots=True, frozen=True)
 class ExposureBound:
     """How many requests a version that turns out to be bad may have received.
--- a/banyansail/gateway/requests/outcome_recorder.py
+++ b/banyansail/gateway/requests/outcome_recorder.py
@@ -13,6 +13,7 @@
     NotSent,
     Outcome,
 )
+from banyansail.gateway.duties.move_memory import AnswerQuality
 from banyansail.gateway.request_types import RunStatus
 from banyansail.log import log_event
 
@@ -70,7 +71,8 @@
             self._context.moves.record(
                 upstream.service,
                 upstream.version,
-                is_good=self._check_answer(outcome, upstream, duration),
+                self._route.name,
+                self._quality(outcome, upstream, duration),
             )
         now = self._context.clock.monotonic()
         match outcome:
@@ -96,19 +98,21 @@
                     self._check_for_crash(load.upstream)
                 self._context.pool_of(load.upstream.address).close_idle()
 
-    def _check_answer(
+    def _quality(
         self, outcome: Outcome, upstream: Upstream, duration: timedelta
-    ) -> bool:
-        """Record the time of a complete answer; return whether the outcome is good."""
-        if not isinstance(outcome, Answered) or outcome.head.is_failure:
-            return False
+    ) -> AnswerQuality:
+        """Record the time of a complete answer; return how good the answer is."""
+        if not isinstance(outcome, Answered):
+            return AnswerQuality.MISSING
+        if outcome.head.is_failure:
+            has_run = outcome.head.run_status is RunStatus.RAN
+            return AnswerQuality.FAILED if has_run else AnswerQuality.MISSING
         if self._context.moves.record_time(upstream, self._route.name, duration):
-            return False
+            return AnswerQuality.SLOW
         is_plain = self._call.prompt is None
-        return (
-            not is_plain
-            or duration <= self._route.latency_objective * SLOW_ANSWER_FACTOR
-        )
+        if is_plain and duration > self._route.latency_objective * SLOW_ANSWER_FACTOR:
+            return AnswerQuality.SLOW
+        return AnswerQuality.GOOD
 
     def _check_for_crash(self, upstream: Upstream) -> None:
         done = defer.Deferred.fromCoroutine(
--- a/banyansail/traffic/aggregator.py
+++ b/banyansail/traffic/aggregator.py
@@ -22,9 +22,9 @@
 
 if TYPE_CHECKING:
     from banyansail.clock import Clock
-    from banyansail.traffic.report import NamedLimit, TallyKey
+    from banyansail.traffic.report import NamedLimit
     from banyansail.traffic.speed_evidence import SpeedEvidence
-    from banyansail.traffic.tally import Tally
+    from banyansail.traffic.tally import Tally, TallyKey
 
 WORK_TIMEOUT = timedelta(seconds=2.5)  # after which reported work does not count
 # Without a report; longer than the windows of the quotas.
--- a/banyansail/traffic/fleet_traffic.py
+++ b/banyansail/traffic/fleet_traffic.py
@@ -22,8 +22,7 @@
 
 if TYPE_CHECKING:
     from banyansail.clock import Clock
-    from banyansail.traffic.report import TallyKey
-    from banyansail.traffic.tally import Tally
+    from banyansail.traffic.tally import Tally, TallyKey
 
 # Own reports that are kept to be subtracted from sums that include them; more than are
 # sent within `SILENT_AFTER`.
--- a/banyansail/traffic/report.py
+++ b/banyansail/traffic/report.py
@@ -6,9 +6,7 @@
 from datetime import timedelta
 
 from banyansail.traffic.speed_evidence import SpeedEvidence
-from banyansail.traffic.tally import Tally
-
-TallyKey = tuple[str, int, bool]  # service, number of the move, is_target
+from banyansail.traffic.tally import Tally, TallyKey
 
 
 @dataclass(slots=True, frozen=True)
@@ -75,7 +73,7 @@
     work_by_upstream : dict
         Load in flight.
     tallies : dict
-        Answers by service, move and whether the version is the move's target.
+        Answers during the present moves.
     is_unfit_for_duties : bool
         Whether the router is draining or can't reach the store.
     is_urgent : bool
@@ -190,6 +188,4 @@
 ) -> None:
     """Keep the larger of two counts of the same answers."""
     for key, tally in tallies.items():
-        known = total.setdefault(key, Tally())
-        known.good = max(known.good, tally.good)
-        known.bad = max(known.bad, tally.bad)
+        total.setdefault(key, Tally()).merge_max(tally)
--- a/banyansail/wire/schema.capnp
+++ b/banyansail/wire/schema.capnp
@@ -119,6 +119,7 @@
   limits @7 :List(NamedLimit);
   speeds @8 :List(UpstreamSpeed);
   assigned @9 :List(Counter);  # work by service/workspace since the process started
+  routeTallies @10 :List(RouteTally);
 }
 
 struct TrafficSum {
@@ -136,6 +137,7 @@
   limits @11 :List(NamedLimit);
   speeds @12 :List(UpstreamSpeed);
   assigned @13 :List(Counter);
+  routeTallies @14 :List(RouteTally);
 }
 
 struct UpstreamSpeed {
@@ -172,6 +174,13 @@
   isTarget @2 :Bool;
   good @3 :UInt32;
   bad @4 :UInt32;
+  failed @5 :UInt32;  # of the bad ones
+}
+
+struct RouteTally {
+  tally @0 :VersionTally;
+  route @1 :Text;
+  isUnderLoad @2 :Bool;  # of answers while the target got a large share
 }
 
 struct WindowCount {
--- a/banyansail/wire/traffic_codec.py
+++ b/banyansail/wire/traffic_codec.py
@@ -7,13 +7,12 @@
 
 from banyansail.traffic.report import (
     NamedLimit,
-    TallyKey,
     TrafficReport,
     TrafficSum,
     UpstreamWork,
 )
 from banyansail.traffic.speed_evidence import SpeedEvidence
-from banyansail.traffic.tally import Tally
+from banyansail.traffic.tally import ALL_ROUTES, Tally, TallyKey
 from banyansail.wire.errors import raise_as_wire_error
 from banyansail.wire.gossip_codec import MILLISECOND, age_ms, unpack
 from banyansail.wire.schema import schema
@@ -28,6 +27,7 @@
         prefill=_counters(report.prefill_tokens_by_service),
         work=_work(report.work_by_upstream),
         tallies=_tallies(report.tallies),
+        routeTallies=_route_tallies(report.tallies),
         isUnfitForDuties=report.is_unfit_for_duties,
         isUrgent=report.is_urgent,
         holdsDuties=report.holds_duties,
@@ -52,7 +52,7 @@
         _decode_counters(message.used),
         _decode_counters(message.prefill),
         _decode_work(message.work),
-        _decode_tallies(message.tallies),
+        _decode_tallies(message),
         message.isUnfitForDuties,
         message.isUrgent,
         message.holdsDuties,
@@ -69,6 +69,7 @@
         prefill=_counters(traffic_sum.prefill_tokens_by_service),
         work=_work(traffic_sum.work_by_upstream),
         tallies=_tallies(traffic_sum.tallies),
+        routeTallies=_route_tallies(traffic_sum.tallies),
         zone=zone,
         routers=traffic_sum.routers,
         silentRouters=traffic_sum.silent_routers,
@@ -107,7 +108,7 @@
         _decode_counters(message.used),
         _decode_counters(message.prefill),
         _decode_work(message.work),
-        _decode_tallies(message.tallies),
+        _decode_tallies(message),
         message.routers,
         message.silentRouters,
         tuple(message.dutyCandidates),
@@ -216,20 +217,48 @@
 
 
 def _tallies(tallies: dict[TallyKey, Tally]) -> list[dict[str, Any]]:
+    """Return the tallies of all routes, which older builds understand too."""
+    return [
+        _tally(key, tally) for key, tally in tallies.items() if key.route == ALL_ROUTES
+    ]
+
+
+def _route_tallies(tallies: dict[TallyKey, Tally]) -> list[dict[str, Any]]:
     return [
         {
-            "service": service,
-            "move": move,
-            "isTarget": is_target,
-            "good": tally.good,
-            "bad": tally.bad,
+            "tally": _tally(key, tally),
+            "route": key.route,
+            "isUnderLoad": key.is_under_load,
         }
-        for (service, move, is_target), tally in tallies.items()
+        for key, tally in tallies.items()
+        if key.route != ALL_ROUTES
     ]
 
 
-def _decode_tallies(items: Any) -> dict[TallyKey, Tally]:
+def _tally(key: TallyKey, tally: Tally) -> dict[str, Any]:
     return {
-        (item.service, item.move, item.isTarget): Tally(item.good, item.bad)
-        for item in items
+        "service": key.service,
+        "move": key.move,
+        "isTarget": key.is_target,
+        "good": tally.good,
+        "bad": tally.bad,
+        "failed": tally.failed,
     }
+
+
+def _decode_tallies(message: Any) -> dict[TallyKey, Tally]:
+    tallies = {_decode_key(item): _decode_tally(item) for item in message.tallies}
+    for item in message.routeTallies:
+        key = _decode_key(item.tally, item.route, item.isUnderLoad)
+        tallies[key] = _decode_tally(item.tally)
+    return tallies
+
+
+def _decode_key(
+    item: Any, route: str = ALL_ROUTES, is_under_load: bool = False
+) -> TallyKey:
+    return TallyKey(item.service, item.move, item.isTarget, route, is_under_load)
+
+
+def _decode_tally(item: Any) -> Tally:
+    return Tally(item.good, item.bad, item.failed)
--- a/tests/gateway/duties/test_moves.py
+++ b/tests/gateway/duties/test_moves.py
@@ -10,6 +10,13 @@
 from banyansail.fleet.entries import Entry, Topic
 from banyansail.gateway.decisions.queue.dispatch import Dispatcher
 from banyansail.gateway.duties.move_controller import MoveController
+from banyansail.gateway.duties.move_memory import AnswerQuality
+from banyansail.gateway.duties.move_verdict import (
+    Evidence,
+    MoveEvidence,
+    Verdict,
+    judge,
+)
 from banyansail.gateway.duties.moves import (
     CANARY_SHARE,
     MAX_RAMP_TIME,
@@ -17,13 +24,11 @@
     ExposureBound,
     Move,
     MoveState,
-    Tally,
-    Verdict,
-    judge,
     state_to_publish,
     target_share,
 )
 from banyansail.gateway.store.mirror import Mirror
+from banyansail.traffic.tally import Tally, TallyKey
 from banyansail.wire.gossip_codec import encode_names
 from tests.fakes import FakeClock, run_now
 from tests.gateway.builders import seconds, upstream
@@ -33,21 +38,26 @@
 EXPOSE_SHARE, EXPOSE_SLACK = 0.1, 50
 
 
+def judged(target, others, **options):
+    """Return the verdict on the sums over all routes."""
+    return judge(MoveEvidence(Evidence(target, others)), **options)
+
+
 def test_a_version_that_fails_more_than_the_others_is_bad():
-    assert judge(Tally(10, 5), Tally(100, 2)) is Verdict.BAD
-    assert judge(Tally(30, 1), Tally(100, 2)) is Verdict.GOOD
-    assert judge(Tally(3, 1), Tally(100, 2)) is Verdict.OPEN
+    assert judged(Tally(10, 5), Tally(100, 2)) is Verdict.BAD
+    assert judged(Tally(30, 1), Tally(100, 2)) is Verdict.GOOD
+    assert judged(Tally(3, 1), Tally(100, 2)) is Verdict.OPEN
 
 
 def test_a_version_that_few_answers_show_to_be_bad_is_judged_when_it_is_due():
     target, others = Tally(7, 3), Tally(375, 32)
-    assert judge(target, others) is Verdict.OPEN
-    assert judge(target, others, is_due=True) is Verdict.BAD
-    assert judge(Tally(9, 1), others, is_due=True) is Verdict.OPEN
+    assert judged(target, others) is Verdict.OPEN
+    assert judged(target, others, is_due=True) is Verdict.BAD
+    assert judged(Tally(9, 1), others, is_due=True) is Verdict.OPEN
 
 
 def test_failures_that_all_versions_share_are_no_reason_to_roll_back():
-    assert judge(Tally(80, 14), Tally(80, 14)) is Verdict.GOOD
+    assert judged(Tally(80, 14), Tally(80, 14)) is Verdict.GOOD
 
 
 def share_at(elapsed, verdict, exposure_limit=EXPOSE_SHARE):
@@ -77,7 +87,11 @@
     def state_at(elapsed, old_in_flight):
         share = share_at(elapsed, Verdict.GOOD)
         return state_to_publish(
-            MOVE, Verdict.GOOD, seconds(elapsed), share, old_in_flight=old_in_flight
+            MOVE,
+            Verdict.GOOD,
+            seconds(elapsed),
+            share,
+            old_in_flight=old_in_flight,
         )
 
     assert state_at(11.2, 2) is MoveState.RUNNING
@@ -108,7 +122,7 @@
     for tick in range(int(duration / step)):
         elapsed = seconds(tick * step)
         canary_share = bound.canary_share(target, others)
-        verdict = judge(target, others)
+        verdict = judged(target, others)
         share = target_share(move, verdict, elapsed, EXPOSE_SHARE, canary_share)
         is_bad = tick * step >= duration * bad_from
         for _ in range(int(rate * step)):
@@ -134,6 +148,11 @@
     return MoveController(clock, store, lease, dispatcher, exposure), dispatcher
 
 
+def count(controller, version, *, is_good):
+    quality = AnswerQuality.GOOD if is_good else AnswerQuality.SLOW
+    controller.record("engines", version, "draft", quality)
+
+
 class FakeLease:
     def fencing_token(self):
         return 1
@@ -159,13 +178,13 @@
     order(store)
     follow(store, clock, controller)
     for _ in range(10):
-        controller.record("engines", "v2", is_good=False)
-        controller.record("engines", "v1", is_good=True)
+        count(controller, "v2", is_good=False)
+        count(controller, "v1", is_good=True)
     run_now(controller.publish_states())
     stored = store.object_by_key["rollouts", "engines"]
     assert stored.status == status_of("rolled_back")
     assert dispatcher.state("engines").version_share.share == 0.0
-    controller.record("engines", "v2", is_good=True)
+    count(controller, "v2", is_good=True)
     controller.update_shares()
     assert dispatcher.state("engines").version_share.share == 0.0
 
@@ -176,9 +195,9 @@
     order(store)
     follow(store, clock, controller)
     for number in range(400):
-        controller.record("engines", "v1", is_good=number % 12 > 0)
+        count(controller, "v1", is_good=number % 12 > 0)
     for number in range(10):
-        controller.record("engines", "v2", is_good=number > 2)
+        count(controller, "v2", is_good=number > 2)
     clock.advance(5)
     run_now(controller.publish_states())
     assert store.object_by_key["rollouts", "engines"].status["state"] == "running"
@@ -199,8 +218,8 @@
         order(source)
     follow(other_store, clock, first)
     for number in range(10):
-        first.record("engines", "v1", is_good=True)
-        first.record("engines", "v2", is_good=number > 3)
+        count(first, "v1", is_good=True)
+        count(first, "v2", is_good=number > 3)
     first.update_shares()
     value = first.encode_bad_moves()
     holder.merge_bad_moves(Entry("r1", 1, Topic.STATEMENTS, 1, value))
@@ -227,7 +246,7 @@
 def record_answer(controller, version, duration, **options):
     target = upstream(f"e-{version}", "engines", version=version, **options)
     is_slow = controller.record_time(target, "draft", seconds(duration))
-    controller.record("engines", version, is_good=not is_slow)
+    count(controller, version, is_good=not is_slow)
 
 
 @pytest.mark.parametrize("factor", [4, 8])
@@ -276,7 +295,7 @@
     controller, dispatcher = controller_of(store, clock, FakeLease())
     number = order(store).created_revision
     follow(store, clock, controller)
-    controller.set_fleet_tallies({("engines", number, True): Tally(0, 6)})
+    controller.set_fleet_tallies({TallyKey("engines", number, True): Tally(0, 6)})
     controller.update_shares()
     assert dispatcher.state("engines").version_share.share == 0.0
 
@@ -367,3 +386,114 @@
     order(store)
     follow(store, clock, controller)
     assert dispatcher.state("engines").version_share.version == "v2"
+
+
+class Move30:
+    """A move of a service with two routes, 30 requests a second, played by one router.
+
+    Answers of the target that `is_bad` names are failures; each takes effect at once.
+    """
+
+    def __init__(self, duration_s, is_bad):
+        self.store, self.clock = FakeStore(), FakeClock()
+        self.controller, self.dispatcher = controller_of(
+            self.store, self.clock, FakeLease()
+        )
+        spec = {"service": "engines", "target": "v2", "durationS": duration_s}
+        self.store._put("rollouts", "engines", spec)
+        self.duration_s, self.is_bad = duration_s, is_bad
+        self.random = Random(1)
+        self.exposed = self.total = 0
+        self.exposed_at: list[float] = []
+
+    def play(self):
+        """Play the move until its end; return the published state."""
+        for tick in range(int(self.duration_s * 10)):
+            if tick % 3 == 0:
+                follow(self.store, self.clock, self.controller)
+                run_now(self.controller.publish_states())
+            state = self.state()
+            if state != "running":
+                return state
+            for _ in range(3):
+                self._answer(tick / 10)
+            self.clock.advance(0.1)
+        return self.state()
+
+    def state(self):
+        stored = self.store.object_by_key["rollouts", "engines"]
+        return (stored.status or {"state": "running"})["state"]
+
+    def _answer(self, at):
+        share = self.dispatcher.state("engines").version_share.share
+        is_target = self.random.random() < share
+        route_name = "lookups" if self.random.random() < 0.287 else "orders"
+        self.total += 1
+        fails = False
+        if is_target:
+            self.exposed += 1
+            self.exposed_at.append(at)
+            recent = sum(at - item <= 1 for item in self.exposed_at)
+            fails = self.is_bad(route_name, recent)
+        quality = AnswerQuality.FAILED if fails else AnswerQuality.GOOD
+        version = "v2" if is_target else "v1"
+        self.controller.record("engines", version, route_name, quality)
+
+    def allowed(self):
+        return EXPOSE_SHARE * self.total + EXPOSE_SLACK
+
+
+@pytest.mark.parametrize("duration_s", [12, 15, 25, 40])
+def test_a_version_that_fails_on_one_route_only_is_rolled_back(duration_s):
+    """Guards against failures that the sum over all routes hides."""
+    lookups = [0]
+
+    def is_bad(route_name, recent):
+        lookups[0] += route_name == "lookups"
+        return route_name == "lookups" and lookups[0] % 7 == 0
+
+    move = Move30(duration_s, is_bad)
+    assert move.play() == "rolled_back"
+    assert move.exposed <= move.allowed()
+
+
+@pytest.mark.parametrize("duration_s", [8, 12, 15, 25, 40])
+def test_a_good_version_is_completed_in_time(duration_s):
+    """Guards against a judgement under load that takes longer than the move."""
+    move = Move30(duration_s, lambda route_name, recent: False)
+    assert move.play() == "completed"
+
+
+def test_failures_on_a_route_that_others_share_are_no_reason_to_roll_back():
+    shared = Evidence(Tally(40, 3, 3), Tally(360, 30, 30))
+    assert judge(MoveEvidence(shared, {"lookups": shared})) is Verdict.GOOD
+
+
+def test_missing_answers_are_judged_by_their_share_only():
+    """Guards against a good version that is rolled back as one upstream crashed."""
+    evidence = Evidence(Tally(60, 3), Tally(360, 0))
+    assert judge(MoveEvidence(evidence, {"lookups": evidence})) is Verdict.GOOD
+    failed = Evidence(Tally(60, 3, 3), Tally(360, 0))
+    assert judge(MoveEvidence(failed, {"lookups": failed})) is Verdict.BAD
+
+
+def test_answers_under_load_are_judged_by_themselves():
+    """Guards against slow answers under load that those before it hide."""
+    route = Evidence(Tally(200, 10), Tally(300, 0), under_load=Tally(15, 10))
+    total = Evidence(route.target, route.others)
+    assert judge(MoveEvidence(total, {"lookups": route})) is Verdict.BAD
+
+
+def test_evidence_by_route_of_other_routers_counts():
+    store, clock = FakeStore(), FakeClock()
+    controller, dispatcher = controller_of(store, clock, FakeLease())
+    number = order(store).created_revision
+    follow(store, clock, controller)
+    tallies = {
+        TallyKey("engines", number, True): Tally(98, 2, 2),
+        TallyKey("engines", number, True, "lookups"): Tally(12, 2, 2),
+        TallyKey("engines", number, False, "lookups"): Tally(90),
+    }
+    controller.set_fleet_tallies(tallies)
+    controller.update_shares()
+    assert dispatcher.state("engines").version_share.share == 0.0
--- a/tests/gateway/duties/test_orders_written_over.py
+++ b/tests/gateway/duties/test_orders_written_over.py
@@ -14,6 +14,7 @@
 from banyansail.fleet.entries import Entry, Topic
 from banyansail.gateway.decisions.queue.dispatch import Dispatcher
 from banyansail.gateway.duties.move_controller import MoveController
+from banyansail.gateway.duties.move_memory import AnswerQuality
 from banyansail.gateway.duties.moves import ExposureBound
 from banyansail.gateway.store.mirror import Mirror
 from tests.fakes import FakeClock, run_now
@@ -59,14 +60,15 @@
         run_now(self.moves.publish_states())
 
     def answer(self, version, count=30, *, is_good=True):
+        quality = AnswerQuality.GOOD if is_good else AnswerQuality.SLOW
         for _ in range(count):
-            self.moves.record("engines", version, is_good=is_good)
+            self.moves.record("engines", version, "draft", quality)
 
     def number(self):
         """Return the number of the present order, as its tallies name it."""
-        self.moves.record("engines", "v1", is_good=True)
-        self.moves.record("engines", "v2", is_good=True)
-        numbers = {number for _, number, _ in self.moves.own_tallies}
+        self.answer("v1", 1)
+        self.answer("v2", 1)
+        numbers = {key.move for key in self.moves.own_tallies}
         return numbers.pop() if numbers else None
 
     def share(self):
--- a/tests/traffic/simulated_fleet.py
+++ b/tests/traffic/simulated_fleet.py
@@ -11,11 +11,11 @@
 from banyansail.traffic.exchange import TrafficExchange
 from banyansail.traffic.fleet_traffic import FleetTraffic
 from banyansail.traffic.report import TrafficReport, UpstreamWork
-from banyansail.traffic.tally import Tally
+from banyansail.traffic.tally import Tally, TallyKey
 from tests.fakes import FakeClock
 
 STEP_S = 0.1
-MOVE = ("engines", 7, True)
+MOVE = TallyKey("engines", 7, True)
 
 
 class Router:
--- a/tests/wire/samples.py
+++ b/tests/wire/samples.py
@@ -40,6 +40,7 @@
 from banyansail.rollout.evidence import EvidenceCell, EvidenceKey
 from banyansail.routing.crash_history import UpstreamCrash
 from banyansail.routing.crash_reports import CrashReport
+from banyansail.traffic import tally as tally_module
 from banyansail.traffic.report import (
     NamedLimit,
     TrafficReport,
@@ -49,6 +50,8 @@
 from banyansail.traffic.tally import Tally
 from banyansail.wire import call_codec, gossip_codec, traffic_codec
 
+# A tuple in c1e6479.
+make_key = getattr(tally_module, "TallyKey", lambda *parts: parts)
 SINCE = datetime(2026, 12, 3, 12, tzinfo=UTC)
 SECOND = timedelta(seconds=1)
 ANSWER = StoredAnswer(200, "application/json", '{"ok": true}')
@@ -77,7 +80,7 @@
     used_by_workspace={"clerks": 12.5},
     prefill_tokens_by_service={"engines": 9000.0},
     work_by_upstream={"u1@1": UpstreamWork(3, 700)},
-    tallies={("engines", 5, True): Tally(9, 1)},
+    tallies={make_key("engines", 5, True): Tally(9, 1)},
     is_unfit_for_duties=True,
     is_urgent=True,
     holds_duties=True,
@@ -87,7 +90,7 @@
     used_by_workspace={"clerks": 12.5},
     prefill_tokens_by_service={"engines": 9000.0},
     work_by_upstream={"u1@1": UpstreamWork(3, 700)},
-    tallies={("engines", 5, True): Tally(9, 1)},
+    tallies={make_key("engines", 5, True): Tally(9, 1)},
     routers=4,
     silent_routers=1,
     duty_candidates=("front-1",),
