Complete a move only after its target was judged under its full load

Cause: the target got all traffic 1.1 s before its deadline and the move was completed as soon as nothing was in flight elsewhere, without an answer under that load. The good answers of the canary outweighed the bad ones of the ramp.

Change: the ramp takes up to 4 s (a third of the move at most), of which three quarters are at full share; a move is completed early only after 1.5 s and 20 answers under load. To leave room for them, a version with enough good answers gets 0.3 of the exposure limit until then (0.8 before).

A good version is completed by its deadline at 8, 12, 15, 25 and 40 s and 30 requests a second.

--- a/banyansail/gateway/duties/move_controller.py
+++ b/banyansail/gateway/duties/move_controller.py
@@ -236,6 +236,7 @@
             self._elapsed(move),
             self._share(move, verdict),
             old_in_flight=old_in_flight,
+            answers_under_load=self._evidence(move).answers_under_load,
         )
         if move.service in self._to_publish_again:
             state = move.state
--- a/banyansail/gateway/duties/moves.py
+++ b/banyansail/gateway/duties/moves.py
@@ -20,10 +20,16 @@
 # Of the requests that operators tolerate beyond that limit; they bring evidence early
 # where few requests come. The rest covers requests in flight.
 EARLY_SLACK_SHARE = 0.5
-PROVEN_SHARE = 0.8  # of the exposure limit, until the final ramp
-# Final ramp to all traffic; short, so that a version that fails late gets little.
-MAX_RAMP_TIME = timedelta(seconds=2.2)
-RAMP_FULL_AT = 0.5  # fraction of the ramp after which the target gets all traffic
+# Of the exposure limit, until the final ramp. The rest of what a bad version may get is
+# kept for the ramp, in which one may turn out to fail under load.
+PROVEN_SHARE = 0.3
+# Final ramp to all traffic, and the time under it until the deadline, in which the
+# version is judged under its full load.
+MAX_RAMP_TIME = timedelta(seconds=4)
+RAMP_SHARE_OF_MOVE = 1 / 3  # at most
+RAMP_FULL_AT = 0.25  # fraction of the ramp after which the target gets all traffic
+MIN_TIME_AT_FULL = timedelta(seconds=1.5)  # before a move may be completed early
+MIN_ANSWERS_UNDER_LOAD = 20  # the same
 # Time before the deadline at which a move is published as completed even if requests
 # at other versions are still in flight.
 COMPLETION_MARGIN = timedelta(milliseconds=700)
@@ -123,6 +129,7 @@
     share: float,
     *,
     old_in_flight: int,
+    answers_under_load: int,
 ) -> MoveState | None:
     """Return the state to publish now, or ``None`` if it does not change.
 
@@ -132,24 +139,34 @@
         Share of requests that the target gets now; see `target_share`.
     old_in_flight : int
         Requests in flight at the other versions, which stop once the move is completed.
+    answers_under_load : int
+        Answers of the target while it got most of the traffic.
     """
     if move.state in (MoveState.COMPLETED, MoveState.REVERTED):
         return None
     if verdict is Verdict.BAD:
         return MoveState.REVERTED
-    if share >= 1.0 and (
-        old_in_flight == 0 or elapsed >= move.duration - COMPLETION_MARGIN
-    ):
+    is_proven = (
+        elapsed - _full_at(move) >= MIN_TIME_AT_FULL
+        and answers_under_load >= MIN_ANSWERS_UNDER_LOAD
+        and old_in_flight == 0
+    )
+    if share >= 1.0 and (is_proven or elapsed >= move.duration - COMPLETION_MARGIN):
         return MoveState.COMPLETED
     if move.state is None:
         return MoveState.RUNNING
     return None
 
 
+def _full_at(move: Move) -> timedelta:
+    """Return the time from the order until its target gets all traffic."""
+    return move.duration - _ramp_time(move) * (1 - RAMP_FULL_AT)
+
+
 def is_due(move: Move, elapsed: timedelta) -> bool:
     """Return whether the time has come to move all traffic or to roll back."""
     return elapsed >= move.duration - _ramp_time(move)
 
 
 def _ramp_time(move: Move) -> timedelta:
-    return min(move.duration / 2, MAX_RAMP_TIME)
+    return min(move.duration * RAMP_SHARE_OF_MOVE, MAX_RAMP_TIME)
--- a/tests/gateway/duties/test_moves.py
+++ b/tests/gateway/duties/test_moves.py
@@ -84,7 +84,7 @@
 
 
 def test_completion_waits_for_the_last_requests_of_the_old_version():
-    def state_at(elapsed, old_in_flight):
+    def state_at(elapsed, old_in_flight, answers_under_load=20):
         share = share_at(elapsed, Verdict.GOOD)
         return state_to_publish(
             MOVE,
@@ -92,12 +92,17 @@
             seconds(elapsed),
             share,
             old_in_flight=old_in_flight,
+            answers_under_load=answers_under_load,
         )
 
     assert state_at(11.2, 2) is MoveState.RUNNING
     assert state_at(11.2, 0) is MoveState.COMPLETED
     assert state_at(11.5, 2) is MoveState.COMPLETED
     assert state_at(5, 0) is MoveState.RUNNING
+    # Also for answers under the full load, and for some time under it.
+    assert state_at(11.2, 0, answers_under_load=19) is MoveState.RUNNING
+    assert state_at(11.5, 0, answers_under_load=0) is MoveState.COMPLETED
+    assert state_at(10.4, 0) is MoveState.RUNNING
 
 
 @settings(derandomize=True, max_examples=200)
@@ -457,6 +462,19 @@
     assert move.exposed <= move.allowed()
 
 
+@pytest.mark.parametrize("duration_s", [12, 15, 25, 40])
+def test_a_version_that_fails_under_load_only_is_rolled_back(duration_s):
+    """Guards against good answers of a canary that hide the bad ones of the ramp."""
+    random = Random(2)
+
+    def is_bad(route_name, recent):
+        return recent >= 12 and random.random() < 0.4
+
+    move = Move30(duration_s, is_bad)
+    assert move.play() == "rolled_back"
+    assert move.exposed <= move.allowed()
+
+
 @pytest.mark.parametrize("duration_s", [8, 12, 15, 25, 40])
 def test_a_good_version_is_completed_in_time(duration_s):
     """Guards against a judgement under load that takes longer than the move."""
