Count an answer for an order only if its request was sent after it

Cause: answers that were in flight when an order to move traffic was written counted for it. Late answers of a bad version that drains count against the same version ordered again. The same class as the number of an order: evidence about one order taken for another.

Change: an answer whose request was sent before this router received the order is left out.

Measured: the new test fails before (rolled back) and passes; tests/gateway/duties passes.

--- a/banyansail/gateway/duties/move_controller.py
+++ b/banyansail/gateway/duties/move_controller.py
@@ -179,13 +179,26 @@
         return is_slow
 
     def record(
-        self, service: str, version: str, route: str, quality: AnswerQuality
+        self,
+        service: str,
+        version: str,
+        route: str,
+        quality: AnswerQuality,
+        duration: timedelta,
     ) -> None:
-        """Count an answer of an upstream."""
+        """Count an answer of an upstream to a request that was sent after the order.
+
+        Parameters
+        ----------
+        duration : timedelta
+            Time since the request was sent.
+        """
         move = self._move_by_service.get(service)
         if move is None or move.state is MoveState.COMPLETED:
             return
         memory = self._memories.of(move)
+        if self._clock.monotonic() - duration < memory.received_at:
+            return
         is_under_load = memory.share > self._exposure.share
         key = TallyKey(
             service, move.number, version == move.target, route, is_under_load
--- a/banyansail/gateway/requests/outcome_recorder.py
+++ b/banyansail/gateway/requests/outcome_recorder.py
@@ -73,6 +73,7 @@
                 upstream.version,
                 self._route.name,
                 self._quality(outcome, upstream, duration),
+                duration,
             )
         now = self._context.clock.monotonic()
         match outcome:
--- a/tests/gateway/duties/test_moves.py
+++ b/tests/gateway/duties/test_moves.py
@@ -155,7 +155,7 @@
 
 def count(controller, version, *, is_good):
     quality = AnswerQuality.GOOD if is_good else AnswerQuality.SLOW
-    controller.record("engines", version, "draft", quality)
+    controller.record("engines", version, "draft", quality, seconds(0))
 
 
 class FakeLease:
@@ -442,7 +442,7 @@
             fails = self.is_bad(route_name, recent)
         quality = AnswerQuality.FAILED if fails else AnswerQuality.GOOD
         version = "v2" if is_target else "v1"
-        self.controller.record("engines", version, route_name, quality)
+        self.controller.record("engines", version, route_name, quality, seconds(0))
 
     def allowed(self):
         return EXPOSE_SHARE * self.total + EXPOSE_SLACK
--- a/tests/gateway/duties/test_orders_written_over.py
+++ b/tests/gateway/duties/test_orders_written_over.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from datetime import timedelta
 from random import Random
 
 import pytest
@@ -59,10 +60,12 @@
         self.read()
         run_now(self.moves.publish_states())
 
-    def answer(self, version, count=30, *, is_good=True):
+    def answer(self, version, count=30, *, is_good=True, after_s=0):
         quality = AnswerQuality.GOOD if is_good else AnswerQuality.SLOW
         for _ in range(count):
-            self.moves.record("engines", version, "draft", quality)
+            self.moves.record(
+                "engines", version, "draft", quality, timedelta(seconds=after_s)
+            )
 
     def number(self):
         """Return the number of the present order, as its tallies name it."""
@@ -151,6 +154,25 @@
     assert status(store)["state"] == "running"
 
 
+def test_answers_to_requests_from_before_an_order_do_not_count(store, holder):
+    """Guards against a good version that is judged by the last one's late answers."""
+    order(store, "v2")
+    holder.act()
+    holder.answer("v2", 6, is_good=False)
+    holder.act()
+    holder.clock.advance(3)
+    order(store, "v1")
+    order(store, "v2")
+    holder.act()
+    holder.clock.advance(1)
+    holder.answer("v2", 6, is_good=False, after_s=2)
+    holder.act()
+    assert status(store)["state"] == "running"
+    holder.answer("v2", 6, is_good=False, after_s=0.5)
+    holder.act()
+    assert status(store)["state"] == "rolled_back"
+
+
 def order_four_times(store, holder):
     """Order v1, v2, v1, v2; only for the first v2 a state is published."""
     order(store, "v1")
