--- a/banyansail/gateway/duties/move_controller.py
+++ b/banyansail/gateway/duties/move_controller.py
@@ -7,18 +7,16 @@
 
 from banyansail.exceptions import StoreConflictError, WireError
 from banyansail.gateway.duties.answer_times import AnswerTimes
+from banyansail.gateway.duties.move_judge import MoveJudge
 from banyansail.gateway.duties.move_memory import (
     FINAL_STATES,
     AnswerQuality,
     MoveMemories,
-    MoveMemory,
 )
-from banyansail.gateway.duties.move_verdict import MoveEvidence, Verdict, judge
 from banyansail.gateway.duties.moves import (
     ExposureBound,
     Move,
     MoveState,
-    is_due,
     state_to_publish,
     target_share,
 )
@@ -32,7 +30,6 @@
     encode_status,
 )
 from banyansail.traffic.tally import Tally, TallyKey
-from banyansail.wire.gossip_codec import decode_names, encode_names
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -43,6 +40,7 @@
     from banyansail.gateway.decisions.queue.dispatch import Dispatcher
     from banyansail.gateway.duties.duty_lease import DutyLease
     from banyansail.gateway.duties.move_orders import MoveOrder
+    from banyansail.gateway.duties.move_verdict import Verdict
     from banyansail.gateway.store.mirror import Mirror
     from banyansail.gateway.upstream import Upstream
     from banyansail.platform.store import StoreClient
@@ -84,10 +82,8 @@
         self._move_by_service: dict[str, Move] = {}
         self._memories = MoveMemories(clock)
         self._to_publish_again: set[str] = set()
-        self._bad_names_by_origin: dict[str, set[str]] = {}  # of other routers
+        self._judge = MoveJudge(clock, self._memories)
         self._answer_times = AnswerTimes()
-        # Of the whole fleet, this router included, as of a moment ago.
-        self._fleet_tallies: Mapping[TallyKey, Tally] = {}
 
     @property
     def own_tallies(self) -> dict[TallyKey, Tally]:
@@ -98,22 +94,17 @@
                 tallies.update(self._memories.of(move).tally_by_key)
         return tallies
 
+    def set_fleet_tallies(self, tallies: Mapping[TallyKey, Tally]) -> None:
+        """Replace the tallies of the whole fleet, which include this router's."""
+        self._judge.fleet_tallies = tallies
+
     def encode_bad_moves(self) -> bytes:
         """Return the encoded names of the present moves whose target is bad."""
-        return encode_names(
-            _bad_move_name(move)
-            for move in self._move_by_service.values()
-            if self._memories.of(move).is_bad
-        )
+        return self._judge.encode_bad(self._move_by_service.values())
 
     def merge_bad_moves(self, entry: Entry) -> None:
-        """Apply the verdicts of another router, whose evidence may be newer."""
-        try:
-            names = decode_names(entry.value)
-        except WireError as error:
-            log_event("verdicts_unreadable", origin=entry.origin, error=error.message)
-            return
-        self._bad_names_by_origin[entry.origin] = names
+        """Apply the verdicts of another router."""
+        self._judge.merge_bad(entry)
         self.update_shares()
 
     def record_restore(self) -> None:
@@ -124,7 +115,7 @@
         # A restored store may give the number of a move to another one.
         self._numbers.forget()
         self._records.forget()
-        self._bad_names_by_origin.clear()
+        self._judge.forget_others()
 
     def apply_orders(self, mirror: Mirror) -> None:
         """Replace the known moves by the orders in the store's mirror."""
@@ -157,10 +148,6 @@
         self._to_publish_again.add(move.service)
         return replace(move, state=final_state)
 
-    def set_fleet_tallies(self, tallies: Mapping[TallyKey, Tally]) -> None:
-        """Replace the tallies of the whole fleet, which include this router's."""
-        self._fleet_tallies = tallies
-
     def record_time(self, upstream: Upstream, route: str, duration: timedelta) -> bool:
         """Record the time of a complete answer; return whether it was slow.
 
@@ -208,7 +195,7 @@
     def update_shares(self) -> None:
         """Set the traffic share of each service's target."""
         for move in self._move_by_service.values():
-            verdict = self._verdict(move)
+            verdict = self._judge.verdict(move)
             share = self._share(move, verdict)
             self._memories.of(move).share = share
             self._dispatcher.set_share(move.service, move.target, share)
@@ -242,14 +229,14 @@
         old_in_flight = self._dispatcher.in_flight_at_other_versions(
             move.service, move.target
         )
-        verdict = self._verdict(move)
+        verdict = self._judge.verdict(move)
         state = state_to_publish(
             move,
             verdict,
-            self._elapsed(move),
+            self._judge.elapsed(move),
             self._share(move, verdict),
             old_in_flight=old_in_flight,
-            answers_under_load=self._evidence(move).answers_under_load,
+            answers_under_load=self._judge.evidence(move).answers_under_load,
         )
         if move.service in self._to_publish_again:
             state = move.state
@@ -269,7 +256,7 @@
         self, move: Move, order: MoveOrder, state: MoveState, verdict: Verdict
     ) -> None:
         status = encode_status(move, state)
-        tally = self._evidence(move).total.target
+        tally = self._judge.evidence(move).total.target
         try:
             stored = await self._store.set_status(
                 MOVES_KIND, move.service, status, order.revision
@@ -297,59 +284,8 @@
         )
 
     def _share(self, move: Move, verdict: Verdict) -> float:
-        total = self._evidence(move).total
+        total = self._judge.evidence(move).total
         canary_share = self._exposure.canary_share(total.target, total.others)
         return target_share(
-            move, verdict, self._elapsed(move), self._exposure.share, canary_share
+            move, verdict, self._judge.elapsed(move), self._exposure.share, canary_share
         )
-
-    def _elapsed(self, move: Move) -> timedelta:
-        received_at = self._memories.of(move).received_at
-        return self._clock.monotonic() - received_at
-
-    def _verdict(self, move: Move) -> Verdict:
-        memory = self._memories.of(move)
-        if memory.is_bad:
-            return Verdict.BAD
-        judges = self._other_judges(move)
-        if judges:
-            self._record_bad_move(memory, f"router {judges[0]} found the target bad")
-            return Verdict.BAD
-        verdict = judge(self._evidence(move), is_due=is_due(move, self._elapsed(move)))
-        if verdict is Verdict.BAD:
-            self._record_bad_move(memory, "too many bad answers of the target")
-        return verdict
-
-    def _other_judges(self, move: Move) -> list[str]:
-        """Return the other routers that found the target of a move bad."""
-        name = _bad_move_name(move)
-        return [
-            origin
-            for origin, names in self._bad_names_by_origin.items()
-            if name in names
-        ]
-
-    def _record_bad_move(self, memory: MoveMemory, reason: str) -> None:
-        memory.is_bad = True
-        move = memory.move
-        log_decision("move_bad", reason, service=move.service, number=move.number)
-
-    def _evidence(self, move: Move) -> MoveEvidence:
-        """Return the answers during a move.
-
-        Of each tally, the larger one counts: the fleet's lags behind this router's.
-        """
-        larger = dict(self._memories.of(move).tally_by_key)
-        for key, tally in self._fleet_tallies.items():
-            if (key.service, key.move) == (move.service, move.number):
-                known = replace(larger.get(key, Tally()))
-                known.merge_max(tally)
-                larger[key] = known
-        evidence = MoveEvidence()
-        for key, tally in larger.items():
-            evidence.add(key, tally)
-        return evidence
-
-
-def _bad_move_name(move: Move) -> str:
-    return f"bad/{move.service}/{move.target}/{move.number}"
