--- a/banyansail/fleet/duties.py
+++ b/banyansail/fleet/duties.py
@@ -6,10 +6,9 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
 from typing import TYPE_CHECKING
 
-from banyansail.utils import hash64
+from banyansail.fleet.ranking import rank_names
 
 if TYPE_CHECKING:
     from banyansail.fleet.gossiper import Gossiper
@@ -18,11 +17,6 @@
 AGGREGATORS_PER_ZONE = 2  # routers that sum up the evidence of their zone
 
 
-def rank_names(duty: str, names: Iterable[str]) -> list[str]:
-    """Sort names by rendezvous hash; the first one owns the duty."""
-    return sorted(names, key=lambda name: hash64(f"{duty}/{name}"))
-
-
 class Duties:
     """Assignment of duties according to this router's view of the fleet.
 
--- a/banyansail/fleet/topology.py
+++ b/banyansail/fleet/topology.py
@@ -6,8 +6,8 @@
 from datetime import timedelta
 from typing import TYPE_CHECKING
 
-from banyansail.fleet.duties import rank_names
 from banyansail.fleet.entries import NO_FEATURES
+from banyansail.fleet.ranking import rank_names
 from banyansail.fleet.view import LIVENESS_TIMEOUT
 
 if TYPE_CHECKING:
--- a/banyansail/gateway/decisions/limits/cold_share.py
+++ b/banyansail/gateway/decisions/limits/cold_share.py
@@ -14,7 +14,7 @@
 from datetime import timedelta
 from typing import TYPE_CHECKING
 
-from banyansail.fleet.duties import rank_names
+from banyansail.fleet.ranking import rank_names
 from banyansail.gateway.decisions.limits.sharers import has_majority
 
 if TYPE_CHECKING:
--- a/banyansail/gateway/decisions/limits/rate_limit.py
+++ b/banyansail/gateway/decisions/limits/rate_limit.py
@@ -10,7 +10,7 @@
 from datetime import timedelta
 from typing import TYPE_CHECKING
 
-from banyansail.fleet.duties import rank_names
+from banyansail.fleet.ranking import rank_names
 from banyansail.gateway.decisions.limits.sharers import has_majority
 from banyansail.traffic.report import NamedLimit
 
--- a/banyansail/gateway/decisions/limits/slot_share.py
+++ b/banyansail/gateway/decisions/limits/slot_share.py
@@ -9,7 +9,7 @@
 
 from typing import TYPE_CHECKING
 
-from banyansail.fleet.duties import rank_names
+from banyansail.fleet.ranking import rank_names
 from banyansail.utils import hash64
 
 if TYPE_CHECKING:
--- a/banyansail/gateway/decisions/queue/admission.py
+++ b/banyansail/gateway/decisions/queue/admission.py
@@ -23,12 +23,8 @@
     from random import Random
 
     from banyansail.gateway.decisions.queue.fair_order import FairOrder
-    from banyansail.gateway.decisions.queue.service_state import (
-        QueueEntry,
-        ServiceState,
-        Slot,
-        Ticket,
-    )
+    from banyansail.gateway.decisions.queue.service_state import ServiceState
+    from banyansail.gateway.decisions.queue.tickets import QueueEntry, Slot, Ticket
     from banyansail.gateway.decisions.upstreams.upstream_load import UpstreamLoad
     from banyansail.gateway.request_types import Rejection
 
--- a/banyansail/gateway/decisions/queue/arrival_queue.py
+++ b/banyansail/gateway/decisions/queue/arrival_queue.py
@@ -9,7 +9,7 @@
     from collections.abc import Iterator
     from datetime import timedelta
 
-    from banyansail.gateway.decisions.queue.service_state import QueueEntry
+    from banyansail.gateway.decisions.queue.tickets import QueueEntry
 
 
 class ArrivalQueue:
--- a/banyansail/gateway/decisions/queue/dispatch.py
+++ b/banyansail/gateway/decisions/queue/dispatch.py
@@ -12,13 +12,8 @@
 
 from banyansail.gateway.decisions.queue.admission import Admission, max_wait, resolve
 from banyansail.gateway.decisions.queue.fair_order import FairOrder
-from banyansail.gateway.decisions.queue.service_state import (
-    QueueEntry,
-    ServiceState,
-    Slot,
-    Ticket,
-    VersionShare,
-)
+from banyansail.gateway.decisions.queue.service_state import ServiceState, VersionShare
+from banyansail.gateway.decisions.queue.tickets import QueueEntry, Slot, Ticket
 from banyansail.gateway.decisions.queue.work import assigned_work
 from banyansail.gateway.decisions.upstreams.choice import (
     Chosen,
--- a/banyansail/gateway/decisions/queue/fair_order.py
+++ b/banyansail/gateway/decisions/queue/fair_order.py
@@ -22,7 +22,8 @@
     from random import Random
 
     from banyansail.clock import Clock
-    from banyansail.gateway.decisions.queue.service_state import ServiceState, Ticket
+    from banyansail.gateway.decisions.queue.service_state import ServiceState
+    from banyansail.gateway.decisions.queue.tickets import Ticket
     from banyansail.gateway.request_types import Rejection
     from banyansail.gateway.site import Workspace
 
--- a/banyansail/gateway/decisions/queue/fair_queue.py
+++ b/banyansail/gateway/decisions/queue/fair_queue.py
@@ -16,7 +16,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator, Mapping
 
-    from banyansail.gateway.decisions.queue.service_state import QueueEntry, Ticket
+    from banyansail.gateway.decisions.queue.tickets import QueueEntry, Ticket
     from banyansail.gateway.decisions.queue.work_shares import WorkShares
 
 # Of the slots, for a lower priority while it waits. Less urgent requests must be served
--- a/banyansail/gateway/decisions/queue/rejections.py
+++ b/banyansail/gateway/decisions/queue/rejections.py
@@ -10,7 +10,8 @@
 if TYPE_CHECKING:
     from random import Random
 
-    from banyansail.gateway.decisions.queue.service_state import ServiceState, Ticket
+    from banyansail.gateway.decisions.queue.service_state import ServiceState
+    from banyansail.gateway.decisions.queue.tickets import Ticket
     from banyansail.gateway.decisions.queue.work_shares import ShareUse
     from banyansail.gateway.decisions.upstreams.upstream_load import UpstreamLoad
 
--- a/banyansail/gateway/duties/usage_reporter.py
+++ b/banyansail/gateway/duties/usage_reporter.py
@@ -14,7 +14,7 @@
     PlatformUnavailableError,
     StoreConflictError,
 )
-from banyansail.fleet.duties import rank_names
+from banyansail.fleet.ranking import rank_names
 from banyansail.gateway.duties.duty_lease import DutyLease
 from banyansail.gateway.duties.forgotten_windows import NO_WINDOW, ForgottenWindows
 from banyansail.log import log_decision, log_event
--- a/banyansail/gateway/migration/run.py
+++ b/banyansail/gateway/migration/run.py
@@ -33,7 +33,7 @@
     from collections.abc import Callable, Iterator
 
     from banyansail.gateway.context import GatewayContext
-    from banyansail.gateway.decisions.queue.service_state import Slot
+    from banyansail.gateway.decisions.queue.tickets import Slot
     from banyansail.gateway.decisions.upstreams.upstream_load import UpstreamLoad
     from banyansail.gateway.request_types import CallerCall
 
--- a/banyansail/gateway/migration/scheduler.py
+++ b/banyansail/gateway/migration/scheduler.py
@@ -16,7 +16,7 @@
     from twisted.internet import defer
 
     from banyansail.gateway.context import GatewayContext
-    from banyansail.gateway.decisions.queue.service_state import Slot, Ticket
+    from banyansail.gateway.decisions.queue.tickets import Slot, Ticket
     from banyansail.gateway.decisions.upstreams.upstream_load import UpstreamLoad
 
 # At a time, by one router from one engine. Its link carries one copy after the other,
--- a/banyansail/gateway/requests/active_request.py
+++ b/banyansail/gateway/requests/active_request.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
 
-from banyansail.gateway.decisions.queue.service_state import Ticket
+from banyansail.gateway.decisions.queue.tickets import Ticket
 from banyansail.gateway.decisions.responses.response_state import Started
 from banyansail.gateway.decisions.responses.retry_policy import Progress
 from banyansail.gateway.requests.request_log import RequestLog
--- a/banyansail/gateway/requests/exchange.py
+++ b/banyansail/gateway/requests/exchange.py
@@ -25,7 +25,7 @@
 if TYPE_CHECKING:
     from banyansail.config.fields import Address
     from banyansail.gateway.context import GatewayContext
-    from banyansail.gateway.decisions.queue.service_state import Slot
+    from banyansail.gateway.decisions.queue.tickets import Slot
     from banyansail.gateway.request_types import CallerCall, ReplyHead
     from banyansail.gateway.requests.events import StreamEvent
     from banyansail.gateway.requests.response_writer import ResponseWriter
--- a/banyansail/gateway/requests/request_log.py
+++ b/banyansail/gateway/requests/request_log.py
@@ -11,7 +11,7 @@
     from datetime import timedelta
 
     from banyansail.gateway.context import GatewayContext
-    from banyansail.gateway.decisions.queue.service_state import Slot
+    from banyansail.gateway.decisions.queue.tickets import Slot
     from banyansail.gateway.request_types import CallerCall
     from banyansail.gateway.site import Route
 
--- a/banyansail/gateway/requests/upstream_run.py
+++ b/banyansail/gateway/requests/upstream_run.py
@@ -27,7 +27,7 @@
 
     from twisted.internet import defer
 
-    from banyansail.gateway.decisions.queue.service_state import Slot, Ticket
+    from banyansail.gateway.decisions.queue.tickets import Slot, Ticket
     from banyansail.gateway.decisions.upstreams.upstream_load import UpstreamLoad
     from banyansail.gateway.request_types import HeaderList, ReplyHead
     from banyansail.gateway.requests.active_request import ActiveRequest
--- a/banyansail/gateway/store/watchers.py
+++ b/banyansail/gateway/store/watchers.py
@@ -7,8 +7,8 @@
 from datetime import timedelta
 from typing import TYPE_CHECKING
 
-from banyansail.fleet.duties import rank_names
 from banyansail.fleet.entries import Feature
+from banyansail.fleet.ranking import rank_names
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
--- a/banyansail/traffic/aggregator.py
+++ b/banyansail/traffic/aggregator.py
@@ -6,7 +6,7 @@
 from datetime import timedelta
 from typing import TYPE_CHECKING
 
-from banyansail.fleet.duties import rank_names
+from banyansail.fleet.ranking import rank_names
 from banyansail.traffic.counters import FollowedCounters, ProcessCounters, add_increase
 from banyansail.traffic.recipients import SILENT_AFTER, order_receivers, router_key
 from banyansail.traffic.report import (
--- a/banyansail/traffic/recipients.py
+++ b/banyansail/traffic/recipients.py
@@ -6,7 +6,7 @@
 from datetime import timedelta
 from typing import TYPE_CHECKING
 
-from banyansail.fleet.duties import rank_names
+from banyansail.fleet.ranking import rank_names
 from banyansail.utils import hash64
 
 if TYPE_CHECKING:
--- a/tests/gateway/decisions/limits/test_slot_share.py
+++ b/tests/gateway/decisions/limits/test_slot_share.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from banyansail.fleet.duties import rank_names
+from banyansail.fleet.ranking import rank_names
 from banyansail.gateway.decisions.limits.slot_share import divide_slots
 
 
--- a/tests/gateway/decisions/queue/test_dispatch.py
+++ b/tests/gateway/decisions/queue/test_dispatch.py
@@ -11,7 +11,7 @@
 from hypothesis import strategies as st
 
 from banyansail.gateway.decisions.queue.dispatch import Dispatcher
-from banyansail.gateway.decisions.queue.service_state import Slot, Ticket
+from banyansail.gateway.decisions.queue.tickets import Slot, Ticket
 from banyansail.gateway.request_types import Cause, Rejection
 from tests.fakes import FakeClock
 from tests.gateway.builders import seconds, site, upstream
--- a/tests/gateway/decisions/queue/test_fair_queue.py
+++ b/tests/gateway/decisions/queue/test_fair_queue.py
@@ -10,7 +10,7 @@
 from hypothesis import strategies as st
 
 from banyansail.gateway.decisions.queue.fair_queue import FairQueue
-from banyansail.gateway.decisions.queue.service_state import QueueEntry, Ticket
+from banyansail.gateway.decisions.queue.tickets import QueueEntry, Ticket
 from banyansail.gateway.decisions.queue.work_shares import WorkShares
 from tests.fakes import FakeClock
 from tests.gateway.builders import seconds
--- a/tests/gateway/decisions/upstreams/played_fleet.py
+++ b/tests/gateway/decisions/upstreams/played_fleet.py
@@ -8,7 +8,7 @@
 from random import Random
 
 from banyansail.gateway.decisions.queue.dispatch import Dispatcher
-from banyansail.gateway.decisions.queue.service_state import Slot, Ticket
+from banyansail.gateway.decisions.queue.tickets import Slot, Ticket
 from tests.fakes import FakeClock
 from tests.gateway.builders import seconds, site, upstream
 
--- a/tests/gateway/duties/test_usage_reporter.py
+++ b/tests/gateway/duties/test_usage_reporter.py
@@ -8,7 +8,7 @@
 import pytest
 
 from banyansail.exceptions import PlatformUnavailableError
-from banyansail.fleet.duties import rank_names
+from banyansail.fleet.ranking import rank_names
 from banyansail.gateway.duties.usage import SteadyTime, UsageCounter
 from banyansail.gateway.duties.usage_reporter import UsageReporter
 from banyansail.traffic.aggregator import TrafficAggregator
--- a/tests/gateway/migration/test_scheduler.py
+++ b/tests/gateway/migration/test_scheduler.py
@@ -9,7 +9,8 @@
 import pytest
 from twisted.internet import defer
 
-from banyansail.gateway.decisions.queue.service_state import ServiceState, Ticket
+from banyansail.gateway.decisions.queue.service_state import ServiceState
+from banyansail.gateway.decisions.queue.tickets import Ticket
 from banyansail.gateway.decisions.streams.migration_order import RunInProgress
 from banyansail.gateway.migration.scheduler import (
     MAX_CONCURRENT,
--- a/tests/traffic/test_exchange.py
+++ b/tests/traffic/test_exchange.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from banyansail.fleet.duties import rank_names
+from banyansail.fleet.ranking import rank_names
 from banyansail.traffic.aggregator import DUTY
 from banyansail.traffic.recipients import Aggregators
 from tests.traffic.simulated_fleet import MOVE, SimulatedFleet, spend
