Count the time of a move from its order also in routers that start later

Cause: each process counted the time of a move from when it read the order itself; the process that holds the duties then had begun anew.

Change: the record of an order, which a starting router reads anyway, has the wall time of the order. A router that saw the order itself keeps to its own clock; a time that is no age of a move in progress is left out, as clocks differ.

Measured: two new cases fail before (completed late) and pass, three guard against clocks that are wrong by 30 s or more.

--- a/banyansail/gateway/duties/move_controller.py
+++ b/banyansail/gateway/duties/move_controller.py
@@ -220,9 +220,13 @@
         services = self._numbers.unconfirmed if is_holder else self._numbers.unseen
         if not (services := services & self._move_by_service.keys()):
             return
+        unseen = self._numbers.unseen & services
         records = {service: await self._records.load(service) for service in services}
         self._numbers.confirm(records)
         self._apply_known_orders()
+        for service in unseen & self._move_by_service.keys():
+            if record := records[service]:
+                self._memories.record_start(self._move_by_service[service], record)
 
     async def _publish_move(self, move: Move) -> None:
         """Publish the state of a move if it has changed, and record what is stored."""
@@ -249,7 +253,12 @@
             await self._record_order(move, order)
 
     async def _record_order(self, move: Move, order: MoveOrder) -> None:
-        record = OrderRecord(move.number, order.revision.number, order.published.text)
+        record = OrderRecord(
+            move.number,
+            order.revision.number,
+            order.published.text,
+            self._memories.of(move).ordered_at,
+        )
         await self._records.save(move.service, record)
 
     async def _publish_state(
--- a/banyansail/gateway/duties/move_memory.py
+++ b/banyansail/gateway/duties/move_memory.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field, replace
-from datetime import timedelta
+from datetime import datetime, timedelta
 from enum import Enum
 from typing import TYPE_CHECKING
 
@@ -13,6 +13,7 @@
 
 if TYPE_CHECKING:
     from banyansail.clock import Clock
+    from banyansail.gateway.duties.order_numbers import OrderRecord
 
 FINAL_STATES = (MoveState.COMPLETED, MoveState.REVERTED)
 # After a restore of the store; by then operators have written their orders again.
@@ -43,7 +44,10 @@
     Parameters
     ----------
     received_at : timedelta
-        Monotonic time at which this router received the order.
+        Monotonic time at which this router received the order, or at which another one
+        did that ran before.
+    ordered_at : datetime
+        The same as wall time.
     final_state : MoveState or None
         Final state once it was published, which the move never loses.
     is_bad : bool
@@ -56,6 +60,7 @@
 
     move: Move
     received_at: timedelta
+    ordered_at: datetime
     final_state: MoveState | None = None
     is_bad: bool = False
     share: float = 0.0
@@ -114,6 +119,21 @@
         if is_last and state in FINAL_STATES:
             memory.final_state = state
 
+    def record_start(self, move: Move, record: OrderRecord) -> None:
+        """Use the record of a move that was ordered before this router ran.
+
+        A later time, or one that is no age of a move in progress, is left out, as
+        clocks of routers differ.
+        """
+        if record.number != move.number or record.ordered_at is None:
+            return
+        memory = self.of(move)
+        age = self._clock.now() - record.ordered_at
+        known = self._clock.monotonic() - memory.received_at
+        if known < age <= move.duration:
+            memory.received_at = self._clock.monotonic() - age
+            memory.ordered_at = record.ordered_at
+
     def _begin(self, move: Move) -> MoveMemory:
         log_event(
             "move_ordered",
@@ -121,7 +141,7 @@
             target=move.target,
             number=move.number,
         )
-        return MoveMemory(move, self._clock.monotonic())
+        return MoveMemory(move, self._clock.monotonic(), self._clock.now())
 
     def _pop_same_order(self, move: Move) -> MoveMemory | None:
         """Return what is remembered of an order from before a restore, if it is it.
--- a/banyansail/gateway/duties/order_numbers.py
+++ b/banyansail/gateway/duties/order_numbers.py
@@ -13,6 +13,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
+    from datetime import datetime
 
     from banyansail.gateway.duties.move_orders import MoveOrder
 
@@ -29,11 +30,14 @@
         Revision of the object with that state.
     state : str
         State as published.
+    ordered_at : datetime or None
+        Wall time at which the writer of the record received the order.
     """
 
     number: int
     revision: int
     state: str
+    ordered_at: datetime | None = None
 
 
 @dataclass(slots=True, frozen=True)
--- a/banyansail/gateway/duties/order_records.py
+++ b/banyansail/gateway/duties/order_records.py
@@ -7,6 +7,8 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+from datetime import UTC, datetime
 from typing import TYPE_CHECKING, Any
 
 from banyansail.exceptions import StoreConflictError
@@ -61,9 +63,9 @@
         if service not in self._stored_by_service:
             await self.load(service)
         stored = self._stored_by_service[service]
-        spec = _encode(record)
-        if stored is not None and stored.spec == spec:
+        if stored is not None and _is_same(_decode(stored), record):
             return
+        spec = _encode(record)
         try:
             if stored is None:
                 written = await self._store.create(RECORDS_KIND, service, spec)
@@ -78,21 +80,37 @@
         self._stored_by_service[service] = written
 
 
+def _is_same(known: OrderRecord | None, record: OrderRecord) -> bool:
+    """Return whether two records tell the same, but for the clocks of their writers."""
+    if known is None:
+        return False
+    return replace(known, ordered_at=None) == replace(record, ordered_at=None)
+
+
 def _encode(record: OrderRecord) -> dict[str, Any]:
-    return {
+    spec = {
         "number": record.number,
         "revision": record.revision,
         "state": record.state,
     }
+    if record.ordered_at is not None:
+        spec["orderedMs"] = int(record.ordered_at.timestamp() * 1000)
+    return spec
 
 
 def _decode(stored: StoredObject) -> OrderRecord | None:
     """Return a stored record; one that can't be read counts as none."""
     try:
         spec = stored.spec
+        ordered_ms = spec.get("orderedMs")
         return OrderRecord(
-            int(spec["number"]), int(spec["revision"]), str(spec["state"])
+            int(spec["number"]),
+            int(spec["revision"]),
+            str(spec["state"]),
+            None
+            if ordered_ms is None
+            else datetime.fromtimestamp(ordered_ms / 1000, UTC),
         )
-    except (KeyError, TypeError, ValueError) as error:
+    except (KeyError, TypeError, ValueError, AttributeError, OverflowError) as error:
         log_event("order_record_unreadable", name=stored.name, error=repr(error))
         return None
--- a/tests/gateway/duties/test_orders_written_over.py
+++ b/tests/gateway/duties/test_orders_written_over.py
@@ -375,3 +375,38 @@
     with pytest.raises(PlatformUnavailableError):
         run_now(started.moves.publish_states())
     assert started.share() <= EXPOSE_SHARE
+
+
+@pytest.mark.parametrize("runs_on", [False, True])
+def test_a_router_that_starts_during_a_move_keeps_to_its_deadline(
+    store, clock, holder, runs_on
+):
+    """Guards against a move that is completed late as each start begins it anew."""
+    order(store, "v2")
+    holder.act()
+    clock.advance(DURATION_S - 2)
+    started = Router(store, clock, is_holder=True)
+    holder.lease.is_held = False
+    started.act()
+    for router in (started, holder) if runs_on else (started,):
+        router.answer("v1")
+        router.answer("v2")
+    clock.advance(1.5)
+    started.act()
+    assert status(store)["state"] == "completed"
+
+
+@pytest.mark.parametrize("step_s", [-30, 30, 5000])
+def test_a_clock_that_is_wrong_makes_no_move_due(store, clock, holder, step_s):
+    """Guards against a start of a move that another clock puts into the past."""
+    order(store, "v2")
+    holder.act()
+    clock.advance(2)
+    clock.wall_clock_offset += timedelta(seconds=step_s)
+    started = Router(store, clock, is_holder=True)
+    started.act()
+    started.answer("v1")
+    started.answer("v2")
+    started.act()
+    assert status(store)["state"] == "running"
+    assert started.share() <= EXPOSE_SHARE
