Pass the counts of ended processes on also where the lease was lost

Cause: a router that stops leaves what it knows of ended processes with the duty lease.

Change: a router that stops adds these counts to its last message of usage, which the next candidates for the duties get. The member is new; older builds skip it.

--- a/banyansail/gateway/duties/usage.py
+++ b/banyansail/gateway/duties/usage.py
@@ -128,7 +128,7 @@
         is_open = any(newest <= window for newest in newest_by_router.values())
         return not is_open and len(newest_by_router) >= peers
 
-    def handover(self) -> Handover:
+    def ended_counts(self) -> dict[str, Counts]:
         """Return the recent counts of processes that are not heard any more.
 
         The others send their counts to the next router that reports usage themselves.
@@ -137,7 +137,7 @@
         oldest = self.current_window() - HANDOVER_WINDOWS
         return {
             process: {
-                str(window): count_by_workspace
+                window: count_by_workspace
                 for window, count_by_workspace in counts.items()
                 if window >= oldest
             }
@@ -146,6 +146,13 @@
             and max(counts, default=oldest - 1) >= oldest
         }
 
+    def handover(self) -> Handover:
+        """Return the counts of ended processes as JSON."""
+        return {
+            process: {str(window): count for window, count in counts.items()}
+            for process, counts in self.ended_counts().items()
+        }
+
     def merge_handover(self, handover: Handover) -> None:
         """Merge the counts that another router left.
 
@@ -155,13 +162,22 @@
             If they are malformed.
         """
         for process, counts in handover.items():
-            known = self._counts_by_process.get(process, {})
             by_window = {
                 int(window): {name: int(count) for name, count in by_name.items()}
                 for window, by_name in counts.items()
-                if int(window) not in known
             }
-            self.merge_peer_counts(process, by_window)
+            self.merge_ended_counts(process, by_window)
+
+    def merge_ended_counts(self, process: str, counts: Counts) -> None:
+        """Merge the counts of an ended process that another router knows.
+
+        What the process itself sent goes first.
+        """
+        known = self._counts_by_process.get(process, {})
+        unknown = {
+            window: count for window, count in counts.items() if window not in known
+        }
+        self.merge_peer_counts(process, unknown)
 
     def total(self, window: int, workspaces: list[str]) -> dict[str, int]:
         """Return the known counts of the whole fleet for a window."""
--- a/banyansail/gateway/duties/usage_exchange.py
+++ b/banyansail/gateway/duties/usage_exchange.py
@@ -8,11 +8,15 @@
 from banyansail.exceptions import WireError
 from banyansail.fleet.entries import Entry, Topic
 from banyansail.log import log_event
-from banyansail.wire.traffic_codec import decode_usage, encode_usage
+from banyansail.wire.traffic_codec import (
+    decode_ended_usage,
+    decode_usage,
+    encode_usage,
+)
 
 if TYPE_CHECKING:
     from banyansail.clock import Clock
-    from banyansail.gateway.duties.usage import UsageCounter
+    from banyansail.gateway.duties.usage import Counts, UsageCounter
     from banyansail.gateway.duties.usage_reporter import UsageReporter
     from banyansail.gateway.sharing.fleet_link import FleetLink
     from banyansail.traffic.fleet_traffic import FleetTraffic
@@ -48,7 +52,16 @@
         self._reporter = reporter
         self._sent_at = clock.monotonic() - MIN_INTERVAL
 
-    def send(self, *, is_urgent: bool = False) -> None:
+    def send_last(self) -> None:
+        """Send this router's counts, and those of processes that ended before it.
+
+        The lease may have been lost, so that they can not be left with it.
+        """
+        self.send(is_urgent=True, ended=self._usage.ended_counts())
+
+    def send(
+        self, *, is_urgent: bool = False, ended: dict[str, Counts] | None = None
+    ) -> None:
         """Send this router's counts if they are due or urgent."""
         now = self._clock.monotonic()
         interval = max(MIN_INTERVAL, INTERVAL_PER_ROUTER * self._fleet.fleet_size())
@@ -63,14 +76,17 @@
         counts = self._usage.own_counts
         recent = {window: counts[window] for window in sorted(counts)[-SENT_WINDOWS:]}
         others = [name for name in receivers if name != self._name]
-        if others and recent:
-            self._link.send_value(others, Topic.USAGE, encode_usage(recent))
+        if others and (recent or ended):
+            self._link.send_value(others, Topic.USAGE, encode_usage(recent, ended))
 
     def apply_entry(self, entry: Entry) -> None:
         """Merge the counts of another router."""
         try:
             counts = decode_usage(entry.value)
+            ended = decode_ended_usage(entry.value)
         except WireError as error:
             log_event("usage_unreadable", origin=entry.origin, error=error.message)
             return
         self._usage.merge_peer_counts(f"{entry.origin}.{entry.incarnation}", counts)
+        for process, counts_of_process in ended.items():
+            self._usage.merge_ended_counts(process, counts_of_process)
--- a/banyansail/gateway/router.py
+++ b/banyansail/gateway/router.py
@@ -338,7 +338,7 @@
         self.traffic_exchange.send_report(is_urgent=True)
         await self.reporter.release()
         await drain.run(self.settings.grace)
-        self.usage_exchange.send(is_urgent=True)
+        self.usage_exchange.send_last()
         self.stop_listening()
         await drain.wait_for_last_answers()
 
--- a/banyansail/wire/schema.capnp
+++ b/banyansail/wire/schema.capnp
@@ -166,6 +166,12 @@
 
 struct Usage {
   windows @0 :List(WindowCount);
+  ended @1 :List(EndedUsage);  # that a router which stops knows of others
+}
+
+struct EndedUsage {
+  process @0 :Text;
+  windows @1 :List(WindowCount);
 }
 
 struct VersionTally {
--- a/banyansail/wire/traffic_codec.py
+++ b/banyansail/wire/traffic_codec.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+from collections.abc import Mapping
 from typing import Any
 
 from banyansail.traffic.report import (
@@ -121,27 +122,60 @@
     )
 
 
-def encode_usage(counts: UsageCounts) -> bytes:
-    """Encode a value of `Topic.USAGE`."""
-    windows = [
-        {"window": window, "workspace": name, "began": count}
-        for window, count_by_name in sorted(counts.items())
-        for name, count in sorted(count_by_name.items())
+def encode_usage(
+    counts: UsageCounts, ended: Mapping[str, UsageCounts] | None = None
+) -> bytes:
+    """Encode a value of `Topic.USAGE`.
+
+    Parameters
+    ----------
+    ended : mapping or None
+        Counts of processes that have ended, by process.
+    """
+    processes = [
+        {"process": process, "windows": _windows(item)}
+        for process, item in sorted((ended or {}).items())
     ]
-    return schema.Usage.new_message(windows=windows).to_bytes_packed()
+    message = schema.Usage.new_message(windows=_windows(counts), ended=processes)
+    return message.to_bytes_packed()
 
 
 @raise_as_wire_error("usage counts")
 def decode_usage(data: bytes) -> UsageCounts:
-    """Decode a value of `Topic.USAGE`.
+    """Decode the counts of the router that sent a value of `Topic.USAGE`.
 
     Raises
     ------
     WireError
         If the bytes are not such a value.
     """
+    return _decode_windows(unpack(schema.Usage, data).windows)
+
+
+@raise_as_wire_error("usage counts of ended processes")
+def decode_ended_usage(data: bytes) -> dict[str, UsageCounts]:
+    """Decode the counts of ended processes in a value of `Topic.USAGE`.
+
+    Raises
+    ------
+    WireError
+        If the bytes are not such a value.
+    """
+    items = unpack(schema.Usage, data).ended
+    return {item.process: _decode_windows(item.windows) for item in items}
+
+
+def _windows(counts: UsageCounts) -> list[dict[str, Any]]:
+    return [
+        {"window": window, "workspace": name, "began": count}
+        for window, count_by_name in sorted(counts.items())
+        for name, count in sorted(count_by_name.items())
+    ]
+
+
+def _decode_windows(items: Any) -> UsageCounts:
     counts: UsageCounts = {}
-    for item in unpack(schema.Usage, data).windows:
+    for item in items:
         counts.setdefault(item.window, {})[item.workspace] = item.began
     return counts
 
