Soak: drills of the store, and the check of ONE

Callers send a key, so that usage is reported. The check of ONE finds a window with two sets of counts, and a token of two holders; order of tokens and holders is not checked, as it is excused around drills.

--- a/banyansail/standins/server.py
+++ b/banyansail/standins/server.py
@@ -65,12 +65,12 @@
 ) -> RunningStandin:
     """Start a stand-in for the platform."""
     resource = PlatformStandin(state or PlatformState())
-    return _start(resource, address)
+    return start_standin(resource, address)
 
 
 def start_store(address: Address) -> RunningStandin:
     """Start a stand-in for the platform's store and cloud API."""
-    return _start(StoreStandin(), address)
+    return start_standin(StoreStandin(), address)
 
 
 def start_engine(
@@ -97,13 +97,14 @@
 def _start_with_crash_handler(
     resource: Any, address: Address, crash: Callable[[], None] | None
 ) -> RunningStandin:
-    standin = _start(resource, address)
+    standin = start_standin(resource, address)
     resource._crash = crash or standin.kill
     resource.site = standin.site
     return standin
 
 
-def _start(resource: StandinResource, address: Address) -> RunningStandin:
+def start_standin(resource: StandinResource, address: Address) -> RunningStandin:
+    """Start a stand-in at an address."""
     standin = RunningStandin(resource, TrackingSite(resource))
     standin.listen(address)
     return standin
--- a/benchmarks/soak/checks/all_checks.py
+++ b/benchmarks/soak/checks/all_checks.py
@@ -6,6 +6,7 @@
 
 from benchmarks.soak.checks.budget import BudgetCheck
 from benchmarks.soak.checks.deadlines import DeadlineCheck
+from benchmarks.soak.checks.duties import DutyCheck
 from benchmarks.soak.checks.order import OrderCheck
 from benchmarks.soak.checks.overlaps import OverlapCheck
 from benchmarks.soak.checks.promises import PromiseCheck
@@ -23,6 +24,7 @@
         PromiseCheck,
         DeadlineCheck,
         BudgetCheck,
+        DutyCheck,
     )
 }
 
--- a/benchmarks/soak/fleet.py
+++ b/benchmarks/soak/fleet.py
@@ -18,6 +18,7 @@
     site_config,
     upstream_entry,
 )
+from benchmarks.soak.store import DRILL_PATH
 from benchmarks.soak.upstream import SWITCHES_PATH
 from tests.ports import free_port
 from tests.processes import Programs, call, wait_until
@@ -79,6 +80,7 @@
         self._retry_slack = retry_slack
         self._store_port = free_port()
         self._peer_port = free_port()
+        self._entry_by_upstream: dict[str, dict[str, Any]] = {}
         listeners = ("listen", "ready", "relay", "metrics")
         self.router_by_name = {
             f"front-{number}": Instance(
@@ -102,8 +104,12 @@
         self._programs.__exit__(*exc_info)
 
     def _start(self) -> None:
-        listen = f"--listen={HOST}:{self._store_port}"
-        self._programs.start("store", "banyansail.standins", "store", listen)
+        self._programs.start(
+            "store",
+            "benchmarks.soak.store",
+            f"--listen={HOST}:{self._store_port}",
+            f"--record={self.record_path('store')}",
+        )
         self._programs.wait_for_start("store", self._store_port, f"{OBJECTS}/servers")
         self._put("config", "main", site_config())
         for name in self.upstream_by_name:
@@ -169,12 +175,26 @@
             upstream.born_ms,
             **fields,
         )
+        self._entry_by_upstream[name] = entry
         self._put("servers", name, entry)
 
     def unregister(self, name: str) -> None:
         """Remove the entry of an upstream, as the store does after some silence."""
+        self._entry_by_upstream.pop(name, None)
         self._call_store("DELETE", f"{OBJECTS}/servers/{name}")
 
+    def drill(self, away_s: float, copy_age_s: float) -> None:
+        """Let the store come back from a copy; all writers but ours write again."""
+        body = {"away_s": away_s, "copy_age_s": copy_age_s}
+        self._call_store("PUT", DRILL_PATH, body)
+        self._put("config", "main", site_config())
+        for name in self.upstream_by_name:
+            entry = self._entry_by_upstream.get(name)
+            if entry is None:
+                self._call_store("DELETE", f"{OBJECTS}/servers/{name}")
+            else:
+                self._put("servers", name, entry)
+
     def switch(self, name: str, **switches: Any) -> None:
         """Set fault switches of an upstream; one that has crashed has none."""
         port = self.upstream_by_name[name].ports["listen"]
--- a/benchmarks/soak/http_caller.py
+++ b/benchmarks/soak/http_caller.py
@@ -17,6 +17,7 @@
     from banyansail.config.fields import Address
 
 HOST = "soak.example"
+KEY = "key-of-callers"
 PREFIX_BY_KIND = {
     Kind.STOCK: "/stock/",
     Kind.ORDERS: "/orders/",
@@ -138,6 +139,7 @@
             f"{method} {prefix}{response.size}/{response.event_bytes}/"
             f"{response.attempt} HTTP/{response.http_version}",
             f"Host: {HOST}",
+            f"Api-Key: {KEY}",
             f"X-Attempt-Id: {response.attempt}",
             f"X-Deadline-Ms: {round(response.deadline_s * 1000)}",
             "Content-Length: 0",
--- a/benchmarks/soak/kinds.py
+++ b/benchmarks/soak/kinds.py
@@ -27,6 +27,7 @@
 RESTART_PAUSE_S = 0.1
 LEAVING_NOTICE_S = 0.7
 ALL_ROUTERS = "all routers"
+THE_STORE = "store"
 EXTRA_SHARE = 0.1  # of the answers of a faulty upstream
 
 
@@ -43,6 +44,7 @@
     LINKS = "links of a router to all upstreams"
     SERVICE = "admission at all upstreams of a service"
     FLEET = "processes of all routers"
+    STORE = "store"
 
 
 class FaultKind:
@@ -342,6 +344,26 @@
         fleet.heal(fault.target)
 
 
+class Drill(FaultKind):
+    """A store that is away for a moment and comes back from a copy of before."""
+
+    name = "drill"
+    scope = Scope.STORE
+    weight = 1
+    duration_s = (0.1, 0.2)
+
+    def draw(self, random: Random) -> dict[str, Any]:
+        """Draw how long the store is away, and the age of the copy."""
+        return {
+            "away_s": random.uniform(0.1, 1.0),
+            "copy_age_s": random.uniform(0.5, 4.0),
+        }
+
+    def begin(self, fleet: Fleet, fault: Fault) -> None:
+        """Let the store go and come back."""
+        fleet.drill(**fault.options)
+
+
 KIND_BY_NAME: dict[str, FaultKind] = {
     item.name: item()
     for item in (
@@ -361,5 +383,6 @@
         KilledFleet,
         FrozenRouter,
         CutOffRouter,
+        Drill,
     )
 }
--- a/benchmarks/soak/plan.py
+++ b/benchmarks/soak/plan.py
@@ -5,7 +5,13 @@
 from random import Random
 from typing import TYPE_CHECKING
 
-from benchmarks.soak.kinds import ALL_ROUTERS, KIND_BY_NAME, FaultKind, Scope
+from benchmarks.soak.kinds import (
+    ALL_ROUTERS,
+    KIND_BY_NAME,
+    THE_STORE,
+    FaultKind,
+    Scope,
+)
 from benchmarks.soak.records import Fault
 from benchmarks.soak.site_config import DEPOT, ENGINES
 
@@ -27,6 +33,7 @@
     Scope.LINKS: 1.0,
     Scope.SERVICE: 2.0,
     Scope.FLEET: 2.0,
+    Scope.STORE: 4.0,
 }
 ROUTER_SCOPES = (Scope.ROUTER, Scope.LINKS)
 # One target is left as it is at any time.
@@ -66,6 +73,7 @@
         self._targets_by_scope[Scope.CONTINUATIONS] = list(engines)
         self._targets_by_scope[Scope.SERVICE] = [DEPOT, ENGINES]
         self._targets_by_scope[Scope.FLEET] = [ALL_ROUTERS]
+        self._targets_by_scope[Scope.STORE] = [THE_STORE]
         self._free_at: dict[tuple[Scope, str], float] = {}
 
     def draw(self, seconds: float) -> list[Fault]:
--- a/benchmarks/soak/records.py
+++ b/benchmarks/soak/records.py
@@ -181,6 +181,7 @@
     runs_by_attempt: dict[str, list[Run]]  # rejected ones too
     faults: list[Fault] = field(default_factory=list)
     retry_slack: float = 0.0
+    duty_calls: list[DutyCall] = field(default_factory=list)
 
     def arrivals_of(self, attempt: str) -> list[Run]:
         """Return the arrivals of a request at upstreams, rejected ones too, by time."""
@@ -196,6 +197,26 @@
         return [run for run in self.runs_of(attempt) if not run.was_given_up]
 
 
+@dataclass(slots=True, frozen=True)
+class DutyCall:
+    """Call of a duty that the platform accepted.
+
+    Parameters
+    ----------
+    window : int or None
+        Window of a report of usage.
+    counts : dict or None
+        Requests by workspace, in a report of usage.
+    """
+
+    at: float
+    path: str
+    holder: str
+    token: int
+    window: int | None = None
+    counts: dict[str, int] | None = None
+
+
 @dataclass(slots=True, frozen=True)
 class Finding:
     """A rule that was broken."""
@@ -233,6 +254,11 @@
     }
 
 
+def read_duty_calls(path: Path) -> list[DutyCall]:
+    """Read what the store recorded of duties."""
+    return [DutyCall(**item) for item in _read_lines(path)]
+
+
 def read_runs(paths: list[Path]) -> dict[str, list[Run]]:
     """Read what upstreams recorded: each run at its beginning and at its end."""
     run_by_key: dict[tuple[str, int], Run] = {}
--- a/benchmarks/soak/site_config.py
+++ b/benchmarks/soak/site_config.py
@@ -4,7 +4,7 @@
 
 from typing import Any
 
-from benchmarks.soak.http_caller import HOST, PREFIX_BY_KIND
+from benchmarks.soak.http_caller import HOST, KEY, PREFIX_BY_KIND
 from benchmarks.soak.records import Kind
 
 DEPOT, ENGINES = "depot", "engines"
@@ -40,6 +40,7 @@
             {"name": ENGINES, "engine": engine, **service},
         ],
         "limits": {"idleTimeoutMs": 5000},
+        "tenants": [{"name": "callers", "apiKeys": [KEY], "ratePerS": 0}],
     }
 
 
--- a/benchmarks/soak/soak.py
+++ b/benchmarks/soak/soak.py
@@ -10,7 +10,14 @@
 from benchmarks.soak.fleet import Fleet
 from benchmarks.soak.http_caller import OVERDUE_S
 from benchmarks.soak.plan import Planner
-from benchmarks.soak.records import Evidence, Fault, Finding, read_responses, read_runs
+from benchmarks.soak.records import (
+    Evidence,
+    Fault,
+    Finding,
+    read_duty_calls,
+    read_responses,
+    read_runs,
+)
 from benchmarks.soak.striker import Striker
 
 if TYPE_CHECKING:
@@ -107,7 +114,8 @@
     for response in responses:
         response.router = names[response.router]
     paths = [fleet.record_path(name) for name in fleet.upstream_by_name]
-    return Evidence(responses, read_runs(paths), faults)
+    calls = read_duty_calls(fleet.record_path("store"))
+    return Evidence(responses, read_runs(paths), faults, duty_calls=calls)
 
 
 def check(seed: int, evidence: Evidence, checks: Sequence[type[Check]]) -> Result:
