Keep the evidence of an order that is written while a state is published

Cause: looking up what is remembered of a move also began it anew if another one was in force. A holder whose call to publish a state ended after the next order had come took up the order before again, and lost the answers to the new one.

Change: only applying the orders begins a move; a look-up changes nothing.

Measured: the new test fails before (the answers to the new order are gone) and passes; tests/gateway/duties passes.

--- a/banyansail/gateway/duties/move_controller.py
+++ b/banyansail/gateway/duties/move_controller.py
@@ -33,7 +33,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
-    from datetime import timedelta
+    from datetime import datetime, timedelta
 
     from banyansail.clock import Clock
     from banyansail.fleet.entries import Entry
@@ -139,7 +139,7 @@
 
     def _retain_final_state(self, move: Move) -> Move:
         """Return a move with the final state that it had, which it never loses."""
-        memory = self._memories.of(move)
+        memory = self._memories.remember(move)
         if move.state is not None:
             self._memories.record_state(move, move.state)
         final_state = memory.final_state
@@ -250,22 +250,15 @@
         if state is not None:
             await self._publish_state(move, order, state, verdict)
         elif move.state is not None:
-            await self._record_order(move, order)
-
-    async def _record_order(self, move: Move, order: MoveOrder) -> None:
-        record = OrderRecord(
-            move.number,
-            order.revision.number,
-            order.published.text,
-            self._memories.of(move).ordered_at,
-        )
-        await self._records.save(move.service, record)
+            record = _record_of(order, move, self._memories.of(move).ordered_at)
+            await self._records.save(move.service, record)
 
     async def _publish_state(
         self, move: Move, order: MoveOrder, state: MoveState, verdict: Verdict
     ) -> None:
         status = encode_status(move, state)
         tally = self._judge.evidence(move).total.target
+        ordered_at = self._memories.of(move).ordered_at
         try:
             stored = await self._store.set_status(
                 MOVES_KIND, move.service, status, order.revision
@@ -278,7 +271,7 @@
         )
         if self._order_by_service.get(move.service) is order:
             self._numbers.learn(published, move.number)
-        await self._record_order(move, published)
+        await self._records.save(move.service, _record_of(published, move, ordered_at))
         self._to_publish_again.discard(move.service)
         self._memories.record_state(move, state)
         log_decision(
@@ -298,3 +291,10 @@
         return target_share(
             move, verdict, self._judge.elapsed(move), self._exposure.share, canary_share
         )
+
+
+def _record_of(order: MoveOrder, move: Move, ordered_at: datetime) -> OrderRecord:
+    """Return the record of an order for which a state was published."""
+    return OrderRecord(
+        move.number, order.revision.number, order.published.text, ordered_at
+    )
--- a/banyansail/gateway/duties/move_memory.py
+++ b/banyansail/gateway/duties/move_memory.py
@@ -103,8 +103,8 @@
         self._by_service = {}
         self._restored_at = self._clock.monotonic()
 
-    def of(self, move: Move) -> MoveMemory:
-        """Return what is remembered of a move; nothing for a new order."""
+    def remember(self, move: Move) -> MoveMemory:
+        """Return what is remembered of a move in force; begin anew for a new order."""
         memory = self._by_service.get(move.service)
         if memory is None or memory.move.number != move.number:
             memory = self._pop_same_order(move) or self._begin(move)
@@ -112,6 +112,13 @@
         memory.move = move
         return memory
 
+    def of(self, move: Move) -> MoveMemory:
+        """Return what is remembered of a move; nothing if another one is in force."""
+        memory = self._by_service.get(move.service)
+        if memory is None or memory.move.number != move.number:
+            return MoveMemory(move, self._clock.monotonic(), self._clock.now())
+        return memory
+
     def record_state(self, move: Move, state: MoveState) -> None:
         """Record a state that was published for a move, if it is the last one."""
         memory = self._by_service.get(move.service)
--- a/tests/gateway/duties/test_orders_written_over.py
+++ b/tests/gateway/duties/test_orders_written_over.py
@@ -410,3 +410,37 @@
     started.act()
     assert status(store)["state"] == "running"
     assert started.share() <= EXPOSE_SHARE
+
+
+class SlowStore(FakeStore):
+    """A store in which something happens while it writes a status."""
+
+    def __init__(self):
+        super().__init__()
+        self.while_writing = None
+
+    async def set_status(self, *args):
+        written = await super().set_status(*args)
+        if self.while_writing is not None:
+            self.while_writing()
+        return written
+
+
+def test_an_order_that_is_written_during_a_call_keeps_its_evidence(clock):
+    """Guards against a holder that takes up the order before once its call ends."""
+    store = SlowStore()
+    holder = Router(store, clock, is_holder=True)
+    order(store, "v2")
+    holder.act()
+    holder.answer("v2", 6, is_good=False)
+
+    def write_over():
+        store.while_writing = None
+        order(store, "v3")
+        holder.read()
+        holder.answer("v3", 7)
+
+    store.while_writing = write_over
+    run_now(holder.moves.publish_states())
+    tallies = holder.moves.own_tallies
+    assert sum(tally.good for key, tally in tallies.items() if not key.route) == 7
