Move the modules of moves into a folder of their own

Cause: gateway/duties had grown from 11 to 18 modules, half of them about moves of traffic. Change: gateway/moves, with tests beside it in tests/gateway/moves; names without the prefix. Renames only.

--- a/banyansail/gateway/context.py
+++ b/banyansail/gateway/context.py
@@ -30,8 +30,8 @@
     from banyansail.gateway.decisions.limits.quota import QuotaLimiter
     from banyansail.gateway.decisions.queue.dispatch import Dispatcher
     from banyansail.gateway.decisions.upstreams.upstream_load import UpstreamLoad
-    from banyansail.gateway.duties.move_controller import MoveController
     from banyansail.gateway.duties.usage import UsageCounter
+    from banyansail.gateway.moves.controller import MoveController
     from banyansail.gateway.request_types import CallerCall, ReplyHead
     from banyansail.gateway.sharing.limit_sharing import LimitSharing
     from banyansail.gateway.sharing.speed_sharing import SpeedSharing
--- /dev/null
+++ b/banyansail/gateway/moves/__init__.py
@@ -0,0 +1,1 @@
+"""Moves of traffic between versions: orders, evidence, verdicts, states."""
--- a/banyansail/gateway/duties/move_controller.py
+++ b/banyansail/gateway/moves/controller.py
@@ -6,22 +6,22 @@
 from typing import TYPE_CHECKING
 
 from banyansail.exceptions import StoreConflictError, WireError
-from banyansail.gateway.duties.answer_times import AnswerTimes
-from banyansail.gateway.duties.move_judge import MoveJudge
-from banyansail.gateway.duties.move_memory import (
+from banyansail.gateway.moves.answer_times import AnswerTimes
+from banyansail.gateway.moves.judge import MoveJudge
+from banyansail.gateway.moves.memory import (
     FINAL_STATES,
     AnswerQuality,
     MoveMemories,
 )
-from banyansail.gateway.duties.moves import (
+from banyansail.gateway.moves.move import (
     ExposureBound,
     Move,
     MoveState,
     state_to_publish,
     target_share,
 )
-from banyansail.gateway.duties.order_numbers import OrderNumbers, OrderRecord
-from banyansail.gateway.duties.order_records import OrderRecords
+from banyansail.gateway.moves.order_numbers import OrderNumbers, OrderRecord
+from banyansail.gateway.moves.order_records import OrderRecords
 from banyansail.log import log_decision, log_event
 from banyansail.platform.moves import (
     MOVES_KIND,
@@ -39,8 +39,8 @@
     from banyansail.fleet.entries import Entry
     from banyansail.gateway.decisions.queue.dispatch import Dispatcher
     from banyansail.gateway.duties.duty_lease import DutyLease
-    from banyansail.gateway.duties.move_orders import MoveOrder
-    from banyansail.gateway.duties.move_verdict import Verdict
+    from banyansail.gateway.moves.orders import MoveOrder
+    from banyansail.gateway.moves.verdict import Verdict
     from banyansail.gateway.store.mirror import Mirror
     from banyansail.gateway.upstream import Upstream
     from banyansail.platform.store import StoreClient
--- a/banyansail/gateway/duties/move_judge.py
+++ b/banyansail/gateway/moves/judge.py
@@ -6,8 +6,8 @@
 from typing import TYPE_CHECKING
 
 from banyansail.exceptions import WireError
-from banyansail.gateway.duties.move_verdict import MoveEvidence, Verdict, judge
-from banyansail.gateway.duties.moves import is_due
+from banyansail.gateway.moves.move import is_due
+from banyansail.gateway.moves.verdict import MoveEvidence, Verdict, judge
 from banyansail.log import log_decision, log_event
 from banyansail.traffic.tally import Tally, TallyKey
 from banyansail.wire.gossip_codec import decode_names, encode_names
@@ -18,8 +18,8 @@
 
     from banyansail.clock import Clock
     from banyansail.fleet.entries import Entry
-    from banyansail.gateway.duties.move_memory import MoveMemories, MoveMemory
-    from banyansail.gateway.duties.moves import Move
+    from banyansail.gateway.moves.memory import MoveMemories, MoveMemory
+    from banyansail.gateway.moves.move import Move
 
 
 class MoveJudge:
--- a/banyansail/gateway/duties/move_memory.py
+++ b/banyansail/gateway/moves/memory.py
@@ -7,13 +7,13 @@
 from enum import Enum
 from typing import TYPE_CHECKING
 
-from banyansail.gateway.duties.moves import Move, MoveState
+from banyansail.gateway.moves.move import Move, MoveState
 from banyansail.log import log_event
 from banyansail.traffic.tally import Tally, TallyKey
 
 if TYPE_CHECKING:
     from banyansail.clock import Clock
-    from banyansail.gateway.duties.order_numbers import OrderRecord
+    from banyansail.gateway.moves.order_numbers import OrderRecord
 
 FINAL_STATES = (MoveState.COMPLETED, MoveState.REVERTED)
 # After a restore of the store; by then operators have written their orders again.
--- a/banyansail/gateway/duties/moves.py
+++ b/banyansail/gateway/moves/move.py
@@ -13,7 +13,7 @@
 from datetime import timedelta
 from enum import Enum
 
-from banyansail.gateway.duties.move_verdict import Verdict
+from banyansail.gateway.moves.verdict import Verdict
 from banyansail.traffic.tally import Tally
 
 CANARY_SHARE = 0.5  # of the exposure limit, until there is enough evidence
--- a/banyansail/gateway/duties/order_numbers.py
+++ b/banyansail/gateway/moves/order_numbers.py
@@ -15,7 +15,7 @@
     from collections.abc import Mapping
     from datetime import datetime
 
-    from banyansail.gateway.duties.move_orders import MoveOrder
+    from banyansail.gateway.moves.orders import MoveOrder
 
 
 @dataclass(slots=True, frozen=True)
--- a/banyansail/gateway/duties/order_records.py
+++ b/banyansail/gateway/moves/order_records.py
@@ -12,7 +12,7 @@
 from typing import TYPE_CHECKING, Any
 
 from banyansail.exceptions import StoreConflictError
-from banyansail.gateway.duties.order_numbers import OrderRecord
+from banyansail.gateway.moves.order_numbers import OrderRecord
 from banyansail.log import log_event
 
 if TYPE_CHECKING:
--- a/banyansail/gateway/duties/move_orders.py
+++ b/banyansail/gateway/moves/orders.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from banyansail.gateway.duties.moves import Move, MoveState
+from banyansail.gateway.moves.move import Move, MoveState
 
 if TYPE_CHECKING:
     from datetime import timedelta
--- a/banyansail/gateway/requests/outcome_recorder.py
+++ b/banyansail/gateway/requests/outcome_recorder.py
@@ -13,7 +13,7 @@
     NotSent,
     Outcome,
 )
-from banyansail.gateway.duties.move_memory import AnswerQuality
+from banyansail.gateway.moves.memory import AnswerQuality
 from banyansail.gateway.request_types import RunStatus
 from banyansail.log import log_event
 
--- a/banyansail/gateway/router.py
+++ b/banyansail/gateway/router.py
@@ -15,13 +15,13 @@
 from banyansail.gateway.decisions.queue.dispatch import Dispatcher
 from banyansail.gateway.drain import Drain
 from banyansail.gateway.duties.duty_work import DutyWork
-from banyansail.gateway.duties.move_controller import MoveController
-from banyansail.gateway.duties.moves import ExposureBound
 from banyansail.gateway.duties.scaler import Scaler
 from banyansail.gateway.duties.usage import SteadyTime, UsageCounter
 from banyansail.gateway.duties.usage_exchange import UsageExchange
 from banyansail.gateway.duties.usage_reporter import UsageReporter
 from banyansail.gateway.metrics_page import MetricsPage
+from banyansail.gateway.moves.controller import MoveController
+from banyansail.gateway.moves.move import ExposureBound
 from banyansail.gateway.reach_check import ReachCheck
 from banyansail.gateway.requests.crash_check import CrashCheck
 from banyansail.gateway.sharing.cold_sharing import ColdSharing
--- a/banyansail/gateway/tasks.py
+++ b/banyansail/gateway/tasks.py
@@ -9,7 +9,7 @@
     from banyansail.gateway.context import GatewayContext
     from banyansail.gateway.duties.duty_lease import DutyLease
     from banyansail.gateway.duties.duty_work import DutyWork
-    from banyansail.gateway.duties.move_controller import MoveController
+    from banyansail.gateway.moves.controller import MoveController
     from banyansail.gateway.reach_check import ReachCheck
     from banyansail.gateway.sharing.gossip_work import GossipWork
     from banyansail.gateway.sharing.quarantine_store import QuarantineStore
--- a/banyansail/platform/moves.py
+++ b/banyansail/platform/moves.py
@@ -6,8 +6,8 @@
 from typing import TYPE_CHECKING, Any
 
 from banyansail.exceptions import WireError
-from banyansail.gateway.duties.move_orders import MoveOrder, PublishedState
-from banyansail.gateway.duties.moves import Move, MoveState
+from banyansail.gateway.moves.move import Move, MoveState
+from banyansail.gateway.moves.orders import MoveOrder, PublishedState
 
 if TYPE_CHECKING:
     from banyansail.platform.store import StoredObject
--- a/benchmarks/idle_router.py
+++ b/benchmarks/idle_router.py
@@ -78,7 +78,7 @@
     "reach": ("reach_check.py", "run"),
     "usage": ("duty_work.py", "report_usage"),
     "replicas": ("duty_work.py", "scale"),
-    "moves": ("move_controller.py", "publish_states"),
+    "moves": ("controller.py", "publish_states"),
     "quarantines": ("quarantine_store.py", "synchronize"),
     "lapsed upstreams": ("store_work.py", "expire_upstreams"),
     "connections, in and out": ("tcp.py", "doRead"),
--- a/tests/gateway/duties/test_answer_times.py
+++ b/tests/gateway/moves/test_answer_times.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from banyansail.gateway.duties.answer_times import AnswerTimes
+from banyansail.gateway.moves.answer_times import AnswerTimes
 from tests.gateway.builders import seconds
 
 KEY = ("engines", "draft")
--- a/tests/gateway/duties/test_moves.py
+++ b/tests/gateway/moves/test_controller.py
@@ -9,15 +9,9 @@
 from banyansail.exceptions import StoreConflictError
 from banyansail.fleet.entries import Entry, Topic
 from banyansail.gateway.decisions.queue.dispatch import Dispatcher
-from banyansail.gateway.duties.move_controller import MoveController
-from banyansail.gateway.duties.move_memory import AnswerQuality
-from banyansail.gateway.duties.move_verdict import (
-    Evidence,
-    MoveEvidence,
-    Verdict,
-    judge,
-)
-from banyansail.gateway.duties.moves import (
+from banyansail.gateway.moves.controller import MoveController
+from banyansail.gateway.moves.memory import AnswerQuality
+from banyansail.gateway.moves.move import (
     CANARY_SHARE,
     MAX_RAMP_TIME,
     PROVEN_SHARE,
@@ -27,6 +21,12 @@
     state_to_publish,
     target_share,
 )
+from banyansail.gateway.moves.verdict import (
+    Evidence,
+    MoveEvidence,
+    Verdict,
+    judge,
+)
 from banyansail.gateway.store.mirror import Mirror
 from banyansail.traffic.tally import Tally, TallyKey
 from banyansail.wire.gossip_codec import encode_names
--- a/tests/gateway/duties/test_orders_written_over.py
+++ b/tests/gateway/moves/test_orders_written_over.py
@@ -14,9 +14,9 @@
 from banyansail.exceptions import PlatformUnavailableError
 from banyansail.fleet.entries import Entry, Topic
 from banyansail.gateway.decisions.queue.dispatch import Dispatcher
-from banyansail.gateway.duties.move_controller import MoveController
-from banyansail.gateway.duties.move_memory import AnswerQuality
-from banyansail.gateway.duties.moves import ExposureBound
+from banyansail.gateway.moves.controller import MoveController
+from banyansail.gateway.moves.memory import AnswerQuality
+from banyansail.gateway.moves.move import ExposureBound
 from banyansail.gateway.store.mirror import Mirror
 from tests.fakes import FakeClock, run_now
 from tests.gateway.fake_store import FakeStore
--- a/tests/wire/samples.py
+++ b/tests/wire/samples.py
@@ -15,7 +15,6 @@
 
 from banyansail.config.fields import Address
 from banyansail.fleet.entries import Digest, Entry, Gossip, Member, Topic
-from banyansail.gateway.duties.moves import Move, MoveState
 from banyansail.gateway.request_types import CallerCall
 from banyansail.ledger import codec as ledger_codec
 from banyansail.ledger.key_index import PageRef, Segment
@@ -50,6 +49,11 @@
 from banyansail.traffic.tally import Tally
 from banyansail.wire import call_codec, gossip_codec, traffic_codec
 
+try:
+    from banyansail.gateway.moves.move import Move, MoveState
+except ImportError:  # c1e6479
+    from banyansail.gateway.duties.moves import Move, MoveState
+
 # A tuple in c1e6479.
 make_key = getattr(tally_module, "TallyKey", lambda *parts: parts)
 SINCE = datetime(2026, 12, 3, 12, tzinfo=UTC)
