Let late answers take no traffic from a version that a move was completed to

Cause: the verdict was asked for ended moves too, and "bad" gave a completed target a share of 0, which the other versions don't make up for: they have stopped. Found by reading.

Change: the verdict on an ended move is its state.

Measured: the new test fails before (share 0) and passes; tests/gateway/moves passes.

--- a/banyansail/gateway/moves/judge.py
+++ b/banyansail/gateway/moves/judge.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 from banyansail.exceptions import WireError
-from banyansail.gateway.moves.move import is_due
+from banyansail.gateway.moves.move import MoveState, is_due
 from banyansail.gateway.moves.verdict import MoveEvidence, Verdict, judge
 from banyansail.log import log_decision, log_event
 from banyansail.traffic.tally import Tally, TallyKey
@@ -66,7 +66,15 @@
         return self._clock.monotonic() - self._memories.of(move).received_at
 
     def verdict(self, move: Move) -> Verdict:
-        """Return the verdict on the target of a move."""
+        """Return the verdict on the target of a move; that of an ended one is final.
+
+        Late answers change nothing once the other versions may have stopped.
+        """
+        match move.state:
+            case MoveState.COMPLETED:
+                return Verdict.GOOD
+            case MoveState.REVERTED:
+                return Verdict.BAD
         memory = self._memories.of(move)
         if memory.is_bad:
             return Verdict.BAD
--- a/tests/gateway/moves/test_controller.py
+++ b/tests/gateway/moves/test_controller.py
@@ -321,6 +321,19 @@
     raise AssertionError("an old revision was accepted")
 
 
+def test_late_answers_take_no_traffic_from_a_version_that_a_move_was_completed_to():
+    """Guards against a service without any upstream, as the others have stopped."""
+    store, clock = FakeStore(), FakeClock()
+    controller, dispatcher = completed_move(store, clock)
+    bad = TallyKey("engines", 1, True)
+    controller.set_fleet_tallies({bad: Tally(30, 20, 20)})
+    controller.update_shares()
+    assert dispatcher.state("engines").version_share.share == 1.0
+    value = encode_names(["bad/engines/v2/1"])
+    controller.merge_bad_moves(Entry("r1", 1, Topic.STATEMENTS, 1, value))
+    assert dispatcher.state("engines").version_share.share == 1.0
+
+
 def completed_move(store, clock):
     controller, dispatcher = controller_of(store, clock, FakeLease())
     stored = order(store)
