Soak: configurations that change, checks of CONFIG and DENIED, silent connections

The incident of CONFIG, REFUSED, DENIED and TWICE on many routers has no record, and the soak neither changed the configuration nor asked routers for it. New kinds: silent connections (to the store, between routers), a disturbed store (away, lost answers, cut history), a dark fleet (all routers lose power). Routers of the soak have three watchers in a data centre, as the deployments do.

No logic is changed.

--- a/banyansail/standins/store.py
+++ b/banyansail/standins/store.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
+from random import Random
 from typing import TYPE_CHECKING, Any
 
 from twisted.internet import defer, reactor
@@ -29,12 +30,16 @@
         Whether calls are accepted and never answered, even after the switch is off.
     has_no_history : bool
         Whether each watch is answered with 410.
+    lost_share : float
+        Share of the writes that take effect and are never answered; their connections
+        stay open.
     """
 
     is_down: bool = False
     loses_answers: bool = False
     is_silent: bool = False
     has_no_history: bool = False
+    lost_share: float = 0.0
 
 
 @dataclass(slots=True, frozen=True)
@@ -136,6 +141,7 @@
         super().__init__()
         self.state = StoreState()
         self.faults = StoreFaults()
+        self._random = Random(0)
 
     async def handle(self, request: Request) -> None:
         """Answer one call."""
@@ -225,6 +231,8 @@
         if self.faults.loses_answers:
             request.transport.loseConnection()
             return
+        if self._random.random() < self.faults.lost_share:
+            return
         answer_json(request, stored)
 
 
--- a/benchmarks/soak/checks/all_checks.py
+++ b/benchmarks/soak/checks/all_checks.py
@@ -5,7 +5,9 @@
 from typing import TYPE_CHECKING
 
 from benchmarks.soak.checks.budget import BudgetCheck
+from benchmarks.soak.checks.config import ConfigCheck
 from benchmarks.soak.checks.deadlines import DeadlineCheck
+from benchmarks.soak.checks.denials import DenialCheck
 from benchmarks.soak.checks.duties import DutyCheck
 from benchmarks.soak.checks.order import OrderCheck
 from benchmarks.soak.checks.overlaps import OverlapCheck
@@ -25,6 +27,8 @@
         DeadlineCheck,
         BudgetCheck,
         DutyCheck,
+        ConfigCheck,
+        DenialCheck,
     )
 }
 
--- a/benchmarks/soak/cut_gateway.py
+++ b/benchmarks/soak/cut_gateway.py
@@ -6,7 +6,8 @@
 Options:
   --settings=FILE  Settings, as of the gateway. Beside them, a file of that name with
                    the suffix ``.cut`` cuts the links while it exists. It has the form
-                   of the cut, and the ports that are cut off.
+                   of the cut, and the ports that are cut off. With ``silence``, only
+                   connections that are open say nothing more.
   --check          Check the settings and exit.
 """
 
@@ -30,6 +31,7 @@
     from collections.abc import Iterable
 
 POLL_S = 0.05
+SILENCE = "silence"
 
 
 def cut_path(settings_path: Path) -> Path:
@@ -37,9 +39,9 @@
     return settings_path.with_suffix(".cut")
 
 
-def cut_text(cut: Cut, ports: Iterable[int]) -> str:
+def cut_text(form: str, ports: Iterable[int]) -> str:
     """Return the content of the file."""
-    return " ".join([cut.value, *map(str, ports)])
+    return " ".join([form, *map(str, ports)])
 
 
 class CutSwitch:
@@ -65,8 +67,13 @@
         if is_cut:
             self._reactor.end()
             return
-        form, *ports = self._path.read_text().split()
-        self._reactor.begin(Cut(form), set(map(int, ports)))
+        form, *texts = self._path.read_text().split()
+        ports = set(map(int, texts))
+        if form == SILENCE:
+            self._path.unlink()
+            self._reactor.silence(ports)
+        else:
+            self._reactor.begin(Cut(form), ports)
 
 
 def run(settings: GatewaySettings) -> None:
--- a/benchmarks/soak/fleet.py
+++ b/benchmarks/soak/fleet.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Any
 
-from benchmarks.soak.cut_gateway import cut_path, cut_text
+from benchmarks.soak.cut_gateway import SILENCE, cut_path, cut_text
 from benchmarks.soak.site_config import (
     DEPOT,
     ENGINES,
@@ -18,7 +18,7 @@
     site_config,
     upstream_entry,
 )
-from benchmarks.soak.store import DRILL_PATH
+from benchmarks.soak.store import DRILL_PATH, FAULTS_PATH
 from benchmarks.soak.upstream import SWITCHES_PATH
 from tests.ports import free_port
 from tests.processes import Programs, call, wait_until
@@ -111,7 +111,8 @@
             f"--record={self.record_path('store')}",
         )
         self._programs.wait_for_start("store", self._store_port, f"{OBJECTS}/servers")
-        self._put("config", "main", site_config())
+        self._config = site_config()
+        self._put("config", "main", self._config)
         for name in self.upstream_by_name:
             self.start_upstream(name)
         for name in self.router_by_name:
@@ -187,7 +188,7 @@
         """Let the store come back from a copy; all writers but ours write again."""
         body = {"away_s": away_s, "copy_age_s": copy_age_s}
         self._call_store("PUT", DRILL_PATH, body)
-        self._put("config", "main", site_config())
+        self._put("config", "main", self._config)
         for name in self.upstream_by_name:
             entry = self._entry_by_upstream.get(name)
             if entry is None:
@@ -195,6 +196,28 @@
             else:
                 self._put("servers", name, entry)
 
+    def write_config(self, config: dict[str, Any]) -> bool:
+        """Write a configuration; return whether the store acknowledged it."""
+        body = {"metadata": {"name": "main"}, "spec": config}
+        path = f"{OBJECTS}/config/main"
+        is_acknowledged = self._call_store("PUT", path, body) == 200
+        if is_acknowledged:
+            self._config = config
+        return is_acknowledged
+
+    def disturb_store(self, **faults: Any) -> None:
+        """Set fault switches of the store."""
+        self._call_store("PUT", FAULTS_PATH, faults)
+
+    def silence_connections(self, *, to_store: bool, to_routers: bool) -> None:
+        """Silence what the routers have open; new connections work."""
+        ports = [self._store_port] if to_store else []
+        if to_routers:
+            relays = [item.ports["relay"] for item in self.router_by_name.values()]
+            ports += [self._peer_port, *relays]
+        for name in self.router_by_name:
+            self._cut(name, SILENCE, ports)
+
     def switch(self, name: str, **switches: Any) -> None:
         """Set fault switches of an upstream; one that has crashed has none."""
         port = self.upstream_by_name[name].ports["listen"]
@@ -206,9 +229,12 @@
     def cut_off(self, name: str, cut: Cut) -> None:
         """Cut the links of a router to all upstreams."""
         ports = [item.ports["listen"] for item in self.upstream_by_name.values()]
+        self._cut(name, cut.value, ports)
+
+    def _cut(self, name: str, form: str, ports: list[int]) -> None:
         path = self._settings_path(name)
         draft = path.with_suffix(".draft")
-        draft.write_text(cut_text(cut, ports))
+        draft.write_text(cut_text(form, ports))
         draft.rename(cut_path(path))
 
     def heal(self, name: str) -> None:
--- a/benchmarks/soak/kinds.py
+++ b/benchmarks/soak/kinds.py
@@ -29,6 +29,7 @@
 ALL_ROUTERS = "all routers"
 THE_STORE = "store"
 EXTRA_SHARE = 0.1  # of the answers of a faulty upstream
+STORE_SHARE = 0.8  # of the silences, which take the connections to the store
 
 
 class Scope(Enum):
@@ -45,6 +46,7 @@
     SERVICE = "admission at all upstreams of a service"
     FLEET = "processes of all routers"
     STORE = "store"
+    CONNECTIONS = "open connections of all routers"
 
 
 class FaultKind:
@@ -364,6 +366,69 @@
         fleet.drill(**fault.options)
 
 
+class DarkFleet(KilledFleet):
+    """All routers, which lose power at once: nothing is closed until they return."""
+
+    name = "dark fleet"
+    weight = 1
+
+    def begin(self, fleet: Fleet, fault: Fault) -> None:
+        """Let all routers say nothing more."""
+        for name in fleet.router_by_name:
+            fleet.signal(name, signal.SIGSTOP)
+
+    def end(self, fleet: Fleet, fault: Fault) -> None:
+        """Start the routers again, without what they knew."""
+        super().begin(fleet, fault)
+        super().end(fleet, fault)
+
+
+class SilentConnections(FaultKind):
+    """Open connections of all routers that say nothing more, without a close."""
+
+    name = "silent connections"
+    scope = Scope.CONNECTIONS
+    duration_s = (0.1, 0.2)
+
+    def draw(self, random: Random) -> dict[str, Any]:
+        """Draw which connections fall silent."""
+        to_store = random.random() < STORE_SHARE
+        return {
+            "to_store": to_store,
+            "to_routers": not to_store or random.random() < 0.5,
+        }
+
+    def begin(self, fleet: Fleet, fault: Fault) -> None:
+        """Silence the connections."""
+        fleet.silence_connections(**fault.options)
+
+
+class DisturbedStore(FaultKind):
+    """A store that is away, loses answers of writes or cuts its history."""
+
+    name = "disturbed store"
+    scope = Scope.STORE
+    faults: ClassVar = (
+        {"is_down": True},
+        {"lost_share": 0.5},
+        {"has_no_history": True},
+    )
+
+    def draw(self, random: Random) -> dict[str, Any]:
+        """Draw what is wrong with it."""
+        return dict(random.choice(self.faults))
+
+    def begin(self, fleet: Fleet, fault: Fault) -> None:
+        """Disturb the store."""
+        fleet.disturb_store(**fault.options)
+
+    def end(self, fleet: Fleet, fault: Fault) -> None:
+        """Let the store serve."""
+        fleet.disturb_store(
+            **{name: type(value)() for name, value in fault.options.items()}
+        )
+
+
 KIND_BY_NAME: dict[str, FaultKind] = {
     item.name: item()
     for item in (
@@ -384,5 +449,8 @@
         FrozenRouter,
         CutOffRouter,
         Drill,
+        DarkFleet,
+        SilentConnections,
+        DisturbedStore,
     )
 }
--- a/benchmarks/soak/plan.py
+++ b/benchmarks/soak/plan.py
@@ -34,6 +34,7 @@
     Scope.SERVICE: 2.0,
     Scope.FLEET: 2.0,
     Scope.STORE: 4.0,
+    Scope.CONNECTIONS: 6.0,
 }
 ROUTER_SCOPES = (Scope.ROUTER, Scope.LINKS)
 # One target is left as it is at any time.
@@ -74,6 +75,7 @@
         self._targets_by_scope[Scope.SERVICE] = [DEPOT, ENGINES]
         self._targets_by_scope[Scope.FLEET] = [ALL_ROUTERS]
         self._targets_by_scope[Scope.STORE] = [THE_STORE]
+        self._targets_by_scope[Scope.CONNECTIONS] = [ALL_ROUTERS]
         self._free_at: dict[tuple[Scope, str], float] = {}
 
     def draw(self, seconds: float) -> list[Fault]:
--- a/benchmarks/soak/records.py
+++ b/benchmarks/soak/records.py
@@ -167,6 +167,40 @@
     ended_at: float | None = None
 
 
+@dataclass(slots=True)
+class Change:
+    """A configuration that adds a route, and from some number on removes one.
+
+    Parameters
+    ----------
+    route : int
+        Number of the route that it adds.
+    acked_at : float or None
+        When the store acknowledged it.
+    """
+
+    route: int
+    sent_at: float
+    acked_at: float | None = None
+
+
+@dataclass(slots=True)
+class Probe:
+    """A request that asks a router for an added route.
+
+    Parameters
+    ----------
+    status : int or None
+        Status of the answer; ``None`` if there was none.
+    """
+
+    router: str
+    route: int
+    sent_at: float
+    ended_at: float = 0.0
+    status: int | None = None
+
+
 @dataclass(slots=True)
 class Evidence:
     """All that was seen in a run of the soak.
@@ -182,6 +216,8 @@
     faults: list[Fault] = field(default_factory=list)
     retry_slack: float = 0.0
     duty_calls: list[DutyCall] = field(default_factory=list)
+    changes: list[Change] = field(default_factory=list)
+    probes: list[Probe] = field(default_factory=list)
 
     def arrivals_of(self, attempt: str) -> list[Run]:
         """Return the arrivals of a request at upstreams, rejected ones too, by time."""
--- a/benchmarks/soak/site_config.py
+++ b/benchmarks/soak/site_config.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from benchmarks.soak.http_caller import HOST, KEY, PREFIX_BY_KIND
 from benchmarks.soak.records import Kind
 
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
 DEPOT, ENGINES = "depot", "engines"
 SLOTS = 32
 GRACE_S = 3.0
@@ -26,15 +29,25 @@
 SERVICE_BY_KIND = {kind: ENGINES if kind.is_stream else DEPOT for kind in Kind}
 MAX_ATTEMPTS = 3
 RETRY_RATIO, RETRY_WINDOW_S = 0.2, 10
+STORE_WATCHERS = 3  # in each data centre
+ADDED_HOST = "added.example"
+
+
+def added_prefix(number: int) -> str:
+    """Return the path of an added route."""
+    return f"/stock/added-{number}/"
 
 
-def site_config() -> dict[str, Any]:
-    """Return the configuration."""
+def site_config(version: int = 1, added: Iterable[int] = ()) -> dict[str, Any]:
+    """Return the configuration, with routes that were added since the first one."""
     engine = {"slots": SLOTS, "kvTokens": 100_000, "stride": 1, "moves": True}
     service = {"healthPath": "/health", "maxConns": 200}
     return {
-        "version": 1,
-        "routes": [_route(kind) for kind in Kind],
+        "version": version,
+        "routes": [
+            *(_route(kind) for kind in Kind),
+            *(_added_route(number) for number in added),
+        ],
         "services": [
             {"name": DEPOT, **service},
             {"name": ENGINES, "engine": engine, **service},
@@ -59,6 +72,11 @@
     }
 
 
+def _added_route(number: int) -> dict[str, Any]:
+    place = {"host": ADDED_HOST, "pathPrefix": added_prefix(number)}
+    return {**_route(Kind.STOCK), "name": f"added-{number}", **place}
+
+
 def upstream_entry(
     service: str, address: str, zone: str, born_ms: int, **fields: Any
 ) -> dict[str, Any]:
@@ -108,4 +126,5 @@
         "usage_late_s": 10,
         "lease_ms": 3000,
         "expose_share": 0.5,
+        "store_watchers": STORE_WATCHERS,
     }
--- a/benchmarks/soak/soak.py
+++ b/benchmarks/soak/soak.py
@@ -9,6 +9,7 @@
 
 from benchmarks.soak.fleet import Fleet
 from benchmarks.soak.http_caller import OVERDUE_S
+from benchmarks.soak.operator import Operator
 from benchmarks.soak.plan import Planner
 from benchmarks.soak.records import (
     Evidence,
@@ -97,14 +98,19 @@
         )
         faults = planner.draw(options.seconds)
         fleet.start_callers(options.seed, CALLERS, options.seconds)
+        routers = list(fleet.router_by_name.values())
+        operator = Operator(fleet.write_config, routers, clock)
         try:
-            Striker(fleet, clock, report).strike_all(faults)
-            fleet.wait_for_callers(LONGEST_REQUEST_S + START_SLACK_S)
+            with operator:
+                Striker(fleet, clock, report).strike_all(faults)
+                fleet.wait_for_callers(LONGEST_REQUEST_S + START_SLACK_S)
         finally:
+            operator.save(folder / "operator.jsonl")
             history = [asdict(fault) for fault in faults]
             (folder / "history.json").write_text(json.dumps(history, indent=1))
         evidence = _collect(fleet, faults)
         evidence.retry_slack = options.retry_slack
+        evidence.changes, evidence.probes = operator.changes, operator.probes
     return check(options.seed, evidence, checks)
 
 
--- a/benchmarks/soak/store.py
+++ b/benchmarks/soak/store.py
@@ -28,6 +28,7 @@
     from twisted.web.server import Request
 
 DRILL_PATH = "/soak/drill"
+FAULTS_PATH = "/soak/faults"
 COPY_INTERVAL_S = 0.25
 KEPT_COPIES = 40
 
@@ -62,6 +63,9 @@
             await self._drill(body["away_s"], body["copy_age_s"])
             answer_json(request, {"era": self.state.era})
             return
+        if path == FAULTS_PATH:
+            self.set_faults(request, self.faults, None)
+            return
         if path in ("/usage", "/scale") and not self.faults.is_down:
             self._record_call(path, request)
         await super().handle(request)
--- a/tests/gateway/cut_reactor.py
+++ b/tests/gateway/cut_reactor.py
@@ -32,13 +32,25 @@
     def begin(self, cut: Cut, ports: set[int]) -> None:
         """Cut the connections to ports off."""
         self.cut, self.ports = cut, ports
-        for port in ports:
-            for transport in self._transport_by_port.get(port, []):
-                if cut is Cut.RESET:
-                    transport.abortConnection()
-                elif cut is Cut.HANG and transport.connected:
-                    transport.pauseProducing()
-                    transport.write = lambda data: None
+        if cut is Cut.HANG:
+            self.silence(ports)
+        for transport in self._open_to(ports):
+            if cut is Cut.RESET:
+                transport.abortConnection()
+
+    def silence(self, ports: set[int]) -> None:
+        """Silence the open connections to ports for good; new ones work."""
+        for transport in self._open_to(ports):
+            transport.pauseProducing()
+            transport.write = lambda data: None
+
+    def _open_to(self, ports: set[int]) -> list[Any]:
+        return [
+            transport
+            for port in ports
+            for transport in self._transport_by_port.get(port, [])
+            if transport.connected
+        ]
 
     def end(self) -> None:
         """Let new connections through again."""
