--- a/benchmarks/soak/fleet.py
+++ b/benchmarks/soak/fleet.py
@@ -177,12 +177,12 @@
             **fields,
         )
         self._entry_by_upstream[name] = entry
-        self._put("servers", name, entry)
+        wait_until(lambda: self._try_put("servers", name, entry))
 
     def unregister(self, name: str) -> None:
         """Remove the entry of an upstream, as the store does after some silence."""
         self._entry_by_upstream.pop(name, None)
-        self._call_store("DELETE", f"{OBJECTS}/servers/{name}")
+        wait_until(lambda: self._try_delete(name))
 
     def drill(self, away_s: float, copy_age_s: float) -> None:
         """Let the store come back from a copy; all writers but ours write again."""
@@ -283,10 +283,25 @@
         """Return the file in which a program records what it sees."""
         return self._folder / f"{name}.jsonl"
 
-    def _put(self, kind: str, name: str, spec: dict[str, Any]) -> None:
+    def _put(self, kind: str, name: str, spec: dict[str, Any]) -> int:
         body = {"metadata": {"name": name}, "spec": spec}
-        if self._call_store("POST", f"{OBJECTS}/{kind}", body) == 409:
-            self._call_store("PUT", f"{OBJECTS}/{kind}/{name}", body)
+        status = self._call_store("POST", f"{OBJECTS}/{kind}", body)
+        if status == 409:
+            return self._call_store("PUT", f"{OBJECTS}/{kind}/{name}", body)
+        return status
+
+    def _try_put(self, kind: str, name: str, spec: dict[str, Any]) -> bool:
+        """Write an entry; return whether the store acknowledged it."""
+        try:
+            return self._put(kind, name, spec) in (200, 201)
+        except OSError:
+            return False
+
+    def _try_delete(self, name: str) -> bool:
+        try:
+            return self._call_store("DELETE", f"{OBJECTS}/servers/{name}") < 500
+        except OSError:
+            return False
 
     def _call_store(self, method: str, path: str, body: object = None) -> int:
         return call(self._store_port, method, path, body, timeout=CALL_TIMEOUT_S)[0]
--- a/tests/gateway/cut_reactor.py
+++ b/tests/gateway/cut_reactor.py
@@ -38,9 +38,14 @@
             if cut is Cut.RESET:
                 transport.abortConnection()
 
-    def silence(self, ports: set[int]) -> None:
-        """Silence the open connections to ports for good; new ones work."""
+    def silence(self, ports: set[int], *, is_busy: bool = False) -> None:
+        """Silence the open connections to ports for good; new ones work.
+
+        If `is_busy`, only those on which an answer is awaited.
+        """
         for transport in self._open_to(ports):
+            if is_busy and not transport.protocol.is_busy:
+                continue
             transport.pauseProducing()
             transport.write = lambda data: None
 
--- a/tests/gateway/test_live_following.py
+++ b/tests/gateway/test_live_following.py
@@ -105,3 +105,15 @@
     put_config(live, 3)
     wait_for_version(live, 3)
     wait_until(lambda: {item.store.era for item in live.gateways} == {2})
+
+
+def test_a_watch_that_missed_a_configuration_is_sent_again():
+    """Guards against watches that stay on silent connections while others answer."""
+    with LiveGateway(routers=3) as live:
+        time.sleep(1.5)  # watches and a probe are under way
+        port = live.gateway.settings.store.port
+        in_reactor(live.reactor.silence, {port}, is_busy=True)
+        in_reactor(live.announce, "d9", live.running_by_name["d1"].address)
+        put_config(live, 2)
+        wait_for_version(live, 2)
+        wait_until(lambda: live.gateway.dispatcher.load_of("d9"), timeout=5)
