Let only a connection as old vouch for a watch of the store

Cause: the probe of the store took any connection. If all open ones had stalled and its own had been idle for more than 1.2 s, it opened a new one and was answered, and the mirrors took this for a proof that their watches, on the stalled ones, had missed nothing: up to 21.5 s.

Change: the check of each second uses one connection that is kept (HeartbeatConnection). While it answers, connections as old have not stalled with it. If it does not answer within 0.6 s and a new one does, or if it had to be opened anew, all pending watches are sent again at once and idle connections are closed. A watch that is renewed is no failure of the store: no backoff, no entry lapses. An outage is noticed after 1.5 s as before.

Cost: no call more in quiet times; a renewal costs one call for each watched kind.

--- a/banyansail/exceptions.py
+++ b/banyansail/exceptions.py
@@ -92,6 +92,12 @@
     code = "connect_failed"
 
 
+class WatchRenewedError(BanyansailError):
+    """A watch was given up, as its connection may be stalled; it is to be sent again."""
+
+    code = "watch_renewed"
+
+
 class HistoryLostError(BanyansailError):
     """The store has compacted the changes that a watch requested."""
 
--- a/banyansail/gateway/store/mirror.py
+++ b/banyansail/gateway/store/mirror.py
@@ -9,7 +9,11 @@
 from datetime import timedelta
 from typing import TYPE_CHECKING
 
-from banyansail.exceptions import HistoryLostError, PlatformUnavailableError
+from banyansail.exceptions import (
+    HistoryLostError,
+    PlatformUnavailableError,
+    WatchRenewedError,
+)
 from banyansail.log import log_event
 from banyansail.wire.call_codec import KindChanges
 
@@ -106,9 +110,9 @@
         self._listeners.append(listener)
 
     def record_contact(self, sent_at: timedelta) -> None:
-        """Record that the store answered a call sent at a time.
+        """Record that the store answered a check sent at a time.
 
-        A watch sent before it and still without an answer has missed nothing since.
+        A watch that was not renewed by the check has missed nothing before it.
         """
         if self._watch_sent_at is not None and sent_at >= self._watch_sent_at:
             self._confirm(sent_at)
@@ -235,6 +239,9 @@
         except HistoryLostError:
             self.revision = None
             return
+        except WatchRenewedError:
+            self.has_minor_changes_only = False
+            return
         except PlatformUnavailableError as error:
             self._record_failure(error)
             raise
--- a/banyansail/gateway/store/store_probe.py
+++ b/banyansail/gateway/store/store_probe.py
@@ -1,13 +1,15 @@
 """Detection of an unresponsive store, so that its watches can be cancelled.
 
 A watch may wait for long without a response, which looks the same as an unresponsive
-store. A cheap periodic read tells the two apart.
+store or a stalled connection. A cheap periodic read tells them apart.
 """
 
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
 
+from twisted.internet import defer
+
 from banyansail.exceptions import PlatformUnavailableError
 from banyansail.log import log_event
 
@@ -31,6 +33,7 @@
         self._kind = kind
         self._name = name
         self._is_unreachable = False
+        self._lock = defer.DeferredLock()  # a second check would open a connection
 
     @property
     def is_unreachable(self) -> bool:
@@ -39,8 +42,11 @@
 
     async def probe(self) -> None:
         """Read the object; cancel the watches on failure and again on recovery."""
+        await self._lock.run(self._probe)
+
+    async def _probe(self) -> None:
         try:
-            await self._store.get(self._kind, self._name, serializable=True)
+            await self._store.check(self._kind, self._name)
         except PlatformUnavailableError as error:
             if not self._is_unreachable:
                 log_event("store_silent", error=error.message)
--- a/banyansail/platform/store.py
+++ b/banyansail/platform/store.py
@@ -11,13 +11,16 @@
 from twisted.internet import defer
 
 from banyansail.exceptions import (
+    BanyansailError,
     ConnectFailedError,
     HistoryLostError,
     PlatformUnavailableError,
     StoreConflictError,
+    WatchRenewedError,
 )
 from banyansail.log import log_event
 from banyansail.platform import header_names
+from banyansail.upstreams.heartbeat_connection import HeartbeatConnection
 from banyansail.upstreams.http_call import HttpAnswer, HttpCaller
 
 if TYPE_CHECKING:
@@ -29,6 +32,8 @@
 CALL_TIMEOUT = timedelta(seconds=1.5)
 WATCH_TIMEOUT = timedelta(seconds=20)  # a watch without changes ends after this
 WATCH_MARGIN = timedelta(seconds=1.5)  # for the answer after WATCH_TIMEOUT
+HEARTBEAT_TIMEOUT = timedelta(milliseconds=600)  # far above the time of a slow answer
+CHECK_TIMEOUT = timedelta(milliseconds=900)  # of the same call over a new connection
 MAX_PAGES = 100
 OPERATION_BY_METHOD = {"POST": "create", "PUT": "replace", "DELETE": "delete"}
 
@@ -144,7 +149,9 @@
         self._on_call = on_call
         self._reactor = reactor
         self._caller = HttpCaller(reactor, clock, address)
-        self._pending_watches: set[defer.Deferred[StoreAnswer]] = set()
+        self._heartbeat = HeartbeatConnection(reactor, clock, address)
+        # With what each one fails if it is cancelled.
+        self._error_by_watch: dict[defer.Deferred[StoreAnswer], BanyansailError] = {}
         self._restore_listeners: list[Callable[[], None]] = []
         self.era = 0  # the highest one known
         self._is_era_known = False  # eras may begin at 0
@@ -152,6 +159,7 @@
     def close(self) -> None:
         """Close the connections."""
         self._caller.close()
+        self._heartbeat.close()
 
     def add_restore_listener(self, listener: Callable[[], None]) -> None:
         """Call a function each time the store turns out to have been restored."""
@@ -224,6 +232,8 @@
         ------
         HistoryLostError
             If changes after the revision are no longer available; list the kind again.
+        WatchRenewedError
+            If the watch is to be sent again.
         """
         wait_ms = int(WATCH_TIMEOUT.total_seconds() * 1000)
         target = f"/v1/objects/{kind}?watch={since.number}&waitMs={wait_ms}"
@@ -236,22 +246,64 @@
         changes = _decode_changes(body["events"], answer.era)
         return Revision(answer.era, int(body["at"])), changes
 
+    async def check(self, kind: str, name: str) -> None:
+        """Check that the store answers, and that open connections are not stalled.
+
+        An object is read over a connection that is as old as any other one. If that
+        does not answer and a new one does, the others may be stalled too: all pending
+        watches are renewed.
+
+        Raises
+        ------
+        PlatformUnavailableError
+            If the store does not answer over a new connection either.
+        """
+        target = f"{_path(kind, name)}?serializable=1"
+        if self._heartbeat.is_open and await self._has_heartbeat(target):
+            return
+        answer = await self._call("GET", target, CHECK_TIMEOUT, caller=self._heartbeat)
+        _require_status(answer, 200, 404)
+        self.renew_watches("a new connection answers")
+
+    async def _has_heartbeat(self, target: str) -> bool:
+        """Return whether there is an answer over the connection that is open."""
+        try:
+            answer = await self._call(
+                "GET", target, HEARTBEAT_TIMEOUT, caller=self._heartbeat
+            )
+        except PlatformUnavailableError as error:
+            log_event("store_connection_stalled", error=error.message)
+            return False
+        _require_status(answer, 200, 404)
+        return True
+
+    def renew_watches(self, reason: str) -> None:
+        """Let all pending watches be sent again, over new connections."""
+        self._caller.close_idle()
+        if self._error_by_watch:
+            log_event("watches_renewed", count=len(self._error_by_watch), reason=reason)
+        for watch in list(self._error_by_watch):
+            self._error_by_watch[watch] = WatchRenewedError(reason)
+            watch.cancel()
+
     def cancel_watches(self) -> None:
         """Cancel pending watches; a store that hangs would never answer them."""
-        for watch in list(self._pending_watches):
+        for watch in list(self._error_by_watch):
             watch.cancel()
 
     async def _call_cancellable(self, target: str) -> StoreAnswer:
         watch = defer.Deferred.fromCoroutine(
             self._call("GET", target, WATCH_TIMEOUT + WATCH_MARGIN)
         )
-        self._pending_watches.add(watch)
+        self._error_by_watch[watch] = PlatformUnavailableError(
+            "the watch was cancelled"
+        )
         try:
             return await watch
         except defer.CancelledError:
-            raise PlatformUnavailableError("the watch was cancelled") from None
+            raise self._error_by_watch[watch] from None
         finally:
-            self._pending_watches.discard(watch)
+            del self._error_by_watch[watch]
 
     async def create(self, kind: str, name: str, spec: Any) -> StoredObject:
         """Create an object.
@@ -318,9 +370,12 @@
         method: str,
         target: str,
         timeout: timedelta = CALL_TIMEOUT,
+        caller: HttpCaller | HeartbeatConnection | None = None,
         **options: Any,
     ) -> StoreAnswer:
-        answer = await self._call_recorded(method, target, timeout, options)
+        answer = await self._call_recorded(
+            caller or self._caller, method, target, timeout, options
+        )
         era = _decode_era(answer)
         if era is None:
             return StoreAnswer(answer, self.era)
@@ -332,11 +387,16 @@
         return StoreAnswer(answer, era)
 
     async def _call_recorded(
-        self, method: str, target: str, timeout: timedelta, options: dict[str, Any]
+        self,
+        caller: HttpCaller | HeartbeatConnection,
+        method: str,
+        target: str,
+        timeout: timedelta,
+        options: dict[str, Any],
     ) -> HttpAnswer:
         outcome = CallOutcome.UNANSWERED
         try:
-            answer = await self._caller.call(method, target, timeout, **options)
+            answer = await caller.call(method, target, timeout, **options)
             is_served = answer.status < 500 and answer.status != 429
             outcome = CallOutcome.ANSWERED if is_served else CallOutcome.REFUSED
             return answer
--- a/banyansail/upstreams/http_call.py
+++ b/banyansail/upstreams/http_call.py
@@ -101,6 +101,10 @@
         """Close the idle connections."""
         self._pool.close()
 
+    def close_idle(self) -> None:
+        """Close the idle connections; later calls open new ones."""
+        self._pool.close_idle()
+
     async def call(
         self,
         method: str,
--- a/banyansail/upstreams/pool.py
+++ b/banyansail/upstreams/pool.py
@@ -38,6 +38,9 @@
         Called after each attempt to connect with whether it succeeded.
     max_silence : timedelta
         Time after which a server that acknowledges nothing is taken for dead.
+    reuse_time : timedelta or None
+        Time for which idle connections are used again; ``None`` for a share of that
+        for which the server keeps them.
     """
 
     def __init__(
@@ -47,8 +50,10 @@
         address: Address,
         on_connect: Callable[[bool], None] | None = None,
         max_silence: timedelta = MAX_SILENCE,
+        reuse_time: timedelta | None = None,
     ) -> None:
         self._max_silence = max_silence
+        self._reuse_time = reuse_time
         self._on_connect = on_connect or (lambda is_connected: None)
         self._reactor = reactor
         self._clock = clock
@@ -58,6 +63,15 @@
         self._is_closed = False
         self._expiry: Any = None  # timer while connections are idle
 
+    @property
+    def has_idle(self) -> bool:
+        """Whether an idle connection should be open."""
+        now = self._clock.monotonic()
+        return any(
+            not connection.is_closed and self._is_reusable(connection, now)
+            for connection in self._idle
+        )
+
     def pop_idle(self) -> HttpConnection | None:
         """Remove and return an idle connection that should be open, or ``None``."""
         now = self._clock.monotonic()
@@ -137,11 +151,15 @@
                 connection.close()
 
     def _is_reusable(self, connection: HttpConnection, now: timedelta) -> bool:
+        return now - connection.idle_since < self._reuse_time_of(connection)
+
+    def _reuse_time_of(self, connection: HttpConnection) -> timedelta:
+        if self._reuse_time is not None:
+            return self._reuse_time
         keep_alive_s = connection.keep_alive_s
         if keep_alive_s is None:
             keep_alive_s = DEFAULT_KEEP_ALIVE_S
-        reuse_time = timedelta(seconds=keep_alive_s * IDLE_REUSE_FRACTION)
-        return now - connection.idle_since < reuse_time
+        return timedelta(seconds=keep_alive_s * IDLE_REUSE_FRACTION)
 
 
 def connect_tcp(
--- a/tests/gateway/following_fleet.py
+++ b/tests/gateway/following_fleet.py
@@ -161,8 +161,8 @@
         value = (Revision(shared.era, shared.revision), found)
         return await self._call("list", value)
 
-    async def get(self, kind, name, *, serializable=False):
-        return await self._call("probe", None)
+    async def check(self, kind, name):
+        await self._call("probe", None)
 
     async def watch(self, kind, since):
         shared = self._shared
