--- a/banyansail/exceptions.py
+++ b/banyansail/exceptions.py
@@ -93,7 +93,7 @@
 
 
 class WatchRenewedError(BanyansailError):
-    """A watch was given up, as its connection may be stalled; it is to be sent again."""
+    """A watch whose connection may be stalled was given up; it is to be sent again."""
 
     code = "watch_renewed"
 
--- a/banyansail/upstreams/http_call.py
+++ b/banyansail/upstreams/http_call.py
@@ -132,6 +132,9 @@
 ) -> HttpAnswer:
     """Send a request over a connection of a pool and wait for the complete answer.
 
+    Without an answer in time, the idle connections of the pool are closed too, as
+    connections may stall together.
+
     Parameters
     ----------
     is_fresh : bool
@@ -152,6 +155,7 @@
     try:
         return await exchange
     except defer.TimeoutError:
+        pool.close_idle()
         text = f"{method} {target}: no answer within {timeout.total_seconds()} s"
         raise PlatformUnavailableError(text) from None
 
