Stop using connections between routers that have stalled

Cause: a call that its caller gave up (a follower, after 1 s) left its connection in use, and one connection without a reply said nothing of the others, though connections stall together.

Change: a call that is given up ends its connection if nothing was received on it since it was sent. If a call is not replied to in time, connections on which nothing was received since are not used any more. Documents are given up after 1 s of silence, not after 3 s in any case; while bytes arrive they have 3 s as before, so that a large configuration on a slow link comes.

--- a/banyansail/fleet/peer_calls.py
+++ b/banyansail/fleet/peer_calls.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import os
 from datetime import timedelta
 from typing import TYPE_CHECKING, Any
@@ -169,12 +170,18 @@
 class _PeerClientProtocol(_AuthenticatedFrameProtocol):
     """Client side of a connection: sends calls to one router."""
 
-    def __init__(self, authenticator: MessageAuthenticator) -> None:
+    def __init__(self, reactor: Any, authenticator: MessageAuthenticator) -> None:
         super().__init__(authenticator, b"client", b"server")
+        self._reactor = reactor
         self._next_id = 0
+        self.heard_at = math.inf  # seconds of the reactor; the last bytes received
         self._waiter_by_id: dict[int, defer.Deferred[PeerReply]] = {}
         self.when_connected: defer.Deferred[_PeerClientProtocol] = defer.Deferred()
 
+    def dataReceived(self, data: bytes) -> None:
+        self.heard_at = self._reactor.seconds()
+        super().dataReceived(data)
+
     def handshake_completed(self) -> None:
         self.when_connected.callback(self)
 
@@ -206,6 +213,9 @@
 class PeerCaller:
     """Client that keeps one connection open to each router that it calls.
 
+    Connections may stall together, without a close. After one has not replied, another
+    is used only if something was received on it since.
+
     Parameters
     ----------
     reactor : object
@@ -214,12 +224,19 @@
         Adds and checks the authentication codes of frames.
     """
 
-    __slots__ = ("_authenticator", "_connection_by_address", "_reactor")
+    __slots__ = (
+        "_authenticator",
+        "_connection_by_address",
+        "_doubted_before",
+        "_reactor",
+    )
 
     def __init__(self, reactor: Any, authenticator: MessageAuthenticator) -> None:
         self._reactor = reactor
         self._authenticator = authenticator
         self._connection_by_address: dict[Address, _PeerClientProtocol] = {}
+        # Connections on which nothing was received since may have stalled.
+        self._doubted_before = -math.inf
 
     def __enter__(self) -> PeerCaller:
         return self
@@ -228,25 +245,45 @@
         for connection in self._connection_by_address.values():
             connection.transport.loseConnection()
 
-    async def call(self, address: Address, call: PeerCall) -> PeerReply:
+    async def call(
+        self, address: Address, call: PeerCall, max_silence: timedelta = CALL_TIMEOUT
+    ) -> PeerReply:
         """Send a call to a router and return its reply.
 
+        Parameters
+        ----------
+        max_silence : timedelta
+            Time after which the call fails if nothing at all was received meanwhile.
+
         Raises
         ------
         WireError
             If the router can't be reached or does not reply within `CALL_TIMEOUT`; it
             may still have handled the call.
         """
+        sent_at = self._reactor.seconds()
         reply = defer.Deferred.fromCoroutine(self._exchange(address, call))
         reply.addTimeout(CALL_TIMEOUT.total_seconds(), self._reactor)
+        check = self._reactor.callLater(
+            max_silence.total_seconds(), self._doubt, address, sent_at
+        )
         try:
             return await reply
         except defer.TimeoutError:
-            self._abort_connection(address)
+            self._doubt(address, sent_at)
             raise WireError(f"no reply from router {address} in time") from None
+        except defer.CancelledError:
+            self._abort_if_stalled(address, sent_at)
+            raise
+        finally:
+            if check.active():
+                check.cancel()
 
     async def _exchange(self, address: Address, call: PeerCall) -> PeerReply:
         connection = self._connection_by_address.get(address)
+        if connection is not None and connection.heard_at < self._doubted_before:
+            self._abort_connection(address)
+            connection = None
         if connection is None or not connection.connected:
             connection = await self._connect(address)
         return await connection.call(call)
@@ -256,7 +293,7 @@
             self._reactor, address.host, address.port, CONNECT_TIMEOUT_S
         )
         factory = protocol.Factory.forProtocol(
-            lambda: _PeerClientProtocol(self._authenticator)
+            lambda: _PeerClientProtocol(self._reactor, self._authenticator)
         )
         factory.noisy = False
         try:
@@ -277,6 +314,19 @@
         self._connection_by_address[address] = connection
         return connection
 
+    def _doubt(self, address: Address, sent_at: float) -> None:
+        """Doubt connections as old if that of a call sent at a time has stalled."""
+        if self._abort_if_stalled(address, sent_at):
+            self._doubted_before = max(self._doubted_before, sent_at)
+
+    def _abort_if_stalled(self, address: Address, sent_at: float) -> bool:
+        """Abort a connection on which nothing was received since a call was sent."""
+        connection = self._connection_by_address.get(address)
+        if connection is None or connection.heard_at >= sent_at:
+            return False
+        self._abort_connection(address)
+        return True
+
     def _abort_connection(self, address: Address) -> None:
         """Abort a connection whose peer may no longer respond."""
         connection = self._connection_by_address.pop(address, None)
--- a/banyansail/gateway/sharing/fleet_link.py
+++ b/banyansail/gateway/sharing/fleet_link.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from datetime import datetime
+from datetime import datetime, timedelta
 from typing import TYPE_CHECKING, Any
 
 from banyansail.config.fields import Address, parse_address
@@ -11,6 +11,7 @@
 from banyansail.fleet.entries import Feature, Member, Topic
 from banyansail.fleet.gossiper import Gossiper
 from banyansail.fleet.peer_calls import (
+    CALL_TIMEOUT,
     PeerCaller,
     PeerServerFactory,
     is_understood,
@@ -25,7 +26,6 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Coroutine, Iterable, Mapping
-    from datetime import timedelta
     from random import Random
 
     from banyansail.clock import Clock
@@ -36,6 +36,7 @@
 
 ROUTERS_KIND = "routers"
 ADMISSION_KEY = "admission"  # in the entry of a router
+MAX_FETCH_SILENCE = timedelta(seconds=1)  # then another router is asked
 FEATURES = (
     Feature.ANSWERS_UNKNOWN_CALLS
     | Feature.RELAYS_STORE_CHANGES
@@ -183,19 +184,23 @@
         self._gossiper.expire_members()
         self.protocol.send(self._gossiper.exchange())
 
-    async def call(self, member: Member, call: PeerCall) -> PeerReply:
+    async def call(
+        self, member: Member, call: PeerCall, max_silence: timedelta = CALL_TIMEOUT
+    ) -> PeerReply:
         """Call another router; raise `WireError` if it does not reply.
 
-        A call that the router does not understand is not sent.
+        A call that the router does not understand is not sent. See `PeerCaller.call`.
         """
         if not is_understood(call, member.features):
             return NotSupported()
-        return await self._caller.call(member.peer, call)
+        return await self._caller.call(member.peer, call, max_silence)
 
     async def fetch(self, member: Member, document: str) -> Document | None:
         """Fetch a document from another router; return ``None`` if unavailable."""
         try:
-            reply = await self.call(member, FetchDocument(document, 0))
+            reply = await self.call(
+                member, FetchDocument(document, 0), MAX_FETCH_SILENCE
+            )
         except WireError as error:
             log_event("peer_lost", peer=str(member.peer), error=error.message)
             return None
--- a/tests/fleet/test_newer_builds.py
+++ b/tests/fleet/test_newer_builds.py
@@ -6,6 +6,7 @@
 from random import Random
 
 import pytest
+from twisted.internet.task import Clock as ReactorClock
 from twisted.internet.testing import StringTransport
 
 from banyansail.config.fields import Address
@@ -43,7 +44,7 @@
     def __init__(self, handle) -> None:
         authenticator = MessageAuthenticator(KEY)
         self.server = PeerServerProtocol(authenticator, handle)
-        self.client = _PeerClientProtocol(authenticator)
+        self.client = _PeerClientProtocol(ReactorClock(), authenticator)
         self.pipe_by_end = {
             self.server: _Transport(),
             self.client: _Transport(),
