Send watches again that missed a configuration another router passed on

Upstreams, evacuations, moves and routers come from no other path, and were up to 21.5 s late.

Cause: a router that got a newer configuration from another one took its own watches for current all the same, though the one of the configuration had proven not to be.

Change: if the watch has not brought the version in force 0.5 s after it came from another router, all watches are sent again, once for each version. This also covers connections to the store that stall one by one, which the check of each second does not show.

Cost: one call for each watched kind at a router whose watch missed a version.

--- a/banyansail/gateway/store/config_keeper.py
+++ b/banyansail/gateway/store/config_keeper.py
@@ -33,13 +33,21 @@
         Called with each configuration that becomes active.
     """
 
-    __slots__ = ("_clock", "_json_text", "_on_change", "active_since", "site")
+    __slots__ = (
+        "_clock",
+        "_json_text",
+        "_on_change",
+        "active_since",
+        "site",
+        "store_version",
+    )
 
     def __init__(self, clock: Clock, on_change: Callable[[SiteConfig], None]) -> None:
         self._clock = clock
         self._on_change = on_change
         self._json_text = ""
         self.site = SiteConfig()
+        self.store_version = 0  # the newest one that came from the store's mirror
         self.active_since: datetime = clock.now()
 
     def apply_mirror(self, mirror: Mirror) -> None:
@@ -64,6 +72,8 @@
         except WireError as error:
             log_event("config_unreadable", error=error.message, source=source)
             return
+        if source == STORE_SOURCE:
+            self.store_version = max(self.store_version, site.version)
         if site.version <= self.site.version:
             return
         self.site = site
--- a/banyansail/gateway/store/store_work.py
+++ b/banyansail/gateway/store/store_work.py
@@ -8,6 +8,7 @@
 from twisted.internet import defer, task
 
 from banyansail.gateway.sharing.peer_messages import CONFIG_DOCUMENT
+from banyansail.gateway.store.missed_change import MissedChange
 from banyansail.gateway.store.upstream_sync import MAX_COALESCE_TIME
 from banyansail.gateway.store.upstream_table import UPSTREAMS_DOCUMENT
 
@@ -54,6 +55,7 @@
         "_following",
         "_link",
         "_mirrors",
+        "_missed",
         "_probe",
         "_reactor",
         "_store",
@@ -81,6 +83,7 @@
         self._upstream_sync = upstream_sync
         self._config = config
         self._link = link
+        self._missed = MissedChange(clock)
 
     async def follow_upstreams(self) -> None:
         """Wait for upstream changes, then pause so that further changes coalesce."""
@@ -136,6 +139,7 @@
         if era := max((member.store_era for member in peers.values()), default=0):
             self._store.observe_era(era)
         upstreams = self._mirrors.upstreams
+        self._check_watches()
         versions = [member.rules_version for member in peers.values()]
         is_outdated = max(versions, default=0) > self._config.site.version
         if not (is_outdated or upstreams.needs_seed):
@@ -150,6 +154,12 @@
                 if document is not None:
                     upstreams.seed(document, name)
 
+    def _check_watches(self) -> None:
+        """Renew the watches if they missed a configuration that others passed on."""
+        version = self._config.site.version
+        if self._missed.is_due(version, self._config.store_version):
+            self._store.renew_watches(f"version {version} was missed")
+
     async def register(self) -> None:
         """Keep this router's entry in the store as it should be."""
         await self._link.register(self._store)
