Commit a fault of DENIED as a failing test: relays that are behind

A router that is cut off from all upstreams sends a request that its own configuration allows through another router. If that one has an older configuration, its 404 or 401 reaches the caller.

No logic is changed.

--- a/tests/gateway/test_cut_off_routers.py
+++ b/tests/gateway/test_cut_off_routers.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from banyansail.platform.site import decode_config
 from tests.gateway.cut_reactor import Cut
 from tests.gateway.live_gateway import HOST, KEY, LiveGateway, config_body
 from tests.live import in_reactor
@@ -144,3 +145,17 @@
     status, _, _ = live.call("POST", "/orders/late", b"x", X_Attempt_Id="late")
     assert "late" in live.runs()
     assert status == 504
+
+
+@pytest.mark.parametrize(
+    "older", [config_body(routes=[]), config_body(tenants=[])], ids=["route", "key"]
+)
+@pytest.mark.parametrize(("method", "path"), [("GET", "/stock/"), ("POST", "/orders/")])
+def test_a_relay_that_is_behind_does_not_deny_requests(live, older, method, path):
+    """Guards against 404 and 401 for a route and a key that this router knows."""
+    older = {**older, "tenants": older["tenants"] or [{"name": "x", "apiKeys": ["x"]}]}
+    (other,) = live.other_gateways
+    in_reactor(setattr, other.request_handler, "site", decode_config(older))
+    for number in range(CALLS):
+        status = live.call(method, f"{path}{number}", b"x")[0]
+        assert status not in (401, 404)
