Pass no denial of a router on that another one admitted

What callers saw: 404 or 401 for a route and a key that the configuration of their router allows (DENIED), while it is cut off from all upstreams.

Cause: a cut-off router admits a request by its own configuration and sends it through another router, whose 404 or 401 by an older one was passed on as if an upstream had answered.

Change: an unstamped 3xx or 4xx of the other router that is no promise counts as an incomplete answer. What may be repeated goes to another router; the rest ends with 502, which promises nothing. An upstream's own answers carry its stamp and are passed on as before.

--- a/banyansail/gateway/requests/exchange.py
+++ b/banyansail/gateway/requests/exchange.py
@@ -7,8 +7,10 @@
 from twisted.internet import defer
 
 from banyansail.gateway.decisions.responses.retry_policy import (
+    NOT_RUN_STATUSES,
     Answered,
     Deliver,
+    Incomplete,
     NotSent,
     Outcome,
     Retry,
@@ -16,7 +18,12 @@
     describe,
     next_step,
 )
-from banyansail.gateway.request_types import Cause, Rejection
+from banyansail.gateway.request_types import (
+    FIRST_FAILURE_STATUS,
+    FIRST_REDIRECT_STATUS,
+    Cause,
+    Rejection,
+)
 from banyansail.gateway.requests.active_request import start_request
 from banyansail.gateway.requests.caller_response import CallerResponse
 from banyansail.gateway.requests.upstream_run import UpstreamRun
@@ -162,6 +169,10 @@
         )
         if request.is_finished:
             return False
+        if _is_denial(outcome):
+            # This router admitted the request, so the other one may be behind.
+            outcome = Incomplete(f"router {relay} answered {outcome.head.status}")
+            self._failed_relays.add(relay)
         match outcome:
             case NotSent():
                 request.progress.possible_runs = earlier_runs
@@ -251,3 +262,14 @@
         self._upstream_run.close()
         if self._deadline_timer is not None and self._deadline_timer.active():
             self._deadline_timer.cancel()
+
+
+def _is_denial(outcome: Outcome) -> bool:
+    """Return whether a router that relays a request answered that it is wrong."""
+    if not isinstance(outcome, Answered) or outcome.head.is_stamped:
+        return False
+    status = outcome.head.status
+    return (
+        FIRST_REDIRECT_STATUS <= status < FIRST_FAILURE_STATUS
+        and status not in NOT_RUN_STATUSES
+    )
