--- a/banyansail/gateway/duties/duty_lease.py
+++ b/banyansail/gateway/duties/duty_lease.py
@@ -16,7 +16,8 @@
 
 if TYPE_CHECKING:
     from banyansail.clock import Clock
-    from banyansail.platform.store import Revision, StoreClient, StoredObject
+    from banyansail.platform.store import StoreClient
+    from banyansail.platform.store_objects import Revision, StoredObject
 
 KIND = "leases"
 RENEW_SHARE = 0.5  # of the lease time, after which the lease is renewed
--- a/banyansail/gateway/duties/forgotten_windows.py
+++ b/banyansail/gateway/duties/forgotten_windows.py
@@ -14,7 +14,8 @@
 
 if TYPE_CHECKING:
     from banyansail.gateway.duties.usage import UsageCounter
-    from banyansail.platform.store import StoreClient, StoredObject
+    from banyansail.platform.store import StoreClient
+    from banyansail.platform.store_objects import StoredObject
 
 RECORD_KIND = "usage"
 RECORD_NAME = "restored"  # beside the objects of the windows, which are named by number
--- a/banyansail/gateway/metrics.py
+++ b/banyansail/gateway/metrics.py
@@ -20,7 +20,7 @@
 
     from banyansail.gateway.decisions.queue.work_shares import ShareUse
     from banyansail.gateway.decisions.upstreams.upstream_load import UpstreamLoad
-    from banyansail.platform.store import CallRecord
+    from banyansail.platform.store_calls import CallRecord
 
 METRICS_PATH = b"/metrics"
 LATENCY_BUCKETS_S = (0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3.0, 6.0, 12.0)
--- a/banyansail/gateway/moves/order_records.py
+++ b/banyansail/gateway/moves/order_records.py
@@ -16,7 +16,8 @@
 from banyansail.log import log_event
 
 if TYPE_CHECKING:
-    from banyansail.platform.store import StoreClient, StoredObject
+    from banyansail.platform.store import StoreClient
+    from banyansail.platform.store_objects import StoredObject
 
 RECORDS_KIND = "move-orders"
 
--- a/banyansail/gateway/moves/orders.py
+++ b/banyansail/gateway/moves/orders.py
@@ -10,7 +10,7 @@
 if TYPE_CHECKING:
     from datetime import timedelta
 
-    from banyansail.platform.store import Revision
+    from banyansail.platform.store_objects import Revision
 
 
 @dataclass(slots=True, frozen=True)
--- a/banyansail/gateway/sharing/fleet_link.py
+++ b/banyansail/gateway/sharing/fleet_link.py
@@ -31,7 +31,8 @@
     from banyansail.clock import Clock
     from banyansail.config.gateway_settings import GatewaySettings
     from banyansail.fleet.entries import Entry, EvacuationMark
-    from banyansail.platform.store import StoreClient, StoredObject
+    from banyansail.platform.store import StoreClient
+    from banyansail.platform.store_objects import StoredObject
     from banyansail.wire.call_codec import PeerCall, PeerReply
 
 ROUTERS_KIND = "routers"
--- a/banyansail/gateway/sharing/quarantine_store.py
+++ b/banyansail/gateway/sharing/quarantine_store.py
@@ -20,7 +20,8 @@
 
     from banyansail.clock import Clock
     from banyansail.gateway.decisions.crashes.crash_guard import CrashGuard
-    from banyansail.platform.store import Revision, StoreClient, StoredObject
+    from banyansail.platform.store import StoreClient
+    from banyansail.platform.store_objects import Revision, StoredObject
 
 QUARANTINES_KIND = "quarantines"
 REQUEST_PREFIX = "request-"
--- a/banyansail/gateway/store/evacuations.py
+++ b/banyansail/gateway/store/evacuations.py
@@ -11,7 +11,7 @@
     from collections.abc import Callable, Iterable, Mapping
 
     from banyansail.fleet.entries import Member
-    from banyansail.platform.store import Revision
+    from banyansail.platform.store_objects import Revision
 
 MAX_MARKS = 64  # data centres whose ends are remembered; more than a fleet has
 
--- a/banyansail/gateway/store/mirror.py
+++ b/banyansail/gateway/store/mirror.py
@@ -22,7 +22,8 @@
     from typing import Any
 
     from banyansail.clock import Clock
-    from banyansail.platform.store import Change, Revision, StoreClient, StoredObject
+    from banyansail.platform.store import StoreClient
+    from banyansail.platform.store_objects import Change, Revision, StoredObject
 
 RETURN_GRACE = timedelta(seconds=2.1)  # for entries that expired during an outage
 MIN_OUTAGE = timedelta(seconds=1)  # no entry expires during a shorter failure
--- a/banyansail/gateway/store/store_following.py
+++ b/banyansail/gateway/store/store_following.py
@@ -22,7 +22,8 @@
     from banyansail.fleet.entries import Member
     from banyansail.gateway.metrics import GatewayMetrics
     from banyansail.gateway.store.mirror import Mirror
-    from banyansail.platform.store import Revision, StoreClient
+    from banyansail.platform.store import StoreClient
+    from banyansail.platform.store_objects import Revision
     from banyansail.wire.call_codec import PeerCall, PeerReply
 
 # With the probe of each second and the pause between watches, the state of a follower
--- a/banyansail/gateway/upstream.py
+++ b/banyansail/gateway/upstream.py
@@ -9,7 +9,7 @@
 from banyansail.config.fields import Address
 
 if TYPE_CHECKING:
-    from banyansail.platform.store import Revision
+    from banyansail.platform.store_objects import Revision
 
 
 @dataclass(slots=True, frozen=True)
--- a/banyansail/platform/evacuations.py
+++ b/banyansail/platform/evacuations.py
@@ -7,7 +7,7 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
-    from banyansail.platform.store import Revision, StoredObject
+    from banyansail.platform.store_objects import Revision, StoredObject
 
 EVACUATIONS_KIND = "evacuations"
 
--- a/banyansail/platform/moves.py
+++ b/banyansail/platform/moves.py
@@ -10,7 +10,7 @@
 from banyansail.gateway.moves.orders import MoveOrder, PublishedState
 
 if TYPE_CHECKING:
-    from banyansail.platform.store import StoredObject
+    from banyansail.platform.store_objects import StoredObject
 
 MOVES_KIND = "rollouts"
 STATE_BY_WIRE_VALUE = {
--- a/banyansail/platform/store.py
+++ b/banyansail/platform/store.py
@@ -4,22 +4,30 @@
 
 from dataclasses import dataclass
 from datetime import timedelta
-from enum import Enum
 from typing import TYPE_CHECKING, Any
 from urllib.parse import quote
 
 from twisted.internet import defer
 
 from banyansail.exceptions import (
-    BanyansailError,
     ConnectFailedError,
     HistoryLostError,
     PlatformUnavailableError,
     StoreConflictError,
-    WatchRenewedError,
 )
 from banyansail.log import log_event
 from banyansail.platform import header_names
+from banyansail.platform.pending_watches import PendingWatches
+from banyansail.platform.store_calls import CallOutcome, CallRecord, record_of
+from banyansail.platform.store_objects import (
+    Change,
+    Revision,
+    StoredObject,
+    decode_changes,
+    decode_listed,
+    decode_object,
+    name_of,
+)
 from banyansail.upstreams.heartbeat_connection import HeartbeatConnection
 from banyansail.upstreams.http_call import HttpAnswer, HttpCaller
 
@@ -35,76 +43,6 @@
 HEARTBEAT_TIMEOUT = timedelta(milliseconds=600)  # far above the time of a slow answer
 CHECK_TIMEOUT = timedelta(milliseconds=900)  # of the same call over a new connection
 MAX_PAGES = 100
-OPERATION_BY_METHOD = {"POST": "create", "PUT": "replace", "DELETE": "delete"}
-
-
-@dataclass(slots=True, frozen=True, order=True)
-class Revision:
-    """Revision of the store.
-
-    A store that is restored from a copy gives out the same numbers again, in a new era.
-    """
-
-    era: int
-    number: int
-
-
-@dataclass(slots=True, frozen=True)
-class StoredObject:
-    """An object of the store.
-
-    Parameters
-    ----------
-    revision : Revision
-        Store revision of the last change of the object; updates are conditional on it.
-    spec : object
-        Content as its writer set it.
-    status : object
-        Status that the system published for it.
-    created_revision : int
-        Store revision at which the object was created.
-    """
-
-    name: str
-    revision: Revision
-    spec: Any
-    status: Any = None
-    created_revision: int = 0
-
-
-@dataclass(slots=True, frozen=True)
-class Change:
-    """One event of a watch."""
-
-    stored: StoredObject
-    is_deleted: bool
-
-
-class CallOutcome(Enum):
-    """How a call to the store ended."""
-
-    ANSWERED = "answered"
-    REFUSED = "refused"  # with a status that says that the store did not serve it
-    UNANSWERED = "unanswered"  # no connection, or no complete answer in time
-    CANCELLED = "cancelled"
-
-
-@dataclass(slots=True, frozen=True)
-class CallRecord:
-    """A call to the store that has ended.
-
-    Parameters
-    ----------
-    kind : str
-        Kind of the objects that were read or written.
-    operation : str
-        Name of the method of `StoreClient`; a call with ``serializable=1``, which is
-        cheap for the store, has the prefix ``cheap_``.
-    """
-
-    kind: str
-    operation: str
-    outcome: CallOutcome
 
 
 @dataclass(slots=True, frozen=True)
@@ -150,8 +88,7 @@
         self._reactor = reactor
         self._caller = HttpCaller(reactor, clock, address)
         self._heartbeat = HeartbeatConnection(reactor, clock, address)
-        # With what each one fails if it is cancelled.
-        self._error_by_watch: dict[defer.Deferred[StoreAnswer], BanyansailError] = {}
+        self._pending_watches: PendingWatches[StoreAnswer] = PendingWatches()
         self._restore_listeners: list[Callable[[], None]] = []
         self.era = 0  # the highest one known
         self._is_era_known = False  # eras may begin at 0
@@ -203,14 +140,14 @@
             )
             body = _read_body(answer, 200)
             items = body["items"]
-            stored_objects += _decode_listed(items, answer.era)
+            stored_objects += decode_listed(items, answer.era)
             revision = Revision(answer.era, int(body["at"]))
             first_page_revision = first_page_revision or revision
             if first_page_revision.era != answer.era:
                 raise HistoryLostError("the store was restored between two pages")
             if not body.get("hasMore") or not items:
                 return first_page_revision, stored_objects
-            last_name = _name_of(items[-1])
+            last_name = name_of(items[-1])
         raise PlatformUnavailableError(
             f"the list of {kind} has more than {MAX_PAGES} pages"
         )
@@ -223,7 +160,7 @@
         answer = await self._call("GET", f"{_path(kind, name)}{query}")
         if answer.status == 404:
             return None
-        return _decode_object(_read_body(answer, 200), answer.era)
+        return decode_object(_read_body(answer, 200), answer.era)
 
     async def watch(self, kind: str, since: Revision) -> tuple[Revision, list[Change]]:
         """Wait for changes after a revision; return the next revision and the changes.
@@ -237,13 +174,15 @@
         """
         wait_ms = int(WATCH_TIMEOUT.total_seconds() * 1000)
         target = f"/v1/objects/{kind}?watch={since.number}&waitMs={wait_ms}"
-        answer = await self._call_cancellable(target)
+        answer = await self._pending_watches.wait(
+            self._call("GET", target, WATCH_TIMEOUT + WATCH_MARGIN)
+        )
         if answer.status == 410 or answer.era != since.era:
             raise HistoryLostError(
                 f"changes of {kind} since revision {since} were compacted"
             )
         body = _read_body(answer, 200)
-        changes = _decode_changes(body["events"], answer.era)
+        changes = decode_changes(body["events"], answer.era)
         return Revision(answer.era, int(body["at"])), changes
 
     async def check(self, kind: str, name: str) -> None:
@@ -280,30 +219,11 @@
     def renew_watches(self, reason: str) -> None:
         """Let all pending watches be sent again, over new connections."""
         self._caller.close_idle()
-        if self._error_by_watch:
-            log_event("watches_renewed", count=len(self._error_by_watch), reason=reason)
-        for watch in list(self._error_by_watch):
-            self._error_by_watch[watch] = WatchRenewedError(reason)
-            watch.cancel()
+        self._pending_watches.renew(reason)
 
     def cancel_watches(self) -> None:
         """Cancel pending watches; a store that hangs would never answer them."""
-        for watch in list(self._error_by_watch):
-            watch.cancel()
-
-    async def _call_cancellable(self, target: str) -> StoreAnswer:
-        watch = defer.Deferred.fromCoroutine(
-            self._call("GET", target, WATCH_TIMEOUT + WATCH_MARGIN)
-        )
-        self._error_by_watch[watch] = PlatformUnavailableError(
-            "the watch was cancelled"
-        )
-        try:
-            return await watch
-        except defer.CancelledError:
-            raise self._error_by_watch[watch] from None
-        finally:
-            del self._error_by_watch[watch]
+        self._pending_watches.cancel()
 
     async def create(self, kind: str, name: str, spec: Any) -> StoredObject:
         """Create an object.
@@ -317,7 +237,7 @@
         answer = await self._call("POST", f"/v1/objects/{kind}", body=body)
         if answer.status == 409:
             raise StoreConflictError(f"{kind}/{name} already exists")
-        return _decode_object(_read_body(answer, 200, 201), answer.era, name)
+        return decode_object(_read_body(answer, 200, 201), answer.era, name)
 
     async def replace(
         self, kind: str, name: str, spec: Any, expected_revision: Revision
@@ -357,7 +277,7 @@
         # In another era, the number may belong to another change.
         if answer.status in (404, 409) or answer.era != expected.era:
             raise conflict
-        return _decode_object(_read_body(answer, 200), answer.era, name)
+        return decode_object(_read_body(answer, 200), answer.era, name)
 
     async def delete(self, kind: str, name: str) -> None:
         """Delete an object; a missing object is not an error."""
@@ -406,21 +326,7 @@
             outcome = CallOutcome.CANCELLED
             raise
         finally:
-            self._on_call(_record_of(method, target, outcome))
-
-
-def _record_of(method: str, target: str, outcome: CallOutcome) -> CallRecord:
-    path, _, query = target.removeprefix("/v1/objects/").partition("?")
-    kind, _, name = path.partition("/")
-    if method == "GET":
-        operation = "get" if name else "watch" if "watch=" in query else "list"
-        if "serializable=1" in query:
-            operation = f"cheap_{operation}"
-    else:
-        operation = OPERATION_BY_METHOD[method]
-        if path.endswith("/status"):
-            operation = "set_status"
-    return CallRecord(kind, operation, outcome)
+            self._on_call(record_of(method, target, outcome))
 
 
 def _decode_era(answer: HttpAnswer) -> int | None:
@@ -448,54 +354,3 @@
     if not isinstance(body, dict):
         raise PlatformUnavailableError("the store's answer has no object")
     return body
-
-
-def _name_of(item: Any) -> str:
-    """Return the name of a listed object, which need not be readable otherwise."""
-    try:
-        return str(item["metadata"]["name"])
-    except (KeyError, TypeError) as error:
-        raise PlatformUnavailableError(
-            f"the store listed an object without a name: {error!r}"
-        ) from None
-
-
-def _decode_listed(items: list[Any], era: int) -> list[StoredObject]:
-    """Return the readable objects of a list; log and skip the others."""
-    decoded = []
-    for item in items:
-        try:
-            decoded.append(_decode_object(item, era))
-        except PlatformUnavailableError as error:
-            log_event("object_unreadable", error=error.message)
-    return decoded
-
-
-def _decode_changes(events: list[Any], era: int) -> list[Change]:
-    """Return the readable changes of a watch; log and skip other events."""
-    decoded = []
-    for event in events:
-        try:
-            stored = _decode_object(event["object"], era)
-            decoded.append(Change(stored, bool(event.get("deleted"))))
-        except (KeyError, TypeError, AttributeError) as error:
-            log_event("change_unreadable", error=repr(error))
-        except PlatformUnavailableError as error:
-            log_event("change_unreadable", error=error.message)
-    return decoded
-
-
-def _decode_object(item: Any, era: int, name: str = "") -> StoredObject:
-    try:
-        metadata = item["metadata"]
-        return StoredObject(
-            metadata.get("name", name),
-            Revision(era, int(metadata["revision"])),
-            item.get("spec"),
-            item.get("status"),
-            int(metadata.get("created") or 0),
-        )
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
-        raise PlatformUnavailableError(
-            f"the store sent a malformed object: {error!r}"
-        ) from None
--- a/banyansail/wire/call_codec.py
+++ b/banyansail/wire/call_codec.py
@@ -22,7 +22,7 @@
     StartKey,
     StoredAnswer,
 )
-from banyansail.platform.store import Revision, StoredObject
+from banyansail.platform.store_objects import Revision, StoredObject
 from banyansail.wire.errors import raise_as_wire_error
 from banyansail.wire.schema import schema
 
--- a/tests/gateway/fake_store.py
+++ b/tests/gateway/fake_store.py
@@ -5,7 +5,7 @@
 from dataclasses import replace
 
 from banyansail.exceptions import PlatformUnavailableError, StoreConflictError
-from banyansail.platform.store import Revision, StoredObject
+from banyansail.platform.store_objects import Revision, StoredObject
 
 
 class FakeStore:
--- a/tests/gateway/following_fleet.py
+++ b/tests/gateway/following_fleet.py
@@ -22,7 +22,7 @@
 from banyansail.gateway.store.store_following import StoreFollowing
 from banyansail.gateway.store.store_probe import StoreProbe
 from banyansail.gateway.tasks import FOLLOW_PAUSE, MAX_FOLLOW_BACKOFF, PROBE_INTERVAL
-from banyansail.platform.store import Change, Revision, StoredObject
+from banyansail.platform.store_objects import Change, Revision, StoredObject
 from banyansail.router.supervisor import RepeatedTask
 from banyansail.wire.call_codec import (
     decode_call,
--- a/tests/gateway/store/test_evacuation_marks.py
+++ b/tests/gateway/store/test_evacuation_marks.py
@@ -11,7 +11,7 @@
 from banyansail.gateway.store.evacuations import MAX_MARKS, Evacuations
 from banyansail.gateway.store.mirror import Mirror
 from banyansail.platform.evacuations import EVACUATIONS_KIND, decode_evacuations
-from banyansail.platform.store import Revision
+from banyansail.platform.store_objects import Revision
 from banyansail.wire.gossip_codec import decode_member, encode_member
 from tests.fakes import FakeClock, run_now
 from tests.gateway.fake_store import FakeStore
--- a/tests/gateway/store/test_mirror.py
+++ b/tests/gateway/store/test_mirror.py
@@ -7,7 +7,7 @@
 
 from banyansail.exceptions import HistoryLostError, PlatformUnavailableError
 from banyansail.gateway.store.mirror import RETURN_GRACE, Mirror
-from banyansail.platform.store import Change, Revision, StoredObject
+from banyansail.platform.store_objects import Change, Revision, StoredObject
 from tests.fakes import FakeClock, run_now
 
 
--- a/tests/gateway/store/test_upstream_table.py
+++ b/tests/gateway/store/test_upstream_table.py
@@ -4,7 +4,7 @@
 from banyansail.fleet.entries import Entry, Topic
 from banyansail.gateway.store.mirror import Mirror
 from banyansail.gateway.store.upstream_table import UpstreamTable
-from banyansail.platform.store import Change, Revision
+from banyansail.platform.store_objects import Change, Revision
 from banyansail.wire.gossip_codec import decode_leaving
 from tests.fakes import FakeClock, run_now
 from tests.gateway.fake_store import FakeStore
--- a/tests/platform/test_store_answers.py
+++ b/tests/platform/test_store_answers.py
@@ -6,7 +6,8 @@
 from twisted.internet.task import Clock
 
 from banyansail.exceptions import PlatformUnavailableError
-from banyansail.platform.store import Revision, StoreClient
+from banyansail.platform.store import StoreClient
+from banyansail.platform.store_objects import Revision
 from banyansail.upstreams.http_call import HttpAnswer
 from tests.fakes import FakeClock, run_now
 
--- a/tests/platform/test_store_calls.py
+++ b/tests/platform/test_store_calls.py
@@ -4,7 +4,8 @@
 
 import pytest
 
-from banyansail.platform.store import CallOutcome, CallRecord, StoreClient
+from banyansail.platform.store import StoreClient
+from banyansail.platform.store_calls import CallOutcome, CallRecord
 from banyansail.upstreams.http_call import HttpAnswer
 from tests.fakes import FakeClock, run_now
 
--- a/tests/platform/test_store_records.py
+++ b/tests/platform/test_store_records.py
@@ -5,7 +5,8 @@
 import json
 
 from banyansail.config.fields import Address
-from banyansail.platform.store import Revision, StoreClient
+from banyansail.platform.store import StoreClient
+from banyansail.platform.store_objects import Revision
 from banyansail.upstreams.http_call import HttpAnswer
 from tests.fakes import FakeClock, run_now
 
--- a/tests/wire/test_call_codec.py
+++ b/tests/wire/test_call_codec.py
@@ -7,7 +7,7 @@
 import pytest
 
 from banyansail.exceptions import WireError
-from banyansail.platform.store import Revision, StoredObject
+from banyansail.platform.store_objects import Revision, StoredObject
 from banyansail.wire.call_codec import (
     FollowStore,
     KindChanges,
