Renew the watches also if a new connection to the store is answered 503

Cause: if the heartbeat connection had stalled and the new one was answered 503, the check failed before it renewed the watches and closed idle connections. The next check then took the new connection for one as old as those.

Change: what is as old as the connection that was given up is renewed as soon as the new one answers, whatever its status, and an old heartbeat connection is closed before a new one is opened.

Measured: test_a_rejection_over_a_new_connection_does_not_vouch_for_older_ones failed before (the next call was not answered) and passes.

--- a/banyansail/platform/store.py
+++ b/banyansail/platform/store.py
@@ -200,9 +200,10 @@
         target = f"{_path(kind, name)}?serializable=1"
         if self._heartbeat.is_open and await self._has_heartbeat(target):
             return
+        self._heartbeat.end_connection()
         answer = await self._call("GET", target, CHECK_TIMEOUT, caller=self._heartbeat)
-        _require_status(answer, 200, 404)
         self.renew_watches("a new connection answers")
+        _require_status(answer, 200, 404)
 
     async def _has_heartbeat(self, target: str) -> bool:
         """Return whether there is an answer over the connection that is open."""
--- a/banyansail/upstreams/heartbeat_connection.py
+++ b/banyansail/upstreams/heartbeat_connection.py
@@ -42,9 +42,13 @@
         return self._pool.has_idle
 
     def close(self) -> None:
-        """Close the connection."""
+        """Close the connection; none is opened any more."""
         self._pool.close()
 
+    def end_connection(self) -> None:
+        """Close the connection; the next call opens a new one."""
+        self._pool.close_idle()
+
     async def call(self, method: str, target: str, timeout: timedelta) -> HttpAnswer:
         """Send a request and wait for the complete answer; see `call_over`."""
         return await call_over(self._reactor, self._pool, method, target, timeout)
--- a/tests/gateway/store/test_silent_connections.py
+++ b/tests/gateway/store/test_silent_connections.py
@@ -110,6 +110,37 @@
     assert in_reactor(follow_a_silence, wait_s, lateness_s) == 2
 
 
+async def call_after_a_silence_and_a_rejection():
+    """Return the state of an object that is read once the store serves again."""
+    resource = KeepAliveStore()
+    resource.state.put("config", "main", spec=1)
+    running = start_standin(resource, Address("127.0.0.1", 0))
+    store = StoreClient(reactor, SystemClock(), running.address)
+    await store.check("routers", "front-1")
+    calls = [defer.Deferred.fromCoroutine(store.get("config", "x")) for _ in range(3)]
+    await defer.gatherResults(calls)
+    running.site.stall_connections()
+    resource.faults.is_down = True
+    with pytest.raises(PlatformUnavailableError):
+        await store.check("routers", "front-1")
+    resource.faults.is_down = False
+    await sleep(0.1)
+    await store.check("routers", "front-1")
+    try:
+        return (await store.get("config", "main")).spec
+    except PlatformUnavailableError:
+        return None
+    finally:
+        store.close()
+        running.kill()
+
+
+def test_a_rejection_over_a_new_connection_does_not_vouch_for_older_ones():
+    """Guards against stalled connections that stay in use as the store was away too."""
+    run_reactor()
+    assert in_reactor(call_after_a_silence_and_a_rejection) == 1
+
+
 async def call_after_a_silence():
     """Return how long the second call took after the first one met a silence."""
     running = start_standin(KeepAliveStore(), Address("127.0.0.1", 0))
