--- a/banyansail/fleet/peer_calls.py
+++ b/banyansail/fleet/peer_calls.py
@@ -48,6 +48,17 @@
 }
 
 
+def encode_reply_to(payload: bytes, call_id: int, reply: PeerReply) -> bytes:
+    """Encode the reply to a call, in a form that its caller understands.
+
+    Parameters
+    ----------
+    payload : bytes
+        The call, as it was received.
+    """
+    return encode_reply(call_id, reply)
+
+
 def is_understood(call: PeerCall, features: Feature) -> bool:
     """Return whether a router with these features understands a call."""
     return FEATURE_BY_CALL.get(type(call), Feature(0)) in features
