Deflate large replies between routers

Cause: a router passes on the whole configuration, 364 KB, to each of about ten followers over a link of 10 Mbit/s. The same holds for each later change of it.

Change: a call says whether its caller inflates replies; a large reply to such a call is deflated, whatever it holds. Older builds neither say so nor get one; unknown members of the schema are skipped by them.

--- a/banyansail/fleet/peer_calls.py
+++ b/banyansail/fleet/peer_calls.py
@@ -23,6 +23,7 @@
     ReachIncarnation,
     Unavailable,
     UnknownCall,
+    accepts_deflated,
     decode_call,
     decode_reply,
     encode_call,
@@ -56,7 +57,7 @@
     payload : bytes
         The call, as it was received.
     """
-    return encode_reply(call_id, reply)
+    return encode_reply(call_id, reply, may_deflate=accepts_deflated(payload))
 
 
 def is_understood(call: PeerCall, features: Feature) -> bool:
@@ -135,12 +136,16 @@
     def frame_received(self, payload: bytes) -> None:
         """Handle a call and send its reply."""
         call_id, call = decode_call(payload)
-        handling = defer.Deferred.fromCoroutine(self._handle_call(call_id, call))
+        handling = defer.Deferred.fromCoroutine(
+            self._handle_call(payload, call_id, call)
+        )
         handling.addErrback(
             lambda failure: log_event("peer_call_failed", error=failure.getTraceback())
         )
 
-    async def _handle_call(self, call_id: int, call: PeerCall | UnknownCall) -> None:
+    async def _handle_call(
+        self, payload: bytes, call_id: int, call: PeerCall | UnknownCall
+    ) -> None:
         try:
             if isinstance(call, UnknownCall):
                 reply = NotSupported()
@@ -149,7 +154,7 @@
         except BanyansailError as error:
             reply = Unavailable(error.message)
         if self.connected:
-            self.send_frame(encode_reply(call_id, reply))
+            self.send_frame(encode_reply_to(payload, call_id, reply))
 
 
 class PeerServerFactory(protocol.ServerFactory):
--- a/banyansail/wire/call_codec.py
+++ b/banyansail/wire/call_codec.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import zlib
 from dataclasses import dataclass
 from datetime import timedelta
 from typing import Any
@@ -27,6 +28,8 @@
 from banyansail.wire.schema import schema
 
 MAX_CALL_BYTES = 4 * 1024**2
+MIN_DEFLATED_BYTES = 4 * 1024
+DEFLATE_LEVEL = 1  # the fastest
 MILLISECOND = timedelta(milliseconds=1)
 MAX_MS = 2**32 - 1
 
@@ -237,10 +240,16 @@
 
 def encode_call(call_id: int, call: PeerCall) -> bytes:
     """Encode a call."""
-    fields = _call_fields(call)
+    fields = {"acceptsDeflated": True, **_call_fields(call)}
     return schema.Call.new_message(id=call_id, **fields).to_bytes_packed()
 
 
+@raise_as_wire_error("a call")
+def accepts_deflated(data: bytes) -> bool:
+    """Return whether the caller understands a deflated reply."""
+    return _unpack(schema.Call, data).acceptsDeflated
+
+
 def _call_fields(call: PeerCall) -> dict[str, Any]:
     match call:
         case StartKey(key, claimant_id, fingerprint):
@@ -306,10 +315,14 @@
             return message.id, UnknownCall()
 
 
-def encode_reply(call_id: int, reply: PeerReply) -> bytes:
-    """Encode a reply."""
+def encode_reply(call_id: int, reply: PeerReply, *, may_deflate: bool = False) -> bytes:
+    """Encode a reply; deflate a large one if the caller understands it."""
     fields = _reply_fields(reply)
-    return schema.Reply.new_message(id=call_id, **fields).to_bytes_packed()
+    data = schema.Reply.new_message(id=call_id, **fields).to_bytes_packed()
+    if not may_deflate or len(data) < MIN_DEFLATED_BYTES:
+        return data
+    deflated = zlib.compress(data, DEFLATE_LEVEL)
+    return schema.Reply.new_message(id=call_id, deflated=deflated).to_bytes_packed()
 
 
 def _reply_fields(reply: PeerReply) -> dict[str, Any]:
@@ -357,10 +370,26 @@
             item = message.storeChanges
             kinds = tuple(_decode_changes(kind) for kind in item.kinds)
             return message.id, StoreChanges(kinds, item.heldMs * MILLISECOND)
+        case "deflated":
+            return decode_reply(_inflate(message.deflated))
         case other:
             return message.id, VOID_REPLY_BY_NAME.get(other, NotSupported)()
 
 
+def _inflate(data: bytes) -> bytes:
+    try:
+        inflated = zlib.decompressobj().decompress(data, MAX_CALL_BYTES)
+    except zlib.error as error:
+        raise WireError(f"a reply that can't be inflated: {error}") from None
+    if _is_deflated(inflated):
+        raise WireError("a reply is deflated twice")
+    return inflated
+
+
+def _is_deflated(data: bytes) -> bool:
+    return _member_name(_unpack(schema.Reply, data)) == "deflated"
+
+
 def _unpack(struct: Any, data: bytes) -> Any:
     return struct.from_bytes_packed(data, traversal_limit_in_words=MAX_CALL_BYTES)
 
--- a/banyansail/wire/schema.capnp
+++ b/banyansail/wire/schema.capnp
@@ -205,6 +205,7 @@
 
 struct Call {
   id @0 :UInt32;
+  acceptsDeflated @10 :Bool;  # of a large reply
   union {
     start @1 :Claim;
     finish @2 :Outcome;
@@ -272,6 +273,7 @@
     notReached @12 :Void;
     storeChanges @13 :StoreChanges;
     notSupported @14 :Void;
+    deflated @15 :Data;  # a reply; only if the call accepts it
   }
 }
 
--- a/tests/wire/test_large_replies.py
+++ b/tests/wire/test_large_replies.py
@@ -4,10 +4,12 @@
 
 import random
 import string
+import zlib
 from datetime import timedelta
 
 import pytest
 
+from banyansail.exceptions import WireError
 from banyansail.fleet.peer_calls import encode_reply_to
 from banyansail.platform.store_objects import Revision, StoredObject
 from banyansail.wire.call_codec import (
@@ -18,7 +20,9 @@
     StoreChanges,
     decode_reply,
     encode_call,
+    encode_reply,
 )
+from banyansail.wire.schema import schema
 
 ROUTES = 1404
 FOLLOWERS = 15  # of a data centre of 18 routers with three watchers
@@ -81,3 +85,28 @@
     data = encode_reply_to(encode_call(7, call), 7, reply)
     assert len(data) < 100_000
     assert decode_reply(data) == (7, reply)
+
+
+def test_a_caller_of_an_older_build_gets_a_plain_reply():
+    """Guards against replies that the build in production can't read."""
+    reply = changes()
+    old_call = schema.Call.from_bytes_packed(encode_call(1, FOLLOW)).as_builder()
+    old_call.acceptsDeflated = False
+    data = encode_reply_to(old_call.to_bytes_packed(), 1, reply)
+    assert schema.Reply.from_bytes_packed(data).which() == "storeChanges"
+
+
+@pytest.mark.parametrize("spoil", [lambda data: data[:50], lambda data: b"x" * 50])
+def test_a_deflated_reply_that_is_spoiled_is_no_reply(spoil):
+    packed = zlib.compress(encode_reply(1, changes()))
+    message = schema.Reply.new_message(id=1, deflated=spoil(packed))
+    with pytest.raises(WireError):
+        decode_reply(message.to_bytes_packed())
+
+
+def test_a_reply_that_is_deflated_twice_is_no_reply():
+    """Guards against a reply that inflates without end."""
+    data = encode_reply(1, changes(), may_deflate=True)
+    message = schema.Reply.new_message(id=1, deflated=zlib.compress(data))
+    with pytest.raises(WireError, match="twice"):
+        decode_reply(message.to_bytes_packed())
