--- a/banyansail/fleet/peer_calls.py
+++ b/banyansail/fleet/peer_calls.py
@@ -16,6 +16,13 @@
 from banyansail.log import log_event
 from banyansail.wire.call_codec import (
     MAX_CALL_BYTES,
+    accepts_deflated,
+    decode_call,
+    decode_reply,
+    encode_call,
+    encode_reply,
+)
+from banyansail.wire.call_types import (
     FollowStore,
     NotSupported,
     PeerCall,
@@ -23,11 +30,6 @@
     ReachIncarnation,
     Unavailable,
     UnknownCall,
-    accepts_deflated,
-    decode_call,
-    decode_reply,
-    encode_call,
-    encode_reply,
 )
 
 if TYPE_CHECKING:
--- a/banyansail/gateway/requests/crash_check.py
+++ b/banyansail/gateway/requests/crash_check.py
@@ -8,7 +8,7 @@
 
 from banyansail.exceptions import ConnectFailedError, WireError
 from banyansail.log import log_event
-from banyansail.wire.call_codec import (
+from banyansail.wire.call_types import (
     EmptyReply,
     NotReached,
     NotSupported,
--- a/banyansail/gateway/sharing/fleet_link.py
+++ b/banyansail/gateway/sharing/fleet_link.py
@@ -20,7 +20,7 @@
 from banyansail.gateway.decisions.limits.sharers import Admission, Sharers
 from banyansail.log import log_event
 from banyansail.metrics import Metrics
-from banyansail.wire.call_codec import Document, FetchDocument, NotSupported
+from banyansail.wire.call_types import Document, FetchDocument, NotSupported
 from banyansail.wire.gossip_codec import encode_member
 from banyansail.wire.message_auth import MessageAuthenticator
 
@@ -33,7 +33,7 @@
     from banyansail.fleet.entries import Entry, EvacuationMark
     from banyansail.platform.store import StoreClient
     from banyansail.platform.store_objects import StoredObject
-    from banyansail.wire.call_codec import PeerCall, PeerReply
+    from banyansail.wire.call_types import PeerCall, PeerReply
 
 ROUTERS_KIND = "routers"
 ADMISSION_KEY = "admission"  # in the entry of a router
--- a/banyansail/gateway/sharing/peer_messages.py
+++ b/banyansail/gateway/sharing/peer_messages.py
@@ -8,7 +8,7 @@
 from banyansail.fleet.entries import Entry, Topic
 from banyansail.gateway.store.upstream_table import UPSTREAMS_DOCUMENT
 from banyansail.log import log_event
-from banyansail.wire.call_codec import (
+from banyansail.wire.call_types import (
     EmptyReply,
     FetchDocument,
     FollowStore,
--- a/banyansail/gateway/store/config_keeper.py
+++ b/banyansail/gateway/store/config_keeper.py
@@ -9,7 +9,7 @@
 from banyansail.gateway.site import SiteConfig
 from banyansail.log import log_event
 from banyansail.platform.site import decode_config
-from banyansail.wire.call_codec import Document
+from banyansail.wire.call_types import Document
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/banyansail/gateway/store/mirror.py
+++ b/banyansail/gateway/store/mirror.py
@@ -15,7 +15,7 @@
     WatchRenewedError,
 )
 from banyansail.log import log_event
-from banyansail.wire.call_codec import KindChanges
+from banyansail.wire.call_types import KindChanges
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
--- a/banyansail/gateway/store/store_following.py
+++ b/banyansail/gateway/store/store_following.py
@@ -11,7 +11,7 @@
 from banyansail.gateway.store.waiters import Waiters
 from banyansail.gateway.store.watchers import WatcherChoice, WatchRole
 from banyansail.log import log_event
-from banyansail.wire.call_codec import FollowStore, KindChanges, StoreChanges
+from banyansail.wire.call_types import FollowStore, KindChanges, StoreChanges
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Coroutine, Iterable
@@ -24,7 +24,7 @@
     from banyansail.gateway.store.mirror import Mirror
     from banyansail.platform.store import StoreClient
     from banyansail.platform.store_objects import Revision
-    from banyansail.wire.call_codec import PeerCall, PeerReply
+    from banyansail.wire.call_types import PeerCall, PeerReply
 
 # With the probe of each second and the pause between watches, the state of a follower
 # in a quiet store is at most 1.9 s old, below `MAX_AGE`.
--- a/banyansail/gateway/store/upstream_table.py
+++ b/banyansail/gateway/store/upstream_table.py
@@ -11,7 +11,7 @@
 from banyansail.log import log_event
 from banyansail.platform.site import decode_upstream
 from banyansail.platform.store_objects import Revision, StoredObject
-from banyansail.wire.call_codec import Document
+from banyansail.wire.call_types import Document
 from banyansail.wire.gossip_codec import decode_leaving, encode_leaving
 
 if TYPE_CHECKING:
--- a/banyansail/router/callers/caller_resource.py
+++ b/banyansail/router/callers/caller_resource.py
@@ -41,7 +41,7 @@
     from banyansail.router.exchanges.context import ExchangeContext
     from banyansail.router.exchanges.exchange import Exchange
     from banyansail.router.lifecycle import Lifecycle
-    from banyansail.wire.call_codec import StreamRecord
+    from banyansail.wire.call_types import StreamRecord
 
 
 class CallerResource(Resource):
--- a/banyansail/router/callers/listeners.py
+++ b/banyansail/router/callers/listeners.py
@@ -16,7 +16,7 @@
     from twisted.internet.protocol import DatagramProtocol
 
     from banyansail.config.settings import Settings
-    from banyansail.wire.call_codec import PeerCall, PeerReply
+    from banyansail.wire.call_types import PeerCall, PeerReply
     from banyansail.wire.message_auth import MessageAuthenticator
 
 BACKLOG = 512  # connections waiting to be accepted
--- a/banyansail/router/control/peer_service.py
+++ b/banyansail/router/control/peer_service.py
@@ -19,7 +19,7 @@
 )
 from banyansail.router.control.rules_keeper import RULES_DOCUMENT
 from banyansail.router.upstreams.catalog import INSTANCES_DOCUMENT
-from banyansail.wire.call_codec import (
+from banyansail.wire.call_types import (
     Document,
     EmptyReply,
     FetchDocument,
--- a/banyansail/router/control/rules_keeper.py
+++ b/banyansail/router/control/rules_keeper.py
@@ -12,7 +12,7 @@
 from banyansail.coordination.budget import CallKind
 from banyansail.exceptions import WireError
 from banyansail.log import log_event
-from banyansail.wire.call_codec import Document, FetchDocument
+from banyansail.wire.call_types import Document, FetchDocument
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/banyansail/router/exchanges/handoff.py
+++ b/banyansail/router/exchanges/handoff.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 from banyansail.exceptions import WireError
-from banyansail.wire.call_codec import (
+from banyansail.wire.call_types import (
     EmptyReply,
     FetchStream,
     StoreStream,
--- a/banyansail/router/lifecycle.py
+++ b/banyansail/router/lifecycle.py
@@ -13,7 +13,7 @@
 from banyansail.router.requests.refusals import stopping
 from banyansail.router.requests.response_outcome import StreamInterrupted
 from banyansail.routing.request_types import Refusal, RefusalCode, RunStatus
-from banyansail.wire.call_codec import StreamRecord
+from banyansail.wire.call_types import StreamRecord
 
 if TYPE_CHECKING:
     from banyansail.clock import Clock
--- a/banyansail/router/upstreams/catalog.py
+++ b/banyansail/router/upstreams/catalog.py
@@ -11,7 +11,7 @@
 from banyansail.exceptions import WireError
 from banyansail.log import log_event
 from banyansail.utils import hash32
-from banyansail.wire.call_codec import Document, FetchDocument
+from banyansail.wire.call_types import Document, FetchDocument
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/tests/fleet/test_datagrams.py
+++ b/tests/fleet/test_datagrams.py
@@ -15,12 +15,8 @@
 from banyansail.fleet.peer_calls import PeerServerProtocol
 from banyansail.fleet.view import FleetView
 from banyansail.metrics import Metrics
-from banyansail.wire.call_codec import (
-    FetchDocument,
-    decode_call,
-    decode_reply,
-    encode_call,
-)
+from banyansail.wire.call_codec import decode_call, decode_reply, encode_call
+from banyansail.wire.call_types import FetchDocument
 from banyansail.wire.gossip_codec import decode_gossip, encode_gossip
 from banyansail.wire.message_auth import MessageAuthenticator
 from tests.fakes import FakeClock
--- a/tests/fleet/test_newer_builds.py
+++ b/tests/fleet/test_newer_builds.py
@@ -15,14 +15,8 @@
 from banyansail.fleet.gossiper import Gossiper
 from banyansail.fleet.peer_calls import PeerServerProtocol, _PeerClientProtocol
 from banyansail.fleet.view import FleetView
-from banyansail.wire.call_codec import (
-    EmptyReply,
-    FetchDocument,
-    NotSupported,
-    decode_reply,
-    encode_call,
-    encode_reply,
-)
+from banyansail.wire.call_codec import decode_reply, encode_call, encode_reply
+from banyansail.wire.call_types import EmptyReply, FetchDocument, NotSupported
 from banyansail.wire.gossip_codec import decode_gossip, encode_gossip, encode_member
 from banyansail.wire.message_auth import MessageAuthenticator
 from tests.fakes import FakeClock
--- a/tests/fleet/test_peer_calls.py
+++ b/tests/fleet/test_peer_calls.py
@@ -9,7 +9,7 @@
 from banyansail.config.fields import Address
 from banyansail.exceptions import WireError
 from banyansail.fleet.peer_calls import PeerCaller, PeerServerProtocol
-from banyansail.wire.call_codec import EmptyReply, FetchDocument
+from banyansail.wire.call_types import EmptyReply, FetchDocument
 from banyansail.wire.message_auth import MessageAuthenticator
 from tests.live import in_reactor, run_reactor
 
--- a/tests/gateway/requests/test_crash_check.py
+++ b/tests/gateway/requests/test_crash_check.py
@@ -9,7 +9,7 @@
 from banyansail.config.fields import Address
 from banyansail.gateway.requests.crash_check import CrashCheck, has_ended
 from banyansail.gateway.upstream import Upstream
-from banyansail.wire.call_codec import (
+from banyansail.wire.call_types import (
     EmptyReply,
     NotReached,
     NotSupported,
--- a/tests/gateway/sharing/test_fleet_link.py
+++ b/tests/gateway/sharing/test_fleet_link.py
@@ -8,7 +8,7 @@
 from banyansail.fleet.gossiper import Gossiper
 from banyansail.fleet.view import FleetView
 from banyansail.gateway.sharing.fleet_link import ROUTERS_KIND, FleetLink
-from banyansail.wire.call_codec import NotSupported, ReachIncarnation
+from banyansail.wire.call_types import NotSupported, ReachIncarnation
 from tests.fakes import FakeClock, run_now
 from tests.gateway.fake_store import FakeStore
 
--- a/tests/gateway/store/test_config_keeper.py
+++ b/tests/gateway/store/test_config_keeper.py
@@ -5,7 +5,7 @@
 
 from banyansail.gateway.site import RouteKind
 from banyansail.gateway.store.config_keeper import ConfigKeeper
-from banyansail.wire.call_codec import Document
+from banyansail.wire.call_types import Document
 from tests.fakes import FakeClock
 from tests.gateway.live_gateway import config_body
 
--- a/tests/router/scripted_streams.py
+++ b/tests/router/scripted_streams.py
@@ -6,7 +6,7 @@
 import re
 
 from banyansail.upstreams.events import EVENT_SEPARATOR
-from banyansail.wire.call_codec import StreamRecord
+from banyansail.wire.call_types import StreamRecord
 from tests.live import LiveSite, in_reactor
 from tests.processes import completion
 from tests.router.scripted_upstream import (
--- a/tests/wire/test_call_codec.py
+++ b/tests/wire/test_call_codec.py
@@ -9,14 +9,12 @@
 from banyansail.exceptions import WireError
 from banyansail.platform.store_objects import Revision, StoredObject
 from banyansail.wire.call_codec import (
-    FollowStore,
-    KindChanges,
-    StoreChanges,
     decode_call,
     decode_reply,
     encode_call,
     encode_reply,
 )
+from banyansail.wire.call_types import FollowStore, KindChanges, StoreChanges
 from banyansail.wire.schema import schema
 
 
--- a/tests/wire/test_large_replies.py
+++ b/tests/wire/test_large_replies.py
@@ -12,15 +12,13 @@
 from banyansail.exceptions import WireError
 from banyansail.fleet.peer_calls import encode_reply_to
 from banyansail.platform.store_objects import Revision, StoredObject
-from banyansail.wire.call_codec import (
+from banyansail.wire.call_codec import decode_reply, encode_call, encode_reply
+from banyansail.wire.call_types import (
     Document,
     FetchDocument,
     FollowStore,
     KindChanges,
     StoreChanges,
-    decode_reply,
-    encode_call,
-    encode_reply,
 )
 from banyansail.wire.schema import schema
 
--- a/tests/wire/test_recorded_messages.py
+++ b/tests/wire/test_recorded_messages.py
@@ -15,7 +15,8 @@
 from banyansail.ledger.records import Started
 from banyansail.metrics import Metrics
 from banyansail.router.control.peer_service import PeerService
-from banyansail.wire.call_codec import Document, decode_reply
+from banyansail.wire.call_codec import decode_reply
+from banyansail.wire.call_types import Document
 from banyansail.wire.gossip_codec import decode_member
 from banyansail.wire.message_auth import MessageAuthenticator
 from tests.builds import MissingBuildError, production_commit
