--- a/banyansail/platform/store.py
+++ b/banyansail/platform/store.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from datetime import timedelta
 from typing import TYPE_CHECKING, Any
 from urllib.parse import quote
@@ -16,8 +15,13 @@
     StoreConflictError,
 )
 from banyansail.log import log_event
-from banyansail.platform import header_names
 from banyansail.platform.pending_watches import PendingWatches
+from banyansail.platform.store_answers import (
+    StoreAnswer,
+    decode_era,
+    read_body,
+    require_status,
+)
 from banyansail.platform.store_calls import CallOutcome, CallRecord, record_of
 from banyansail.platform.store_objects import (
     Change,
@@ -45,23 +49,6 @@
 MAX_PAGES = 100
 
 
-@dataclass(slots=True, frozen=True)
-class StoreAnswer:
-    """Answer of the store, with the era in which it was given."""
-
-    answer: HttpAnswer
-    era: int
-
-    @property
-    def status(self) -> int:
-        """HTTP status."""
-        return self.answer.status
-
-    def json(self) -> Any:
-        """Return the decoded body, see `HttpAnswer.json`."""
-        return self.answer.json()
-
-
 class StoreClient:
     """HTTP client of the store.
 
@@ -138,7 +125,7 @@
             answer = await self._call(
                 "GET", f"/v1/objects/{kind}?{page_query.lstrip('&')}"
             )
-            body = _read_body(answer, 200)
+            body = read_body(answer, 200)
             items = body["items"]
             stored_objects += decode_listed(items, answer.era)
             revision = Revision(answer.era, int(body["at"]))
@@ -160,7 +147,7 @@
         answer = await self._call("GET", f"{_path(kind, name)}{query}")
         if answer.status == 404:
             return None
-        return decode_object(_read_body(answer, 200), answer.era)
+        return decode_object(read_body(answer, 200), answer.era)
 
     async def watch(self, kind: str, since: Revision) -> tuple[Revision, list[Change]]:
         """Wait for changes after a revision; return the next revision and the changes.
@@ -181,7 +168,7 @@
             raise HistoryLostError(
                 f"changes of {kind} since revision {since} were compacted"
             )
-        body = _read_body(answer, 200)
+        body = read_body(answer, 200)
         changes = decode_changes(body["events"], answer.era)
         return Revision(answer.era, int(body["at"])), changes
 
@@ -203,7 +190,7 @@
         self._heartbeat.end_connection()
         answer = await self._call("GET", target, CHECK_TIMEOUT, caller=self._heartbeat)
         self.renew_watches("a new connection answers")
-        _require_status(answer, 200, 404)
+        require_status(answer, 200, 404)
 
     async def _has_heartbeat(self, target: str) -> bool:
         """Return whether there is an answer over the connection that is open."""
@@ -214,7 +201,7 @@
         except PlatformUnavailableError as error:
             log_event("store_connection_stalled", error=error.message)
             return False
-        _require_status(answer, 200, 404)
+        require_status(answer, 200, 404)
         return True
 
     def renew_watches(self, reason: str) -> None:
@@ -238,7 +225,7 @@
         answer = await self._call("POST", f"/v1/objects/{kind}", body=body)
         if answer.status == 409:
             raise StoreConflictError(f"{kind}/{name} already exists")
-        return decode_object(_read_body(answer, 200, 201), answer.era, name)
+        return decode_object(read_body(answer, 200, 201), answer.era, name)
 
     async def replace(
         self, kind: str, name: str, spec: Any, expected_revision: Revision
@@ -278,13 +265,13 @@
         # In another era, the number may belong to another change.
         if answer.status in (404, 409) or answer.era != expected.era:
             raise conflict
-        return decode_object(_read_body(answer, 200), answer.era, name)
+        return decode_object(read_body(answer, 200), answer.era, name)
 
     async def delete(self, kind: str, name: str) -> None:
         """Delete an object; a missing object is not an error."""
         answer = await self._call("DELETE", _path(kind, name))
         if answer.status != 404:
-            _require_status(answer, 200, 204)
+            require_status(answer, 200, 204)
 
     async def _call(
         self,
@@ -297,7 +284,7 @@
         answer = await self._call_recorded(
             caller or self._caller, method, target, timeout, options
         )
-        era = _decode_era(answer)
+        era = decode_era(answer)
         if era is None:
             return StoreAnswer(answer, self.era)
         if era < self.era:
@@ -330,28 +317,5 @@
             self._on_call(record_of(method, target, outcome))
 
 
-def _decode_era(answer: HttpAnswer) -> int | None:
-    for name, value in answer.headers:
-        if name.lower() == header_names.STORE_ERA and value.strip().isdigit():
-            return int(value)
-    return None
-
-
 def _path(kind: str, name: str) -> str:
     return f"/v1/objects/{kind}/{quote(name, safe='')}"
-
-
-def _require_status(answer: StoreAnswer, *statuses: int) -> None:
-    if answer.status not in statuses:
-        raise PlatformUnavailableError(
-            f"the store answered with status {answer.status}"
-        )
-
-
-def _read_body(answer: StoreAnswer, *statuses: int) -> dict[str, Any]:
-    """Return the decoded body, which is missing if the connection was closed early."""
-    _require_status(answer, *statuses)
-    body = answer.json()
-    if not isinstance(body, dict):
-        raise PlatformUnavailableError("the store's answer has no object")
-    return body
