--- a/benchmarks/soak/fleet.py
+++ b/benchmarks/soak/fleet.py
@@ -177,12 +177,13 @@
             **fields,
         )
         self._entry_by_upstream[name] = entry
-        wait_until(lambda: self._try_put("servers", name, entry))
+        wait_until(lambda: self._put("servers", name, entry) in (200, 201))
 
     def unregister(self, name: str) -> None:
         """Remove the entry of an upstream, as the store does after some silence."""
         self._entry_by_upstream.pop(name, None)
-        wait_until(lambda: self._try_delete(name))
+        path = f"{OBJECTS}/servers/{name}"
+        wait_until(lambda: self._call_store("DELETE", path) < 500)
 
     def drill(self, away_s: float, copy_age_s: float) -> None:
         """Let the store come back from a copy; all writers but ours write again."""
@@ -290,19 +291,6 @@
             return self._call_store("PUT", f"{OBJECTS}/{kind}/{name}", body)
         return status
 
-    def _try_put(self, kind: str, name: str, spec: dict[str, Any]) -> bool:
-        """Write an entry; return whether the store acknowledged it."""
-        try:
-            return self._put(kind, name, spec) in (200, 201)
-        except OSError:
-            return False
-
-    def _try_delete(self, name: str) -> bool:
-        try:
-            return self._call_store("DELETE", f"{OBJECTS}/servers/{name}") < 500
-        except OSError:
-            return False
-
     def _call_store(self, method: str, path: str, body: object = None) -> int:
         return call(self._store_port, method, path, body, timeout=CALL_TIMEOUT_S)[0]
 
--- a/benchmarks/soak/kinds.py
+++ b/benchmarks/soak/kinds.py
@@ -72,11 +72,36 @@
         """End a fault."""
 
 
-class BrokenStreams(FaultKind):
+class SwitchedAnswers(FaultKind):
+    """Base of kinds that set a switch of upstreams to what was drawn, or to true."""
+
+    switch: ClassVar[str]
+
+    def targets(self, fleet: Fleet, fault: Fault) -> list[str]:
+        """Return the upstreams whose switch is set."""
+        return [fault.target]
+
+    def value(self, fault: Fault) -> Any:
+        """Return what the switch is set to."""
+        return fault.options or True
+
+    def begin(self, fleet: Fleet, fault: Fault) -> None:
+        """Set the switch."""
+        for name in self.targets(fleet, fault):
+            fleet.switch(name, **{self.switch: self.value(fault)})
+
+    def end(self, fleet: Fleet, fault: Fault) -> None:
+        """Reset the switch."""
+        for name in self.targets(fleet, fault):
+            fleet.switch(name, **{self.switch: None if fault.options else False})
+
+
+class BrokenStreams(SwitchedAnswers):
     """Answers that break off after some events."""
 
     name = "broken streams"
     scope = Scope.ANSWERS
+    switch = "stream"
     weight = 8
 
     def draw(self, random: Random) -> dict[str, Any]:
@@ -90,14 +115,6 @@
             )
         )
 
-    def begin(self, fleet: Fleet, fault: Fault) -> None:
-        """Let the upstream break its answers off."""
-        fleet.switch(fault.target, stream=fault.options)
-
-    def end(self, fleet: Fleet, fault: Fault) -> None:
-        """Let the upstream send its answers in full."""
-        fleet.switch(fault.target, stream=None)
-
 
 class UnusualFraming(BrokenStreams):
     """Answers in full whose length is told in another way."""
@@ -110,11 +127,12 @@
         return asdict(StreamSwitch(random.choice((Framing.LENGTH, Framing.NONE))))
 
 
-class FailedContinuations(FaultKind):
+class FailedContinuations(SwitchedAnswers):
     """Continuations that are answered otherwise than with the rest."""
 
     name = "failed continuations"
     scope = Scope.CONTINUATIONS
+    switch = "continuation"
     weight = 8
     answers: ClassVar = [
         item
@@ -126,13 +144,9 @@
         """Draw the answer."""
         return {"answer": random.choice(self.answers)}
 
-    def begin(self, fleet: Fleet, fault: Fault) -> None:
-        """Let the upstream answer continuations so."""
-        fleet.switch(fault.target, continuation=fault.options["answer"])
-
-    def end(self, fleet: Fleet, fault: Fault) -> None:
-        """Let the upstream continue streams."""
-        fleet.switch(fault.target, continuation=None)
+    def value(self, fault: Fault) -> Any:
+        """Return the answer."""
+        return fault.options["answer"]
 
 
 class RepeatedEvents(FailedContinuations):
@@ -151,11 +165,12 @@
     answers = [Continuation.EMPTY]
 
 
-class ExtraBytes(FaultKind):
+class ExtraBytes(SwitchedAnswers):
     """An upstream that sends bytes beyond some of its complete answers."""
 
     name = "extra bytes"
     scope = Scope.EXTRA
+    switch = "extra"
     weight = 6
 
     def draw(self, random: Random) -> dict[str, Any]:
@@ -163,64 +178,37 @@
         extra, time_ = random.choice(list(Extra)), random.choice(list(ExtraTime))
         return asdict(ExtraSwitch(extra, time_, EXTRA_SHARE))
 
-    def begin(self, fleet: Fleet, fault: Fault) -> None:
-        """Let the upstream send them."""
-        fleet.switch(fault.target, extra=fault.options)
-
-    def end(self, fleet: Fleet, fault: Fault) -> None:
-        """Let the upstream send its answers only."""
-        fleet.switch(fault.target, extra=None)
-
 
-class RejectionsAfterRun(FaultKind):
+class RejectionsAfterRun(SwitchedAnswers):
     """An upstream that runs requests and answers 503, which states no rejection."""
 
     name = "rejections after a run"
     scope = Scope.REJECTIONS
+    switch = "rejects_after_run"
     duration_s = (0.5, 1.5)
 
-    def begin(self, fleet: Fleet, fault: Fault) -> None:
-        """Let the upstream answer so."""
-        fleet.switch(fault.target, rejects_after_run=True)
-
-    def end(self, fleet: Fleet, fault: Fault) -> None:
-        """Let the upstream answer what it ran."""
-        fleet.switch(fault.target, rejects_after_run=False)
-
 
-class FullUpstream(FaultKind):
+class FullUpstream(SwitchedAnswers):
     """An upstream that rejects all requests as not run."""
 
     name = "full upstream"
     scope = Scope.ADMISSION
+    switch = "is_full"
     weight = 3
     duration_s = (0.2, 2.0)
 
-    def begin(self, fleet: Fleet, fault: Fault) -> None:
-        """Let the upstream reject requests."""
-        fleet.switch(fault.target, is_full=True)
-
-    def end(self, fleet: Fleet, fault: Fault) -> None:
-        """Let the upstream accept requests."""
-        fleet.switch(fault.target, is_full=False)
-
 
-class FullService(FaultKind):
+class FullService(SwitchedAnswers):
     """A service whose upstreams all reject all requests as not run."""
 
     name = "full service"
     scope = Scope.SERVICE
+    switch = "is_full"
     duration_s = (3.0, 8.0)
 
-    def begin(self, fleet: Fleet, fault: Fault) -> None:
-        """Let the upstreams reject requests."""
-        for name in fleet.upstreams_of(fault.target):
-            fleet.switch(name, is_full=True)
-
-    def end(self, fleet: Fleet, fault: Fault) -> None:
-        """Let the upstreams accept requests."""
-        for name in fleet.upstreams_of(fault.target):
-            fleet.switch(name, is_full=False)
+    def targets(self, fleet: Fleet, fault: Fault) -> list[str]:
+        """Return the upstreams of the service."""
+        return fleet.upstreams_of(fault.target)
 
 
 class CrashedUpstream(FaultKind):
