--- a/banyansail/fleet/peer_calls.py
+++ b/banyansail/fleet/peer_calls.py
@@ -3,19 +3,17 @@
 from __future__ import annotations
 
 import math
-import os
 from datetime import timedelta
 from typing import TYPE_CHECKING, Any
 
 from twisted.internet import defer, protocol
 from twisted.internet.endpoints import TCP4ClientEndpoint
-from twisted.protocols.basic import Int32StringReceiver
 
 from banyansail.exceptions import BanyansailError, WireError
 from banyansail.fleet.entries import Feature
+from banyansail.fleet.peer_frames import AuthenticatedFrames
 from banyansail.log import log_event
 from banyansail.wire.call_codec import (
-    MAX_CALL_BYTES,
     accepts_deflated,
     decode_call,
     decode_reply,
@@ -40,7 +38,6 @@
     from banyansail.config.fields import Address
     from banyansail.wire.message_auth import MessageAuthenticator
 
-NONCE_BYTES = 16
 CONNECT_TIMEOUT_S = 1.0
 CALL_TIMEOUT = timedelta(seconds=3)
 # Calls that the build c1e6479 does not know; it closes the connection that
@@ -67,61 +64,7 @@
     return FEATURE_BY_CALL.get(type(call), Feature(0)) in features
 
 
-class _AuthenticatedFrameProtocol(Int32StringReceiver):
-    """Frames with authentication codes that are bound to their connection.
-
-    Each side first sends a random nonce. The code of a frame covers both nonces, the
-    direction and a counter, so that frames can't be replayed, reflected or reordered.
-    """
-
-    MAX_LENGTH = MAX_CALL_BYTES
-
-    def __init__(
-        self, authenticator: MessageAuthenticator, own_label: bytes, peer_label: bytes
-    ) -> None:
-        self._authenticator = authenticator
-        self._nonce = os.urandom(NONCE_BYTES)
-        self._peer_nonce = b""
-        self._frames_sent = 0
-        self._frames_received = 0
-        self._labels = (own_label, peer_label)
-
-    def connectionMade(self) -> None:
-        self.transport.setTcpNoDelay(True)
-        self.sendString(self._nonce)
-
-    def stringReceived(self, string: bytes) -> None:
-        if not self._peer_nonce:
-            if len(string) != NONCE_BYTES:
-                self.transport.abortConnection()
-                return
-            self._peer_nonce = string
-            self.handshake_completed()
-            return
-        self._frames_received += 1
-        try:
-            context = self._context(self._labels[1], self._frames_received)
-            self.frame_received(self._authenticator.verify(string, context))
-        except WireError:
-            self.transport.abortConnection()
-
-    def send_frame(self, payload: bytes) -> None:
-        self._frames_sent += 1
-        context = self._context(self._labels[0], self._frames_sent)
-        self.sendString(self._authenticator.sign(payload, context))
-
-    def _context(self, label: bytes, counter: int) -> bytes:
-        nonces = sorted((self._nonce, self._peer_nonce))
-        return label + b"".join(nonces) + counter.to_bytes(8, "big")
-
-    def handshake_completed(self) -> None:
-        raise NotImplementedError
-
-    def frame_received(self, payload: bytes) -> None:
-        raise NotImplementedError
-
-
-class PeerServerProtocol(_AuthenticatedFrameProtocol):
+class PeerServerProtocol(AuthenticatedFrames):
     """Server side of a connection: handles the calls of one router."""
 
     def __init__(
@@ -185,7 +128,7 @@
         return PeerServerProtocol(self._authenticator, self._handle)
 
 
-class _PeerClientProtocol(_AuthenticatedFrameProtocol):
+class _PeerClientProtocol(AuthenticatedFrames):
     """Client side of a connection: sends calls to one router."""
 
     def __init__(self, reactor: Any, authenticator: MessageAuthenticator) -> None:
