--- a/benchmarks/soak/fleet.py
+++ b/benchmarks/soak/fleet.py
@@ -80,6 +80,7 @@
         self._retry_slack = retry_slack
         self._store_port = free_port()
         self._peer_port = free_port()
+        self._config = site_config()  # as last acknowledged
         self._entry_by_upstream: dict[str, dict[str, Any]] = {}
         listeners = ("listen", "ready", "relay", "metrics")
         self.router_by_name = {
@@ -111,7 +112,6 @@
             f"--record={self.record_path('store')}",
         )
         self._programs.wait_for_start("store", self._store_port, f"{OBJECTS}/servers")
-        self._config = site_config()
         self._put("config", "main", self._config)
         for name in self.upstream_by_name:
             self.start_upstream(name)
