Log a request that goes where its id was answered before

Cause: an answer too many may be the copy of a refusal, with the id of the request that was refused. Nothing told whether an answer was taken on a connection that had answered the same id before.

A request that goes over such a connection is logged as id_answered_before with its id and the server. No decision changes. The stand-in connection of test_attempt.py has got the new attribute; its checks are the same.

--- a/banyansail/gateway/requests/attempt.py
+++ b/banyansail/gateway/requests/attempt.py
@@ -14,6 +14,7 @@
     Outcome,
 )
 from banyansail.gateway.requests.events import EventParser, StreamEvent, may_follow
+from banyansail.log import log_event
 from banyansail.platform.calls import decode_reply
 from banyansail.upstreams.body_end import NO_BODY_STATUSES, BodyEnd, expected_end
 
@@ -106,6 +107,12 @@
                 connection = await self._pool.connect()
             except ConnectFailedError as error:
                 return NotSent(error.message)
+        if self._attempt_id in connection.answered_ids:
+            log_event(
+                "id_answered_before",
+                request=self._attempt_id,
+                server=str(self._pool.address),
+            )
         self._connection = connection
         self._done = defer.Deferred()
         self._method = method
@@ -179,6 +186,8 @@
     def answer_complete(self) -> None:
         """End the attempt with a complete answer."""
         reason = None if self._sink is None else self._stream_fault()
+        is_success = self._head.is_success and reason is None
+        self._connection.record_answer(self._attempt_id, is_success=is_success)
         if reason is not None:
             self._finish(Incomplete(reason))
             return
--- a/banyansail/upstreams/connection.py
+++ b/banyansail/upstreams/connection.py
@@ -14,6 +14,8 @@
 from twisted.internet import protocol
 from twisted.internet.error import ConnectionDone
 
+from banyansail.upstreams.answered_ids import AnsweredIds
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
@@ -90,6 +92,7 @@
         self.is_closed = False
         # Whether an answer has begun before; bytes that follow it belong to no request.
         self.has_answered = False
+        self.answered_ids = AnsweredIds()
         self.idle_since: timedelta = clock.monotonic()
         self.keep_alive_s: float | None = None
 
@@ -122,6 +125,10 @@
         data += self._parser.send(h11.EndOfMessage())
         self.transport.write(data)
 
+    def record_answer(self, request_id: str, *, is_success: bool) -> None:
+        """Record that a request was answered."""
+        self.answered_ids.add(request_id, is_success=is_success)
+
     def abort(self) -> None:
         """Close the connection and drop the exchange without notifying its receiver."""
         self._receiver = None
--- a/tests/gateway/requests/test_attempt.py
+++ b/tests/gateway/requests/test_attempt.py
@@ -14,6 +14,7 @@
 )
 from banyansail.gateway.requests.attempt import Attempt
 from banyansail.gateway.requests.byte_budget import ByteBudget
+from banyansail.upstreams.answered_ids import AnsweredIds
 from tests.gateway.builders import route
 
 
@@ -21,6 +22,7 @@
     def __init__(self):
         self.is_aborted = False
         self.has_answered = True
+        self.answered_ids = AnsweredIds()
 
     def send_request(self, *args):
         pass
