Send no request over a connection that answered its id before

Callers saw an order run twice, or 503 for an order that ran, where an upstream sends the copy of a refusal late and the same request is on its way again on that connection.

Cause: the copy names the right id, so the id tells nothing. The pool gives the connection that came back last to whoever sends next, and what kept a request from the upstream that refused it went by the upstream's name, not by the connection. A name's address can be another one's.

Change: the pool leaves out connections on which the id of the request was answered before, whoever sends it: a retry, a continuation, a relay, another relay, a caller that uses an id again. They serve other requests. If there is no other idle one, the one idle longest is closed for the new one, so that no more connections are open than before. Requests without an id use new connections already.

Why it works: a copy can come only on the connection of its answer. A request is never sent there again, so the id of an answer tells again whose it is.

The stand-in pool of test_attempt.py takes the id; its checks are the same.

--- a/banyansail/gateway/requests/attempt.py
+++ b/banyansail/gateway/requests/attempt.py
@@ -14,7 +14,6 @@
     Outcome,
 )
 from banyansail.gateway.requests.events import EventParser, StreamEvent, may_follow
-from banyansail.log import log_event
 from banyansail.platform.calls import decode_reply
 from banyansail.upstreams.body_end import NO_BODY_STATUSES, BodyEnd, expected_end
 
@@ -101,18 +100,12 @@
         """Send the request and return its outcome once the answer has ended."""
         # On a used connection, an answer without an id may be a foreign one.
         can_reuse = bool(self._attempt_id) or not self._is_id_repeated
-        connection = self._pool.pop_idle() if can_reuse else None
+        connection = self._pool.pop_idle(self._attempt_id) if can_reuse else None
         if connection is None:
             try:
                 connection = await self._pool.connect()
             except ConnectFailedError as error:
                 return NotSent(error.message)
-        if self._attempt_id in connection.answered_ids:
-            log_event(
-                "id_answered_before",
-                request=self._attempt_id,
-                server=str(self._pool.address),
-            )
         self._connection = connection
         self._done = defer.Deferred()
         self._method = method
--- a/banyansail/upstreams/connection.py
+++ b/banyansail/upstreams/connection.py
@@ -126,8 +126,10 @@
         self.transport.write(data)
 
     def record_answer(self, request_id: str, *, is_success: bool) -> None:
-        """Record that a request was answered."""
+        """Record that a request was answered; close if no further id can be kept."""
         self.answered_ids.add(request_id, is_success=is_success)
+        if self.answered_ids.is_full:
+            self._close()
 
     def abort(self) -> None:
         """Close the connection and drop the exchange without notifying its receiver."""
--- a/banyansail/upstreams/pool.py
+++ b/banyansail/upstreams/pool.py
@@ -8,6 +8,7 @@
 from twisted.internet import defer, protocol
 
 from banyansail.exceptions import ConnectFailedError
+from banyansail.log import log_event
 from banyansail.upstreams.connection import MAX_SILENCE, HttpConnection
 
 if TYPE_CHECKING:
@@ -72,15 +73,31 @@
             for connection in self._idle
         )
 
-    def pop_idle(self) -> HttpConnection | None:
-        """Remove and return an idle connection that should be open, or ``None``."""
+    def pop_idle(self, request_id: str = "") -> HttpConnection | None:
+        """Remove and return an idle connection that should be open, or ``None``.
+
+        A connection on which the request was answered before is left for others, as a
+        copy of that answer may follow. Without any other, the oldest one is closed, so
+        that the new connection takes its place.
+        """
         now = self._clock.monotonic()
-        while self._idle:
+        found: HttpConnection | None = None
+        skipped: list[HttpConnection] = []
+        while self._idle and found is None:
             connection = self._idle.pop()
-            if not connection.is_closed and self._is_reusable(connection, now):
-                return connection
-            connection.close()
-        return None
+            if connection.is_closed or not self._is_reusable(connection, now):
+                connection.close()
+            elif request_id in connection.answered_ids:
+                skipped.append(connection)
+            else:
+                found = connection
+        if skipped:
+            server = str(self.address)
+            log_event("id_answered_before", request=request_id, server=server)
+            if found is None:
+                skipped.pop().close()
+        self._idle += reversed(skipped)
+        return found
 
     async def connect(self) -> HttpConnection:
         """Open a connection.
--- a/tests/gateway/requests/test_attempt.py
+++ b/tests/gateway/requests/test_attempt.py
@@ -14,7 +14,6 @@
 )
 from banyansail.gateway.requests.attempt import Attempt
 from banyansail.gateway.requests.byte_budget import ByteBudget
-from banyansail.upstreams.answered_ids import AnsweredIds
 from tests.gateway.builders import route
 
 
@@ -22,7 +21,6 @@
     def __init__(self):
         self.is_aborted = False
         self.has_answered = True
-        self.answered_ids = AnsweredIds()
 
     def send_request(self, *args):
         pass
@@ -35,7 +33,7 @@
     def __init__(self):
         self.connection = SilentConnection()
 
-    def pop_idle(self):
+    def pop_idle(self, request_id):
         return self.connection
 
 
