Keep hashes of answered ids, as ids may be long

Cause: a caller's id may have up to 16 KiB, and a connection keeps 64 of them.

Change: a connection keeps hashes. Two ids with one hash cost a new connection.

--- a/banyansail/upstreams/answered_ids.py
+++ b/banyansail/upstreams/answered_ids.py
@@ -9,21 +9,21 @@
     """Ids whose answer may come again on a connection, in a copy.
 
     A request is sent again after any answer but a complete success. Of successes only
-    the last one is kept, as a caller might use its id again.
+    the last one is kept, as a caller might use its id again. Ids are of any length, so
+    their hashes are kept; two with one hash cost a new connection.
     """
 
     __slots__ = ("_last", "_unsuccessful")
 
     def __init__(self) -> None:
-        self._last = ""
-        self._unsuccessful: set[str] | None = None  # mostly there is none
+        self._last: int | None = None
+        self._unsuccessful: set[int] | None = None  # mostly there is none
 
     def __contains__(self, request_id: str) -> bool:
         if not request_id:
             return False
-        if request_id == self._last:
-            return True
-        return self._unsuccessful is not None and request_id in self._unsuccessful
+        key = hash(request_id)
+        return key == self._last or key in (self._unsuccessful or ())
 
     @property
     def is_full(self) -> bool:
@@ -32,9 +32,11 @@
 
     def add(self, request_id: str, *, is_success: bool) -> None:
         """Keep the id of a request that was answered, while there is room for it."""
-        self._last = request_id
-        if is_success or not request_id or self.is_full:
+        if not request_id:
+            return
+        self._last = hash(request_id)
+        if is_success or self.is_full:
             return
         if self._unsuccessful is None:
             self._unsuccessful = set()
-        self._unsuccessful.add(request_id)
+        self._unsuccessful.add(self._last)
--- a/tests/upstreams/test_answered_ids.py
+++ b/tests/upstreams/test_answered_ids.py
@@ -2,8 +2,12 @@
 
 from __future__ import annotations
 
+import tracemalloc
+
 from banyansail.upstreams.answered_ids import MAX_IDS, AnsweredIds
 
+MAX_BYTES = 16 * 1024
+
 
 def test_ids_that_may_be_sent_again_are_kept_and_of_successes_the_last_one():
     ids = AnsweredIds()
@@ -32,3 +36,17 @@
     ids.add("last", is_success=True)
     kept = [number for number in range(2 * MAX_IDS) if f"a{number}" in ids]
     assert len(kept) == MAX_IDS
+
+
+def test_long_ids_take_no_more_memory_than_short_ones():
+    """Guards against memory that callers fill with ids of their choice."""
+    ids = AnsweredIds()
+    tracemalloc.start()
+    try:
+        before = tracemalloc.get_traced_memory()[0]
+        for number in range(MAX_IDS):
+            ids.add(f"{number}" * 10_000, is_success=False)
+        used = tracemalloc.get_traced_memory()[0] - before
+    finally:
+        tracemalloc.stop()
+    assert used < MAX_BYTES
