Mirror: pass a list on in full to routers that knew less than it

Cause: a list set the start of the known history first and then recorded the objects that were gone. With 2,000 removals recorded already, the oldest one was forgotten and the start of the history moved back to it, though a list has no removals of its own. A follower whose revision lay in between was sent a difference without deletions and kept an object that no longer existed.

Change: the start of the history is set after the objects were replaced.

Result: the new test failed before (the follower kept the object); with the change tests/gateway/store has 131 passed.

--- a/banyansail/gateway/store/mirror.py
+++ b/banyansail/gateway/store/mirror.py
@@ -292,11 +292,12 @@
                 del found_by_name[name]
             else:
                 del self._stale_revision_by_name[name]
-        self.revision = self._history_start = revision
+        self.revision = revision
         for name in removed:
             self._remove(name, is_lapsed=name in lapsed)
         for stored in found_by_name.values():
             self._put(stored)
+        self._history_start = revision
         self._removal_revision_by_name.clear()  # a list has no removals
 
     async def _watch(self) -> None:
--- a/tests/gateway/store/test_mirror.py
+++ b/tests/gateway/store/test_mirror.py
@@ -6,7 +6,7 @@
 from hypothesis import strategies as st
 
 from banyansail.exceptions import HistoryLostError, PlatformUnavailableError
-from banyansail.gateway.store.mirror import RETURN_GRACE, Mirror
+from banyansail.gateway.store.mirror import MAX_DELETED_NAMES, RETURN_GRACE, Mirror
 from banyansail.platform.store_objects import Change, Revision, StoredObject
 from tests.fakes import FakeClock, run_now
 
@@ -292,6 +292,27 @@
     assert follower.object_by_name == {}
 
 
+def test_a_list_after_many_deletions_is_passed_on_in_full():
+    """A follower from before the list kept what was deleted unseen."""
+    store, clock = ChangingStore(), FakeClock()
+    watcher, follower = mirror_of(store, clock), mirror_of(store, clock)
+    names = [str(number) for number in range(MAX_DELETED_NAMES)]
+    for name in [*names, "unseen"]:
+        store.put(name)
+    follow(watcher)
+    for name in names:
+        store.delete(name)
+    follow(watcher)
+    pass_on(watcher, follower, clock)
+    assert set(follower.object_by_name) == {"unseen"}
+    store.delete("unseen")
+    store.compact()
+    for _ in range(2):  # the first call only detects that the history was compacted
+        follow(watcher)
+    pass_on(watcher, follower, clock)
+    assert follower.object_by_name == {}
+
+
 def test_changes_are_minor_only_if_every_one_of_them_is():
     """A draining upstream must not wait for the longer pause after minor changes."""
     store, clock = ChangingStore(), FakeClock()
