Mirror: one module each for outages, lapses, removals and confirmation

Cause: the mirror of the store had 399 lines and 12 private fields of four matters (which outage may have expired entries, which entries lapsed, which removals followers may ask for, as of when the state is current); a reader had to sort the fields by hand.

Change: `Outage`, `LapsedEntries`, `RemovalHistory`, `DeletedObjects` and `Confirmation` have a module each; the mirror has 297 lines. One name, the maximum of deletions, stood for two bounds and is now two. No behaviour changes.

--- a/banyansail/gateway/store/mirror.py
+++ b/banyansail/gateway/store/mirror.py
@@ -14,6 +14,11 @@
     PlatformUnavailableError,
     WatchRenewedError,
 )
+from banyansail.gateway.store.confirmation import Confirmation
+from banyansail.gateway.store.deleted_objects import DeletedObjects
+from banyansail.gateway.store.lapsed_entries import LapsedEntries
+from banyansail.gateway.store.outage import MIN_OUTAGE, Outage
+from banyansail.gateway.store.removal_history import RemovalHistory
 from banyansail.log import log_event
 from banyansail.wire.call_types import KindChanges
 
@@ -25,12 +30,6 @@
     from banyansail.platform.store import StoreClient
     from banyansail.platform.store_objects import Change, Revision, StoredObject
 
-RETURN_GRACE = timedelta(seconds=2.1)  # for entries that expired during an outage
-MIN_OUTAGE = timedelta(seconds=1)  # no entry expires during a shorter failure
-MAX_DELETED_NAMES = 2000  # that are remembered; the oldest ones are forgotten
-MIN_STALL = timedelta(milliseconds=400)  # between calls that are due each 200 ms
-NEVER = timedelta.min
-
 
 class Mirror:
     """Objects of one kind as last received from the store.
@@ -47,7 +46,7 @@
         Called with the mirror after each change.
     keeps_lapsed : bool
         Whether entries that may have expired because of an outage are kept, as lapsed
-        ones, for `RETURN_GRACE`.
+        ones, for a while.
     is_minor_change : callable
         Returns whether two contents of an object differ only in what may be learned
         late.
@@ -74,21 +73,12 @@
         self.has_minor_changes_only = False  # in the last answer of the store
         self._keeps_lapsed = keeps_lapsed
         self._remembers_deleted = remembers_deleted
-        self._lapsed_at: dict[str, timedelta] = {}
-        self._failing_since: timedelta | None = None
-        self._recovered_at: timedelta | None = None
         self._is_restored = False  # since the last list
-        self._deleted_names: dict[str, None] = {}  # in the order of deletion
-        # Of names that the store no longer has: the first revision of this mirror
-        # without them. All removals after `_history_start` are known.
-        self._removal_revision_by_name: dict[str, Revision] = {}
-        self._history_start: Revision | None = None
-        self._watch_sent_at: timedelta | None = None  # while its answer is awaited
-        self._has_stalled = False  # since the watch was sent
-        self._ran_at: timedelta | None = None
-        self._confirmed_at = NEVER  # the state is that of this time or later
-        # Deleted objects that a restored store has again, until they are written again.
-        self._stale_revision_by_name: dict[str, Revision] = {}
+        self._outage = Outage(kind, clock)
+        self._lapsed = LapsedEntries(clock, self._outage)
+        self.confirmation = Confirmation(clock)
+        self._removals = RemovalHistory()
+        self._deleted = DeletedObjects()
         self.revision: Revision | None = None  # of the last list or watch
         self.object_by_name: dict[str, StoredObject] = {}
         # Objects that a restored store does not have, and that may be written again.
@@ -97,50 +87,24 @@
     @property
     def lapsed_names(self) -> set[str]:
         """Names of entries that the store lost, perhaps only because of an outage."""
-        return set(self._lapsed_at)
+        return set(self._lapsed.names)
 
     @property
     def age(self) -> timedelta:
         """Time since the state was last known to be current."""
-        if self.revision is None or self._confirmed_at == NEVER:
-            return timedelta.max
-        return self._clock.monotonic() - self._confirmed_at
+        return timedelta.max if self.revision is None else self.confirmation.age
 
     def add_listener(self, listener: Callable[[Mirror], None]) -> None:
         """Call a function with the mirror after each change."""
         self._listeners.append(listener)
 
-    def record_contact(self, sent_at: timedelta) -> None:
-        """Record that the store answered a check sent at a time.
-
-        A watch that was not renewed by the check has missed nothing before it.
-        """
-        if self._watch_sent_at is not None and sent_at >= self._watch_sent_at:
-            self._confirm(sent_at)
-
     def record_loss(self) -> None:
         """Record that no other router passes changes on any more.
 
         If that is so because of an outage of the store, entries may have expired.
         """
-        if self.revision is None or self._failing_since is not None:
-            return
-        if self.age >= MIN_OUTAGE:
-            self._failing_since = self._confirmed_at
-            log_event("store_lost", kind=self.kind, error="no router passes it on")
-
-    def record_running(self) -> None:
-        """Record that this process runs; to be called often.
-
-        If it did not run for a while, as when it was frozen, the answer to the present
-        watch may have waited as long to be read.
-        """
-        self._has_stalled = self._has_stalled or self._is_stalled()
-        self._ran_at = self._clock.monotonic()
-
-    def _is_stalled(self) -> bool:
-        now = self._clock.monotonic()
-        return self._ran_at is not None and now - self._ran_at > MIN_STALL
+        if self.revision is not None and self.age >= MIN_OUTAGE:
+            self._outage.record_failure("no router passes it on", self.confirmation.at)
 
     def changes_since(self, known: Revision | None) -> KindChanges | None:
         """Return what another router that has a revision lacks.
@@ -153,7 +117,7 @@
         revision = self.revision
         if revision is None:
             return None
-        is_complete = known is None or known < (self._history_start or revision)
+        is_complete = not self._removals.covers(known)
         present: Iterable[StoredObject] = ()
         deleted: list[str] = []
         if is_complete:
@@ -164,18 +128,14 @@
                 for stored in self.object_by_name.values()
                 if stored.revision > known
             )
-            deleted = [
-                name
-                for name, removed_at in self._removal_revision_by_name.items()
-                if removed_at > known
-            ]
+            deleted = self._removals.names_since(known)
         return KindChanges(
             self.kind,
             revision,
             is_complete,
-            tuple(stored for stored in present if stored.name not in self._lapsed_at),
+            tuple(stored for stored in present if stored.name not in self._lapsed),
             tuple(deleted),
-            tuple(self._lapsed_at),
+            self._lapsed.names,
             self.age,
         )
 
@@ -198,9 +158,8 @@
                 return
             else:
                 self._apply_difference(changes)
-        self._confirm(as_of)
-        if self._failing_since is not None and as_of > self._failing_since:
-            self._record_success()
+        self.confirmation.confirm(as_of)
+        self._outage.record_state(as_of)
 
     def _apply_difference(self, changes: KindChanges) -> None:
         self.revision = changes.revision
@@ -211,9 +170,6 @@
         if changes.deleted or changes.objects:
             self._notify()
 
-    def _confirm(self, at: timedelta) -> None:
-        self._confirmed_at = max(self._confirmed_at, at)
-
     def _notify(self) -> None:
         for listener in self._listeners:
             listener(self)
@@ -244,18 +200,13 @@
             self.has_minor_changes_only = False
             return
         except PlatformUnavailableError as error:
-            self._record_failure(error)
+            self._outage.record_failure(error.message)
             raise
-        self._record_success()
+        self._outage.record_success()
 
     def expire_lapsed(self) -> None:
-        """Remove lapsed entries that did not return within `RETURN_GRACE`."""
-        now = self._clock.monotonic()
-        expired = [
-            name
-            for name, lapsed_at in self._lapsed_at.items()
-            if now - lapsed_at >= RETURN_GRACE
-        ]
+        """Remove lapsed entries that did not return in time."""
+        expired = self._lapsed.expired_names()
         for name in expired:
             self._delete(name)
         if expired:
@@ -268,7 +219,7 @@
         if self.revision is not None and self.revision >= revision:
             return  # another router passed on a newer list meanwhile
         self._replace_all(revision, found, set())
-        self._confirm(sent_at)
+        self.confirmation.confirm(sent_at)
         self._notify()
 
     def _replace_all(
@@ -280,41 +231,31 @@
         removed = self.object_by_name.keys() - found_by_name.keys()
         if self._is_restored:
             self._is_restored = False
-            self._recovered_at = self._clock.monotonic()
+            self._outage.record_restore()
             self.missing_names |= removed
-            self._stale_revision_by_name = {
-                name: found_by_name[name].revision
-                for name in self._deleted_names
-                if name in found_by_name
-            }
-        for name, stale_revision in list(self._stale_revision_by_name.items()):
-            if name in found_by_name and found_by_name[name].revision == stale_revision:
-                del found_by_name[name]
-            else:
-                del self._stale_revision_by_name[name]
+            self._deleted.record_restore(found_by_name)
         self.revision = revision
         for name in removed:
             self._remove(name, is_lapsed=name in lapsed)
-        for stored in found_by_name.values():
+        for stored in self._deleted.without_copies(found_by_name).values():
             self._put(stored)
-        self._history_start = revision
-        self._removal_revision_by_name.clear()  # a list has no removals
+        self._removals.restart(revision)
 
     async def _watch(self) -> None:
         since = self.revision
-        self._watch_sent_at = self._clock.monotonic()
-        self._has_stalled = False
+        self.confirmation.begin_watch()
         try:
             revision, changes = await self._store.watch(self.kind, since)
         finally:
-            self._watch_sent_at = None
+            self.confirmation.end_watch()
         if self.revision is None:
             return  # the store was restored meanwhile
-        if not (self._has_stalled or self._is_stalled()):
-            self._confirm(self._clock.monotonic())
+        self.confirmation.confirm_by_watch()
         if self.revision > since and self.revision >= revision:
             return  # another router passed on the same changes meanwhile
-        self.has_minor_changes_only = self._are_minor(changes)
+        self.has_minor_changes_only = bool(changes) and all(
+            self._is_minor(change) for change in changes
+        )
         self.revision = max(revision, self.revision)
         for change in changes:
             name = change.stored.name
@@ -325,75 +266,32 @@
         if changes:
             self._notify()  # also if entries lapsed, which changes `lapsed_names`
 
-    def _are_minor(self, changes: list[Change]) -> bool:
-        return bool(changes) and all(map(self._is_minor, changes))
-
     def _is_minor(self, change: Change) -> bool:
         known = self.object_by_name.get(change.stored.name)
-        if known is None or change.is_deleted or known.name in self._lapsed_at:
+        if known is None or change.is_deleted or known.name in self._lapsed:
             return False
         return self._is_minor_change(known.spec, change.stored.spec)
 
     def _put(self, stored: StoredObject) -> None:
         name = stored.name
-        self._removal_revision_by_name.pop(name, None)
-        self._lapsed_at.pop(name, None)
-        self._deleted_names.pop(name, None)
-        self._stale_revision_by_name.pop(name, None)
+        self._removals.forget(name)
+        self._deleted.forget(name)
+        self._lapsed.discard(name)
         self.missing_names.discard(name)
         self.object_by_name[name] = stored
 
     def _delete(self, name: str) -> None:
-        self._lapsed_at.pop(name, None)
+        self._lapsed.discard(name)
         self.missing_names.discard(name)
         self.object_by_name.pop(name, None)
         if self._remembers_deleted:
-            self._deleted_names[name] = None
-        while len(self._deleted_names) > MAX_DELETED_NAMES:
-            del self._deleted_names[next(iter(self._deleted_names))]
+            self._deleted.record(name)
 
     def _remove(self, name: str, *, is_lapsed: bool = False) -> None:
         """Remove an entry, or keep it for a while if an outage may have expired it."""
-        self._record_removal(name)
-        if not self._keeps_lapsed or not (is_lapsed or self._has_just_recovered()):
+        self._removals.record(name, self.revision)
+        may_be_lapsed = is_lapsed or self._outage.may_have_expired_entries()
+        if not self._keeps_lapsed or not may_be_lapsed:
             self._delete(name)
         elif name in self.object_by_name:
-            self._lapsed_at.setdefault(name, self._lapse_start())
-
-    def _record_removal(self, name: str) -> None:
-        removals = self._removal_revision_by_name
-        removals.pop(name, None)
-        removals[name] = self.revision
-        while len(removals) > MAX_DELETED_NAMES:
-            self._history_start = removals.pop(next(iter(removals)))
-
-    def _lapse_start(self) -> timedelta:
-        now = self._clock.monotonic()
-        recovered_at = self._recovered_at
-        # An outage that ends with the call in progress has not been recorded yet.
-        if recovered_at is None or now - recovered_at >= RETURN_GRACE:
-            return now
-        return recovered_at
-
-    def _has_just_recovered(self) -> bool:
-        """Return whether an outage ended recently, or with the call in progress."""
-        now = self._clock.monotonic()
-        if self._recovered_at is not None and now - self._recovered_at < RETURN_GRACE:
-            return True
-        return (
-            self._failing_since is not None and now - self._failing_since >= MIN_OUTAGE
-        )
-
-    def _record_failure(self, error: PlatformUnavailableError) -> None:
-        if self._failing_since is None:
-            self._failing_since = self._clock.monotonic()
-            log_event("store_lost", kind=self.kind, error=error.message)
-
-    def _record_success(self) -> None:
-        if self._failing_since is None:
-            return
-        now = self._clock.monotonic()
-        if now - self._failing_since >= MIN_OUTAGE:
-            self._recovered_at = now
-        log_event("store_back", kind=self.kind)
-        self._failing_since = None
+            self._lapsed.add(name)
--- a/banyansail/gateway/store/store_following.py
+++ b/banyansail/gateway/store/store_following.py
@@ -191,7 +191,7 @@
         """Record the outcome of a small read of the store."""
         if is_reached:
             for mirror in self._mirrors:
-                mirror.record_contact(sent_at)
+                mirror.confirmation.confirm_by_contact(sent_at)
             if not self._is_reached:
                 jitter = MAX_WAKE_JITTER * self._random.random()
                 self._reactor.callLater(jitter.total_seconds(), self._retries.wake)
@@ -200,7 +200,7 @@
     def update(self) -> None:
         """Record that this process runs; to be called often."""
         for mirror in self._mirrors:
-            mirror.record_running()
+            mirror.confirmation.record_running()
 
     def set_metrics(self) -> None:
         """Set the metrics to what they are at present."""
--- a/tests/gateway/store/test_mirror.py
+++ b/tests/gateway/store/test_mirror.py
@@ -6,7 +6,9 @@
 from hypothesis import strategies as st
 
 from banyansail.exceptions import HistoryLostError, PlatformUnavailableError
-from banyansail.gateway.store.mirror import MAX_DELETED_NAMES, RETURN_GRACE, Mirror
+from banyansail.gateway.store.mirror import Mirror
+from banyansail.gateway.store.outage import RETURN_GRACE
+from banyansail.gateway.store.removal_history import MAX_REMOVALS
 from banyansail.platform.store_objects import Change, Revision, StoredObject
 from tests.fakes import FakeClock, run_now
 
@@ -296,7 +298,7 @@
     """A follower from before the list kept what was deleted unseen."""
     store, clock = ChangingStore(), FakeClock()
     watcher, follower = mirror_of(store, clock), mirror_of(store, clock)
-    names = [str(number) for number in range(MAX_DELETED_NAMES)]
+    names = [str(number) for number in range(MAX_REMOVALS)]
     for name in [*names, "unseen"]:
         store.put(name)
     follow(watcher)
--- a/tests/gateway/store/test_silent_connections.py
+++ b/tests/gateway/store/test_silent_connections.py
@@ -65,7 +65,7 @@
             sent_at = self.clock.monotonic()
             await self.probe.probe()
             if not self.probe.is_unreachable:
-                self.mirror.record_contact(sent_at)
+                self.mirror.confirmation.confirm_by_contact(sent_at)
 
     def silence(self):
         self.running.site.stall_connections()
--- a/tests/gateway/store/test_store_following.py
+++ b/tests/gateway/store/test_store_following.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from banyansail.gateway.store.mirror import MIN_STALL
+from banyansail.gateway.store.confirmation import MIN_STALL
 from banyansail.gateway.store.watchers import ASKED_TIME
 from banyansail.gateway.tasks import FOLLOW_PAUSE
 from tests.gateway.following_fleet import KINDS, STEP_S, WATCH_S, FollowingFleet
