Gossip: log a member that can't be read

Cause: the error of an unreadable member was swallowed, so a router stayed unknown to its peers and nothing said why.

Change: a log line `member_unreadable` with the origin and the error.

--- a/banyansail/fleet/gossiper.py
+++ b/banyansail/fleet/gossiper.py
@@ -27,6 +27,7 @@
     PushQueue,
 )
 from banyansail.fleet.topology import Topology
+from banyansail.log import log_event
 from banyansail.wire.gossip_codec import decode_member
 
 if TYPE_CHECKING:
@@ -283,8 +284,8 @@
         if entry.topic is Topic.MEMBER:
             try:
                 self._topology.update_member(entry.origin, decode_member(entry.value))
-            except WireError:
-                return
+            except WireError as error:
+                log_event("member_unreadable", origin=entry.origin, error=error.message)
 
     def _crosses_zones(self, entry: Entry) -> bool:
         """Return whether a bridge pushes an entry to other zones."""
--- a/tests/fleet/test_datagrams.py
+++ b/tests/fleet/test_datagrams.py
@@ -11,6 +11,7 @@
 from banyansail.config.fields import Address
 from banyansail.exceptions import WireError
 from banyansail.fleet.datagrams import GossipProtocol
+from banyansail.fleet.entries import LAST_STEP, Entry, Gossip, Topic
 from banyansail.fleet.gossiper import Gossiper
 from banyansail.fleet.peer_calls import PeerServerProtocol
 from banyansail.fleet.view import FleetView
@@ -104,3 +105,20 @@
     ((event, error),) = logged
     assert event == "peer_call_failed"
     assert "KeyError" in error
+
+
+def test_an_unreadable_member_is_logged(monkeypatch):
+    """Guards against a router that stays unknown without a reason in the log."""
+    logged = []
+    monkeypatch.setattr(
+        "banyansail.fleet.gossiper.log_event",
+        lambda event, **fields: logged.append((event, fields["origin"])),
+    )
+    entry = Entry("r1", 1, Topic.MEMBER, 1, b"not a member")
+    gossip = Gossip("r1", "z0", (entry,), (), LAST_STEP)
+    gossiper = Gossiper(
+        FleetView("r0", 1, FakeClock()), "z0", Address("127.0.0.1", 1), [], Random(1)
+    )
+    gossiper.receive(gossip, Address("127.0.0.1", 2))
+    assert logged == [("member_unreadable", "r1")]
+    assert "r1" not in gossiper.members()
