Calls between routers: log a frame that ends its connection

Cause: a frame with a wrong code, or that can't be decoded, and a first frame that is not a nonce ended the connection without a log line; the calls in progress failed with "connection lost" alone.

Change: a log line `peer_frame_invalid` with the error.

--- a/banyansail/fleet/peer_frames.py
+++ b/banyansail/fleet/peer_frames.py
@@ -8,6 +8,7 @@
 from twisted.protocols.basic import Int32StringReceiver
 
 from banyansail.exceptions import WireError
+from banyansail.log import log_event
 from banyansail.wire.call_codec import MAX_CALL_BYTES
 
 if TYPE_CHECKING:
@@ -44,6 +45,7 @@
         """Take the other side's nonce, then verify and handle each frame."""
         if not self._peer_nonce:
             if len(string) != NONCE_BYTES:
+                log_event("peer_frame_invalid", error="not a nonce")
                 self.transport.abortConnection()
                 return
             self._peer_nonce = string
@@ -53,7 +55,8 @@
         try:
             context = self._context(self._labels[1], self._frames_received)
             self.frame_received(self._authenticator.verify(string, context))
-        except WireError:
+        except WireError as error:
+            log_event("peer_frame_invalid", error=error.message)
             self.transport.abortConnection()
 
     def send_frame(self, payload: bytes) -> None:
--- a/tests/fleet/test_datagrams.py
+++ b/tests/fleet/test_datagrams.py
@@ -7,6 +7,7 @@
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
+from twisted.internet.testing import StringTransport
 
 from banyansail.config.fields import Address
 from banyansail.exceptions import WireError
@@ -14,6 +15,7 @@
 from banyansail.fleet.entries import LAST_STEP, Entry, Gossip, Topic
 from banyansail.fleet.gossiper import Gossiper
 from banyansail.fleet.peer_calls import PeerServerProtocol
+from banyansail.fleet.peer_frames import NONCE_BYTES
 from banyansail.fleet.view import FleetView
 from banyansail.metrics import Metrics
 from banyansail.wire.call_codec import decode_call, decode_reply, encode_call
@@ -122,3 +124,24 @@
     gossiper.receive(gossip, Address("127.0.0.1", 2))
     assert logged == [("member_unreadable", "r1")]
     assert "r1" not in gossiper.members()
+
+
+class _AbortableTransport(StringTransport):
+    def setTcpNoDelay(self, enabled):  # noqa: N802
+        pass
+
+
+def test_a_frame_that_ends_its_connection_is_logged(monkeypatch):
+    """Guards against connections between routers that end without a reason."""
+    logged = []
+    monkeypatch.setattr(
+        "banyansail.fleet.peer_frames.log_event",
+        lambda event, **fields: logged.append(event),
+    )
+    server = PeerServerProtocol(MessageAuthenticator(KEY), None)
+    transport = _AbortableTransport()
+    server.makeConnection(transport)
+    server.stringReceived(bytes(NONCE_BYTES))
+    server.stringReceived(b"a frame without a code")
+    assert transport.disconnected or transport.disconnecting
+    assert logged == ["peer_frame_invalid"]
