Gossip: choose the routers to talk to in a module of its own

The two samplers were one function twice and are one. A test set a private field and sets a public one now.

--- a/banyansail/fleet/gossiper.py
+++ b/banyansail/fleet/gossiper.py
@@ -21,11 +21,8 @@
     Member,
     Topic,
 )
-from banyansail.fleet.push_queue import (
-    MAX_ENTRY_BYTES_PER_DATAGRAM,
-    PUSH_FANOUT,
-    PushQueue,
-)
+from banyansail.fleet.gossip_targets import MAX_DIGESTS_PER_DATAGRAM, GossipTargets
+from banyansail.fleet.push_queue import MAX_ENTRY_BYTES_PER_DATAGRAM, PushQueue
 from banyansail.fleet.topology import Topology
 from banyansail.log import log_event
 from banyansail.wire.gossip_codec import decode_member
@@ -36,10 +33,6 @@
     from banyansail.config.fields import Address
     from banyansail.fleet.view import FleetView
 
-DIGEST_FANOUT = 1  # zone peers per exchange, and as many bridges
-UNREACHABLE_PROBES_PER_S = 2  # by all routers of a zone, or by all bridges, together
-MAX_DIGESTS_PER_DATAGRAM = 40
-
 
 @dataclass(slots=True, frozen=True)
 class OutgoingDatagram:
@@ -74,13 +67,11 @@
 
     __slots__ = (
         "_direct_datagrams",
-        "_own_address",
         "_push_queue",
-        "_random",
-        "_seeds",
         "_topology",
         "_view",
         "_zone",
+        "targets",
     )
 
     def __init__(
@@ -93,17 +84,16 @@
     ) -> None:
         self._view = view
         self._zone = zone
-        self._own_address = own_address
-        self._seeds = [seed for seed in seeds if seed != own_address]
-        self._random = random
         self._push_queue = PushQueue()
         self._direct_datagrams: list[OutgoingDatagram] = []
         self._topology = Topology(view, zone)
+        self.targets = GossipTargets(
+            view, self._topology, zone, own_address, seeds, random
+        )
 
     def add_seeds(self, seeds: Iterable[Address]) -> None:
         """Add routers to contact while they are not known to be live."""
-        known = {*self._seeds, self._own_address}
-        self._seeds += [seed for seed in seeds if seed not in known]
+        self.targets.add_seeds(seeds)
 
     def members(self) -> dict[str, Member]:
         """Return all known routers, live or not."""
@@ -170,17 +160,12 @@
         entries = self._push_queue.next_batch()
         if not entries:
             return []
-        zone_peers = self._sample_addresses(self._topology.zone_peers(), PUSH_FANOUT)
+        zone_targets, remote_targets = self.targets.for_push()
         outgoing = [
-            self._make_datagram(target, entries, (), LAST_STEP) for target in zone_peers
+            self._make_datagram(target, entries, (), LAST_STEP)
+            for target in zone_targets
         ]
         cross_zone_entries = [entry for entry in entries if self._crosses_zones(entry)]
-        remote_targets = [
-            self._random.choice(peers)
-            for peers in self._topology.bridges_by_zone().values()
-        ]
-        if not zone_peers and not remote_targets:
-            remote_targets = self._sample_addresses(self._seeds, PUSH_FANOUT)
         if cross_zone_entries:
             outgoing += [
                 self._make_datagram(target, cross_zone_entries, (), LAST_STEP)
@@ -191,21 +176,12 @@
     def exchange(self) -> list[OutgoingDatagram]:
         """Advance the heartbeat; return the datagrams that start digest exchanges."""
         self._view.advance_heartbeat()
-        targets = self._sample_addresses(self._topology.zone_peers(), DIGEST_FANOUT)
-        live_addresses = self._topology.live_addresses()
-        seeds_not_live = [seed for seed in self._seeds if seed not in live_addresses]
-        targets += self._sample_addresses(seeds_not_live, 1)
-        targets += self._sample_unreachable_peer()
-        digests = self._digests(self._sample_names_across_zones())
+        targets = self.targets.for_exchange()
+        digests = self._digests(self.targets.names_across_zones())
         outgoing = [self._make_datagram(target, (), digests, 0) for target in targets]
         # Other zones need this zone's own routers only; each zone sends its own.
-        digests = self._digests(self._sample_zone_names())
-        bridges = [
-            peer
-            for peers in self._topology.bridges_by_zone().values()
-            for peer in peers
-        ]
-        for target in self._sample_addresses(bridges, DIGEST_FANOUT):
+        digests = self._digests(self.targets.names_in_zone())
+        for target in self.targets.for_exchange_across_zones():
             outgoing.append(self._make_datagram(target, (), digests, 0))
         return outgoing
 
@@ -299,49 +275,6 @@
     def _digests(self, names: Iterable[str]) -> list[Digest]:
         return [self._view.digest(name) for name in names]
 
-    def _sample_zone_names(self) -> list[str]:
-        """Return this router and others of its zone, sampled if they are too many."""
-        others = [
-            name
-            for name, member in self.members().items()
-            if member.zone == self._zone and name != self._view.name
-        ]
-        sampled = self._sample_names(others, MAX_DIGESTS_PER_DATAGRAM - 1)
-        return [self._view.name, *sampled]
-
-    def _sample_names_across_zones(self) -> list[str]:
-        """Return this router, some others of its zone and some of other zones."""
-        own = self._sample_zone_names()[: MAX_DIGESTS_PER_DATAGRAM // 2]
-        others = [name for name in self._view.names if name not in set(own)]
-        return [*own, *self._sample_names(others, MAX_DIGESTS_PER_DATAGRAM - len(own))]
-
-    def _sample_names(self, names: list[str], count: int) -> list[str]:
-        """Return all names, or a random sample if they are too many."""
-        if len(names) <= count:
-            return names
-        return self._random.sample(names, count)
-
-    def _sample_unreachable_peer(self) -> list[Address]:
-        """Return at most one unreachable router to probe.
-
-        It is chosen at random and skipped with a probability that keeps all routers
-        together within `UNREACHABLE_PROBES_PER_S`.
-        """
-        unreachable = self._topology.unreachable_peers()
-        if not unreachable:
-            return []
-        address, prober_count = self._random.choice(unreachable)
-        return (
-            [address]
-            if self._random.random() * prober_count < UNREACHABLE_PROBES_PER_S
-            else []
-        )
-
-    def _sample_addresses(self, addresses: list[Address], count: int) -> list[Address]:
-        if len(addresses) <= count:
-            return list(addresses)
-        return self._random.sample(addresses, count)
-
     def _make_datagram(
         self,
         address: Address,
--- a/tests/fleet/test_gossip.py
+++ b/tests/fleet/test_gossip.py
@@ -165,7 +165,7 @@
         network.add(f"r{number}", ZONES[number % 2])
     network.run_until(lambda: all_routers_live(network))
     for node in network.node_by_name.values():
-        node.gossiper._seeds = []  # the routers at the configured seeds were replaced
+        node.gossiper.targets.seeds = []  # the routers at the seeds were replaced
     network.is_cut = lambda sender, receiver: sender.zone != receiver.zone
     network.run(120)
     network.clock.advance(3600 - 180)
