Dispatcher: leave upstreams to the service's state and rejections to admission

Cause: the dispatcher (363 lines) also built the loads of a service's upstreams, applied their cold starts and looked through waiting requests for overdue ones, though `ServiceState` owns the loads and `Admission` decides on rejections.

Change: `ServiceState.apply_upstreams` and `apply_cold_starts`; `Admission.reject_waiting`, whose parts are private now. The dispatcher has 295 lines. No behaviour changes.

--- a/banyansail/gateway/decisions/queue/admission.py
+++ b/banyansail/gateway/decisions/queue/admission.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from dataclasses import replace
+from datetime import timedelta
 from typing import TYPE_CHECKING
 
 from banyansail.gateway.decisions.queue.rejections import (
@@ -19,7 +20,6 @@
 from banyansail.gateway.decisions.upstreams.choice import has_free_slot
 
 if TYPE_CHECKING:
-    from datetime import timedelta
     from random import Random
 
     from banyansail.gateway.decisions.queue.fair_order import FairOrder
@@ -30,6 +30,7 @@
 
 MAX_WAIT_SHARE = 0.5  # of a request's time until its deadline
 MAX_QUEUE_LENGTH = 500  # requests of one service
+LATE_CHECK_INTERVAL = timedelta(milliseconds=200)  # of the expected waits
 
 
 class Admission:
@@ -73,7 +74,27 @@
             return self._overload_rejection(state, ticket, now)
         return None
 
-    def check_waiting(
+    def reject_waiting(self, state: ServiceState, now: timedelta) -> None:
+        """Reject the requests that waited too long or can't be served any more."""
+        if state.waiting:
+            self._reject_overdue(state, now)
+        if state.is_fair and now - state.late_checked_at >= LATE_CHECK_INTERVAL:
+            state.late_checked_at = now
+            self._reject_late(state, now)
+
+    def _reject_overdue(self, state: ServiceState, now: timedelta) -> None:
+        usable = state.usable()
+        is_fair = state.is_fair
+        is_open = any(not load.pause_left(now) for load in usable)
+        for entry in state.waiting.entries():
+            if is_fair and is_open and now < entry.check_at:
+                continue
+            if not entry.is_resolved:
+                rejection = self._check_waiting(state, usable, entry.ticket, now)
+                if rejection is not None:
+                    self._reject(state, entry, rejection)
+
+    def _check_waiting(
         self,
         state: ServiceState,
         usable: list[UpstreamLoad],
@@ -109,9 +130,9 @@
             victim = state.waiting.heaviest_last(ticket.priority) or entry
             if not self._waits_too_long(state, victim.ticket, now):
                 victim = entry
-        self.reject(state, victim, self._share_rejection(state, victim.ticket, now))
+        self._reject(state, victim, self._share_rejection(state, victim.ticket, now))
 
-    def reject_late(self, state: ServiceState, now: timedelta) -> None:
+    def _reject_late(self, state: ServiceState, now: timedelta) -> None:
         """Reject the last request of each workspace if it gets no slot in time."""
         for entry in state.waiting.lasts():
             ticket = entry.ticket
@@ -119,9 +140,9 @@
             time_left = ticket.deadline - now
             if wait is not None and wait + self.answer_time(state, ticket) > time_left:
                 rejection = self._share_rejection(state, ticket, now, is_late=True)
-                self.reject(state, entry, rejection)
+                self._reject(state, entry, rejection)
 
-    def reject(
+    def _reject(
         self, state: ServiceState, entry: QueueEntry, rejection: Rejection
     ) -> None:
         """Reject a waiting request."""
--- a/banyansail/gateway/decisions/queue/dispatch.py
+++ b/banyansail/gateway/decisions/queue/dispatch.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 from dataclasses import replace
-from datetime import UTC, datetime, timedelta
+from datetime import timedelta
 from typing import TYPE_CHECKING
 
 from banyansail.gateway.decisions.queue.admission import Admission, max_wait, resolve
@@ -20,7 +20,6 @@
     affinity_key,
     choose,
 )
-from banyansail.gateway.decisions.upstreams.upstream_load import UpstreamLoad
 from banyansail.gateway.request_types import Rejection
 
 if TYPE_CHECKING:
@@ -28,15 +27,13 @@
     from random import Random
 
     from banyansail.clock import Clock
-    from banyansail.gateway.site import ServiceSpec, SiteConfig
+    from banyansail.gateway.decisions.upstreams.upstream_load import UpstreamLoad
+    from banyansail.gateway.site import SiteConfig
     from banyansail.gateway.upstream import Upstream
 
 SLOT_TIME_WEIGHT = 0.1  # of a new sample in the moving average
-EPOCH = datetime.fromtimestamp(0, UTC)
-MILLISECOND = timedelta(milliseconds=1)
 # After its start, a router hears of the traffic of others within a few seconds.
 HEARING_TIME = timedelta(seconds=5)
-LATE_CHECK_INTERVAL = timedelta(milliseconds=200)  # of the expected waits
 
 
 class Dispatcher:
@@ -112,6 +109,7 @@
 
     def apply_upstreams(self, upstreams: Iterable[Upstream], site: SiteConfig) -> None:
         """Replace the known upstreams; requests in flight at removed ones continue."""
+        now = self._clock.monotonic()
         upstreams_by_service: dict[str, dict[str, Upstream]] = {}
         for upstream in upstreams:
             upstreams_by_service.setdefault(upstream.service, {})[upstream.id] = (
@@ -119,13 +117,10 @@
             )
         for name in {*upstreams_by_service, *self.service_by_name}:
             service = site.service_by_name.get(name)
-            engine = service.engine if service else None
-            kv_tokens = engine.kv_tokens if engine else 0
-            self.state(name).engine = engine
-            self._apply_to_service(
-                self.state(name), upstreams_by_service.get(name, {}), kv_tokens
-            )
-            self._apply_cold_starts(self.state(name), service)
+            state = self.state(name)
+            state.engine = service.engine if service else None
+            state.apply_upstreams(upstreams_by_service.get(name, {}), now, self._random)
+            state.apply_cold_starts(service, now, self._clock.now())
         self.assign_waiting()
 
     def record_traffic(self) -> None:
@@ -142,22 +137,6 @@
         for load in self.loads():
             load.cold.forget_start()
 
-    def _apply_cold_starts(
-        self, state: ServiceState, service: ServiceSpec | None
-    ) -> None:
-        """Apply what the entries of a service's upstreams say of being cold."""
-        now, wall_time = self._clock.monotonic(), self._clock.now()
-        for load in state.load_by_id.values():
-            cold, upstream = load.cold, load.upstream
-            is_new = not cold.is_known
-            cold.record_entry(upstream, now)
-            cold.per_s = service.cold_per_s if service else 0.0
-            if is_new and service is not None:
-                age = None
-                if upstream.started_at:
-                    age = wall_time - EPOCH - MILLISECOND * upstream.started_at
-                cold.record_start(age, service.cold_start, now)
-
     def set_share(self, service: str, version: str, share: float) -> None:
         """Set the share of a service's requests that a version receives."""
         self.state(service).version_share = VersionShare(version, share)
@@ -249,7 +228,7 @@
         now = self._clock.monotonic()
         for state in list(self.service_by_name.values()):
             self._assign_free_slots(state, now)
-            self._reject_waiting(state, now)
+            self._admission.reject_waiting(state, now)
 
     def _assign_free_slots(self, state: ServiceState, now: timedelta) -> None:
         """Assign free slots to waiting requests; it ends with the last free slot."""
@@ -269,28 +248,6 @@
                         slot.share = state.shares.share_use(entry.ticket.workspace)
                     resolve(state, entry, slot)
 
-    def _reject_waiting(self, state: ServiceState, now: timedelta) -> None:
-        """Reject the requests that waited too long or can't be served any more."""
-        if state.waiting:
-            self._reject_overdue(state, now)
-        if state.is_fair and now - state.late_checked_at >= LATE_CHECK_INTERVAL:
-            state.late_checked_at = now
-            self._admission.reject_late(state, now)
-
-    def _reject_overdue(self, state: ServiceState, now: timedelta) -> None:
-        usable = state.usable()
-        is_fair = state.is_fair
-        is_open = any(not load.pause_left(now) for load in usable)
-        for entry in state.waiting.entries():
-            if is_fair and is_open and now < entry.check_at:
-                continue
-            if not entry.is_resolved:
-                rejection = self._admission.check_waiting(
-                    state, usable, entry.ticket, now
-                )
-                if rejection is not None:
-                    self._admission.reject(state, entry, rejection)
-
     def _assign_slot(
         self,
         state: ServiceState,
@@ -332,31 +289,6 @@
             chosen.load.cache.record(ticket.prompt)
         return Slot(self._last_slot_number, chosen, now)
 
-    def _apply_to_service(
-        self, state: ServiceState, upstream_by_id: dict[str, Upstream], kv_tokens: int
-    ) -> None:
-        now = self._clock.monotonic()
-        for upstream_id in state.load_by_id.keys() - upstream_by_id.keys():
-            load = state.load_by_id.pop(upstream_id)
-            if load.pause_left(now):
-                state.paused_by_incarnation[load.upstream.incarnation] = load
-        for upstream_id, upstream in upstream_by_id.items():
-            load = state.load_by_id.get(upstream_id)
-            if load is None or load.upstream.incarnation != upstream.incarnation:
-                load = UpstreamLoad(
-                    upstream,
-                    kv_tokens,
-                    state.prefill_rate,
-                    self._random,
-                    state.answer_time,
-                )
-                state.load_by_id[upstream_id] = load
-                removed = state.paused_by_incarnation.pop(upstream.incarnation, None)
-                if removed is not None:
-                    load.pause(removed.pause_left(now), now)
-            else:
-                load.upstream = upstream
-
 
 def _withdraw(state: ServiceState, entry: QueueEntry) -> None:
     entry.is_resolved = True
--- a/banyansail/gateway/decisions/queue/service_state.py
+++ b/banyansail/gateway/decisions/queue/service_state.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
-from datetime import timedelta
+from datetime import UTC, datetime, timedelta
 from typing import TYPE_CHECKING
 
 from banyansail.gateway.decisions.queue.arrival_queue import ArrivalQueue
@@ -18,12 +18,18 @@
 )
 
 if TYPE_CHECKING:
+    from collections.abc import Mapping
+    from random import Random
+
     from banyansail.gateway.decisions.queue.slot_budget import SlotBudget
     from banyansail.gateway.decisions.queue.tickets import Ticket
     from banyansail.gateway.decisions.queue.work_shares import WorkShares
-    from banyansail.gateway.site import EngineSpec
+    from banyansail.gateway.site import EngineSpec, ServiceSpec
+    from banyansail.gateway.upstream import Upstream
 
 INITIAL_SLOT_TIME = timedelta(milliseconds=60)
+EPOCH = datetime.fromtimestamp(0, UTC)
+MILLISECOND = timedelta(milliseconds=1)
 
 
 @dataclass(slots=True, frozen=True)
@@ -60,6 +66,48 @@
         default_factory=dict
     )
 
+    def apply_upstreams(
+        self, upstream_by_id: Mapping[str, Upstream], now: timedelta, random: Random
+    ) -> None:
+        """Replace the known upstreams; requests in flight at removed ones continue."""
+        for upstream_id in self.load_by_id.keys() - upstream_by_id.keys():
+            load = self.load_by_id.pop(upstream_id)
+            if load.pause_left(now):
+                self.paused_by_incarnation[load.upstream.incarnation] = load
+        for upstream_id, upstream in upstream_by_id.items():
+            load = self.load_by_id.get(upstream_id)
+            if load is None or load.upstream.incarnation != upstream.incarnation:
+                self.load_by_id[upstream_id] = self._new_load(upstream, now, random)
+            else:
+                load.upstream = upstream
+
+    def _new_load(
+        self, upstream: Upstream, now: timedelta, random: Random
+    ) -> UpstreamLoad:
+        kv_tokens = self.engine.kv_tokens if self.engine else 0
+        load = UpstreamLoad(
+            upstream, kv_tokens, self.prefill_rate, random, self.answer_time
+        )
+        removed = self.paused_by_incarnation.pop(upstream.incarnation, None)
+        if removed is not None:
+            load.pause(removed.pause_left(now), now)
+        return load
+
+    def apply_cold_starts(
+        self, service: ServiceSpec | None, now: timedelta, wall_time: datetime
+    ) -> None:
+        """Apply what the entries of the upstreams say of being cold."""
+        for load in self.load_by_id.values():
+            cold, upstream = load.cold, load.upstream
+            is_new = not cold.is_known
+            cold.record_entry(upstream, now)
+            cold.per_s = service.cold_per_s if service else 0.0
+            if is_new and service is not None:
+                age = None
+                if upstream.started_at:
+                    age = wall_time - EPOCH - MILLISECOND * upstream.started_at
+                cold.record_start(age, service.cold_start, now)
+
     def usable(self) -> list[UpstreamLoad]:
         """Return the upstreams that are neither draining nor evacuated."""
         return [
