Gateway: build the duties of the fleet in a class of their own

Cause: one function of 116 lines built all state of the gateway; the lease and the three duties that share it were found only by following local names.

Change: `FleetDuties` builds the usage counter, reporter and exchange, the moves and the scaler around their one lease; the rest is built in three functions by matter, in the same order.

--- a/banyansail/gateway/router.py
+++ b/banyansail/gateway/router.py
@@ -15,13 +15,8 @@
 from banyansail.gateway.decisions.queue.dispatch import Dispatcher
 from banyansail.gateway.drain import Drain
 from banyansail.gateway.duties.duty_work import DutyWork
-from banyansail.gateway.duties.scaler import Scaler
-from banyansail.gateway.duties.usage import SteadyTime, UsageCounter
-from banyansail.gateway.duties.usage_exchange import UsageExchange
-from banyansail.gateway.duties.usage_reporter import UsageReporter
+from banyansail.gateway.fleet_duties import FleetDuties
 from banyansail.gateway.metrics_page import MetricsPage
-from banyansail.gateway.moves.controller import MoveController
-from banyansail.gateway.moves.move import ExposureBound
 from banyansail.gateway.reach_check import ReachCheck
 from banyansail.gateway.requests.crash_check import CrashCheck
 from banyansail.gateway.sharing.cold_sharing import ColdSharing
@@ -96,7 +91,9 @@
         self.clock = clock or SystemClock()
         self.config = ConfigKeeper(self.clock, self._apply_config)
         self._build_platform()
-        self._build_state()
+        self._build_fleet()
+        self._build_context()
+        self._build_exchanges()
         self._build_servers()
         self._add_tasks()
 
@@ -126,13 +123,13 @@
             apply_evacuations=lambda mirror: self.evacuations.apply_store(
                 decode_evacuations(mirror.object_by_name), mirror.revision
             ),
-            apply_moves=lambda mirror: self.moves.apply_orders(mirror),
+            apply_moves=lambda mirror: self.duties.moves.apply_orders(mirror),
             apply_routers=lambda mirror: self.link.apply_registered(
                 mirror.object_by_name
             ),
         )
 
-    def _build_state(self) -> None:
+    def _build_fleet(self) -> None:
         settings, clock = self.settings, self.clock
         self.link = FleetLink(
             settings,
@@ -148,19 +145,18 @@
         )
         self.evacuations = Evacuations(self._apply_evacuations)
         self.quota = QuotaLimiter(clock, settings.quota_slack)
-        usage = UsageCounter(SteadyTime(clock), settings.usage_window)
-        self.reporter = UsageReporter(
-            settings, clock, self.store, self.cloud, usage, self.fleet
-        )
-        lease = self.reporter.lease
-        self.moves = MoveController(
+        self.duties = FleetDuties(
+            settings,
             clock,
             self.store,
-            lease,
+            self.cloud,
+            self.link,
             self.dispatcher,
-            ExposureBound(settings.expose_share, settings.expose_slack),
+            self.fleet,
         )
-        self.scaler = Scaler(clock, self.cloud, lease, self.dispatcher, self.fleet)
+
+    def _build_context(self) -> None:
+        settings, clock = self.settings, self.clock
         self.limits = LimitSharing(
             settings.name,
             clock,
@@ -185,9 +181,9 @@
             settings=settings,
             dispatcher=self.dispatcher,
             quota=self.quota,
-            usage=usage,
+            usage=self.duties.usage,
             fleet=self.fleet,
-            moves=self.moves,
+            moves=self.duties.moves,
             crash_guard=CrashGuard(clock),
             publish_crashes=lambda value: self.link.publish(
                 Topic.DEATHS, value, urgent=True
@@ -202,19 +198,19 @@
         )
         self.crash_check = CrashCheck(self.context, self.link)
         self.reach_check = ReachCheck(self.context, clock, self.publish_member)
+
+    def _build_exchanges(self) -> None:
+        settings, clock = self.settings, self.clock
         self.quarantine_store = QuarantineStore(
             self.store,
             clock,
             self.random,
             self.context.crash_guard,
-            is_cleaner=lambda: lease.fencing_token() is not None,
+            is_cleaner=lambda: self.duties.is_held,
         )
         self.upstream_sync = UpstreamSync(
             self.mirrors.upstreams, self.link, self.context, self._on_upstreams_applied
         )
-        self.usage_exchange = UsageExchange(
-            settings.name, clock, self.link, usage, self.fleet, self.reporter
-        )
         self.traffic_exchange = TrafficExchange(
             settings.name,
             settings.zone,
@@ -224,7 +220,6 @@
             self._make_report,
             lambda: apply_fleet_traffic(self.context),
         )
-
         self.store.add_restore_listener(self._apply_restore)
         self.store_following = StoreFollowing(
             settings,
@@ -237,7 +232,6 @@
             self.link.call,
             lambda: self.context.metrics,
         )
-
         self.peer_messages = PeerMessages(
             self.context,
             self.config,
@@ -245,7 +239,7 @@
             self.upstream_sync,
             self.crash_check,
             self.store_following,
-            self.usage_exchange,
+            self.duties.usage_exchange,
             self.traffic_exchange,
             self.evacuations if self.follows_evacuations else None,
         )
@@ -285,19 +279,19 @@
             self.upstream_sync,
             self.store_following,
             self.traffic_exchange,
-            self.usage_exchange,
+            self.duties.usage_exchange,
         )
         duty_work = DutyWork(
-            self.reporter,
-            self.scaler,
+            self.duties.reporter,
+            self.duties.scaler,
             site=lambda: self.site,
             is_unfit=lambda: self.is_unfit_for_duties,
             is_leaving=lambda: self.request_handler.is_leaving,
         )
         add_gossip_tasks(self, gossip_work)
-        add_store_tasks(self, store_work, self.mirrors, self.reporter.lease)
+        add_store_tasks(self, store_work, self.mirrors, self.duties.lease)
         add_request_tasks(self, self.context, self.reach_check)
-        add_duty_tasks(self, duty_work, self.moves, self.quarantine_store)
+        add_duty_tasks(self, duty_work, self.duties.moves, self.quarantine_store)
 
     @property
     def site(self) -> SiteConfig:
@@ -338,9 +332,9 @@
         log_event("leaving", in_progress=self.request_handler.in_progress)
         # Lets other routers take over its duties at once.
         self.traffic_exchange.send_report(is_urgent=True)
-        await self.reporter.release()
+        await self.duties.reporter.release()
         await drain.run(self.settings.grace)
-        self.usage_exchange.send_last()
+        self.duties.usage_exchange.send_last()
         self.stop_listening()
         await drain.wait_for_last_answers()
 
@@ -363,8 +357,7 @@
 
     def _apply_restore(self) -> None:
         """Take into account that the store was restored from a copy."""
-        self.reporter.record_restore()
-        self.moves.record_restore()
+        self.duties.record_restore()
         for mirror in self.mirrors.followed():
             mirror.reset()
         self.quarantine_store.forget()
@@ -380,7 +373,7 @@
         return make_report(
             self.context,
             is_unfit_for_duties=self.is_unfit_for_duties,
-            holds_duties=self.reporter.lease.fencing_token() is not None,
+            holds_duties=self.duties.is_held,
         )
 
     def publish_member(self) -> None:
