Log quotas that are low, a line a second for each workspace and router

Callers of one workspace got more than its quota, and no log line of that time tells why: a surge that all routers admitted together, routers that restarted, and a wrong count of routers look alike.

While a quota is low or rejects requests, each router now writes at most one line a second for the workspace: level, estimated unreported use, age of the last report of others, own use, requests admitted and rejected since the last line, routers that share the quota, suspects, routers of the list, and uptime. Nothing is written for a rejected request itself, so the log does not grow with a surge (test_a_surge_writes_one_line_a_second_for_a_workspace).

--- a/banyansail/gateway/decisions/limits/quota.py
+++ b/banyansail/gateway/decisions/limits/quota.py
@@ -58,6 +58,39 @@
     unreported_use: float
 
 
+@dataclass(slots=True, frozen=True)
+class QuotaState:
+    """State of a quota that was low or rejected requests lately, for the log.
+
+    Parameters
+    ----------
+    level : float
+        Quota left according to the reported use.
+    unreported_use : float
+        Estimated use by other routers since their last report.
+    report_age : timedelta or None
+        Time since the last report of others; ``None`` without one.
+    own_use : float
+        Use by this router's process since its start.
+    admitted, rejected : int
+        Requests at this router since the previous state.
+    routers, suspects : int
+        Routers that share the quota, and how many of them are suspect.
+    known_routers : int
+        Routers that there may be according to the list of routers.
+    """
+
+    level: float
+    unreported_use: float
+    report_age: timedelta | None
+    own_use: float
+    admitted: int
+    rejected: int
+    routers: int
+    suspects: int
+    known_routers: int
+
+
 @dataclass(slots=True)
 class _PeerUse:
     """Use of one workspace by another router's process, or by several routers."""
@@ -82,11 +115,18 @@
         Monotonic time of the last refill.
     unreported_use : float
         Estimated use by other routers since their last report.
+    admitted, rejected : int
+        Requests at this router since the last `QuotaState`.
+    is_tight : bool
+        Whether the quota was low or rejected a request since then.
     """
 
     level: float
     refilled_at: timedelta
     unreported_use: float = 0.0
+    admitted: int = 0
+    rejected: int = 0
+    is_tight: bool = False
     use_by_peer: dict[str, _PeerUse] = field(default_factory=dict)
 
 
@@ -133,12 +173,15 @@
         if self._is_all_use_reported(bucket):
             level += self._overdraft
         if level <= 0:
+            bucket.rejected += 1
+            bucket.is_tight = True
             return OverQuota(
                 self._retry_after(workspace, level), bucket.level, bucket.unreported_use
             )
         bucket.level -= cost
+        bucket.admitted += 1
         if level - cost < workspace.burst * LOW_LEVEL_SHARE:
-            self.has_urgent_use = True
+            self.has_urgent_use = bucket.is_tight = True
         used = self.used_by_workspace.get(workspace.name, 0.0)
         self.used_by_workspace[workspace.name] = used + cost
         return None
@@ -190,6 +233,32 @@
             use.routers = routers
             use.silent_routers = silent_routers
 
+    def pop_tight_states(self) -> dict[str, QuotaState]:
+        """Return the quotas that were low or rejected requests since the last call."""
+        states = {}
+        for name, bucket in self._bucket_by_name.items():
+            if bucket.is_tight:
+                states[name] = self._state(name, bucket)
+                bucket.is_tight = False
+            bucket.admitted = bucket.rejected = 0
+        return states
+
+    def _state(self, name: str, bucket: _Bucket) -> QuotaState:
+        now = self._clock.monotonic()
+        ages = [now - use.received_at for use in bucket.use_by_peer.values()]
+        routers, suspects = self._count_routers(bucket, now)
+        return QuotaState(
+            bucket.level,
+            bucket.unreported_use,
+            min(ages, default=None),
+            self.used_by_workspace.get(name, 0.0),
+            bucket.admitted,
+            bucket.rejected,
+            routers,
+            suspects,
+            self.known_routers,
+        )
+
     def _refill(self, workspace: Workspace) -> _Bucket:
         now = self._clock.monotonic()
         bucket = self._bucket(workspace.name)
@@ -214,6 +283,11 @@
 
     def _responsive_share(self, bucket: _Bucket, now: timedelta) -> float:
         """Return the share of the routers, this one included, that are not suspect."""
+        routers, suspects = self._count_routers(bucket, now)
+        return (routers - suspects) / routers
+
+    def _count_routers(self, bucket: _Bucket, now: timedelta) -> tuple[int, int]:
+        """Return the routers that share a quota, and how many of them are suspect."""
         routers = 1
         suspects = 0
         for use in bucket.use_by_peer.values():
@@ -225,7 +299,7 @@
             unheard = max(0, self.known_routers - routers)
             routers += unheard
             suspects += unheard
-        return (routers - suspects) / routers
+        return routers, suspects
 
     def _estimate_unreported_use(self, bucket: _Bucket, now: timedelta) -> float:
         """Return the estimated use by other routers since their last report."""
--- a/banyansail/gateway/sharing/gossip_work.py
+++ b/banyansail/gateway/sharing/gossip_work.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from banyansail.fleet.entries import Topic
+from banyansail.gateway.sharing.quota_log import QuotaLog
 from banyansail.gateway.sharing.traffic_report import apply_fleet_work
 
 if TYPE_CHECKING:
@@ -45,6 +46,7 @@
         "_following",
         "_link",
         "_publish_member",
+        "_quota_log",
         "_routers",
         "_traffic_exchange",
         "_upstream_sync",
@@ -70,6 +72,7 @@
         self._following = following
         self._traffic_exchange = traffic_exchange
         self._usage_exchange = usage_exchange
+        self._quota_log = QuotaLog(context.clock, context.quota)
 
     async def push(self) -> None:
         """Push new gossip entries to other routers."""
@@ -93,6 +96,7 @@
         context.migrations.update()
         context.retries.update()
         context.quota.known_routers = len(self._link.known_routers())
+        self._quota_log.update()
 
     async def report_cleared(self) -> None:
         """Tell other routers of suspected parts of prompts that were answered here."""
