--- a/tests/traffic/simulated_fleet.py
+++ b/tests/traffic/simulated_fleet.py
@@ -4,6 +4,7 @@
 
 from collections import Counter, deque
 from datetime import UTC, datetime
+from functools import cache
 from random import Random
 
 from banyansail.config.fields import Address
@@ -18,6 +19,13 @@
 MOVE = TallyKey("engines", 7, True)
 
 
+@cache
+def make_member(zone):
+    """Return a live router of a data centre."""
+    since = datetime.fromtimestamp(0, UTC)
+    return Member(zone, "r", Address("10.0.0.1", 1), 1, since, True, False)
+
+
 class Router:
     """One process of a router, with the traffic that a test gives it."""
 
@@ -86,7 +94,8 @@
 class SimulatedFleet:
     """Routers of several data centres that exchange their traffic."""
 
-    def __init__(self, zones=3, per_zone=5, loss=0.0, seed=1):
+    def __init__(self, zones=3, per_zone=5, loss=0.0, seed=1, router_type=Router):
+        self.router_type = router_type
         self.clock = FakeClock()
         self.random = Random(seed)
         self.loss = loss
@@ -101,7 +110,7 @@
                 self.start(f"r{zone}-{number}", f"z{zone}")
 
     def start(self, name, zone, incarnation=1):
-        self.router_by_name[name] = Router(self, name, zone, incarnation)
+        self.router_by_name[name] = self.router_type(self, name, zone, incarnation)
 
     def kill(self, name):
         """Kill a router; the others see it as a member for some seconds more."""
@@ -128,18 +137,13 @@
 
     def members_seen_by(self, router):
         members = {
-            name: self._member(other.zone)
-            for name, other in self.router_by_name.items()
+            name: make_member(other.zone) for name, other in self.router_by_name.items()
         }
         for name, (until, zone) in self._leaves_membership_at.items():
             if self.now() < until and name not in members:
-                members[name] = self._member(zone)
+                members[name] = make_member(zone)
         return members
 
-    def _member(self, zone):
-        since = datetime.fromtimestamp(0, UTC)
-        return Member(zone, "r", Address("10.0.0.1", 1), 1, since, True, False)
-
     def send(self, sender, name, entry):
         if self.random.random() >= self.loss:
             self._in_transit.append((sender.name, name, entry))
