Test that skipped connections stay in their pool, and 421 and 429 that come back

Two changes of the code passed all tests of the copies: a pool that drops the connections which a request skips (they stay open and count to maxConns), and one that takes a 421 for a success, so that the next success on the connection lets the refused id be forgotten. The first one has a test now; the test of the id that is remembered beyond the next answer plays 421 and 429 beside 503.

--- a/tests/gateway/requests/test_answered_connections.py
+++ b/tests/gateway/requests/test_answered_connections.py
@@ -103,9 +103,10 @@
     assert not connection.is_busy
 
 
-def test_the_refused_request_is_remembered_beyond_the_next_one(server):
+@pytest.mark.parametrize("status", [b"421", b"429", b"503"])
+def test_the_refused_request_is_remembered_beyond_the_next_one(server, status):
     connection = server.idle_connection()
-    server.exchange(connection, REFUSAL)
+    server.exchange(connection, REFUSAL.replace(b"503", status))
     server.exchange(connection, SUCCESS.replace(b"a1", b"a2"), attempt_id="a2")
     server.send()
     assert not connection.is_busy
@@ -120,6 +121,17 @@
     assert not server.reactor.tcpClients
 
 
+def test_connections_that_a_request_skips_are_kept_for_others(server):
+    """Guards against connections that stay open and are in no pool (maxConns)."""
+    connections = [server.idle_connection() for _ in range(4)]
+    for connection in connections[1:]:
+        connection.answered_ids.add("a1", is_success=False)
+    server.send()
+    assert connections[0].is_busy
+    used = [server.pool.pop_idle() for _ in connections[1:]]
+    assert used == connections[:0:-1]
+
+
 def test_a_connection_that_refused_a_request_serves_others(server):
     """Guards against a new connection for each refusal."""
     connection = server.idle_connection()
