Soak: copies of rejections, and an address that is reused at once

Cause: the stand-in upstreams sent copies of whole answers and rejections without an id, but never a copy of a rejection with its id, and an upstream's address was never another one's, so no request came again on the connection of its refusal.

Change: the kind 'copied rejections' sends a copy of each rejection before the next answer on its connection. The kind 'reused address' kills an upstream and starts another one, of one slot, at its address, beside the old entry for 2.5 to 3.5 s; that one copies rejections.

--- a/benchmarks/soak/fleet.py
+++ b/benchmarks/soak/fleet.py
@@ -6,7 +6,7 @@
 import signal
 import subprocess
 import time
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import TYPE_CHECKING, Any
 
 from benchmarks.soak.cut_gateway import SILENCE, cut_path, cut_text
@@ -31,6 +31,7 @@
 HOST = "127.0.0.1"
 OBJECTS = "/v1/objects"
 DEPOT_COUNT = 2
+SUCCESSOR_SUFFIX = "-successor"
 CALL_TIMEOUT_S = 2.0
 EXIT_TIMEOUT_S = 5.0
 
@@ -151,7 +152,19 @@
         if waits:
             wait_until(lambda: self._is_ready(router))
 
-    def start_upstream(self, name: str) -> None:
+    def start_successor(self, name: str) -> None:
+        """Start an upstream of one slot at the address of one that was killed."""
+        successor = name + SUCCESSOR_SUFFIX
+        instance = replace(self.upstream_by_name[name], name=successor)
+        self.upstream_by_name = {**self.upstream_by_name, successor: instance}
+        self.start_upstream(successor, slots=1)
+
+    def end_successor(self, name: str) -> None:
+        """Kill the upstream that has the address of another one."""
+        self.kill(name + SUCCESSOR_SUFFIX)
+        self.unregister(name + SUCCESSOR_SUFFIX)
+
+    def start_upstream(self, name: str, **fields: Any) -> None:
         """Start an upstream and register it."""
         upstream = self.upstream_by_name[name]
         upstream.born_ms = int(time.time() * 1000)
@@ -164,7 +177,7 @@
         )
         port = upstream.ports["listen"]
         self._programs.wait_for_start(name, port, "/health")
-        self.register(name)
+        self.register(name, **fields)
 
     def register(self, name: str, **fields: Any) -> None:
         """Write the entry of an upstream, as it would do itself."""
--- a/benchmarks/soak/kinds.py
+++ b/benchmarks/soak/kinds.py
@@ -38,6 +38,7 @@
     ANSWERS = "answers of an upstream"
     CONTINUATIONS = "continuations at an engine"
     EXTRA = "bytes beyond the answers of an upstream"
+    COPIES = "copies of the rejections of an upstream"
     REJECTIONS = "rejections of an upstream after a run"
     ADMISSION = "admission at an upstream"
     UPSTREAM = "process of an upstream"
@@ -188,6 +189,15 @@
     duration_s = (0.5, 1.5)
 
 
+class CopiedRejections(SwitchedAnswers):
+    """An upstream whose rejections come again, before the next answer."""
+
+    name = "copied rejections"
+    scope = Scope.COPIES
+    switch = "copies_rejections"
+    weight = 4
+
+
 class FullUpstream(SwitchedAnswers):
     """An upstream that rejects all requests as not run."""
 
@@ -227,6 +237,26 @@
         fleet.start_upstream(fault.target)
 
 
+class ReusedAddress(FaultKind):
+    """An upstream whose address another one has at once, beside the old entry."""
+
+    name = "reused address"
+    scope = Scope.UPSTREAM
+    weight = 6
+    duration_s = (2.5, 3.5)
+
+    def begin(self, fleet: Fleet, fault: Fault) -> None:
+        """Kill the upstream, and start the other one, which copies rejections."""
+        fleet.kill(fault.target)
+        fleet.start_successor(fault.target)
+        fleet.switch(fault.target, copies_rejections=True)
+
+    def end(self, fleet: Fleet, fault: Fault) -> None:
+        """Let the upstream have its address again."""
+        fleet.end_successor(fault.target)
+        fleet.start_upstream(fault.target)
+
+
 class LeavingUpstream(FaultKind):
     """An upstream that announces its end, so that its runs move."""
 
@@ -426,10 +456,12 @@
         RepeatedEvents,
         EmptyContinuations,
         ExtraBytes,
+        CopiedRejections,
         RejectionsAfterRun,
         FullUpstream,
         FullService,
         CrashedUpstream,
+        ReusedAddress,
         LeavingUpstream,
         StoppedRouter,
         KilledRouter,
--- a/benchmarks/soak/plan.py
+++ b/benchmarks/soak/plan.py
@@ -26,6 +26,7 @@
     Scope.ANSWERS: 0.0,
     Scope.CONTINUATIONS: 0.0,
     Scope.EXTRA: 0.0,
+    Scope.COPIES: 0.0,
     Scope.REJECTIONS: 1.0,
     Scope.ADMISSION: 0.0,
     Scope.UPSTREAM: 1.5,
--- a/benchmarks/soak/switches.py
+++ b/benchmarks/soak/switches.py
@@ -86,6 +86,7 @@
     is_full: bool = False
     extra: ExtraSwitch = ExtraSwitch()
     rejects_after_run: bool = False  # with 503, without the header of a rejection
+    copies_rejections: bool = False  # before the next answer on the connection
 
     def set(self, values: dict[str, Any]) -> None:
         """Set the switches that are named; ``None`` ends a fault."""
@@ -96,8 +97,8 @@
             self.continuation = None if value is None else Continuation(value)
         if "extra" in values:
             self.extra = decode_extra(values["extra"] or {})
-        self.is_full = values.get("is_full", self.is_full)
-        self.rejects_after_run = values.get("rejects_after_run", self.rejects_after_run)
+        for name in ("is_full", "rejects_after_run", "copies_rejections"):
+            setattr(self, name, values.get(name, getattr(self, name)))
 
 
 def decode_stream(values: dict[str, Any]) -> StreamSwitch:
--- a/benchmarks/soak/upstream.py
+++ b/benchmarks/soak/upstream.py
@@ -100,10 +100,8 @@
 
     def _answer_request(self, connection: Connection, request: Request) -> bool:
         attempt = request.headers.get("x-attempt-id", "")
-        answer = {"X-Attempt-Id": attempt}
         if request.headers.get("x-expect-replica", self._name) != self._name:
-            self._record_rejection(attempt)
-            return connection.send(head_of(421, {**answer, **NOT_EXECUTED}))
+            return self._reject(connection, attempt, 421)
         continues = "last-event-id" in request.headers
         continuation = self._switches.continuation if continues else None
         memory = request.headers.get("kv-from", "")
@@ -111,8 +109,7 @@
             memory and not self._copies.take(memory, attempt)
         )
         if is_refused or continuation is Continuation.NOT_RUN:
-            self._record_rejection(attempt)
-            return connection.send(head_of(503, {**answer, **NOT_EXECUTED}))
+            return self._reject(connection, attempt, 503)
         return self._run(connection, request, attempt, continuation)
 
     def _run(
@@ -151,12 +148,17 @@
             return answering.send_nothing(status, end)
         return answering.send_events(Content(attempt, size, event_bytes), first, switch)
 
-    def _record_rejection(self, attempt: str) -> None:
+    def _reject(self, connection: Connection, attempt: str, status: int) -> bool:
         now = self._now()
         number = next(self._numbers)
         self._record.write(
             Run(attempt, self._name, number, now, ended_at=now, end=RunEnd.NOT_RUN)
         )
+        answer = head_of(status, {"X-Attempt-Id": attempt, **NOT_EXECUTED})
+        is_open = connection.send(answer)
+        if self._switches.copies_rejections:
+            connection.send_before_next(answer)
+        return is_open
 
     def _begin(
         self, request: Request, attempt: str, first: int, switch: StreamSwitch
--- a/tests/benchmarks/soak/test_upstream.py
+++ b/tests/benchmarks/soak/test_upstream.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import json
+import re
+import socket
 import socketserver
 import threading
 
@@ -166,6 +168,19 @@
     assert upstream.ask(b"X-Expect-Replica: e2\r\n").status == 421
 
 
+def test_a_rejection_comes_again_before_the_next_answer_of_its_connection(upstream):
+    received = b""
+    with socket.create_connection(("127.0.0.1", upstream.port), timeout=5) as sent:
+        for number in range(2):
+            upstream.switch(copies_rejections=True, is_full=number == 0)
+            head = b"POST /orders/1/0/x HTTP/1.1\r\nX-Attempt-Id: a%d\r\n\r\n"
+            sent.sendall(head % number)
+            while b"Id: a%d" % number not in received:
+                received += sent.recv(4096)
+    answers = re.findall(rb"HTTP/1.1 (\d+)[^\n]*\n\S*Id: (\S+)", received)
+    assert answers == [(b"503", b"a0"), (b"503", b"a0"), (b"200", b"a1")]
+
+
 def test_a_run_moves_once(upstream):
     seen = []
     thread = threading.Thread(target=lambda: seen.append(upstream.ask(size=50)))
