--- a/tests/upstreams/test_upstream_client.py
+++ b/tests/upstreams/test_upstream_client.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import pytest
-from twisted.internet import reactor
+from twisted.internet import protocol, reactor
 
+from banyansail.config.fields import Address
+from banyansail.upstreams.body_receiver import read_body
 from banyansail.upstreams.engine_api import EngineApi
-from banyansail.upstreams.upstream_client import UpstreamClient
+from banyansail.upstreams.upstream_client import UpstreamCall, UpstreamClient
 from tests.live import in_reactor, run_reactor
 from tests.router.scripted_upstream import LAST_CHUNK, Script, ScriptedUpstream
 
@@ -61,3 +63,37 @@
     assert in_reactor(api.token_count, "a") == 12
     assert in_reactor(api.export_cache, "a") == {"tokens": 12}
     assert in_reactor(api.import_cache, "a", {}) is True
+
+
+class CopyingConnection(protocol.Protocol):
+    """Sends a copy of each answer before the next one."""
+
+    copy = b""
+
+    def dataReceived(self, data):
+        path = data.split(b" ")[1]
+        answer = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(path) + path
+        self.transport.write(self.copy + answer)
+        self.copy = answer
+
+
+async def answers_of(address, count):
+    """Send calls that may not be repeated; return their bodies."""
+    client = UpstreamClient(reactor, address)
+    calls = [
+        UpstreamCall("POST", f"/{number}", b"x", is_repeatable=False)
+        for number in range(count)
+    ]
+    return [await read_body(await client.send(call), 100) for call in calls]
+
+
+def test_a_call_that_may_not_be_repeated_is_not_answered_by_a_copy():
+    """Guards against an order that is taken for refused, or for run (TWICE)."""
+    run_reactor()
+    factory = protocol.Factory.forProtocol(CopyingConnection)
+    port = in_reactor(reactor.listenTCP, 0, factory, 50, "127.0.0.1")
+    address = Address("127.0.0.1", port.getHost().port)
+    try:
+        assert in_reactor(answers_of, address, 3) == [b"/0", b"/1", b"/2"]
+    finally:
+        in_reactor(port.stopListening)
