--- a/banyansail/rollout/planner.py
+++ b/banyansail/rollout/planner.py
@@ -6,11 +6,10 @@
 from typing import TYPE_CHECKING
 
 from banyansail.rollout.schedule import PlannedShare, plan_share
+from banyansail.rollout.tally import Tallies, count_answered_calls
 from banyansail.rollout.verdict import (
     Regression,
     SuspectedRegression,
-    Tallies,
-    count_answered_calls,
     judge,
     tally_slice,
 )
--- a/banyansail/rollout/windows.py
+++ b/banyansail/rollout/windows.py
@@ -11,7 +11,7 @@
 from datetime import timedelta
 
 from banyansail.rollout.evidence import Evidence, EvidenceCell
-from banyansail.rollout.verdict import Tallies, add_tallies, sum_tallies
+from banyansail.rollout.tally import Tallies, add_tallies, sum_tallies
 
 ALL_TIME = timedelta.max
 WINDOW_LENGTHS = (timedelta(seconds=10), timedelta(seconds=60), ALL_TIME)
