--- a/banyansail/standins/replica.py
+++ b/banyansail/standins/replica.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 from twisted.internet import reactor, task
@@ -13,6 +12,7 @@
     EngineMemory,
     Run,
 )
+from banyansail.standins.replica_state import ReplicaFaults, ReplicaState
 from banyansail.standins.web import StandinResource, answer_json, is_open
 
 if TYPE_CHECKING:
@@ -26,98 +26,6 @@
 COLD_WINDOW_S = 1.0
 
 
-@dataclass(slots=True)
-class ReplicaFaults:
-    """Fault switches, set by attribute name.
-
-    Parameters
-    ----------
-    is_full : bool
-        Whether requests are rejected without being run.
-    fails : bool
-        Whether requests are answered with 500.
-    cuts_before_answer : bool
-        Whether the connection is cut once the request has run.
-    cuts_at_event : int
-        Id of the event in which a stream is cut; 0 for none.
-    sends_stray_answer : bool
-        Whether an answer to another request is sent first.
-    is_leaving : bool
-        Whether all answers say that the upstream is draining.
-    retry_after : str
-        Pause that rejections ask for, as sent; empty for none.
-    limit : str
-        Requests per second that all answers name; empty for none.
-    brittle : str
-        Rejections in a second, as all answers name them, beyond which it ends; empty
-        for an upstream that is not brittle. While it is, it lets no request wait.
-    is_silent : bool
-        Whether nothing more is sent until the switch is off again.
-    crashes_on_part : str
-        Part of a prompt that ends the upstream once it begins to answer; empty for
-        none.
-    cold_until : float
-        Time of the reactor's clock until which it is cold, as all answers say.
-    cold_limit : int
-        Requests in a second beyond which it ends while it is cold.
-    """
-
-    is_full: bool = False
-    fails: bool = False
-    cuts_before_answer: bool = False
-    cuts_at_event: int = 0
-    sends_stray_answer: bool = False
-    is_leaving: bool = False
-    retry_after: str = ""
-    limit: str = ""
-    brittle: str = ""
-    is_silent: bool = False
-    crashes_on_part: str = ""
-    cold_until: float = 0.0
-    cold_limit: int = 0
-
-
-@dataclass(slots=True)
-class ReplicaState:
-    """Settings of a stand-in and a record of its requests.
-
-    Parameters
-    ----------
-    arrivals : list of str
-        Ids of the attempts that reached it.
-    arrived_at : list of float
-        When each of them did so, in seconds of the reactor's clock.
-    runs : list of str
-        Ids of the attempts that it ran from their beginning.
-    continued : list of str
-        Ids of the attempts that went on here from the memory of another run.
-    headers : list of dict
-        Headers of these attempts.
-    disconnect_count : int
-        Requests whose connection was closed before the answer was complete.
-    slots, running : int
-        Requests that it may run at a time, and those that it runs now.
-    accepted_at : list of float
-        When requests arrived that were not meant for another upstream.
-    rejected_at : list of float
-        When it rejected requests for want of a slot, in seconds of the reactor's clock.
-    """
-
-    id: str
-    events: int = 5
-    pause_s: float = 0.01
-    arrivals: list[str] = field(default_factory=list)
-    arrived_at: list[float] = field(default_factory=list)
-    runs: list[str] = field(default_factory=list)
-    continued: list[str] = field(default_factory=list)
-    headers: list[dict[str, str]] = field(default_factory=list)
-    disconnect_count: int = 0
-    slots: int = 4
-    running: int = 0
-    accepted_at: list[float] = field(default_factory=list)
-    rejected_at: list[float] = field(default_factory=list)
-
-
 class ReplicaStandin(StandinResource):
     """Answers requests as an upstream does.
 
@@ -154,17 +62,9 @@
         self.state.arrived_at.append(reactor.seconds())
         request.setHeader("x-attempt-id", attempt)
         self._describe_itself(request)
-        if self._turns_away(request):
-            return
-        if not self._begin(request, attempt):
+        if self._turns_away(request) or not self._begin(request, attempt):
             return
-        fields = request.requestHeaders.getAllRawHeaders()
-        self.state.headers.append(
-            {name.decode().lower(): values[0].decode() for name, values in fields}
-        )
-        request.notifyFinish().addErrback(self._count_disconnect)
-        self.state.running += 1
-        request.notifyFinish().addBoth(self._release)
+        self._record_run(request)
         await task.deferLater(reactor, self.state.pause_s)
         await self._wait_while_silent()
         if _contains_part(request, self.faults.crashes_on_part):
@@ -184,6 +84,15 @@
             return
         self._answer(request)
 
+    def _record_run(self, request: Request) -> None:
+        fields = request.requestHeaders.getAllRawHeaders()
+        self.state.headers.append(
+            {name.decode().lower(): values[0].decode() for name, values in fields}
+        )
+        request.notifyFinish().addErrback(self._count_disconnect)
+        self.state.running += 1
+        request.notifyFinish().addBoth(self._release)
+
     def _turns_away(self, request: Request) -> bool:
         """Answer a request that does not run, or end; return whether it was one."""
         if request.getHeader("x-expect-replica") not in (None, self.state.id):
