Gateway metrics: build them in four groups

Cause: one function of 113 lines made all metrics without a name for any group.

Change: a method each for requests, the present state, shares and the store, in the same order, so that the page is the same.

--- a/banyansail/gateway/metrics.py
+++ b/banyansail/gateway/metrics.py
@@ -31,6 +31,12 @@
 
     def __init__(self) -> None:
         self.registry = CollectorRegistry()
+        self._add_request_metrics()
+        self._add_state_metrics()
+        self._add_share_metrics()
+        self._add_store_metrics()
+
+    def _add_request_metrics(self) -> None:
         self._requests = Counter(
             "banyansail_requests",
             "Final answers by route and outcome",
@@ -67,6 +73,8 @@
             buckets=LATENCY_BUCKETS_S,
             registry=self.registry,
         )
+
+    def _add_state_metrics(self) -> None:
         self._config_version = Gauge(
             "banyansail_config_version",
             "Version of the configuration in force",
@@ -96,6 +104,7 @@
             registry=self.registry,
         )
 
+    def _add_share_metrics(self) -> None:
         self._share, self._use = (
             Gauge(name, text, ("service", "workspace"), registry=self.registry)
             for name, text in (
@@ -110,6 +119,8 @@
             buckets=LATENCY_BUCKETS_S,
             registry=self.registry,
         )
+
+    def _add_store_metrics(self) -> None:
         self._store_calls = Counter(
             "banyansail_store_calls",
             "Calls to the store by kind of object, operation and outcome",
