--- a/banyansail/gateway/store/store_following.py
+++ b/banyansail/gateway/store/store_following.py
@@ -11,7 +11,7 @@
 from banyansail.gateway.store.waiters import Waiters
 from banyansail.gateway.store.watchers import WatcherChoice, WatchRole
 from banyansail.log import log_event
-from banyansail.wire.call_types import FollowStore, KindChanges, StoreChanges
+from banyansail.wire.call_types import FollowStore, StoreChanges
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Coroutine, Iterable
@@ -24,7 +24,7 @@
     from banyansail.gateway.store.mirror import Mirror
     from banyansail.platform.store import StoreClient
     from banyansail.platform.store_objects import Revision
-    from banyansail.wire.call_types import PeerCall, PeerReply
+    from banyansail.wire.call_types import KindChanges, PeerCall, PeerReply
 
 # With the probe of each second and the pause between watches, the state of a follower
 # in a quiet store is at most 1.9 s old, below `MAX_AGE`.
@@ -278,7 +278,7 @@
         while True:
             changes = self._changes_since(call.known)
             held = self._clock.monotonic() - received_at
-            if held >= wait or any(map(_has_news, changes)):
+            if held >= wait or any(item.has_news for item in changes):
                 return StoreChanges(changes, held)
             await self._followers.wait(wait - held)
 
@@ -295,7 +295,3 @@
     def _wake_followers(self, mirror: Mirror) -> None:
         # Not at once, as a listener of the mirror may be using the change.
         self._reactor.callLater(0, self._followers.wake)
-
-
-def _has_news(changes: KindChanges) -> bool:
-    return changes.is_complete or bool(changes.objects or changes.deleted)
--- a/banyansail/wire/call_types.py
+++ b/banyansail/wire/call_types.py
@@ -150,6 +150,11 @@
     lapsed: tuple[str, ...]
     age: timedelta
 
+    @property
+    def has_news(self) -> bool:
+        """Whether the caller learns of anything but the age."""
+        return self.is_complete or bool(self.objects or self.deleted)
+
 
 @dataclass(slots=True, frozen=True)
 class StoreChanges:
