Calls between routers: the codec of store changes in a module of its own

Cause: `wire/call_codec.py` (330 lines) had the fields of nine calls and, at its end, those of the objects of the store; one must read both to change either.

--- a/banyansail/wire/call_codec.py
+++ b/banyansail/wire/call_codec.py
@@ -2,9 +2,7 @@
 
 from __future__ import annotations
 
-import json
 import zlib
-from datetime import timedelta
 from typing import Any
 
 import capnp
@@ -22,14 +20,12 @@
     StartKey,
     StoredAnswer,
 )
-from banyansail.platform.store_objects import Revision, StoredObject
 from banyansail.wire.call_types import (
     Document,
     EmptyReply,
     FetchDocument,
     FetchStream,
     FollowStore,
-    KindChanges,
     NotReached,
     NotSupported,
     PeerCall,
@@ -45,13 +41,18 @@
 )
 from banyansail.wire.errors import raise_as_wire_error
 from banyansail.wire.schema import schema
+from banyansail.wire.store_codec import (
+    MILLISECOND,
+    changes_fields,
+    decode_changes,
+    decode_known,
+    known_fields,
+    to_ms,
+)
 
 MAX_CALL_BYTES = 4 * 1024**2
 MIN_DEFLATED_BYTES = 4 * 1024
 DEFLATE_LEVEL = 1  # the fastest
-MILLISECOND = timedelta(milliseconds=1)
-MAX_MS = 2**32 - 1
-
 
 VOID_NAME_BY_REPLY = {
     Started: "started",
@@ -100,7 +101,7 @@
             incarnation = {"upstream": upstream_id, "startedAt": started_at}
             return {"reachIncarnation": incarnation}
         case FollowStore(known, wait):
-            kinds = [_known_fields(*item) for item in known.items()]
+            kinds = [known_fields(*item) for item in known.items()]
             return {"followStore": {"kinds": kinds, "waitMs": wait // MILLISECOND}}
 
 
@@ -137,7 +138,7 @@
             return message.id, ReachIncarnation(item.upstream, item.startedAt)
         case "followStore":
             item = message.followStore
-            known = {kind.kind: _decode_known(kind) for kind in item.kinds}
+            known = {kind.kind: decode_known(kind) for kind in item.kinds}
             return message.id, FollowStore(known, item.waitMs * MILLISECOND)
         case _:
             return message.id, UnknownCall()
@@ -166,8 +167,8 @@
         case StreamRecord():
             return {"stream": _stream_fields(reply)}
         case StoreChanges(kinds, held):
-            changes = [_changes_fields(item) for item in kinds]
-            return {"storeChanges": {"kinds": changes, "heldMs": _to_ms(held)}}
+            changes = [changes_fields(item) for item in kinds]
+            return {"storeChanges": {"kinds": changes, "heldMs": to_ms(held)}}
         case _:
             return {VOID_NAME_BY_REPLY[type(reply)]: None}
 
@@ -196,7 +197,7 @@
             return message.id, _decode_stream(message.stream)
         case "storeChanges":
             item = message.storeChanges
-            kinds = tuple(_decode_changes(kind) for kind in item.kinds)
+            kinds = tuple(decode_changes(kind) for kind in item.kinds)
             return message.id, StoreChanges(kinds, item.heldMs * MILLISECOND)
         case "deflated":
             return decode_reply(_inflate(message.deflated))
@@ -263,68 +264,3 @@
         bytes(item.body),
         tuple(bytes(event) for event in item.events),
     )
-
-
-def _to_ms(duration: timedelta) -> int:
-    return max(0, min(MAX_MS, duration // MILLISECOND))
-
-
-def _known_fields(kind: str, revision: Revision | None) -> dict[str, Any]:
-    if revision is None:
-        return {"kind": kind, "isKnown": False}
-    era, number = revision.era, revision.number
-    return {"kind": kind, "isKnown": True, "era": era, "number": number}
-
-
-def _decode_known(item: Any) -> Revision | None:
-    return Revision(item.era, item.number) if item.isKnown else None
-
-
-def _changes_fields(changes: KindChanges) -> dict[str, Any]:
-    return {
-        "kind": changes.kind,
-        "era": changes.revision.era,
-        "number": changes.revision.number,
-        "isComplete": changes.is_complete,
-        "objects": [_encode_object(stored) for stored in changes.objects],
-        "deleted": list(changes.deleted),
-        "lapsed": list(changes.lapsed),
-        "ageMs": _to_ms(changes.age),
-    }
-
-
-def _decode_changes(item: Any) -> KindChanges:
-    return KindChanges(
-        item.kind,
-        Revision(item.era, item.number),
-        item.isComplete,
-        tuple(_decode_object(text, item.era) for text in item.objects),
-        tuple(item.deleted),
-        tuple(item.lapsed),
-        item.ageMs * MILLISECOND,
-    )
-
-
-def _encode_object(stored: StoredObject) -> str:
-    fields = {
-        "name": stored.name,
-        "revision": stored.revision.number,
-        "created": stored.created_revision,
-        "spec": stored.spec,
-        "status": stored.status,
-    }
-    return json.dumps(fields)
-
-
-def _decode_object(text: str, era: int) -> StoredObject:
-    try:
-        fields = json.loads(text)
-        return StoredObject(
-            fields["name"],
-            Revision(era, int(fields["revision"])),
-            fields["spec"],
-            fields["status"],
-            int(fields["created"]),
-        )
-    except (KeyError, TypeError, ValueError) as error:
-        raise WireError(f"not an object of the store: {error!r}") from None
