--- a/banyansail/router/exchanges/exchange.py
+++ b/banyansail/router/exchanges/exchange.py
@@ -8,6 +8,7 @@
 from twisted.internet import defer, task
 
 from banyansail.log import log_event
+from banyansail.router.exchanges.attempt_record import AttemptRecord
 from banyansail.router.exchanges.scheduler import RefusedError
 from banyansail.router.requests.decision_log import log_refusal, log_retry
 from banyansail.router.requests.refusals import (
@@ -38,8 +39,6 @@
     from banyansail.routing.request_types import RequestClass
 
 NOT_RUN_FAILURES = (AttemptFailure.NOT_SENT, AttemptFailure.REFUSED)
-# Not caused by the upstream's software, so not counted as evidence about its version.
-NEUTRAL_FAILURES = (AttemptFailure.RECLAIMED, AttemptFailure.CONNECTION_STALLED)
 
 
 class Exchange:
@@ -89,8 +88,7 @@
         self.has_server_error = False
         self.is_finished = False
         self.assignment: Assignment | None = None
-        self._first_byte_latency: timedelta | None = None
-        self._sent_at = arrived_at
+        self._attempt_record: AttemptRecord | None = None
         self._current_attempt: defer.Deferred[None] | None = None
         self._abort_error: AttemptError | None = None
         self._done: defer.Deferred[None] | None = None
@@ -148,8 +146,8 @@
 
     def on_first_byte(self) -> None:
         """Record the time to the first byte of the attempt."""
-        if self._first_byte_latency is None:
-            self._first_byte_latency = self.context.clock.monotonic() - self._sent_at
+        if self._attempt_record is not None:
+            self._attempt_record.record_first_byte()
 
     def run_status(self) -> RunStatus:
         """Return what to report about the call's execution if the request fails now."""
@@ -214,9 +212,9 @@
             return AttemptError(AttemptFailure.NOT_SENT, f"upstream {name} was removed")
         may_have_run_before = self.may_have_run
         self.assignment = assignment
-        self._first_byte_latency = None
         self._abort_error = None
-        self._sent_at = self.context.clock.monotonic()
+        record = AttemptRecord(self.context, self.request_class, assignment)
+        self._attempt_record = record
         self.context.registry.add(name, self)
         self._current_attempt = defer.Deferred.fromCoroutine(self.attempt(client))
         error: AttemptError | None = None
@@ -230,7 +228,11 @@
             error = await self._classify_error(name, error)
         finally:
             self.context.registry.discard(name, self)
-            self._record_outcome(assignment, error)
+            record.record_end(
+                error,
+                is_abandoned=self.is_finished,
+                has_server_error=self.has_server_error,
+            )
             self.assignment = None
         return error
 
@@ -256,39 +258,6 @@
         failure = AttemptFailure.UPSTREAM_CRASHED if was_sent else error.failure
         return AttemptError(failure, error.detail, has_upstream_crashed=True)
 
-    def _record_outcome(
-        self, assignment: Assignment, error: AttemptError | None
-    ) -> None:
-        duration = self.context.clock.monotonic() - self._sent_at
-        latency = self._first_byte_latency if error is None else None
-        if error is not None and error.failure in NEUTRAL_FAILURES:
-            latency = self._first_byte_latency or duration
-        self.context.scheduler.release(assignment, latency, duration)
-        rule = assignment.state.rule
-        self.context.metrics.time(f"attempt.{rule.service}", duration)
-        if self._counts_as_evidence(rule.name, error):
-            self.context.evidence.record(
-                rule.service,
-                rule.version,
-                self.request_class.route,
-                self.request_class.workspace,
-                succeeded=error is None and not self.has_server_error,
-                latency=self._first_byte_latency or duration,
-                in_flight=assignment.in_flight,
-            )
-
-    def _counts_as_evidence(self, upstream: str, error: AttemptError | None) -> bool:
-        """Return whether the outcome of an attempt is evidence about the version.
-
-        A crash counts once, no matter how many calls failed or could not be sent
-        because of it.
-        """
-        if error is None:
-            return True
-        if self.is_finished or error.failure in NEUTRAL_FAILURES:
-            return False
-        return not error.has_upstream_crashed or self.context.record_crash(upstream)
-
     async def _prepare_retry(self, assignment: Assignment, error: AttemptError) -> None:
         name = assignment.state.rule.name
         decision = decide_retry(
