--- a/banyansail/gateway/decisions/queue/admission.py
+++ b/banyansail/gateway/decisions/queue/admission.py
@@ -92,7 +92,7 @@
             if not entry.is_resolved:
                 rejection = self._check_waiting(state, usable, entry.ticket, now)
                 if rejection is not None:
-                    self._reject(state, entry, rejection)
+                    self.reject(state, entry, rejection)
 
     def _check_waiting(
         self,
@@ -130,7 +130,7 @@
             victim = state.waiting.heaviest_last(ticket.priority) or entry
             if not self._waits_too_long(state, victim.ticket, now):
                 victim = entry
-        self._reject(state, victim, self._share_rejection(state, victim.ticket, now))
+        self.reject(state, victim, self._share_rejection(state, victim.ticket, now))
 
     def _reject_late(self, state: ServiceState, now: timedelta) -> None:
         """Reject the last request of each workspace if it gets no slot in time."""
@@ -140,9 +140,9 @@
             time_left = ticket.deadline - now
             if wait is not None and wait + self.answer_time(state, ticket) > time_left:
                 rejection = self._share_rejection(state, ticket, now, is_late=True)
-                self._reject(state, entry, rejection)
+                self.reject(state, entry, rejection)
 
-    def _reject(
+    def reject(
         self, state: ServiceState, entry: QueueEntry, rejection: Rejection
     ) -> None:
         """Reject a waiting request."""
