Charge a quota for each run of a request, and refund what did not run

Callers of a workspace got more than its quota while a router was cut off from upstreams, or while failed runs were tried again.

Cause: a request had one charge, which was refunded before a relay and made again after it without asking or recording; a second run was not charged. The platform's rule counts what runs.

Change: QuotaCharge keeps the charges of a request at this router: one at admission, one more before each further attempt after a possible run. What exceeds the possible runs here is refunded at the end, also if the caller left before a run. During a relay the charge stays, so that no other request is admitted in its place; the router that serves it charges its own runs.

The test of relays waits for requests that are either relayed or answered, as the quota now rejects those beyond the burst at once; what it checks is the same, and that at least one ran.

--- a/banyansail/gateway/context.py
+++ b/banyansail/gateway/context.py
@@ -124,16 +124,6 @@
         spec = self.site.service_by_name.get(service)
         return spec.engine.stride if spec is not None and spec.engine else 1
 
-    def charge_quota(self, workspace: Workspace | None, call: CallerCall) -> None:
-        """Charge the quota of a request that was admitted before."""
-        if workspace is not None:
-            self.quota.charge(workspace, quota_cost(workspace, call))
-
-    def refund_quota(self, workspace: Workspace | None, call: CallerCall) -> None:
-        """Refund the quota of a request that did not run."""
-        if workspace is not None:
-            self.quota.refund(workspace, quota_cost(workspace, call))
-
     def pool_of(self, address: Address) -> ConnectionPool:
         """Return the connection pool of an upstream's address."""
         pool = self._pool_by_address.get(address)
--- a/banyansail/gateway/decisions/limits/quota.py
+++ b/banyansail/gateway/decisions/limits/quota.py
@@ -186,6 +186,14 @@
         self.used_by_workspace[workspace.name] = used + cost
         return None
 
+    def charge_run(self, workspace: Workspace, cost: float) -> None:
+        """Charge a further run of a request that was admitted before."""
+        if workspace.rate <= 0:
+            return
+        self._refill(workspace).level -= cost
+        used = self.used_by_workspace.get(workspace.name, 0.0)
+        self.used_by_workspace[workspace.name] = used + cost
+
     def refund(self, workspace: Workspace, cost: float) -> None:
         """Refund the cost of a request that did not run."""
         if workspace.rate <= 0:
--- a/banyansail/gateway/requests/exchange.py
+++ b/banyansail/gateway/requests/exchange.py
@@ -6,6 +6,7 @@
 
 from twisted.internet import defer
 
+from banyansail.gateway.context import quota_cost
 from banyansail.gateway.decisions.responses.retry_policy import (
     NOT_RUN_STATUSES,
     Answered,
@@ -26,6 +27,7 @@
 )
 from banyansail.gateway.requests.active_request import start_request
 from banyansail.gateway.requests.caller_response import CallerResponse
+from banyansail.gateway.requests.quota_charge import QuotaCharge
 from banyansail.gateway.requests.upstream_run import UpstreamRun
 from banyansail.gateway.site import RouteKind
 
@@ -78,6 +80,9 @@
         self._response = CallerResponse(self._request, writer)
         self._upstream_run = UpstreamRun(self._request, self._response.forward)
         self._is_relayed = earlier_runs is not None
+        self._runs_elsewhere = earlier_runs or 0  # charged by the routers of these runs
+        cost = 0.0 if workspace is None else quota_cost(workspace, call)
+        self._charge = QuotaCharge(context.quota, workspace, cost)
         self._failed_relays: set[Address] = set()
         self._fallback: Deliver | Rejection | None = None
         self._serving: defer.Deferred[None] | None = None
@@ -134,6 +139,7 @@
                 self._context.dispatcher.release(assigned)
                 self._finish(self._fallback or quarantined)
                 return
+            self._charge.cover(self._runs_here() + 1)
             outcome, slot = await self._upstream_run.run(assigned)
             if isinstance(outcome, NotSent) and not request.is_finished:
                 await self._context.confirm_reach()
@@ -153,11 +159,10 @@
         request.write_log(
             "relay", "no upstream can be reached from here", router=str(relay)
         )
-        # The other router charges the quota itself.
-        self._context.refund_quota(request.workspace, request.call)
         earlier_runs = request.progress.possible_runs
         request.progress.attempts += 1
         request.progress.possible_runs += 1
+        self._runs_elsewhere += 1
         outcome = await self._context.relays.send(
             relay,
             request.call,
@@ -176,8 +181,8 @@
         match outcome:
             case NotSent():
                 request.progress.possible_runs = earlier_runs
+                self._runs_elsewhere -= 1
                 self._failed_relays.add(relay)
-                self._context.charge_quota(request.workspace, request.call)
                 return True
             case Answered(head):
                 if earlier_runs and not head.is_stamped and self._fallback is not None:
@@ -191,7 +196,6 @@
             request.ticket.service
         ):
             self._fallback = step.fallback
-            self._context.charge_quota(request.workspace, request.call)
             return True
         self._finish(step.fallback if isinstance(step, Retry) else step)
         return False
@@ -232,10 +236,6 @@
         return assigned
 
     def _finish(self, result: Deliver | Rejection) -> None:
-        request = self._request
-        is_free = isinstance(result, Rejection) and not request.progress.may_have_run
-        if is_free and not request.is_finished:
-            self._context.refund_quota(request.workspace, request.call)
         self._response.end(result)
 
     def _on_deadline(self) -> None:
@@ -257,8 +257,13 @@
             status = 502 if request.progress.may_have_run else 503
             self._finish(Rejection(status, Cause.INTERNAL, str(failure.value)))
 
+    def _runs_here(self) -> int:
+        """Return how many attempts at upstreams of this router may have run."""
+        return self._request.progress.possible_runs - self._runs_elsewhere
+
     def _clean_up(self) -> None:
         self._request.is_finished = True
+        self._charge.settle(self._runs_here())
         self._upstream_run.close()
         if self._deadline_timer is not None and self._deadline_timer.active():
             self._deadline_timer.cancel()
--- a/tests/gateway/test_quota_of_relayed_requests.py
+++ b/tests/gateway/test_quota_of_relayed_requests.py
@@ -1,4 +1,4 @@
-"""Quota of requests that another router shall serve, and can't be reached."""
+"""Quota of requests that are relayed, retried or not run."""
 
 from __future__ import annotations
 
@@ -14,7 +14,7 @@
 from tests.live import in_reactor
 from tests.processes import wait_until
 
-TOKENS, REQUESTS = 900, 6
+TOKENS, REQUESTS, RUNS = 900, 6, 2
 QUOTA = {"ratePerS": 100, "burst": 1000, "unit": "tokens"}
 
 
@@ -40,7 +40,7 @@
 
 @pytest.fixture
 def live():
-    live = LiveGateway(replicas=("d1",))
+    live = LiveGateway(replicas=("d1", "d2"))
     tenant = {"name": "clerks", "apiKeys": [KEY], **QUOTA}
     live.config = config_body(tenants=[tenant])
     with live:
@@ -62,7 +62,11 @@
             )
             for number in range(REQUESTS)
         ]
-        wait_until(lambda: len(relays.waiting) == REQUESTS)
+        # A request that the quota rejects is answered and waits for no router.
+        wait_until(
+            lambda: len(relays.waiting) + sum(item.done() for item in answers)
+            == REQUESTS
+        )
         in_reactor(relays.end)
         return [answer.result()[0] for answer in answers]
 
@@ -71,6 +75,7 @@
     """Guards against runs beyond a quota of a router that was cut off (QUOTA)."""
     statuses = ask(live)
     used = live.gateway.context.quota.used_by_workspace["clerks"]
+    assert statuses.count(200) > 0
     assert used == TOKENS * statuses.count(200)
 
 
@@ -80,3 +85,20 @@
     statuses = ask(live)
     assert 200 not in statuses
     assert live.gateway.context.quota.used_by_workspace["clerks"] >= 0
+
+
+def test_a_request_that_ran_twice_is_charged_twice(live):
+    """Guards against runs beyond a quota by retries of failed ones (QUOTA)."""
+    live.set_faults("d", fails=True)
+    assert live.call("GET", "/stock/1", X_Token_Count="100")[0] == 500
+    assert len(live.runs()) == RUNS
+    wait_until(lambda: not live.gateway.request_handler.in_progress)
+    used = live.gateway.context.quota.used_by_workspace["clerks"]
+    assert used == RUNS * 100
+
+
+def test_a_request_that_did_not_run_is_refunded(live):
+    live.set_faults("d", is_full=True)
+    assert live.call("POST", "/orders/1", b"x", X_Token_Count="100")[0] == 503
+    wait_until(lambda: not live.gateway.request_handler.in_progress)
+    assert live.gateway.context.quota.used_by_workspace["clerks"] == 0
