Reject numbers of tokens that no request can have

A caller that declared a negative number of tokens filled its quota up again: 90,000 tokens in 10 s where 12,000 are allowed; 30,000 in 1.72 s on a live gateway. A number of 401 digits ended the connection without an answer.

Cause: any integer of the prompt headers was taken and charged as it is.

Change: numbers of tokens below 0 or above 1,000,000,000 are malformed prompt headers, which are answered 400 as before.

--- a/banyansail/platform/calls.py
+++ b/banyansail/platform/calls.py
@@ -34,6 +34,7 @@
         b"expect",
     }
 )
+MAX_TOKENS = 1_000_000_000  # of one request
 MAX_DEADLINE_MS = 3_600_000  # 1 hour
 MAX_COLD_MS = 3_600_000
 MAX_PAUSE = timedelta(days=1)  # that an upstream may ask for
@@ -234,21 +235,28 @@
         length_hint = first_value_by_name.get(header_names.LENGTH_HINT)
         return Prompt(
             first_value_by_name.get(header_names.MODEL, b"").decode("latin-1"),
-            int(prompt_tokens),
-            int(max_output_tokens or 0),
+            _decode_tokens(prompt_tokens),
+            _decode_tokens(max_output_tokens or b"0"),
             _decode_prefix(first_value_by_name.get(header_names.PROMPT_PREFIX, b"")),
-            int(length_hint) if length_hint else None,
+            _decode_tokens(length_hint) if length_hint else None,
         )
     except ValueError as error:
         raise CallError(f"malformed prompt headers: {error}") from None
 
 
+def _decode_tokens(value: bytes) -> int:
+    tokens = int(value)
+    if not 0 <= tokens <= MAX_TOKENS:
+        raise ValueError(f"a number of tokens is not in 0 to {MAX_TOKENS}")
+    return tokens
+
+
 def _decode_prefix(value: bytes) -> tuple[PromptPart, ...]:
     parts = []
     for item in value.split(b","):
         part_id, separator, tokens = item.strip().partition(b":")
         if separator:
-            parts.append(PromptPart(part_id.decode("latin-1"), int(tokens)))
+            parts.append(PromptPart(part_id.decode("latin-1"), _decode_tokens(tokens)))
     return tuple(parts)
 
 
--- a/tests/platform/test_calls.py
+++ b/tests/platform/test_calls.py
@@ -4,8 +4,9 @@
 
 import pytest
 
+from banyansail.exceptions import CallError
 from banyansail.gateway.request_types import RunStatus
-from banyansail.platform.calls import MAX_PAUSE, decode_reply
+from banyansail.platform.calls import MAX_PAUSE, decode_call, decode_reply
 
 
 def pause(value, status=503):
@@ -76,3 +77,20 @@
 def test_an_answer_says_that_its_upstream_is_brittle():
     assert decode_reply(200, b"", [(b"Server-Brittle", b"3")]).is_brittle
     assert not decode_reply(200, b"", []).is_brittle
+
+
+@pytest.mark.parametrize(
+    ("name", "value"),
+    [
+        (b"X-Token-Count", b"-1"),
+        (b"X-Token-Count", b"10,-1"),
+        (b"X-Token-Count", b"9" * 401),
+        (b"X-Length-Hint", b"-1"),
+        (b"X-Prompt-Prefix", b"p:-1"),
+    ],
+)
+def test_impossible_numbers_of_tokens_are_malformed(name, value):
+    """Guards against quotas that callers fill up, and an error without an answer."""
+    headers = [(b"X-Token-Count", b"10,10")] if name != b"X-Token-Count" else []
+    with pytest.raises(CallError):
+        decode_call(b"POST", b"/", [*headers, (name, value)], b"")
