Divide what is left of a quota among all that is asked at the same time

Callers of a workspace got more than its quota on 67 routers. Each router checked a request against the same level, which is as old as the reports and sums (0.3 to 1.2 s) and let it through while anything was left. In a surge all routers spent all of it at once, fell into debt, waited, and did so again; the excess is demand times the age of the sums. During the first second the estimate of unreported use was that of quiet time.

Routers now also report what their quotas reject (a counter for each workspace that was rejected, absent otherwise and in older builds), so that all know the asked rate. A router admits the share of the requests for which there is room until the others hear of it: (level + refill) / (asked rate x 1 s), 1 if no other router has demand, so that nothing that is owed is lost at one router. A rise of the router's own requests beyond what chance explains counts as a rise at all until reports show it. Retry-After is the time in which the rate makes up for what is missing.

--- a/banyansail/gateway/decisions/limits/quota.py
+++ b/banyansail/gateway/decisions/limits/quota.py
@@ -6,6 +6,10 @@
 peer, its recent rate of use is assumed to continue. A bucket is refilled before any use
 is charged, so that time in which it was full does not offset later use.
 
+All routers see the same level and admit requests until they hear of each other. So that
+they do not each spend all that is left, they also report what they reject, and each
+admits the share of the requests for which there is room in the meantime.
+
 Operators tolerate some use beyond a quota. While reports from all routers are recent,
 part of that tolerance is spent so that no request is rejected because of use that is
 only estimated, or because it arrives slightly too early.
@@ -20,10 +24,14 @@
 
 from dataclasses import dataclass, field
 from datetime import timedelta
+from types import MappingProxyType
 from typing import TYPE_CHECKING
 
+from banyansail.gateway.decisions.limits.asked_rate import OwnAskedRate, PeerAskedRate
+
 if TYPE_CHECKING:
     from collections.abc import Mapping
+    from random import Random
 
     from banyansail.clock import Clock
     from banyansail.gateway.site import Workspace
@@ -34,6 +42,8 @@
 RATE_TIME_CONSTANTS = (timedelta(seconds=1.5), timedelta(seconds=8))
 OVERDRAFT_SHARE = 0.5  # of the tolerated use; the rest covers unreported use
 SETTLE_TIME = timedelta(seconds=8)  # after the start; then all peers have reported
+# In which all routers hear of requests that one of them admits.
+HEARING_TIME = timedelta(seconds=1)
 LOW_LEVEL_SHARE = 0.6  # of a burst; below this, routers report their use more often
 MAX_RETRY_AFTER = timedelta(seconds=3)
 MIN_RETRY_AFTER = timedelta(milliseconds=50)
@@ -100,6 +110,7 @@
     received_at: timedelta
     routers: int
     silent_routers: int
+    asked: PeerAskedRate
     rates: tuple[float, ...] = (0.0,) * len(RATE_TIME_CONSTANTS)
 
 
@@ -127,16 +138,40 @@
     admitted: int = 0
     rejected: int = 0
     is_tight: bool = False
+    own_asked: OwnAskedRate = field(default_factory=OwnAskedRate)
     use_by_peer: dict[str, _PeerUse] = field(default_factory=dict)
 
 
+@dataclass(slots=True, frozen=True)
+class _Room:
+    """What all routers together may use until they hear of each other.
+
+    Parameters
+    ----------
+    left : float
+        What they may use; negative if they used too much.
+    asked : float
+        What they are asked for in that time.
+    """
+
+    left: float
+    asked: float
+
+    @property
+    def share(self) -> float:
+        """Share of the requests that each of them may admit."""
+        if self.asked == 0 or self.asked <= self.left:
+            return 1.0
+        return max(0.0, self.left) / self.asked
+
+
 class QuotaLimiter:
     """Token buckets of all workspaces at one router.
 
     Parameters
     ----------
-    clock : Clock
-        Source of time.
+    clock, random : object
+        Sources of time and randomness.
     slack : float
         Use beyond a quota that operators tolerate within a few seconds, in the unit
         of the quota.
@@ -146,19 +181,23 @@
         "_bucket_by_name",
         "_clock",
         "_overdraft",
+        "_random",
         "_started_at",
         "has_urgent_use",
         "known_routers",
+        "rejected_by_workspace",
         "used_by_workspace",
         "workspace_by_name",
     )
 
-    def __init__(self, clock: Clock, slack: float = 0.0) -> None:
+    def __init__(self, clock: Clock, random: Random, slack: float = 0.0) -> None:
         self._clock = clock
+        self._random = random
         self._started_at = clock.monotonic()
         self._overdraft = slack * OVERDRAFT_SHARE
         self._bucket_by_name: dict[str, _Bucket] = {}
         self.used_by_workspace: dict[str, float] = {}
+        self.rejected_by_workspace: dict[str, float] = {}
         self.workspace_by_name: Mapping[str, Workspace] = {}  # of the configuration
         self.known_routers = 1  # that there may be, this one included
         # Whether to report this router's use at once, as a quota is nearly used up.
@@ -169,18 +208,23 @@
         if workspace.rate <= 0:
             return None
         bucket = self._refill(workspace)
+        bucket.own_asked.record(cost, bucket.refilled_at)
         level = bucket.level - bucket.unreported_use
         if self._is_all_use_reported(bucket):
             level += self._overdraft
-        if level <= 0:
+        room = self._room(workspace, bucket, level)
+        if level <= 0 or self._random.random() >= room.share:
             bucket.rejected += 1
             bucket.is_tight = True
+            rejected = self.rejected_by_workspace.get(workspace.name, 0.0)
+            self.rejected_by_workspace[workspace.name] = rejected + cost
+            missing = max(-level, room.asked - room.left)
             return OverQuota(
-                self._retry_after(workspace, level), bucket.level, bucket.unreported_use
+                _retry_after(workspace, missing), bucket.level, bucket.unreported_use
             )
         bucket.level -= cost
         bucket.admitted += 1
-        if level - cost < workspace.burst * LOW_LEVEL_SHARE:
+        if level - cost < workspace.burst * LOW_LEVEL_SHARE or room.share < 1:
             self.has_urgent_use = bucket.is_tight = True
         used = self.used_by_workspace.get(workspace.name, 0.0)
         self.used_by_workspace[workspace.name] = used + cost
@@ -207,6 +251,7 @@
         peer: str,
         incarnation: int,
         total_by_workspace: Mapping[str, float],
+        rejected_by_workspace: Mapping[str, float] = MappingProxyType({}),
         *,
         routers: int = 1,
         silent_routers: int = 0,
@@ -217,25 +262,35 @@
         ----------
         total_by_workspace : mapping
             Use by the peer's process since its start.
+        rejected_by_workspace : mapping
+            What quotas rejected there since its start.
         routers, silent_routers : int
             Routers for which the peer reports, and how many of them are silent.
         """
         now = self._clock.monotonic()
-        for name, total in total_by_workspace.items():
+        for name in total_by_workspace.keys() | rejected_by_workspace.keys():
+            total = total_by_workspace.get(name, 0.0)
             workspace = self.workspace_by_name.get(name)
             bucket = self._refill(workspace) if workspace else self._bucket(name)
+            asked = total + rejected_by_workspace.get(name, 0.0)
             use = bucket.use_by_peer.get(peer)
             if use is None or use.incarnation != incarnation:
                 # Use before the first report of a peer is in the past and not charged,
                 # except if the peer is a process that has just been restarted.
                 bucket.level -= 0.0 if use is None else total
                 bucket.use_by_peer[peer] = _PeerUse(
-                    incarnation, total, now, routers, silent_routers
+                    incarnation,
+                    total,
+                    now,
+                    routers,
+                    silent_routers,
+                    PeerAskedRate(asked),
                 )
                 continue
             spent = total - use.total
             bucket.level -= spent
             use.rates = _update_rates(use.rates, spent, now - use.received_at)
+            use.asked.record(asked, now - use.received_at)
             use.total = total
             use.received_at = now
             use.routers = routers
@@ -289,6 +344,25 @@
         is_settled = bucket.refilled_at - self._started_at >= SETTLE_TIME
         return is_settled and self._responsive_share(bucket, bucket.refilled_at) == 1.0
 
+    def _room(self, workspace: Workspace, bucket: _Bucket, level: float) -> _Room:
+        """Return what all routers may use, and are asked for, before they hear of it.
+
+        All of them see the same level and admit requests until they hear of each other.
+        Use by this router itself is known at once.
+        """
+        now = bucket.refilled_at
+        routers = sum(use.routers for use in bucket.use_by_peer.values())
+        others = sum(use.asked.per_s() for use in bucket.use_by_peer.values())
+        if others <= 0:
+            return _Room(level, 0.0)
+        rise = bucket.own_asked.rise(others / max(1, routers), now)
+        others *= rise
+        asked = others + bucket.own_asked.per_s(now)
+        seconds = HEARING_TIME / _SECOND * others / asked
+        left = level - bucket.unreported_use * (rise - 1)
+        left += workspace.rate * self._responsive_share(bucket, now) * seconds
+        return _Room(left, asked * seconds)
+
     def _responsive_share(self, bucket: _Bucket, now: timedelta) -> float:
         """Return the share of the routers, this one included, that are not suspect."""
         routers, suspects = self._count_routers(bucket, now)
@@ -322,16 +396,16 @@
                 unreported += estimated
         return unreported
 
-    @staticmethod
-    def _retry_after(workspace: Workspace, level: float) -> timedelta:
-        seconds = -level / workspace.rate
-        wait = timedelta(seconds=seconds)
-        return min(MAX_RETRY_AFTER, max(MIN_RETRY_AFTER, wait))
-
 
 _SECOND = timedelta(seconds=1)
 
 
+def _retry_after(workspace: Workspace, missing: float) -> timedelta:
+    """Return the time in which the rate makes up for what is missing."""
+    wait = timedelta(seconds=missing / workspace.rate)
+    return min(MAX_RETRY_AFTER, max(MIN_RETRY_AFTER, wait))
+
+
 def _update_rates(
     rates: tuple[float, ...], spent: float, elapsed: timedelta
 ) -> tuple[float, ...]:
--- a/banyansail/gateway/sharing/traffic_report.py
+++ b/banyansail/gateway/sharing/traffic_report.py
@@ -8,6 +8,8 @@
 
 if TYPE_CHECKING:
     from banyansail.gateway.context import GatewayContext
+    from banyansail.gateway.decisions.limits.quota import QuotaLimiter
+    from banyansail.traffic.fleet_traffic import FleetTraffic
 
 OTHERS = "others"  # as a peer of the quotas: all other routers together
 ONLY_INCARNATION = 1  # the sum over the others goes on when any of them restarts
@@ -37,19 +39,14 @@
         context.limits.own_limits(),
         speeds=context.speeds.own_speeds(),
         assigned_by_name=context.dispatcher.fair.assigned_by_name(services),
+        rejected_by_workspace=dict(context.quota.rejected_by_workspace),
     )
 
 
 def apply_fleet_traffic(context: GatewayContext) -> None:
     """Use a new sum of the other routers' traffic in quotas, moves and choices."""
     fleet = context.fleet
-    context.quota.merge_peer_use(
-        OTHERS,
-        ONLY_INCARNATION,
-        fleet.used_by_workspace(),
-        routers=fleet.others(),
-        silent_routers=fleet.silent_others(),
-    )
+    apply_quota_use(context.quota, fleet)
     context.moves.set_fleet_tallies(fleet.tallies)
     context.limits.update()
     context.speeds.update()
@@ -58,6 +55,18 @@
     context.dispatcher.record_fleet(fleet.fleet_size(), fleet.assigned_by_name())
 
 
+def apply_quota_use(quota: QuotaLimiter, fleet: FleetTraffic) -> None:
+    """Charge the quotas for what the other routers were heard to use."""
+    quota.merge_peer_use(
+        OTHERS,
+        ONLY_INCARNATION,
+        fleet.used_by_workspace(),
+        fleet.rejected_by_workspace(),
+        routers=fleet.others(),
+        silent_routers=fleet.silent_others(),
+    )
+
+
 def apply_fleet_work(context: GatewayContext) -> None:
     """Use the other routers' load of upstreams; it is 0 if none was heard recently."""
     work_by_upstream = context.fleet.work_by_upstream()
--- a/banyansail/traffic/aggregator.py
+++ b/banyansail/traffic/aggregator.py
@@ -50,6 +50,7 @@
     used: FollowedCounters
     prefill: FollowedCounters
     assigned: FollowedCounters
+    rejected: FollowedCounters
     last: TrafficSum = field(default_factory=TrafficSum)  # of the followed aggregator
     received_at: timedelta = timedelta(0)
     tallies: dict[TallyKey, Tally] = field(default_factory=dict)
@@ -73,6 +74,7 @@
         "_is_urgent",
         "_name",
         "_prefill",
+        "_rejected",
         "_remote_by_zone",
         "_reporter_by_name",
         "_used",
@@ -86,6 +88,7 @@
         self._used = ProcessCounters()
         self._prefill = ProcessCounters()
         self._assigned = ProcessCounters()
+        self._rejected = ProcessCounters()
         # Of processes that have ended.
         self._ended_tallies: dict[TallyKey, Tally] = {}
         self._is_urgent = False
@@ -105,6 +108,7 @@
         self._used.update(name, incarnation, report.used_by_workspace)
         self._prefill.update(name, incarnation, report.prefill_tokens_by_service)
         self._assigned.update(name, incarnation, report.assigned_by_name)
+        self._rejected.update(name, incarnation, report.rejected_by_workspace)
         self._reporter_by_name[name] = _Reporter(
             incarnation, sequence, self._clock.monotonic(), report
         )
@@ -120,12 +124,14 @@
                 FollowedCounters(self._clock),
                 FollowedCounters(self._clock),
                 FollowedCounters(self._clock),
+                FollowedCounters(self._clock),
             )
         remote.used.update(aggregator, incarnation, zone_sum.used_by_workspace)
         remote.prefill.update(
             aggregator, incarnation, zone_sum.prefill_tokens_by_service
         )
         remote.assigned.update(aggregator, incarnation, zone_sum.assigned_by_name)
+        remote.rejected.update(aggregator, incarnation, zone_sum.rejected_by_workspace)
         merge_max_tallies(remote.tallies, zone_sum.tallies)
         if remote.used.followed == aggregator:
             remote.last = zone_sum
@@ -176,6 +182,7 @@
             limits=limits,
             speeds=speeds,
             assigned_by_name=dict(self._assigned.total),
+            rejected_by_workspace=dict(self._rejected.total),
         )
 
     def fleet_sum(self, zone_sum: TrafficSum) -> TrafficSum:
@@ -184,6 +191,7 @@
         used = dict(zone_sum.used_by_workspace)
         prefill = dict(zone_sum.prefill_tokens_by_service)
         assigned = dict(zone_sum.assigned_by_name)
+        rejected = dict(zone_sum.rejected_by_workspace)
         work = dict(zone_sum.work_by_upstream)
         tallies: dict[TallyKey, Tally] = {}
         add_tallies(tallies, zone_sum.tallies)
@@ -196,6 +204,7 @@
             add_increase(used, remote.used.total, {})
             add_increase(prefill, remote.prefill.total, {})
             add_increase(assigned, remote.assigned.total, {})
+            add_increase(rejected, remote.rejected.total, {})
             add_tallies(tallies, remote.tallies)
             age = now - remote.received_at
             if age > MEMBER_TIMEOUT:
@@ -225,6 +234,7 @@
             limits,
             speeds=speeds,
             assigned_by_name=assigned,
+            rejected_by_workspace=rejected,
         )
 
     def _sequence_by_router(self) -> dict[int, int]:
@@ -248,3 +258,4 @@
                 self._used.remove(name)
                 self._prefill.remove(name)
                 self._assigned.remove(name)
+                self._rejected.remove(name)
--- a/banyansail/traffic/fleet_traffic.py
+++ b/banyansail/traffic/fleet_traffic.py
@@ -57,6 +57,7 @@
         "_name",
         "_own_reports",
         "_prefill",
+        "_rejected",
         "_used",
         "tallies",
     )
@@ -70,6 +71,7 @@
         self._used = FollowedCounters(clock)
         self._prefill = FollowedCounters(clock)
         self._assigned = FollowedCounters(clock)
+        self._rejected = FollowedCounters(clock)
         # Answers counted by all routers, this one included.
         self.tallies: dict[TallyKey, Tally] = {}
 
@@ -96,6 +98,11 @@
                 own.prefill_tokens_by_service,
             ),
             (self._assigned, fleet_sum.assigned_by_name, own.assigned_by_name),
+            (
+                self._rejected,
+                fleet_sum.rejected_by_workspace,
+                own.rejected_by_workspace,
+            ),
         ):
             foreign: Counters = {}
             add_increase(foreign, total, own_counters)
@@ -114,6 +121,10 @@
         """Return the quota units that other routers were heard to use."""
         return self._used.total
 
+    def rejected_by_workspace(self) -> Counters:
+        """Return the quota units that other routers were heard to reject."""
+        return self._rejected.total
+
     def prefill_tokens_total(self, service: str) -> float:
         """Return the prompt tokens that other routers sent for prefill."""
         return self._prefill.total.get(service, 0.0)
--- a/banyansail/traffic/report.py
+++ b/banyansail/traffic/report.py
@@ -86,6 +86,8 @@
         Speeds that the router measured, by the upstream's incarnation.
     assigned_by_name : dict
         Work assigned since the process started, by `service/workspace`.
+    rejected_by_workspace : dict
+        Quota units that the quota rejected since the process started.
     """
 
     used_by_workspace: dict[str, float] = field(default_factory=dict)
@@ -98,6 +100,7 @@
     limits: dict[str, NamedLimit] = field(default_factory=dict)
     speeds: dict[str, SpeedEvidence] = field(default_factory=dict)
     assigned_by_name: dict[str, float] = field(default_factory=dict)
+    rejected_by_workspace: dict[str, float] = field(default_factory=dict)
 
 
 @dataclass(slots=True, frozen=True)
@@ -135,6 +138,8 @@
         Speeds that the routers measured, by the upstream's incarnation.
     assigned_by_name : dict
         Counters of assigned work, see `TrafficReport`.
+    rejected_by_workspace : dict
+        Counters of what quotas rejected, see `TrafficReport`.
     """
 
     used_by_workspace: dict[str, float] = field(default_factory=dict)
@@ -150,6 +155,7 @@
     limits: dict[str, NamedLimit] = field(default_factory=dict)
     speeds: dict[str, SpeedEvidence] = field(default_factory=dict)
     assigned_by_name: dict[str, float] = field(default_factory=dict)
+    rejected_by_workspace: dict[str, float] = field(default_factory=dict)
 
 
 def merge_limits(
--- a/banyansail/wire/schema.capnp
+++ b/banyansail/wire/schema.capnp
@@ -120,6 +120,7 @@
   speeds @8 :List(UpstreamSpeed);
   assigned @9 :List(Counter);  # work by service/workspace since the process started
   routeTallies @10 :List(RouteTally);
+  rejected @11 :List(Counter);  # quota units by workspace, rejected by the quota
 }
 
 struct TrafficSum {
@@ -138,6 +139,7 @@
   speeds @12 :List(UpstreamSpeed);
   assigned @13 :List(Counter);
   routeTallies @14 :List(RouteTally);
+  rejected @15 :List(Counter);
 }
 
 struct UpstreamSpeed {
--- a/banyansail/wire/traffic_codec.py
+++ b/banyansail/wire/traffic_codec.py
@@ -35,6 +35,7 @@
         limits=_limits(report.limits),
         speeds=_speeds(report.speeds),
         assigned=_counters(report.assigned_by_name),
+        rejected=_counters(report.rejected_by_workspace),
     )
     return message.to_bytes_packed()
 
@@ -60,6 +61,7 @@
         _decode_limits(message.limits),
         speeds=_decode_speeds(message.speeds),
         assigned_by_name=_decode_counters(message.assigned),
+        rejected_by_workspace=_decode_counters(message.rejected),
     )
 
 
@@ -84,6 +86,7 @@
         limits=_limits(traffic_sum.limits),
         speeds=_speeds(traffic_sum.speeds),
         assigned=_counters(traffic_sum.assigned_by_name),
+        rejected=_counters(traffic_sum.rejected_by_workspace),
     )
     return message.to_bytes_packed()
 
@@ -119,6 +122,7 @@
         _decode_limits(message.limits),
         speeds=_decode_speeds(message.speeds),
         assigned_by_name=_decode_counters(message.assigned),
+        rejected_by_workspace=_decode_counters(message.rejected),
     )
 
 
--- a/tests/traffic/simulated_fleet.py
+++ b/tests/traffic/simulated_fleet.py
@@ -35,6 +35,7 @@
         self.zone = zone
         self.incarnation = incarnation
         self.used = 0.0
+        self.rejected = 0.0
         self.running = 0
         self.bad_answers = 0
         self.is_unfit = False
@@ -62,6 +63,7 @@
             self.holds_duties,
             speeds=dict(self.speeds),
             assigned_by_name={"depot/w": self.used * 3},
+            rejected_by_workspace={"w": self.rejected} if self.rejected else {},
         )
 
     def _on_sum(self):
--- a/tests/traffic/test_exchange.py
+++ b/tests/traffic/test_exchange.py
@@ -79,6 +79,16 @@
         assert router.known.assigned_by_name()["depot/w"] == pytest.approx(expected)
 
 
+def test_every_router_learns_what_quotas_rejected_at_all_others():
+    """Guards against a demand that is known of one data centre only."""
+    fleet = started_fleet()
+    for router in fleet.router_by_name.values():
+        router.rejected = 10.0
+    fleet.run(2)
+    for router in fleet.router_by_name.values():
+        assert router.known.rejected_by_workspace() == {"w": 10.0 * 14}
+
+
 def test_lost_datagrams_cost_only_freshness():
     fleet = started_fleet(loss=0.05, seed=3)
     fleet.run(10, spend(USE_PER_STEP))
