Divide the quota by the demand also before routers know of each other's demand

After a restart of all routers in a surge, each admitted whatever was asked as soon as the first sum arrived: it knew the number of the others, so that it used the whole rate, but not yet what is asked of them, and took that for nothing.

Until others reported twice, a router now assumes that as much is asked of each of them as of itself; and while some routers are suspect it admits the share for which its own part has room.

--- a/banyansail/gateway/decisions/limits/asked_rate.py
+++ b/banyansail/gateway/decisions/limits/asked_rate.py
@@ -79,10 +79,11 @@
         What was asked before the first report.
     """
 
-    __slots__ = ("_mean", "_newest", "_total")
+    __slots__ = ("_mean", "_newest", "_total", "is_known")
 
     def __init__(self, total: float) -> None:
         self._total = total
+        self.is_known = False  # after the first of the reports
         self._mean = 0.0
         self._newest = 0.0
 
@@ -96,6 +97,7 @@
         elapsed : timedelta
             Time since the previous report.
         """
+        self.is_known = True
         asked = max(0.0, total - self._total)
         self._total = total
         time = max(elapsed, MIN_SAMPLE_TIME)
--- a/banyansail/gateway/decisions/limits/quota.py
+++ b/banyansail/gateway/decisions/limits/quota.py
@@ -351,16 +351,20 @@
         Use by this router itself is known at once.
         """
         now = bucket.refilled_at
-        routers = sum(use.routers for use in bucket.use_by_peer.values())
-        others = sum(use.asked.per_s() for use in bucket.use_by_peer.values())
-        if others <= 0:
+        share = self._responsive_share(bucket, now)
+        own = bucket.own_asked.per_s(now)
+        others = _asked_of_others(bucket, own)
+        if others <= 0 and share == 1.0:
             return _Room(level, 0.0)
+        routers = sum(use.routers for use in bucket.use_by_peer.values())
         rise = bucket.own_asked.rise(others / max(1, routers), now)
         others *= rise
-        asked = others + bucket.own_asked.per_s(now)
-        seconds = HEARING_TIME / _SECOND * others / asked
+        asked = others + own
+        seconds = HEARING_TIME / _SECOND
+        if share == 1.0:
+            seconds *= others / asked
         left = level - bucket.unreported_use * (rise - 1)
-        left += workspace.rate * self._responsive_share(bucket, now) * seconds
+        left += workspace.rate * share * seconds
         return _Room(left, asked * seconds)
 
     def _responsive_share(self, bucket: _Bucket, now: timedelta) -> float:
@@ -400,6 +404,17 @@
 _SECOND = timedelta(seconds=1)
 
 
+def _asked_of_others(bucket: _Bucket, own_per_s: float) -> float:
+    """Return what is asked of other routers per second.
+
+    As much as of this router, until they reported twice.
+    """
+    return sum(
+        use.asked.per_s() if use.asked.is_known else own_per_s * use.routers
+        for use in bucket.use_by_peer.values()
+    )
+
+
 def _retry_after(workspace: Workspace, missing: float) -> timedelta:
     """Return the time in which the rate makes up for what is missing."""
     wait = timedelta(seconds=missing / workspace.rate)
--- a/tests/gateway/decisions/limits/test_quota_of_many_routers.py
+++ b/tests/gateway/decisions/limits/test_quota_of_many_routers.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from tests.traffic.quota_fleet import QuotaFleet
+from tests.traffic.quota_fleet import RATE, TOLERATED, TOLERATED_SHARE, QuotaFleet
 
 SETTLED_S = 9  # from the start of the routers until they use the overdraft
 SURGE_S = 7
@@ -58,6 +58,17 @@
     assert fleet.most_in_a_window() <= 1
 
 
+@pytest.mark.parametrize("tokens", [600, 6000])
+def test_routers_that_know_no_demand_do_not_each_use_what_is_left(tokens):
+    """Guards against a surge admitted between a restart and the second sum."""
+    fleet = QuotaFleet(68, seed=1)
+    fleet.play(12, 12, tokens)
+    fleet.restart_all()
+    fleet.play(2, 12, tokens)
+    allowed = 2 * RATE * (1 + TOLERATED_SHARE) + TOLERATED
+    assert fleet.used_between(12, 14) <= allowed
+
+
 @pytest.mark.parametrize("demand", [0.9, 1, 6])
 @pytest.mark.parametrize("names", [None, ["r0-0"], zone_names(12)], ids=str)
 def test_what_is_asked_within_the_rate_is_served(names, demand):
--- a/tests/traffic/quota_fleet.py
+++ b/tests/traffic/quota_fleet.py
@@ -111,14 +111,20 @@
         asked = _sum_between(self.asked_by_step, start_s, end_s)
         return min(asked, RATE * (end_s - start_s))
 
-    def most_in_a_window(self):
-        """Return the largest use in any window as a share of what is allowed."""
+    def most_in_a_window(self, start_s=0.0):
+        """Return the largest use in any window as a share of what is allowed.
+
+        Parameters
+        ----------
+        start_s : float
+            Start of the first window.
+        """
         last = max(self.used_by_step, default=0)
         window = round(WINDOW_S / STEP_S)
         return (
             max(
                 sum(self.used_by_step[step] for step in range(first, first + window))
-                for first in range(last + 1)
+                for first in range(round(start_s / STEP_S), last + 1)
             )
             / ALLOWED
         )
