Take a rise at one router for at most three times as much at all of them

Cause: a router that sees more requests than before takes that for a rise of the whole fleet until reports arrive, so that one router with many callers divided the quota by tens.

Change: the factor is at most 3.

--- a/banyansail/gateway/decisions/limits/asked_rate.py
+++ b/banyansail/gateway/decisions/limits/asked_rate.py
@@ -12,6 +12,8 @@
 KEPT_POINTS = 9
 # Counted from the newest; what was asked before it is known to all routers.
 REPORTED_POINT = 4
+# More at one router is likelier demand that moved there than a rise at all of them.
+MAX_RISE = 3.0
 _SECOND = timedelta(seconds=1)
 
 
@@ -42,7 +44,7 @@
         return self._per_s * math.exp(-((now - self._updated_at) / TIME_CONSTANT))
 
     def rise(self, mean_per_s: float, now: timedelta) -> float:
-        """Return by which factor more is asked than other routers know of; at least 1.
+        """Return by which factor more is asked than others know of, 1 to `MAX_RISE`.
 
         A deviation that is usual for requests that come by chance is left out.
 
@@ -58,7 +60,9 @@
         deviation = math.sqrt(recent * self._total / self._requests)
         known_per_s = max(mean_per_s, self._reported_per_s())
         expected = known_per_s * ((now - start) / _SECOND)
-        return max(1.0, (recent - deviation) / expected) if expected else 1.0
+        if expected <= 0:
+            return 1.0
+        return min(MAX_RISE, max(1.0, (recent - deviation) / expected))
 
     def _reported_per_s(self) -> float:
         """Return the rate at which requests came until the others heard of them."""
