Reject a request that costs more than its quota gives in a window

Change: a request that costs more than the burst and 8 s of the rate is rejected at once and counts for nothing else.

--- a/banyansail/gateway/decisions/limits/quota.py
+++ b/banyansail/gateway/decisions/limits/quota.py
@@ -45,6 +45,8 @@
 # In which all routers hear of requests that one of them admits.
 HEARING_TIME = timedelta(seconds=1)
 LOW_LEVEL_SHARE = 0.6  # of a burst; below this, routers report their use more often
+# A request that costs more than a quota gives in this time, with its burst, is rejected.
+MAX_COST_TIME = timedelta(seconds=8)
 MAX_RETRY_AFTER = timedelta(seconds=3)
 MIN_RETRY_AFTER = timedelta(milliseconds=50)
 
@@ -208,6 +210,8 @@
         if workspace.rate <= 0:
             return None
         bucket = self._refill(workspace)
+        if cost > workspace.burst + workspace.rate * (MAX_COST_TIME / _SECOND):
+            return OverQuota(MAX_RETRY_AFTER, bucket.level, bucket.unreported_use)
         bucket.own_asked.record(cost, bucket.refilled_at)
         level = bucket.level - bucket.unreported_use
         if self._is_all_use_reported(bucket):
--- a/tests/gateway/test_declared_tokens.py
+++ b/tests/gateway/test_declared_tokens.py
@@ -40,3 +40,13 @@
             ask(limiter, owner, declared)
         clock.advance(1)
     assert used <= PLAY_S * RATE + BURST
+
+
+def test_a_request_larger_than_the_quota_of_a_window_leaves_the_quota_to_others():
+    """Guards against one request that exceeds a quota and blocks its workspace."""
+    clock = FakeClock()
+    limiter = QuotaLimiter(clock, Random(1))
+    owner = workspace(rate=RATE, burst=BURST, counts_tokens=True)
+    clock.advance(10)
+    assert ask(limiter, owner, b"1000000") == 0
+    assert ask(limiter, owner, b"500") == 500
