Tests: servers of live tests listen on ports of their process

Cause: the stand-ins and raw upstreams of the live gateways and routers listened on ports that the kernel chose, among those of outgoing connections and of other test processes. A client of another process that goes on calling a server that ended, such as the store's, can so reach an engine of this test. tests/ports.py names this hazard, and the other listeners avoid it.

Change: they take their ports from the range that the process has locked. No check is changed; one is added.

Result: the new test failed before (a port outside the range) and passes.

--- a/tests/gateway/live_gateway.py
+++ b/tests/gateway/live_gateway.py
@@ -152,7 +152,7 @@
 
     def _listen(self, resource) -> RunningStandin:
         running = RunningStandin(resource, TrackingSite(resource))
-        running.listen(Address("127.0.0.1", 0))
+        running.listen(Address("127.0.0.1", free_port()))
         self._running.append(running)
         return running
 
--- a/tests/gateway/mixed_fleet.py
+++ b/tests/gateway/mixed_fleet.py
@@ -110,7 +110,7 @@
 
     def _listen(self, resource, name: str = "") -> Address:
         running = RunningStandin(resource, TrackingSite(resource))
-        running.listen(Address("127.0.0.1", 0))
+        running.listen(Address("127.0.0.1", free_port()))
         self._running.append(running)
         self._running_by_replica[name] = running
         return running.address
--- a/tests/gateway/raw_upstream.py
+++ b/tests/gateway/raw_upstream.py
@@ -8,6 +8,8 @@
 
 from twisted.internet import protocol, reactor, task
 
+from tests.ports import free_port
+
 RESET_DELAY_S = 0.05  # after the answer was sent, so that it is read first
 ENDLESS_INTERVAL_S = 0.001
 
@@ -105,7 +107,7 @@
         self.requests = 0
         self.continuations = 0  # requests that continue a stream
         self.connections = set()
-        self._port = reactor.listenTCP(0, self, interface="127.0.0.1")
+        self._port = reactor.listenTCP(free_port(), self, interface="127.0.0.1")
 
     def script_for(self, request):
         """Return what answers a request."""
--- a/tests/router/scripted_upstream.py
+++ b/tests/router/scripted_upstream.py
@@ -13,6 +13,7 @@
 from banyansail.config.fields import Address
 from banyansail.demo.site import LocalUpstream
 from tests.live import LiveSite, in_reactor
+from tests.ports import free_port
 
 CHUNKED_HEAD = (
     b"HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n"
@@ -127,7 +128,7 @@
         self.calls = []
         self.connections = set()
         self.resource = SimpleNamespace(state=self)
-        self._port = reactor.listenTCP(0, self, interface="127.0.0.1")
+        self._port = reactor.listenTCP(free_port(), self, interface="127.0.0.1")
         self.address = Address("127.0.0.1", self._port.getHost().port)
 
     def next_script(self, path, body):
--- a/tests/test_ports.py
+++ b/tests/test_ports.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from tests.gateway.live_gateway import LiveGateway
 from tests.ports import (
     FIRST_PORT,
     PORTS_PER_SEGMENT,
@@ -46,6 +47,16 @@
     assert FIRST_PORT + SEGMENT_COUNT * PORTS_PER_SEGMENT <= first_outgoing
 
 
+def test_upstreams_of_live_gateways_listen_on_ports_of_their_process():
+    """Guards against calls of another process to a server that had the port before."""
+    ports = range(FIRST_PORT, FIRST_PORT + SEGMENT_COUNT * PORTS_PER_SEGMENT)
+    with LiveGateway(raw_upstreams=("d9",)) as live:
+        addresses = [running.address for running in live.running_by_name.values()]
+        assert all(address.port in ports for address in addresses)
+        assert live.raw_by_name["d9"].port in ports
+        assert live.gateway.settings.store.port in ports
+
+
 def test_router_exits_and_reports_it_when_its_port_is_in_use(tmp_path):
     """A port in use must not look like a slow start."""
     port = free_port()
