Quota: the bucket and the use of peers in a module of their own

No behaviour changes. Result: 30 passed: tests of quotas, their log, declared tokens and the check of imports.

--- a/banyansail/gateway/decisions/limits/quota.py
+++ b/banyansail/gateway/decisions/limits/quota.py
@@ -22,12 +22,21 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from datetime import timedelta
 from types import MappingProxyType
 from typing import TYPE_CHECKING
 
-from banyansail.gateway.decisions.limits.asked_rate import OwnAskedRate, PeerAskedRate
+from banyansail.gateway.decisions.limits.asked_rate import PeerAskedRate
+from banyansail.gateway.decisions.limits.quota_bucket import (
+    PEER_EXPIRY,
+    SECOND,
+    SUSPECT_AFTER,
+    Bucket,
+    PeerUse,
+    QuotaState,
+    Room,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -36,16 +45,12 @@
     from banyansail.clock import Clock
     from banyansail.gateway.site import Workspace
 
-SUSPECT_AFTER = timedelta(seconds=1.5)  # without a report from a peer
-PEER_EXPIRY = timedelta(seconds=12)  # without a report; then a peer is removed
-# Of the moving averages of a peer's use; the largest of them is the estimate.
-RATE_TIME_CONSTANTS = (timedelta(seconds=1.5), timedelta(seconds=8))
 OVERDRAFT_SHARE = 0.5  # of the tolerated use; the rest covers unreported use
 SETTLE_TIME = timedelta(seconds=8)  # after the start; then all peers have reported
 # In which all routers hear of requests that one of them admits.
 HEARING_TIME = timedelta(seconds=1)
 LOW_LEVEL_SHARE = 0.6  # of a burst; below this, routers report their use more often
-# A request that costs more than a quota gives in this time, with its burst, is rejected.
+# A request that costs more than the burst and the rate of this time is rejected.
 MAX_COST_TIME = timedelta(seconds=8)
 MAX_RETRY_AFTER = timedelta(seconds=3)
 MIN_RETRY_AFTER = timedelta(milliseconds=50)
@@ -70,103 +75,6 @@
     unreported_use: float
 
 
-@dataclass(slots=True, frozen=True)
-class QuotaState:
-    """State of a quota that was low or rejected requests lately, for the log.
-
-    Parameters
-    ----------
-    level : float
-        Quota left according to the reported use.
-    unreported_use : float
-        Estimated use by other routers since their last report.
-    report_age : timedelta or None
-        Time since the last report of others; ``None`` without one.
-    own_use : float
-        Use by this router's process since its start.
-    admitted, rejected : int
-        Requests at this router since the previous state.
-    routers, suspects : int
-        Routers that share the quota, and how many of them are suspect.
-    known_routers : int
-        Routers that there may be according to the list of routers.
-    """
-
-    level: float
-    unreported_use: float
-    report_age: timedelta | None
-    own_use: float
-    admitted: int
-    rejected: int
-    routers: int
-    suspects: int
-    known_routers: int
-
-
-@dataclass(slots=True)
-class _PeerUse:
-    """Use of one workspace by another router's process, or by several routers."""
-
-    incarnation: int
-    total: float
-    received_at: timedelta
-    routers: int
-    silent_routers: int
-    asked: PeerAskedRate
-    rates: tuple[float, ...] = (0.0,) * len(RATE_TIME_CONSTANTS)
-
-
-@dataclass(slots=True)
-class _Bucket:
-    """Token bucket of a workspace.
-
-    Parameters
-    ----------
-    level : float
-        Quota left according to the reported use.
-    refilled_at : timedelta
-        Monotonic time of the last refill.
-    unreported_use : float
-        Estimated use by other routers since their last report.
-    admitted, rejected : int
-        Requests at this router since the last `QuotaState`.
-    is_tight : bool
-        Whether the quota was low or rejected a request since then.
-    """
-
-    level: float
-    refilled_at: timedelta
-    unreported_use: float = 0.0
-    admitted: int = 0
-    rejected: int = 0
-    is_tight: bool = False
-    own_asked: OwnAskedRate = field(default_factory=OwnAskedRate)
-    use_by_peer: dict[str, _PeerUse] = field(default_factory=dict)
-
-
-@dataclass(slots=True, frozen=True)
-class _Room:
-    """What all routers together may use until they hear of each other.
-
-    Parameters
-    ----------
-    left : float
-        What they may use; negative if they used too much.
-    asked : float
-        What they are asked for in that time.
-    """
-
-    left: float
-    asked: float
-
-    @property
-    def share(self) -> float:
-        """Share of the requests that each of them may admit."""
-        if self.asked == 0 or self.asked <= self.left:
-            return 1.0
-        return max(0.0, self.left) / self.asked
-
-
 class QuotaLimiter:
     """Token buckets of all workspaces at one router.
 
@@ -197,7 +105,7 @@
         self._random = random
         self._started_at = clock.monotonic()
         self._overdraft = slack * OVERDRAFT_SHARE
-        self._bucket_by_name: dict[str, _Bucket] = {}
+        self._bucket_by_name: dict[str, Bucket] = {}
         self.used_by_workspace: dict[str, float] = {}
         self.rejected_by_workspace: dict[str, float] = {}
         self.workspace_by_name: Mapping[str, Workspace] = {}  # of the configuration
@@ -210,7 +118,7 @@
         if workspace.rate <= 0:
             return None
         bucket = self._refill(workspace)
-        if cost > workspace.burst + workspace.rate * (MAX_COST_TIME / _SECOND):
+        if cost > workspace.burst + workspace.rate * (MAX_COST_TIME / SECOND):
             return OverQuota(MAX_RETRY_AFTER, bucket.level, bucket.unreported_use)
         bucket.own_asked.record(cost, bucket.refilled_at)
         level = bucket.level - bucket.unreported_use
@@ -282,7 +190,7 @@
                 # Use before the first report of a peer is in the past and not charged,
                 # except if the peer is a process that has just been restarted.
                 bucket.level -= 0.0 if use is None else total
-                bucket.use_by_peer[peer] = _PeerUse(
+                bucket.use_by_peer[peer] = PeerUse(
                     incarnation,
                     total,
                     now,
@@ -291,14 +199,7 @@
                     PeerAskedRate(asked),
                 )
                 continue
-            spent = total - use.total
-            bucket.level -= spent
-            use.rates = _update_rates(use.rates, spent, now - use.received_at)
-            use.asked.record(asked, now - use.received_at)
-            use.total = total
-            use.received_at = now
-            use.routers = routers
-            use.silent_routers = silent_routers
+            bucket.level -= use.record(total, asked, now, routers, silent_routers)
 
     def pop_tight_states(self) -> dict[str, QuotaState]:
         """Return the quotas that were low or rejected requests since the last call."""
@@ -310,7 +211,7 @@
             bucket.admitted = bucket.rejected = 0
         return states
 
-    def _state(self, name: str, bucket: _Bucket) -> QuotaState:
+    def _state(self, name: str, bucket: Bucket) -> QuotaState:
         now = self._clock.monotonic()
         ages = [now - use.received_at for use in bucket.use_by_peer.values()]
         routers, suspects = self._count_routers(bucket, now)
@@ -326,29 +227,32 @@
             self.known_routers,
         )
 
-    def _refill(self, workspace: Workspace) -> _Bucket:
+    def _refill(self, workspace: Workspace) -> Bucket:
         now = self._clock.monotonic()
         bucket = self._bucket(workspace.name)
         share = self._responsive_share(bucket, now)
-        gained = workspace.rate * share * ((now - bucket.refilled_at) / _SECOND)
-        bucket.unreported_use = self._estimate_unreported_use(bucket, now)
+        gained = workspace.rate * share * ((now - bucket.refilled_at) / SECOND)
+        bucket.remove_expired_peers(now)
+        bucket.unreported_use = sum(
+            use.unreported_use(now) for use in bucket.use_by_peer.values()
+        )
         # `charge` subtracts the unreported use, so the level may exceed the burst.
         full = workspace.burst + bucket.unreported_use
         bucket.level = min(full, bucket.level + gained)
         bucket.refilled_at = now
         return bucket
 
-    def _bucket(self, name: str) -> _Bucket:
+    def _bucket(self, name: str) -> Bucket:
         bucket = self._bucket_by_name.get(name)
         if bucket is None:
-            bucket = self._bucket_by_name[name] = _Bucket(0.0, self._started_at)
+            bucket = self._bucket_by_name[name] = Bucket(0.0, self._started_at)
         return bucket
 
-    def _is_all_use_reported(self, bucket: _Bucket) -> bool:
+    def _is_all_use_reported(self, bucket: Bucket) -> bool:
         is_settled = bucket.refilled_at - self._started_at >= SETTLE_TIME
         return is_settled and self._responsive_share(bucket, bucket.refilled_at) == 1.0
 
-    def _room(self, workspace: Workspace, bucket: _Bucket, level: float) -> _Room:
+    def _room(self, workspace: Workspace, bucket: Bucket, level: float) -> Room:
         """Return what all routers may use, and are asked for, before they hear of it.
 
         All of them see the same level and admit requests until they hear of each other.
@@ -357,26 +261,26 @@
         now = bucket.refilled_at
         share = self._responsive_share(bucket, now)
         own = bucket.own_asked.per_s(now)
-        others = _asked_of_others(bucket, own)
+        others = bucket.asked_of_others(own)
         if others <= 0 and share == 1.0:
-            return _Room(level, 0.0)
+            return Room(level, 0.0)
         routers = sum(use.routers for use in bucket.use_by_peer.values())
         rise = bucket.own_asked.rise(others / max(1, routers), now)
         others *= rise
         asked = others + own
-        seconds = HEARING_TIME / _SECOND
+        seconds = HEARING_TIME / SECOND
         if share == 1.0:
             seconds *= others / asked
         left = level - bucket.unreported_use * (rise - 1)
         left += workspace.rate * share * seconds
-        return _Room(left, asked * seconds)
+        return Room(left, asked * seconds)
 
-    def _responsive_share(self, bucket: _Bucket, now: timedelta) -> float:
+    def _responsive_share(self, bucket: Bucket, now: timedelta) -> float:
         """Return the share of the routers, this one included, that are not suspect."""
         routers, suspects = self._count_routers(bucket, now)
         return (routers - suspects) / routers
 
-    def _count_routers(self, bucket: _Bucket, now: timedelta) -> tuple[int, int]:
+    def _count_routers(self, bucket: Bucket, now: timedelta) -> tuple[int, int]:
         """Return the routers that share a quota, and how many of them are suspect."""
         routers = 1
         suspects = 0
@@ -391,33 +295,6 @@
             suspects += unheard
         return routers, suspects
 
-    def _estimate_unreported_use(self, bucket: _Bucket, now: timedelta) -> float:
-        """Return the estimated use by other routers since their last report."""
-        unreported = 0.0
-        for peer, use in list(bucket.use_by_peer.items()):
-            age = now - use.received_at
-            estimated = max(use.rates) * (min(age, SUSPECT_AFTER) / _SECOND)
-            if age > PEER_EXPIRY:
-                del bucket.use_by_peer[peer]
-                bucket.level -= estimated  # charged finally, as no report follows
-            else:
-                unreported += estimated
-        return unreported
-
-
-_SECOND = timedelta(seconds=1)
-
-
-def _asked_of_others(bucket: _Bucket, own_per_s: float) -> float:
-    """Return what is asked of other routers per second.
-
-    As much as of this router, until they reported twice.
-    """
-    return sum(
-        use.asked.per_s() if use.asked.is_known else own_per_s * use.routers
-        for use in bucket.use_by_peer.values()
-    )
-
 
 def _retry_after(workspace: Workspace, missing: float) -> timedelta:
     """Return the time in which the rate makes up for what is missing."""
@@ -425,19 +302,6 @@
     return min(MAX_RETRY_AFTER, max(MIN_RETRY_AFTER, wait))
 
 
-def _update_rates(
-    rates: tuple[float, ...], spent: float, elapsed: timedelta
-) -> tuple[float, ...]:
-    """Return the moving averages of a peer's use per second after a report."""
-    if elapsed <= timedelta(0):
-        return rates
-    sample = spent / (elapsed / _SECOND)
-    return tuple(
-        rate + (sample - rate) * min(1.0, elapsed / time_constant)
-        for rate, time_constant in zip(rates, RATE_TIME_CONSTANTS, strict=True)
-    )
-
-
 def cost_of(workspace: Workspace, tokens: int | None) -> float:
     """Return the cost of a request in the unit of its workspace's quota.
 
--- a/banyansail/gateway/sharing/quota_log.py
+++ b/banyansail/gateway/sharing/quota_log.py
@@ -9,7 +9,8 @@
 
 if TYPE_CHECKING:
     from banyansail.clock import Clock
-    from banyansail.gateway.decisions.limits.quota import QuotaLimiter, QuotaState
+    from banyansail.gateway.decisions.limits.quota import QuotaLimiter
+    from banyansail.gateway.decisions.limits.quota_bucket import QuotaState
 
 LOG_INTERVAL = timedelta(seconds=1)
 
