Test that a request admitted before is charged beyond its quota

Cause: charge_run had no test of its own; without it a second run that the admission would reject is charged to nobody. Change: the test.

--- a/tests/gateway/decisions/limits/test_quota.py
+++ b/tests/gateway/decisions/limits/test_quota.py
@@ -46,6 +46,17 @@
     assert limiter.used_by_workspace["w"] == 10
 
 
+def test_a_request_that_was_admitted_is_charged_again_over_the_quota():
+    """Guards against a second run that nobody is charged for."""
+    limiter = settled_limiter(FakeClock())
+    owner = workspace(rate=100, burst=100)
+    limiter.charge(owner, 150)
+    limiter.charge_run(owner, 50)
+    assert limiter.used_by_workspace["w"] == 200
+    assert limiter.rejected_by_workspace == {}
+    assert limiter.charge(owner, 10).level == -100
+
+
 def test_tokens_count_where_the_quota_is_in_tokens():
     owner = workspace(counts_tokens=True, default_cost=200)
     assert cost_of(owner, 1460) == 1460
