--- a/tests/gateway/decisions/limits/test_quota_of_many_routers.py
+++ b/tests/gateway/decisions/limits/test_quota_of_many_routers.py
@@ -33,6 +33,7 @@
         (68, 0.5, 12, 600),
         (68, 1.0, 12, 6000),
         (160, 0.5, 6, 600),
+        (160, 1.0, 12, 6000),
     ],
 )
 def test_routers_that_hear_of_a_surge_together_keep_the_quota(
