Close the connection of an engine's call after its answer

A copy of the call's refusal that names the run would be taken for the answer of the continuation. Whether engines name the run there is not confirmed.

Change: a call with a connection of its own closes it.

--- a/banyansail/upstreams/http_call.py
+++ b/banyansail/upstreams/http_call.py
@@ -138,8 +138,8 @@
     Parameters
     ----------
     is_fresh : bool
-        Whether the connection has to be a new one, as bytes beyond an earlier answer
-        may follow on others.
+        Whether the call has a connection of its own, as bytes beyond an earlier answer
+        may follow on others, and on this one beyond its answer.
 
     Raises
     ------
@@ -185,7 +185,10 @@
         method.encode(), target.encode(), sent_headers, data, receiver
     )
     try:
-        return await done
+        answer = await done
     except defer.CancelledError:
         connection.abort()
         raise
+    if is_fresh:
+        connection.close()
+    return answer
--- a/tests/platform/test_engine_call_connections.py
+++ b/tests/platform/test_engine_call_connections.py
@@ -23,6 +23,10 @@
 class NewConnection:
     def __init__(self, calls):
         self.calls = calls
+        self.is_closed = False
+
+    def close(self):
+        self.is_closed = True
 
     def send_request(self, method, target, headers, body, receiver):
         self.calls.append(target)
@@ -36,12 +40,14 @@
 
     def __init__(self):
         self.calls: list[bytes] = []
+        self.connections: list[NewConnection] = []
 
     def pop_idle(self):
         return UsedConnection()
 
     async def connect(self):
-        return NewConnection(self.calls)
+        self.connections.append(NewConnection(self.calls))
+        return self.connections[-1]
 
 
 @pytest.mark.parametrize("stops", [False, True])
@@ -56,3 +62,10 @@
     pool = Pool()
     run_now(free_copy(Clock(), pool, "h-1"))
     assert pool.calls == [b"/v1/kv-handle/h-1"]
+
+
+def test_the_connection_of_a_call_is_not_used_by_the_run_that_it_copied():
+    """Guards against the copy of a refusal that names the run (TWICE)."""
+    pool = Pool()
+    run_now(copy_run(Clock(), pool, "a1", Pool.address, stops=True))
+    assert [connection.is_closed for connection in pool.connections] == [True]
