Refill no quota before the number of routers is known

Cause: a router that starts took itself for the only one until it had read the list of routers, so that the first refill of its bucket was at the whole rate.

Change: the number is unknown at first and no bucket is refilled then; it is known once the list is read, or 2 s after the start, when those that were heard of count.

Result: the new test failed before (a request at 0.2 s was admitted); 23 tests of quotas, 210 of live gateways, restored stores, sharing and imports passed.

--- a/banyansail/gateway/decisions/limits/quota.py
+++ b/banyansail/gateway/decisions/limits/quota.py
@@ -85,6 +85,9 @@
     slack : float
         Use beyond a quota that operators tolerate within a few seconds, in the unit
         of the quota.
+    known_routers : int
+        Routers that there may be, this one included; 0 while that is not known, when
+        no bucket is refilled.
     """
 
     __slots__ = (
@@ -100,7 +103,13 @@
         "workspace_by_name",
     )
 
-    def __init__(self, clock: Clock, random: Random, slack: float = 0.0) -> None:
+    def __init__(
+        self,
+        clock: Clock,
+        random: Random,
+        slack: float = 0.0,
+        known_routers: int = 1,
+    ) -> None:
         self._clock = clock
         self._random = random
         self._started_at = clock.monotonic()
@@ -109,7 +118,7 @@
         self.used_by_workspace: dict[str, float] = {}
         self.rejected_by_workspace: dict[str, float] = {}
         self.workspace_by_name: Mapping[str, Workspace] = {}  # of the configuration
-        self.known_routers = 1  # that there may be, this one included
+        self.known_routers = known_routers
         # Whether to report this router's use at once, as a quota is nearly used up.
         self.has_urgent_use = False
 
@@ -277,6 +286,8 @@
 
     def _responsive_share(self, bucket: Bucket, now: timedelta) -> float:
         """Return the share of the routers, this one included, that are not suspect."""
+        if self.known_routers == 0:
+            return 0.0
         routers, suspects = self._count_routers(bucket, now)
         return (routers - suspects) / routers
 
--- a/banyansail/gateway/router.py
+++ b/banyansail/gateway/router.py
@@ -144,7 +144,9 @@
             settings.zone, clock, self.random, settings.fair_queue_min_routers
         )
         self.evacuations = Evacuations(self._apply_evacuations)
-        self.quota = QuotaLimiter(clock, self.random, settings.quota_slack)
+        self.quota = QuotaLimiter(
+            clock, self.random, settings.quota_slack, known_routers=0
+        )
         self.duties = FleetDuties(
             settings,
             clock,
--- a/banyansail/gateway/sharing/gossip_work.py
+++ b/banyansail/gateway/sharing/gossip_work.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from datetime import timedelta
 from typing import TYPE_CHECKING
 
 from banyansail.fleet.entries import Topic
@@ -19,6 +20,9 @@
     from banyansail.gateway.store.upstream_sync import UpstreamSync
     from banyansail.traffic.exchange import TrafficExchange
 
+# For the list of routers after the start; then those that were heard of count.
+LIST_WAIT = timedelta(seconds=2)
+
 
 class GossipWork:
     """Coroutines that publish what this router knows.
@@ -48,6 +52,7 @@
         "_publish_member",
         "_quota_log",
         "_routers",
+        "_started_at",
         "_traffic_exchange",
         "_upstream_sync",
         "_usage_exchange",
@@ -73,6 +78,7 @@
         self._traffic_exchange = traffic_exchange
         self._usage_exchange = usage_exchange
         self._quota_log = QuotaLog(context.clock, context.quota)
+        self._started_at = context.clock.monotonic()
 
     async def push(self) -> None:
         """Push new gossip entries to other routers."""
@@ -95,9 +101,16 @@
         context.speeds.update()
         context.migrations.update()
         context.retries.update()
-        context.quota.known_routers = len(self._link.known_routers())
+        self._count_quota_routers()
         self._quota_log.update()
 
+    def _count_quota_routers(self) -> None:
+        """Tell the quotas how many routers there may be, once that is known."""
+        context = self._context
+        is_list_read = self._routers.age < timedelta.max
+        if is_list_read or context.clock.monotonic() - self._started_at > LIST_WAIT:
+            context.quota.known_routers = len(self._link.known_routers())
+
     async def report_cleared(self) -> None:
         """Tell other routers of suspected parts of prompts that were answered here."""
         context = self._context
--- a/tests/gateway/decisions/limits/test_quota.py
+++ b/tests/gateway/decisions/limits/test_quota.py
@@ -223,6 +223,19 @@
     assert limiter.charge(owner, 10) is None
 
 
+def test_a_router_that_knows_no_number_of_routers_refills_no_quota():
+    """Guards against routers that start together and each take the whole rate."""
+    clock = FakeClock()
+    limiter = QuotaLimiter(clock, Random(1), TOLERATED, known_routers=0)
+    owner = workspace(rate=1000, burst=1000)
+    clock.advance(0.2)
+    assert limiter.charge(owner, 10) is not None
+    limiter.known_routers = 10
+    clock.advance(0.2)
+    assert limiter.charge(owner, 30) is None
+    assert limiter.charge(owner, 10).level <= 0
+
+
 @pytest.mark.parametrize("restarted", [1, 3, 9])
 def test_restarted_routers_get_no_new_burst(restarted):
     """A workspace is hot while routers are replaced, one every half second."""
