--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,9 +1,8 @@
-"""Case 7: a process that starts ends by the SIGHUP that tells of new settings."""
+"""Case 7: one malformed entry keeps the routers from applying the others' changes."""
 
 from __future__ import annotations
 
 import asyncio
-import signal
 import sys
 import time
 from pathlib import Path
@@ -18,102 +17,74 @@
     has_trouble,
 )
 
-SERVICE = "depot"
-ROLLED = ["front-1", "front-2"]
-RESTART_DELAY_S = 0.3  # of the platform, after a process has ended
-EXCUSED_S = 1.0  # after a disruption on the machine
-CHANGES, CHANGE_GAP_S = 8, 0.6
-MAX_OWN_ENDS = 3  # on two machines or more, a fault
-
-
-class Platform:
-    """Starts processes again after their end, and counts those that end themselves."""
-
-    def __init__(self, site: Site) -> None:
-        self._site = site
-        self.is_stopping: set[str] = set()  # got SIGTERM
-        self.started_at: dict[str, float] = {}  # by the platform, after a SIGTERM
-        self.own_ends: dict[str, list[float]] = {}
-
-    async def watch(self, name: str) -> None:
-        """Start the process of a machine again whenever it ends."""
-        routers = self._site.routers
-        while True:
-            code = routers.processes[name].poll()
-            if code is None:
-                await asyncio.sleep(0.01)
-                continue
-            now = time.time()
-            is_planned = name in self.is_stopping
-            self._site.note("process ends", machine=name, code=code, sigterm=is_planned)
-            if not is_planned and now > self.started_at.get(name, 0) + EXCUSED_S:
-                self.own_ends.setdefault(name, []).append(now)
-            await asyncio.sleep(RESTART_DELAY_S)
-            routers.start(name)
-            self._site.note("process starts", machine=name)
-            if is_planned:
-                self.is_stopping.discard(name)
-                self.started_at[name] = time.time()
-
-
-async def change_settings(site: Site) -> None:
-    """Tell the two machines several times that their settings file has changed."""
-    for number in range(CHANGES):
-        site.note("SIGHUP", machines=ROLLED, number=number + 1)
-        for name in ROLLED:
-            site.routers.signal(name, signal.SIGHUP)
-        await asyncio.sleep(CHANGE_GAP_S)
-
-
-async def all_ready(site: Site, names: list[str]) -> bool:
-    """Wait until machines say that they are ready."""
-    return all([await site.wait_ready(name) for name in names])
-
-
-async def restart(site: Site, platform: Platform) -> bool:
-    """Restart two machines as planned; return whether they were started again."""
-    for name in ROLLED:
-        platform.is_stopping.add(name)
-        site.note("SIGTERM", machine=name)
-        site.routers.signal(name, signal.SIGTERM)
-    until = time.time() + 12
-    while len(platform.started_at) < len(ROLLED) and time.time() < until:
-        await asyncio.sleep(0.02)
-    return len(platform.started_at) == len(ROLLED)
+SERVICE, OTHER = "depot", "drafts"
+DRAIN_S = 2.0
+SERVES_ON_S = 6.0  # after the store accepted `draining`
 
 
 async def play(site: Site) -> int:
-    """Restart two machines as planned, with changes of the settings after it."""
-    site.store.put("config", "main", spec=configuration(3, [SERVICE]))
+    """Play a release of one replica; judge DRAIN."""
+    site.store.put("config", "main", spec=configuration(3, [SERVICE, OTHER]))
     for number in range(4):
-        await site.add_replica(f"i-{number}", SERVICE, ZONES[number % 3])
+        await site.add_replica(f"i-old{number}", SERVICE, ZONES[number % 3])
+        await site.add_replica(f"i-other{number}", OTHER, ZONES[number % 3])
     site.routers.start_all()
-    if not await all_ready(site, list(site.routers.hosts)):
-        return NOT_RUN
-    platform = Platform(site)
     for name in site.routers.hosts:
-        site.begin(platform.watch(name))
-        site.begin(site.send_orders(name, SERVICE, 0.1))
-    await asyncio.sleep(5)
-    if not await restart(site, platform):
-        return NOT_RUN
+        if not await site.wait_ready(name):
+            return NOT_RUN
+    await asyncio.sleep(4)
+    for name in site.routers.hosts:
+        for _ in range(2):
+            site.begin(site.send_orders(name, SERVICE, 0.1))
+    await asyncio.sleep(4)
+    old = site.replicas["i-old0"]
+    await site.add_replica("i-new0", SERVICE, old.zone)
+    await asyncio.sleep(0.15)
     if has_trouble():
-        await change_settings(site)
-    if not await all_ready(site, ROLLED):
-        return NOT_RUN
-    await asyncio.sleep(3)
-    counts = {name: len(ends) for name, ends in platform.own_ends.items()}
+        entry = {
+            "service": OTHER,
+            "address": f"{site.routers.net}.99:9",
+            "zone": old.zone,
+            "version": "1",
+            "slots": 6,
+            "state": "ready",
+            "born": time.time_ns(),  # no Unix millisecond; `coldLeftMs`, `seq` missing
+        }
+        site.store.put("servers", "i-other-writer", spec=entry)
+        site.note("entry of another writer", **entry)
+    old.register(site.store, "draining")
+    drained_at = time.time()
+    site.note("draining accepted by the store", id=old.id)
+    await asyncio.sleep(SERVES_ON_S)
+    site.store.delete("servers", old.id)
+    old.stop()
+    site.note("replica ends", id=old.id, orders_cut=old.cut)
+    await asyncio.sleep(2)
+    late = [
+        item for item in old.arrivals if item.ran and item.at > drained_at + DRAIN_S
+    ]
     ok = sum(item.status == 200 for item in site.results)
-    site.note("verdict", own_ends=counts, requests=len(site.results), answered_200=ok)
-    print(f"ends of their own, by machine: {counts}")
-    bad = [name for name, count in counts.items() if count >= MAX_OWN_ENDS]
-    return BROKEN if len(bad) >= 2 else HELD
+    site.note(
+        "verdict",
+        requests=len(site.results),
+        answered_200=ok,
+        arrivals_after_drainMs=len(late),
+        cut=len(old.cut),
+        last_late_s=round(late[-1].at - drained_at, 3) if late else None,
+    )
+    print(
+        f"{len(late)} requests ran at the replica later than drainMs after its leaving "
+        f"was acknowledged; {len(old.cut)} were at work there as it ended"
+    )
+    if ok < len(site.results) / 2:
+        return NOT_RUN
+    return BROKEN if late else HELD
 
 
 async def main() -> int:
     """Play the case."""
     try:
-        async with Site(Path(__file__).parent, 4) as site:
+        async with Site(Path(__file__).parent, 9) as site:
             return await play(site)
     except (OSError, AssertionError) as error:
         print(f"the case could not run: {error}", file=sys.stderr)
--- a/review/second/replica.py
+++ b/review/second/replica.py
@@ -47,6 +47,7 @@
     port: int
     note: Callable[..., None]
     slots: int = 6
+    queue: int = 24
     work_s: float = 0.045
     version: str = "1"
     born: int = 0
@@ -56,10 +57,12 @@
     _seq: int = 0
     _server: Server | None = None
     _at_work: set[str] = field(default_factory=set)
+    _places: asyncio.Semaphore | None = None
 
     async def start(self) -> None:
         """Listen."""
         self.born = int(time.time() * 1000)
+        self._places = asyncio.Semaphore(self.slots)
         self._server = Server(self._answer)
         await self._server.start(self.host, self.port)
 
@@ -101,7 +104,8 @@
         self.running += 1
         self._at_work.add(attempt)
         try:
-            await asyncio.sleep(self.work_s)
+            async with self._places:
+                await asyncio.sleep(self.work_s)
         finally:
             self.running -= 1
         self._at_work.discard(attempt)
@@ -114,4 +118,4 @@
             return 421
         if not attempt:
             return 400
-        return 503 if self.running >= self.slots * 2 else 0
+        return 503 if self.running >= self.slots + self.queue else 0
--- a/review/second/routers.py
+++ b/review/second/routers.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import atexit
 import json
 import os
 import random
 import re
 import signal
 import subprocess
+import sys
 import tomllib
 from pathlib import Path
 from typing import Any
@@ -88,6 +90,9 @@
         self.front, self.ready, self.control = 8221, 8224, 8229
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
         self._is_first = True
+        # Also if the case is ended from outside.
+        atexit.register(self.end)
+        signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(2))
 
     def _fields(self, name: str) -> dict[str, Any]:
         ip = self.hosts[name]
--- a/review/second/site.py
+++ b/review/second/site.py
@@ -32,14 +32,16 @@
     return os.environ.get("TROUBLE", "1") != "0"
 
 
-def route(name: str, prefix: str, kind: str, service: str) -> dict[str, Any]:
+def route(
+    name: str, prefix: str, kind: str, service: str, timeout_ms: int
+) -> dict[str, Any]:
     """Return a route of plain requests."""
     return {
         "name": name,
         "host": HOST,
         "pathPrefix": prefix,
         "routeType": kind,
-        "timeoutMs": 1500,
+        "timeoutMs": timeout_ms,
         "sloMs": 200,
         "priority": 0,
         "service": service,
@@ -48,12 +50,15 @@
     }
 
 
-def configuration(version: int, services: list[str]) -> dict[str, Any]:
+def configuration(
+    version: int, services: list[str], timeout_ms: int = 1500
+) -> dict[str, Any]:
     """Return a configuration with orders and lookups of each service."""
     routes = []
     for name in services:
-        routes.append(route(f"{name}-order", f"/{name}/order/", "unsafe", name))
-        routes.append(route(f"{name}-look", f"/{name}/look/", "safe", name))
+        for kind, path in (("unsafe", "order"), ("safe", "look")):
+            prefix = f"/{name}/{path}/"
+            routes.append(route(f"{name}-{path}", prefix, kind, name, timeout_ms))
     return {
         "version": version,
         "routes": routes,
