--- a/review/second/replica.py
+++ b/review/second/replica.py
@@ -97,6 +97,7 @@
         echoed = [("X-Attempt-Id", attempt)] if attempt else []
         refusal = self._refusal(request, attempt)
         self.arrivals.append(Arrival(attempt, self.id, time.time(), refusal == 0))
+        self.note("turned away" if refusal else "run", attempt=attempt, replica=self.id)
         if refusal:
             headers = [*echoed, ("X-Not-Executed", "1")]
             writer.write(encode(f"HTTP/1.1 {refusal} x", headers))
